Lay the workspace, the core's types, the settings and the wire

The core holds the types that every layer shares: verdicts, refusal and retry reasons, floors and their check against a term history, a group's status, the signed session token, and the events and actions of a failover.

--- /dev/null
+++ b/crates/jujubehold/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line of jujubehold.
+
+fn main() {}
--- /dev/null
+++ b/crates/jujubehold_core/src/group_view.rs
@@ -0,0 +1,68 @@
+//! What a host knows of one database group.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{InstanceId, Monotonic, Position, Term};
+use crate::instance_status::InstanceStatus;
+use crate::value_type;
+
+value_type! {
+    /// The present primary, and the latest status of each instance.
+    #[derive(Default)]
+    pub struct GroupView {
+        /// The highest term that this host has proof of.
+        pub term: Term,
+        /// The primary of that term, once known.
+        pub primary: Option<InstanceId>,
+        /// The latest sample of each instance.
+        pub samples: BTreeMap<InstanceId, Sample>,
+    }
+
+    /// A status and when it was asked for.
+    pub struct Sample {
+        /// When the query left this host; the status is no older than this.
+        pub sent_at: Monotonic,
+        /// What the instance answered.
+        pub status: InstanceStatus,
+    }
+}
+
+impl GroupView {
+    /// Takes in a status that was asked for at `sent_at`; returns whether the primary changed.
+    ///
+    /// A primary counts only while it is not fenced past its own term, and only of the highest
+    /// term seen.
+    pub fn observe(&mut self, sent_at: Monotonic, status: InstanceStatus) -> bool {
+        let mut is_changed = false;
+        if status.is_primary_of(status.term) && status.term > self.term {
+            self.term = status.term;
+            self.primary = Some(status.instance.clone());
+            is_changed = true;
+        }
+        let is_newer = self
+            .samples
+            .get(&status.instance)
+            .is_none_or(|sample| sample.sent_at <= sent_at);
+        if is_newer {
+            self.samples
+                .insert(status.instance.clone(), Sample { sent_at, status });
+        }
+        is_changed
+    }
+
+    /// Takes in an announcement of a primary; returns whether the primary changed.
+    pub fn announce(&mut self, term: Term, primary: &InstanceId) -> bool {
+        if term <= self.term {
+            return false;
+        }
+        self.term = term;
+        self.primary = Some(primary.clone());
+        true
+    }
+
+    /// The primary's last sampled position in the present term.
+    pub fn primary_sample(&self) -> Option<(Monotonic, Position)> {
+        let sample = self.samples.get(self.primary.as_ref()?)?;
+        (sample.status.term == self.term).then_some((sample.sent_at, sample.status.applied))
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_core/src/lib.rs
@@ -0,0 +1,23 @@
+//! The decisions of jujubehold, free of I/O.
+//!
+//! Nothing in this crate opens a socket, reads a clock, starts a thread or draws a random number.
+//! Events go in with a time, actions come out. The daemon, the replay tool, the experiments and
+//! the exploration tests drive the same code. See docs/ARCHITECTURE.md.
+
+pub mod authority;
+pub mod failover_action;
+pub mod failover_event;
+pub mod floor;
+pub mod group_view;
+pub mod ids;
+pub mod instance_status;
+mod macros;
+pub mod prelude;
+pub mod refusal_reason;
+pub mod retry_reason;
+pub mod route;
+pub mod service_config;
+pub mod session_token;
+pub mod statement;
+pub mod term_history;
+pub mod verdict;
--- /dev/null
+++ b/crates/jujubehold_core/src/prelude.rs
@@ -0,0 +1,15 @@
+//! The types that nearly every module of the product uses.
+
+pub use crate::floor::{Floor, FloorCheck};
+pub use crate::group_view::{GroupView, Sample};
+pub use crate::ids::{
+    DomainId, Generation, HostId, InstanceId, Monotonic, Nonce, Position, RegionId, RequestId,
+    ServiceId, Term,
+};
+pub use crate::instance_status::{InstanceStatus, Role};
+pub use crate::refusal_reason::RefusalReason;
+pub use crate::retry_reason::RetryReason;
+pub use crate::service_config::{Confirm, InstanceConfig, InstanceState, ServiceConfig};
+pub use crate::statement::StatementClass;
+pub use crate::term_history::TermHistory;
+pub use crate::verdict::{Refusal, UnknownReason, Verdict};
--- /dev/null
+++ b/crates/jujubehold_core/src/refusal_reason.rs
@@ -0,0 +1,142 @@
+//! Why a request was not run.
+
+use crate::key_type;
+
+key_type! {
+    /// Why a request was refused before it reached an upstream connection.
+    ///
+    /// Each reason has a counter of its own; docs/OPERATIONS.md says what each means.
+    pub enum RefusalReason {
+        /// No service has the name that the caller asked for.
+        UnknownService,
+        /// The caller did not prove who it is.
+        AuthenticationFailed,
+        /// The service's queue on this host is full.
+        QueueFull,
+        /// The request would have waited past its deadline.
+        DeadlineTooShort,
+        /// The caller has more requests waiting than its share.
+        CallerOverShare,
+        /// No primary is known, or its authority can't be proved.
+        NoPrimary,
+        /// No instance fresh enough for the read can be reached.
+        NoFreshReplica,
+        /// The session's last write was cut from the group's history by a failover.
+        FloorLost,
+        /// The session token was forged, damaged or made for another service.
+        TokenInvalid,
+        /// No upstream connection could be opened.
+        UpstreamUnreachable,
+        /// The upstream or its service is leaving.
+        Leaving,
+        /// The host is shutting down.
+        ShuttingDown,
+        /// No replica can confirm the write.
+        NoConfirmingReplica,
+        /// The statement needs session state that a pool can't carry.
+        UnsupportedSessionState,
+        /// The message is malformed, too large or out of turn.
+        ProtocolViolation,
+        /// The host that owns the upstream could not be reached.
+        OwnerUnreachable,
+        /// The share of retries in the traffic is used up.
+        RetryBudgetSpent,
+    }
+}
+
+impl RefusalReason {
+    /// Every reason, in the order of the metrics page.
+    pub const ALL: [Self; 17] = [
+        Self::UnknownService,
+        Self::AuthenticationFailed,
+        Self::QueueFull,
+        Self::DeadlineTooShort,
+        Self::CallerOverShare,
+        Self::NoPrimary,
+        Self::NoFreshReplica,
+        Self::FloorLost,
+        Self::TokenInvalid,
+        Self::UpstreamUnreachable,
+        Self::Leaving,
+        Self::ShuttingDown,
+        Self::NoConfirmingReplica,
+        Self::UnsupportedSessionState,
+        Self::ProtocolViolation,
+        Self::OwnerUnreachable,
+        Self::RetryBudgetSpent,
+    ];
+
+    /// The stable name used in metrics, logs and between hosts.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::UnknownService => "unknown_service",
+            Self::AuthenticationFailed => "authentication_failed",
+            Self::QueueFull => "queue_full",
+            Self::DeadlineTooShort => "deadline_too_short",
+            Self::CallerOverShare => "caller_over_share",
+            Self::NoPrimary => "no_primary",
+            Self::NoFreshReplica => "no_fresh_replica",
+            Self::FloorLost => "floor_lost",
+            Self::TokenInvalid => "token_invalid",
+            Self::UpstreamUnreachable => "upstream_unreachable",
+            Self::Leaving => "leaving",
+            Self::ShuttingDown => "shutting_down",
+            Self::NoConfirmingReplica => "no_confirming_replica",
+            Self::UnsupportedSessionState => "unsupported_session_state",
+            Self::ProtocolViolation => "protocol_violation",
+            Self::OwnerUnreachable => "owner_unreachable",
+            Self::RetryBudgetSpent => "retry_budget_spent",
+        }
+    }
+
+    /// Finds the reason with the stable name `name`.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|reason| reason.as_str() == name)
+    }
+
+    /// The SQLSTATE that a caller sees, from PostgreSQL's table of error codes.
+    pub fn sqlstate(self) -> &'static str {
+        match self {
+            Self::UnknownService => "3D000",
+            Self::AuthenticationFailed => "28P01",
+            Self::QueueFull
+            | Self::DeadlineTooShort
+            | Self::CallerOverShare
+            | Self::RetryBudgetSpent => "53300",
+            Self::NoPrimary
+            | Self::NoFreshReplica
+            | Self::UpstreamUnreachable
+            | Self::Leaving
+            | Self::NoConfirmingReplica
+            | Self::OwnerUnreachable => "57P03",
+            Self::FloorLost => "40001",
+            Self::TokenInvalid => "22023",
+            Self::ShuttingDown => "57P01",
+            Self::UnsupportedSessionState => "0A000",
+            Self::ProtocolViolation => "08P01",
+        }
+    }
+
+    /// Whether the same request can succeed later without a change by the caller.
+    pub fn is_transient(self) -> bool {
+        match self {
+            Self::QueueFull
+            | Self::DeadlineTooShort
+            | Self::CallerOverShare
+            | Self::NoPrimary
+            | Self::NoFreshReplica
+            | Self::UpstreamUnreachable
+            | Self::Leaving
+            | Self::ShuttingDown
+            | Self::NoConfirmingReplica
+            | Self::OwnerUnreachable
+            | Self::RetryBudgetSpent => true,
+            Self::UnknownService
+            | Self::AuthenticationFailed
+            | Self::FloorLost
+            | Self::TokenInvalid
+            | Self::UnsupportedSessionState
+            | Self::ProtocolViolation => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_core/src/service_config.rs
@@ -0,0 +1,93 @@
+//! What the operators decided about one service.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::ids::{DomainId, Generation, InstanceId, RegionId, ServiceId};
+use crate::value_type;
+
+value_type! {
+    /// The accepted configuration of one service.
+    pub struct ServiceConfig {
+        /// The service's name, which callers give as their database.
+        pub service: ServiceId,
+        /// One higher at each accepted change; a host never applies a lower one.
+        pub generation: Generation,
+        /// The upstream instances by name.
+        pub instances: BTreeMap<InstanceId, InstanceConfig>,
+        /// Whether a write is acknowledged only after a replica has it.
+        pub confirm: Confirm,
+        /// How old the data of a read may be when the session has no floor above it; zero asks
+        /// for the primary's position as of the request.
+        pub read_age: Duration,
+        /// How many statements an instance runs at once.
+        pub slots: u32,
+        /// How many requests may wait for a slot on one host.
+        pub queue: u32,
+        /// How long a statement may take, from its arrival to its answer.
+        pub statement_timeout: Duration,
+        /// The instance that the operators want as primary; `None` leaves it to the failover.
+        pub preferred_primary: Option<InstanceId>,
+        /// The callers by name, with the secrets that check their passwords.
+        pub callers: BTreeMap<SmolStr, SmolStr>,
+    }
+
+    /// One upstream instance of a service.
+    pub struct InstanceConfig {
+        /// Where the instance listens.
+        pub address: SocketAddr,
+        /// The failure domain that the instance is in.
+        pub domain: DomainId,
+        /// The region of that failure domain.
+        pub region: RegionId,
+        /// Whether the instance takes new work.
+        pub state: InstanceState,
+        /// The most connections that the instance takes.
+        pub connections: u32,
+    }
+}
+
+crate::key_type! {
+    /// Whether an instance takes new work.
+    pub enum InstanceState {
+        /// It takes work.
+        Active,
+        /// It gets no new work; what runs may end.
+        Leaving,
+    }
+
+    /// What stands behind an acknowledged write.
+    pub enum Confirm {
+        /// The primary alone has committed it.
+        None,
+        /// A replica has received it too, so that it survives the loss of the primary.
+        Replica,
+    }
+}
+
+impl Default for ServiceConfig {
+    fn default() -> Self {
+        Self {
+            service: ServiceId::default(),
+            generation: 0,
+            instances: BTreeMap::new(),
+            confirm: Confirm::Replica,
+            read_age: Duration::ZERO,
+            slots: 3,
+            queue: 64,
+            statement_timeout: Duration::from_secs(10),
+            preferred_primary: None,
+            callers: BTreeMap::new(),
+        }
+    }
+}
+
+impl ServiceConfig {
+    /// How many instances make a majority of the group.
+    pub fn majority(&self) -> usize {
+        self.instances.len() / 2 + 1
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/lib.rs
@@ -0,0 +1,1 @@
+//! The crate is filled by the commits that follow.
--- /dev/null
+++ b/crates/jujubehold_pg/src/lib.rs
@@ -0,0 +1,20 @@
+//! PostgreSQL v3 messages as the proxy handles them.
+//!
+//! Messages are cut into frames by their length and passed on unread wherever the proxy has no
+//! question about them. Those that it must understand are decoded by pgwire's codecs. Nothing here
+//! decides where a statement goes. See docs/ARCHITECTURE.md.
+
+mod classify;
+mod frame;
+mod frame_reader;
+mod reply;
+mod startup;
+
+pub use classify::{Classifier, classify};
+pub use frame::{Frame, FrameError, backend, frontend};
+pub use frame_reader::FrameReader;
+pub use reply::{
+    ErrorFields, command_complete, error_response, notice_response, parameter_status,
+    ready_for_query, row_description, text_row,
+};
+pub use startup::{FirstPacket, query, read_first_packet, startup_message, terminate};
