Add the stand-ins for a database group and the platform

The product is tested against instances that speak PostgreSQL's protocol and a key-value service that speaks etcd's, both over sockets, so that faults can be put between. Instances replicate by statement from an in-memory log; the fence check, the commit and its position are one step under a lock.

--- /dev/null
+++ b/crates/jujubehold_standin/src/control_port.rs
@@ -0,0 +1,44 @@
+//! A port that takes one command a line and answers one line to each.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What carries out the commands of a control port.
+pub(crate) trait Control: 'static {
+    /// Carries out one command and returns the answer, without the line's end.
+    fn run_command(&self, words: &[&str]) -> String;
+}
+
+/// Opens the port and serves it until the runtime ends; returns its address.
+pub(crate) async fn serve_control(
+    address: SocketAddr,
+    control: impl Control,
+) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let control = Rc::new(control);
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let control = Rc::clone(&control);
+            actix_rt::spawn(async move {
+                // A lost control connection concerns only who opened it.
+                let _ = serve_lines(stream, control.as_ref()).await;
+            });
+        }
+    });
+    Ok(address)
+}
+
+async fn serve_lines(stream: TcpStream, control: &impl Control) -> std::io::Result<()> {
+    let (reader, mut writer) = stream.into_split();
+    let mut lines = BufReader::new(reader).lines();
+    while let Some(line) = lines.next_line().await? {
+        let words: Vec<&str> = line.split_ascii_whitespace().collect();
+        let answer = control.run_command(&words);
+        writer.write_all(format!("{answer}\n").as_bytes()).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/jujubehold_standin/src/database/extended.rs
@@ -0,0 +1,227 @@
+//! The extended query protocol: prepared statements and portals.
+
+use std::collections::BTreeMap;
+
+use jujubehold_pg::{Frame, FrameError, command_complete, frontend};
+use pgwire::messages::data::{NoData, ParameterDescription};
+use pgwire::messages::extendedquery::{
+    Bind, BindComplete, Close, CloseComplete, Describe, Execute, Parse, ParseComplete,
+    PortalSuspended,
+};
+use pgwire::messages::response::EmptyQueryResponse;
+use rusqlite::types::Value;
+
+use super::executor::Description;
+use super::outcome::{Column, Outcome, data_row, is_binary, row_description};
+use super::session::Session;
+use super::sql_error::SqlError;
+use super::sql_type::SqlType;
+use super::statement_kind::StatementKind;
+
+/// The prepared statements and portals of one connection.
+#[derive(Debug, Default)]
+pub(crate) struct Extended {
+    statements: BTreeMap<String, Prepared>,
+    portals: BTreeMap<String, Portal>,
+    /// A message failed: everything up to the next sync is passed over.
+    is_skipping: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Prepared {
+    sql: String,
+    description: Description,
+}
+
+#[derive(Debug)]
+struct Portal {
+    sql: String,
+    columns: Vec<Column>,
+    parameters: Vec<Value>,
+    formats: Vec<i16>,
+    /// What is left to send, once it has run.
+    outcome: Option<Outcome>,
+}
+
+impl Session {
+    /// Answers one message of the extended protocol.
+    pub(crate) async fn run_extended(&mut self, frame: &Frame) -> Result<(), FrameError> {
+        match frame.tag() {
+            frontend::SYNC => {
+                self.extended.is_skipping = false;
+                return self.send_ready().await;
+            }
+            frontend::FLUSH => return self.send().await,
+            _ if self.extended.is_skipping => return Ok(()),
+            _ => {}
+        }
+        let result = match frame.tag() {
+            frontend::PARSE => self.parse(frame.decode()?),
+            frontend::BIND => self.bind(frame.decode()?),
+            frontend::DESCRIBE => self.describe(&frame.decode()?),
+            frontend::EXECUTE => self.execute(&frame.decode()?).await,
+            frontend::CLOSE => {
+                self.close(&frame.decode()?);
+                Ok(())
+            }
+            tag => Err(SqlError::new(
+                "08P01",
+                format!("message {tag} is not supported"),
+            )),
+        };
+        if let Err(error) = result {
+            self.put(&error.frame("ERROR"));
+            self.end_failed();
+            self.extended.is_skipping = true;
+        }
+        Ok(())
+    }
+
+    fn parse(&mut self, parse: Parse) -> Result<(), SqlError> {
+        let description = match StatementKind::of(&parse.query) {
+            StatementKind::Sql => self.executor.describe(&parse.query, &parse.type_oids)?,
+            StatementKind::Group(_) => without_parameters(&["group_status"]),
+            StatementKind::Sleep(_) => without_parameters(&["pg_sleep"]),
+            StatementKind::Show(name) => without_parameters(&[&name]),
+            _ => without_parameters(&[]),
+        };
+        let name = parse.name.unwrap_or_default();
+        let prepared = Prepared {
+            sql: parse.query,
+            description,
+        };
+        self.extended.statements.insert(name, prepared);
+        self.put(&Frame::encode(&ParseComplete::new()));
+        Ok(())
+    }
+
+    fn bind(&mut self, bind: Bind) -> Result<(), SqlError> {
+        let name = bind.statement_name.unwrap_or_default();
+        let prepared = self.prepared(&name)?.clone();
+        let types = &prepared.description.parameters;
+        if types.len() != bind.parameters.len() {
+            let message = format!(
+                "{} parameters are taken, {} given",
+                types.len(),
+                bind.parameters.len()
+            );
+            return Err(SqlError::new("08P01", message));
+        }
+        let mut parameters = Vec::new();
+        for (index, (value, sql_type)) in bind.parameters.iter().zip(types).enumerate() {
+            let is_binary = is_binary(&bind.parameter_format_codes, index);
+            parameters.push(match value {
+                Some(bytes) => sql_type.read(bytes, is_binary)?,
+                None => Value::Null,
+            });
+        }
+        let portal = Portal {
+            sql: prepared.sql,
+            columns: prepared.description.columns,
+            parameters,
+            formats: bind.result_column_format_codes,
+            outcome: None,
+        };
+        self.extended
+            .portals
+            .insert(bind.portal_name.unwrap_or_default(), portal);
+        self.put(&Frame::encode(&BindComplete::new()));
+        Ok(())
+    }
+
+    fn describe(&mut self, describe: &Describe) -> Result<(), SqlError> {
+        let name = describe.name.clone().unwrap_or_default();
+        let (columns, formats) = if describe.target_type == b'S' {
+            let description = self.prepared(&name)?.description.clone();
+            let oids = description
+                .parameters
+                .iter()
+                .map(|sql_type| sql_type.oid())
+                .collect();
+            self.put(&Frame::encode(&ParameterDescription::new(oids)));
+            (description.columns, Vec::new())
+        } else {
+            let portal = self.portal(&name)?;
+            (portal.columns.clone(), portal.formats.clone())
+        };
+        if columns.is_empty() {
+            self.put(&Frame::encode(&NoData::new()));
+        } else {
+            self.put(&row_description(&columns, &formats));
+        }
+        Ok(())
+    }
+
+    async fn execute(&mut self, execute: &Execute) -> Result<(), SqlError> {
+        let name = execute.name.clone().unwrap_or_default();
+        let mut portal = self
+            .extended
+            .portals
+            .remove(&name)
+            .ok_or_else(|| SqlError::new("34000", format!("no portal named {name}")))?;
+        let mut outcome = match portal.outcome.take() {
+            Some(outcome) => outcome,
+            None => self.run_statement(&portal.sql, &portal.parameters).await?,
+        };
+        let limit = usize::try_from(execute.max_rows).unwrap_or(0);
+        let count = if limit == 0 {
+            outcome.rows.len()
+        } else {
+            limit.min(outcome.rows.len())
+        };
+        for row in outcome.rows.drain(..count) {
+            let frame = data_row(&portal.columns, &row, &portal.formats);
+            self.put(&frame);
+            self.send_when_full().await?;
+        }
+        let end = if !outcome.rows.is_empty() {
+            Frame::encode(&PortalSuspended::new())
+        } else if outcome.tag.is_empty() {
+            Frame::encode(&EmptyQueryResponse::new())
+        } else {
+            command_complete(&outcome.tag)
+        };
+        self.put(&end);
+        portal.outcome = Some(outcome);
+        self.extended.portals.insert(name, portal);
+        Ok(())
+    }
+
+    fn close(&mut self, close: &Close) {
+        let name = close.name.clone().unwrap_or_default();
+        if close.target_type == b'S' {
+            self.extended.statements.remove(&name);
+        } else {
+            self.extended.portals.remove(&name);
+        }
+        self.put(&Frame::encode(&CloseComplete::new()));
+    }
+
+    fn prepared(&self, name: &str) -> Result<&Prepared, SqlError> {
+        self.extended
+            .statements
+            .get(name)
+            .ok_or_else(|| SqlError::new("26000", format!("no prepared statement named {name}")))
+    }
+
+    fn portal(&self, name: &str) -> Result<&Portal, SqlError> {
+        self.extended
+            .portals
+            .get(name)
+            .ok_or_else(|| SqlError::new("34000", format!("no portal named {name}")))
+    }
+}
+
+fn without_parameters(columns: &[&str]) -> Description {
+    let columns = columns
+        .iter()
+        .map(|name| Column {
+            name: (*name).to_owned(),
+            sql_type: SqlType::Text,
+        })
+        .collect();
+    Description {
+        parameters: Vec::new(),
+        columns,
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_standin/src/database/group_answers.rs
@@ -0,0 +1,110 @@
+//! Answers to the calls of the group's interface.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujubehold_core::prelude::{Position, Term};
+use tokio::time::Instant;
+
+use super::instance::Instance;
+use super::outcome::Outcome;
+use super::puller;
+use super::session::Session;
+use super::sql_error::SqlError;
+use super::statement_kind::GroupCall;
+
+/// The most entries in one answer to a pull.
+const PULL_ENTRIES: usize = 1000;
+/// How long a catch-up may take.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(5);
+
+impl Session {
+    pub(crate) async fn run_group_call(&mut self, call: GroupCall) -> Result<Outcome, SqlError> {
+        match call {
+            GroupCall::Status => {}
+            GroupCall::Fence { term, nonce } => {
+                self.shared.change(|instance| instance.fence(term, nonce));
+            }
+            GroupCall::Promote { term, nonce } => {
+                self.shared
+                    .change(|instance| instance.promote(term, nonce))?;
+            }
+            GroupCall::Follow { term, address } => {
+                self.shared
+                    .change(|instance| instance.follow(term, address))?;
+            }
+            GroupCall::CatchUp { address, position } => self.catch_up(address, position).await?,
+            GroupCall::Wait {
+                term,
+                position,
+                wait,
+            } => {
+                let is_done = |instance: &Instance| has_confirmed(instance, term, position);
+                self.wait_until(wait, is_done).await;
+            }
+            GroupCall::Log { term, after, wait } => return self.log(term, after, wait).await,
+        }
+        Ok(self.status())
+    }
+
+    fn status(&self) -> Outcome {
+        let status = self.shared.instance().status(self.executor.last_commit);
+        Outcome::texts(&["group_status"], vec![vec![status.to_string()]])
+    }
+
+    async fn catch_up(&self, address: SocketAddr, position: Position) -> Result<(), SqlError> {
+        let work = puller::catch_up(&self.shared, address, position);
+        match tokio::time::timeout(CATCH_UP_TIMEOUT, work).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(error)) => Err(SqlError::new("58000", error.to_string())),
+            Err(_) => Err(SqlError::new("58000", "the catch-up took too long")),
+        }
+    }
+
+    async fn log(&self, term: Term, after: Position, wait: Duration) -> Result<Outcome, SqlError> {
+        self.wait_until(wait, |instance| {
+            instance.allegiance() != term || instance.received() != after
+        })
+        .await;
+        let instance = self.shared.instance();
+        if instance.allegiance() != term {
+            let message = format!("the log of term {term} is not served any more");
+            return Err(SqlError::read_only(message));
+        }
+        let mut rows = vec![vec![
+            instance.allegiance().to_string(),
+            instance.received().to_string(),
+            instance.history().to_string(),
+        ]];
+        for entry in instance.entries_after(after, PULL_ENTRIES) {
+            for statement in &entry.statements {
+                let (term, position) = (entry.term.to_string(), entry.position.to_string());
+                rows.push(vec![term, position, statement.clone()]);
+            }
+        }
+        Ok(Outcome::texts(&["term", "position", "statement"], rows))
+    }
+
+    async fn wait_until(&self, wait: Duration, is_done: impl Fn(&Instance) -> bool) {
+        let shared = Arc::clone(&self.shared);
+        let mut changes = shared.changes.subscribe();
+        let deadline = Instant::now() + wait;
+        while !is_done(&shared.instance()) {
+            // The sender lives in `shared`; an elapsed wait ends the loop.
+            if tokio::time::timeout_at(deadline, changes.changed())
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+}
+
+/// Whether nothing is left to wait for: the position is held in the term's history, or the
+/// instance has heard of a higher term.
+fn has_confirmed(instance: &Instance, term: Term, position: Position) -> bool {
+    let is_held = instance.received() >= position && instance.history().contains(term, position);
+    is_held || instance.allegiance() > term
+}
--- /dev/null
+++ b/crates/jujubehold_standin/src/database/instance.rs
@@ -0,0 +1,305 @@
+//! The state of one instance: role, term, fence, log, and what of the log is applied.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use jujubehold_core::prelude::{
+    InstanceId, InstanceStatus, Nonce, Position, Role, Term, TermHistory,
+};
+use rusqlite::Connection;
+
+use super::log_entry::LogEntry;
+use super::sql_error::SqlError;
+
+/// Whom a replica follows, and in which term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Following {
+    pub(crate) term: Term,
+    pub(crate) address: SocketAddr,
+}
+
+/// An instance's state; every change of it happens under one lock.
+#[derive(Debug)]
+pub(crate) struct Instance {
+    name: InstanceId,
+    directory: PathBuf,
+    role: Role,
+    term: Term,
+    fence_term: Term,
+    fence_nonce: Nonce,
+    history: TermHistory,
+    log: Vec<LogEntry>,
+    applied: usize,
+    following: Option<SocketAddr>,
+    pub(crate) apply_lag: Duration,
+    /// One higher each time the database file is built anew; connections reopen it then.
+    file_number: u64,
+    apply_connection: Connection,
+}
+
+/// Opens a database file the way every connection of an instance uses it.
+pub(crate) fn open_file(path: &std::path::Path) -> rusqlite::Result<Connection> {
+    let connection = Connection::open(path)?;
+    connection.busy_timeout(Duration::ZERO)?;
+    connection.execute_batch("PRAGMA journal_mode=WAL; PRAGMA synchronous=OFF;")?;
+    Ok(connection)
+}
+
+impl Instance {
+    pub(crate) fn open(
+        name: InstanceId,
+        directory: PathBuf,
+        primary: Option<SocketAddr>,
+        apply_lag: Duration,
+    ) -> rusqlite::Result<Self> {
+        let path = file_path(&directory, &name, 0);
+        // The log is kept in memory: a file that an earlier process left has none.
+        for suffix in ["", "-wal", "-shm"] {
+            let _ = std::fs::remove_file(format!("{}{suffix}", path.display()));
+        }
+        let apply_connection = open_file(&path)?;
+        let mut history = TermHistory::default();
+        history.start_term(1, 0);
+        Ok(Self {
+            name,
+            directory,
+            role: if primary.is_some() {
+                Role::Replica
+            } else {
+                Role::Primary
+            },
+            term: 1,
+            fence_term: 0,
+            fence_nonce: 0,
+            history,
+            log: Vec::new(),
+            applied: 0,
+            following: primary,
+            apply_lag,
+            file_number: 0,
+            apply_connection,
+        })
+    }
+
+    pub(crate) fn status(&self, last_commit: Position) -> InstanceStatus {
+        InstanceStatus {
+            instance: self.name.clone(),
+            role: self.role,
+            term: self.term,
+            received: self.received(),
+            applied: self.applied as Position,
+            fence_term: self.fence_term,
+            fence_nonce: self.fence_nonce,
+            last_commit,
+            history: self.history.clone(),
+        }
+    }
+
+    pub(crate) fn received(&self) -> Position {
+        self.log.len() as Position
+    }
+
+    pub(crate) fn history(&self) -> &TermHistory {
+        &self.history
+    }
+
+    /// The highest term that the instance has heard of, which it owes its allegiance to.
+    pub(crate) fn allegiance(&self) -> Term {
+        self.term.max(self.fence_term)
+    }
+
+    pub(crate) fn file(&self) -> (u64, PathBuf) {
+        (
+            self.file_number,
+            file_path(&self.directory, &self.name, self.file_number),
+        )
+    }
+
+    /// Whether writes are taken now.
+    ///
+    /// # Errors
+    /// The instance is a replica, or is fenced past its term.
+    pub(crate) fn check_writable(&self) -> Result<(), SqlError> {
+        if self.role == Role::Replica {
+            return Err(SqlError::read_only("the instance is a replica"));
+        }
+        if self.fence_term > self.term {
+            let message = format!("the instance is fenced at term {}", self.fence_term);
+            return Err(SqlError::read_only(message));
+        }
+        Ok(())
+    }
+
+    /// Appends a commit of this primary and returns its position.
+    pub(crate) fn append(&mut self, statements: Vec<String>) -> Position {
+        let position = self.received() + 1;
+        let received_at = Instant::now();
+        self.log.push(LogEntry {
+            term: self.term,
+            position,
+            statements,
+            received_at,
+        });
+        self.applied = self.log.len();
+        position
+    }
+
+    /// Fences the instance at `term` unless it has heard of that term or a higher one.
+    pub(crate) fn fence(&mut self, term: Term, nonce: Nonce) {
+        if term > self.allegiance() {
+            self.fence_term = term;
+            self.fence_nonce = nonce;
+        }
+    }
+
+    /// Becomes the primary of `term` if fenced at exactly this term and nonce.
+    pub(crate) fn promote(&mut self, term: Term, nonce: Nonce) -> rusqlite::Result<()> {
+        let is_fenced_so = self.fence_term == term && self.fence_nonce == nonce;
+        if !is_fenced_so || self.term >= term {
+            return Ok(());
+        }
+        self.apply_up_to(self.log.len())?;
+        self.role = Role::Primary;
+        self.term = term;
+        self.following = None;
+        self.history.start_term(term, self.received());
+        Ok(())
+    }
+
+    /// Follows `address` in `term`, unless it has heard of a higher one or is that term's primary.
+    pub(crate) fn follow(&mut self, term: Term, address: SocketAddr) -> rusqlite::Result<()> {
+        let is_own_primary = self.role == Role::Primary && self.term == term;
+        if term < self.allegiance() || is_own_primary {
+            return Ok(());
+        }
+        if self.role == Role::Primary {
+            // Open transactions of the old primary end with its file.
+            self.rebuild()?;
+        }
+        self.role = Role::Replica;
+        self.term = term;
+        self.following = Some(address);
+        Ok(())
+    }
+
+    /// Whom to pull the log from; none for a primary, and none once fenced past the term.
+    pub(crate) fn following(&self) -> Option<Following> {
+        let address = self.following?;
+        let is_current = self.role == Role::Replica && self.fence_term <= self.term;
+        is_current.then_some(Following {
+            term: self.term,
+            address,
+        })
+    }
+
+    /// The entries after `position`, at most `limit`.
+    pub(crate) fn entries_after(&self, position: Position, limit: usize) -> &[LogEntry] {
+        let start = usize::try_from(position)
+            .unwrap_or(usize::MAX)
+            .min(self.log.len());
+        let end = (start + limit).min(self.log.len());
+        &self.log[start..end]
+    }
+
+    /// Takes a piece of another instance's log: cuts what that history does not have, then appends
+    /// what follows without a gap.
+    pub(crate) fn take(
+        &mut self,
+        history: &TermHistory,
+        source_received: Position,
+        entries: Vec<LogEntry>,
+    ) -> rusqlite::Result<()> {
+        let common = self.common_position(history, source_received);
+        if common < self.log.len() {
+            self.cut(common)?;
+        }
+        for entry in entries {
+            if entry.position == self.received() + 1 {
+                self.log.push(entry);
+            }
+        }
+        self.take_history(history);
+        Ok(())
+    }
+
+    /// Applies what is due, and returns when the next entry is.
+    pub(crate) fn apply_due(&mut self, now: Instant) -> rusqlite::Result<Option<Instant>> {
+        while let Some(entry) = self.log.get(self.applied) {
+            let due_at = entry.received_at + self.apply_lag;
+            if due_at > now {
+                return Ok(Some(due_at));
+            }
+            self.apply_up_to(self.applied + 1)?;
+        }
+        Ok(None)
+    }
+
+    /// The last position at which both logs hold the same entry; a position and its term name one
+    /// entry, because a term has one primary.
+    fn common_position(&self, history: &TermHistory, source_received: Position) -> usize {
+        let longest = usize::try_from(source_received)
+            .unwrap_or(usize::MAX)
+            .min(self.log.len());
+        (0..longest)
+            .rev()
+            .find(|index| {
+                let entry = &self.log[*index];
+                term_at(history, entry.position) == entry.term
+            })
+            .map_or(0, |index| index + 1)
+    }
+
+    fn cut(&mut self, length: usize) -> rusqlite::Result<()> {
+        self.log.truncate(length);
+        if self.applied > length {
+            self.applied = length;
+            self.rebuild()?;
+        }
+        Ok(())
+    }
+
+    fn take_history(&mut self, history: &TermHistory) {
+        let received = self.received();
+        self.history = TermHistory::default();
+        for (term, start) in history.iter().filter(|(_, start)| *start <= received) {
+            self.history.start_term(term, start);
+        }
+    }
+
+    fn rebuild(&mut self) -> rusqlite::Result<()> {
+        self.file_number += 1;
+        self.apply_connection = open_file(&self.file().1)?;
+        let length = std::mem::take(&mut self.applied);
+        self.apply_up_to(length)
+    }
+
+    fn apply_up_to(&mut self, length: usize) -> rusqlite::Result<()> {
+        for entry in &self.log[self.applied.min(length)..length] {
+            let transaction = self.apply_connection.transaction()?;
+            for statement in &entry.statements {
+                // A statement may return rows, which `execute` would refuse.
+                let mut prepared = transaction.prepare(statement)?;
+                let mut rows = prepared.raw_query();
+                while rows.next()?.is_some() {}
+            }
+            transaction.commit()?;
+            self.applied += 1;
+        }
+        Ok(())
+    }
+}
+
+fn file_path(directory: &std::path::Path, name: &str, file_number: u64) -> PathBuf {
+    directory.join(format!("{name}-{file_number}.db"))
+}
+
+/// The term that `position` belongs to in `history`.
+fn term_at(history: &TermHistory, position: Position) -> Term {
+    history
+        .iter()
+        .filter(|(_, start)| *start < position)
+        .map(|(term, _)| term)
+        .max()
+        .unwrap_or(0)
+}
--- /dev/null
+++ b/crates/jujubehold_standin/src/database/puller.rs
@@ -0,0 +1,163 @@
+//! Replication: a replica asks for the log of the instance that it follows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jujubehold_core::prelude::{Position, Term, TermHistory};
+use jujubehold_pg::FrameError;
+
+use super::instance::Following;
+use super::log_entry::LogEntry;
+use super::pg_client::{PgClient, TextRow};
+use super::shared::Shared;
+
+/// How long a pull waits for something new.
+const PULL_WAIT: Duration = Duration::from_millis(500);
+/// After how long a pull without an answer is given up.
+const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long to wait before the next attempt after a failed one.
+const PULL_RETRY: Duration = Duration::from_millis(20);
+
+/// A piece of another instance's log.
+struct Pulled {
+    history: TermHistory,
+    received: Position,
+    entries: Vec<LogEntry>,
+}
+
+/// Follows whomever the instance is told to, until the runtime ends.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut changes = shared.changes.subscribe();
+    loop {
+        let following = shared.instance().following();
+        let Some(following) = following else {
+            // The sender lives in `shared`.
+            let _ = changes.changed().await;
+            continue;
+        };
+        tokio::select! {
+            () = follow(&shared, following) => {}
+            () = until_changed(&shared, following) => {}
+        }
+    }
+}
+
+async fn until_changed(shared: &Shared, following: Following) {
+    let mut changes = shared.changes.subscribe();
+    while shared.instance().following() == Some(following) {
+        // The sender lives in `shared`.
+        let _ = changes.changed().await;
+    }
+}
+
+async fn follow(shared: &Shared, following: Following) {
+    loop {
+        if let Err(error) = pull_all(shared, following).await {
+            log::debug!(instance = shared.settings.name.as_str(); "pull failed: {error}");
+        }
+        tokio::time::sleep(PULL_RETRY).await;
+    }
+}
+
+async fn pull_all(shared: &Shared, following: Following) -> Result<(), FrameError> {
+    let connect = PgClient::connect(following.address);
+    let mut client = within_timeout(connect).await?;
+    loop {
+        shared.thawed().await;
+        let after = shared.instance().received();
+        let pulled = within_timeout(pull(&mut client, following.term, after, PULL_WAIT)).await?;
+        shared.thawed().await;
+        let is_new = !pulled.entries.is_empty()
+            || pulled.received != after
+            || pulled.history != *shared.instance().history();
+        if !is_new {
+            continue;
+        }
+        shared
+            .change(|instance| {
+                // A fence or another primary may have come while the answer was on its way.
+                if instance.following() != Some(following) {
+                    return Ok(());
+                }
+                instance.take(&pulled.history, pulled.received, pulled.entries)
+            })
+            .map_err(|error| FrameError::Malformed(error.to_string()))?;
+    }
+}
+
+/// Fetches the log from `address` up to `position`; both instances are fenced at one term.
+pub(crate) async fn catch_up(
+    shared: &Shared,
+    address: SocketAddr,
+    position: Position,
+) -> Result<(), FrameError> {
+    let mut client = PgClient::connect(address).await?;
+    while shared.instance().received() < position {
+        let (term, after) = {
+            let instance = shared.instance();
+            (instance.allegiance(), instance.received())
+        };
+        let pulled = pull(&mut client, term, after, Duration::ZERO).await?;
+        let is_ahead = pulled.received > after;
+        shared
+            .change(|instance| {
+                if !is_ahead || instance.allegiance() != term {
+                    return Ok(());
+                }
+                instance.take(&pulled.history, pulled.received, pulled.entries)
+            })
+            .map_err(|error| FrameError::Malformed(error.to_string()))?;
+        if !is_ahead {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+async fn pull(
+    client: &mut PgClient,
+    term: Term,
+    after: Position,
+    wait: Duration,
+) -> Result<Pulled, FrameError> {
+    let sql = format!("SELECT group_log({term}, {after}, {})", wait.as_millis());
+    let rows = client.query(&sql).await?;
+    read_pulled(rows).ok_or_else(|| FrameError::Malformed("an answer to a pull".to_owned()))
+}
+
+fn read_pulled(rows: Vec<TextRow>) -> Option<Pulled> {
+    let mut rows = rows.into_iter();
+    let head: Vec<String> = rows.next()?.into_iter().collect::<Option<_>>()?;
+    let received = head.get(1)?.parse().ok()?;
+    let history = TermHistory::parse(head.get(2)?)?;
+    let received_at = Instant::now();
+    let mut entries: Vec<LogEntry> = Vec::new();
+    for row in rows {
+        let [term, position, statement] =
+            <[String; 3]>::try_from(row.into_iter().collect::<Option<Vec<_>>>()?).ok()?;
+        let (term, position) = (term.parse().ok()?, position.parse().ok()?);
+        match entries.last_mut().filter(|last| last.position == position) {
+            Some(last) => last.statements.push(statement),
+            None => entries.push(LogEntry {
+                term,
+                position,
+                statements: vec![statement],
+                received_at,
+            }),
+        }
+    }
+    Some(Pulled {
+        history,
+        received,
+        entries,
+    })
+}
+
+async fn within_timeout<T>(
+    work: impl Future<Output = Result<T, FrameError>>,
+) -> Result<T, FrameError> {
+    tokio::time::timeout(PULL_TIMEOUT, work)
+        .await
+        .unwrap_or_else(|_| Err(FrameError::Malformed("the pull timed out".to_owned())))
+}
--- /dev/null
+++ b/crates/jujubehold_standin/src/database/session.rs
@@ -0,0 +1,279 @@
+//! One caller's connection: its startup, its queries and its end.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use jujubehold_pg::{
+    Frame, FrameError, FrameReader, backend, command_complete, frontend, ready_for_query,
+};
+use rusqlite::types::Value;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{Notify, SemaphorePermit};
+use tokio::time::Instant;
+
+use super::executor::{Attempt, Executor};
+use super::extended::Extended;
+use super::outcome::{Outcome, data_row, row_description};
+use super::shared::Shared;
+use super::sql_error::SqlError;
+use super::sql_text::split_statements;
+use super::statement_kind::StatementKind;
+use super::transaction::Transaction;
+
+/// How long a statement waits for another transaction's lock.
+const LOCK_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long to wait between two attempts to take a lock.
+const LOCK_RETRY: Duration = Duration::from_millis(2);
+/// How many bytes are collected before they are sent.
+const SEND_BYTES: usize = 32 * 1024;
+
+/// A connection after its startup.
+#[derive(Debug)]
+pub(crate) struct Session {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) executor: Executor,
+    pub(crate) extended: Extended,
+    reader: FrameReader<OwnedReadHalf>,
+    writer: OwnedWriteHalf,
+    out: BytesMut,
+    cancel: Arc<Notify>,
+    settings: BTreeMap<String, String>,
+}
+
+impl Session {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        executor: Executor,
+        reader: FrameReader<OwnedReadHalf>,
+        writer: OwnedWriteHalf,
+        cancel: Arc<Notify>,
+    ) -> Self {
+        Self {
+            shared,
+            executor,
+            extended: Extended::default(),
+            reader,
+            writer,
+            out: BytesMut::new(),
+            cancel,
+            settings: BTreeMap::new(),
+        }
+    }
+
+    /// Serves the connection until its caller leaves.
+    pub(crate) async fn run(&mut self) -> Result<(), FrameError> {
+        while let Some(frame) = self.reader.read().await? {
+            self.shared.thawed().await;
+            match frame.tag() {
+                frontend::TERMINATE => return Ok(()),
+                frontend::QUERY => {
+                    let sql = frame.first_text().unwrap_or_default().to_owned();
+                    self.run_query(&sql).await?;
+                }
+                _ => self.run_extended(&frame).await?,
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) fn put(&mut self, frame: &Frame) {
+        self.out.extend_from_slice(frame.bytes());
+    }
+
+    /// Sends what was put, once the instance is not frozen.
+    pub(crate) async fn send(&mut self) -> Result<(), FrameError> {
+        self.shared.thawed().await;
+        let out = self.out.split();
+        self.writer.write_all(&out).await?;
+        Ok(())
+    }
+
+    pub(crate) async fn send_ready(&mut self) -> Result<(), FrameError> {
+        let ready = ready_for_query(self.executor.status_byte());
+        self.put(&ready);
+        self.send().await
+    }
+
+    async fn run_query(&mut self, sql: &str) -> Result<(), FrameError> {
+        let statements = split_statements(sql);
+        if statements.is_empty() {
+            self.out
+                .extend_from_slice(&[backend::EMPTY_QUERY_RESPONSE, 0, 0, 0, 4]);
+            return self.send_ready().await;
+        }
+        if let Err(error) = self.run_statements(&statements).await {
+            self.put(&error.frame("ERROR"));
+            self.end_failed();
+        }
+        self.send_ready().await
+    }
+
+    async fn run_statements(&mut self, statements: &[String]) -> Result<(), SqlError> {
+        if statements.len() > 1 && self.executor.transaction.is_none() {
+            self.executor.begin(Transaction {
+                is_implicit: true,
+                ..Transaction::default()
+            })?;
+        }
+        for sql in statements {
+            let outcome = self.run_statement(sql, &[]).await?;
+            self.put_outcome(&outcome).await?;
+        }
+        if self.is_in_implicit() {
+            self.executor.commit()?;
+        }
+        Ok(())
+    }
+
+    async fn put_outcome(&mut self, outcome: &Outcome) -> Result<(), SqlError> {
+        if !outcome.columns.is_empty() {
+            self.put(&row_description(&outcome.columns, &[]));
+        }
+        for row in &outcome.rows {
+            self.put(&data_row(&outcome.columns, row, &[]));
+            self.send_when_full().await?;
+        }
+        self.put(&command_complete(&outcome.tag));
+        Ok(())
+    }
+
+    pub(crate) async fn send_when_full(&mut self) -> Result<(), SqlError> {
+        if self.out.len() < SEND_BYTES {
+            return Ok(());
+        }
+        self.send()
+            .await
+            .map_err(|error| SqlError::new("08006", error.to_string()))
+    }
+
+    /// What a failed statement leaves: a failed transaction, or none where it stood alone.
+    pub(crate) fn end_failed(&mut self) {
+        if self.is_in_implicit() {
+            // A rollback that fails has no transaction left to roll back.
+            let _ = self.executor.rollback();
+        } else {
+            self.executor.fail_transaction();
+        }
+    }
+
+    fn is_in_implicit(&self) -> bool {
+        self.executor
+            .transaction
+            .as_ref()
+            .is_some_and(|open| open.is_implicit)
+    }
+
+    /// Runs one statement of either protocol.
+    pub(crate) async fn run_statement(
+        &mut self,
+        sql: &str,
+        parameters: &[Value],
+    ) -> Result<Outcome, SqlError> {
+        let kind = StatementKind::of(sql);
+        let is_failed = self.executor.status_byte() == b'E';
+        let ends_failure = matches!(
+            kind,
+            StatementKind::Commit | StatementKind::Rollback | StatementKind::RollbackTo
+        );
+        if is_failed && !ends_failure {
+            let message = "the transaction is aborted, commands are ignored until its end";
+            return Err(SqlError::new("25P02", message));
+        }
+        match kind {
+            StatementKind::Empty => Ok(Outcome::done("")),
+            StatementKind::Begin { is_read_only } => {
+                self.executor.begin(Transaction {
+                    is_read_only,
+                    ..Transaction::default()
+                })?;
+                Ok(Outcome::done("BEGIN"))
+            }
+            StatementKind::Commit => Ok(Outcome::done(self.executor.commit()?)),
+            StatementKind::Rollback => {
+                self.executor.rollback()?;
+                Ok(Outcome::done("ROLLBACK"))
+            }
+            StatementKind::RollbackTo => {
+                self.executor.rollback_to(sql)?;
+                Ok(Outcome::done("ROLLBACK"))
+            }
+            StatementKind::Set(tag) => {
+                self.set(sql);
+                Ok(Outcome::done(tag))
+            }
+            StatementKind::Show(name) => {
+                let value = self.settings.get(&name).cloned().unwrap_or_default();
+                Ok(Outcome::texts(&[&name], vec![vec![value]]))
+            }
+            StatementKind::Sleep(duration) => {
+                let shared = Arc::clone(&self.shared);
+                let _permit = self.take_slot(&shared).await?;
+                self.cancellable(tokio::time::sleep(duration)).await?;
+                Ok(Outcome::texts(&["pg_sleep"], vec![vec![String::new()]]))
+            }
+            StatementKind::Group(call) => self.run_group_call(call).await,
+            StatementKind::Sql => self.run_sql(sql, parameters).await,
+        }
+    }
+
+    async fn run_sql(&mut self, sql: &str, parameters: &[Value]) -> Result<Outcome, SqlError> {
+        let shared = Arc::clone(&self.shared);
+        let mut permit = Some(self.take_slot(&shared).await?);
+        shared
+            .statements
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let service_time = shared.conditions.borrow().service_time;
+        if !service_time.is_zero() {
+            self.cancellable(tokio::time::sleep(service_time)).await?;
+        }
+        let deadline = Instant::now() + LOCK_TIMEOUT;
+        loop {
+            shared.thawed().await;
+            if let Attempt::Done(outcome) = self.executor.run(sql, parameters)? {
+                return Ok(outcome);
+            }
+            if Instant::now() > deadline {
+                return Err(SqlError::new("55P03", "another transaction holds the lock"));
+            }
+            // The holder of the lock may need the slot to go on.
+            drop(permit.take());
+            self.cancellable(tokio::time::sleep(LOCK_RETRY)).await?;
+            permit = Some(self.take_slot(&shared).await?);
+        }
+    }
+
+    async fn take_slot<'a>(&self, shared: &'a Shared) -> Result<SemaphorePermit<'a>, SqlError> {
+        self.cancellable(shared.slots.acquire())
+            .await?
+            .map_err(|_| SqlError::new("57P01", "the instance stops"))
+    }
+
+    async fn cancellable<T>(&self, work: impl Future<Output = T>) -> Result<T, SqlError> {
+        tokio::select! {
+            biased;
+            result = work => Ok(result),
+            () = self.cancel.notified() => Err(SqlError::canceled()),
+        }
+    }
+
+    fn set(&mut self, sql: &str) {
+        let text = sql.trim().trim_end_matches(';');
+        let Some(rest) = text
+            .get(3..)
+            .filter(|_| text.to_ascii_lowercase().starts_with("set"))
+        else {
+            return;
+        };
+        let separated = rest
+            .split_once('=')
+            .or_else(|| rest.trim().split_once(" TO "));
+        if let Some((name, value)) = separated {
+            let name = name.trim().to_ascii_lowercase();
+            self.settings
+                .insert(name, value.trim().trim_matches('\'').to_owned());
+        }
+    }
+}
--- a/crates/jujubehold_standin/src/lib.rs
+++ b/crates/jujubehold_standin/src/lib.rs
@@ -1,1 +1,13 @@
-//! The crate is filled by the commits that follow.
+//! Stand-ins for what the product runs against: the instances of a database group and the
+//! platform's key-value service.
+//!
+//! Both are libraries, so that a test may run many of them in its own process, and small programs
+//! by way of [`run_database`] and [`run_platform`]. They are for tests and measurements only; see
+//! docs/notes/platform-stand-in.md and docs/notes/group-interface.md.
+
+mod control_port;
+pub mod database;
+pub mod platform;
+
+pub use database::run_database;
+pub use platform::run_platform;
--- /dev/null
+++ b/crates/jujubehold_standin/src/platform/handle.rs
@@ -0,0 +1,203 @@
+//! Starting, steering and stopping the platform.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use jujubehold_wire::kv::kv_server::KvServer;
+use jujubehold_wire::kv::lease_server::LeaseServer;
+use jujubehold_wire::kv::watch_server::WatchServer;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::control_port::serve_control;
+
+use super::control::PlatformControl;
+use super::faults::{CallKind, Outage};
+use super::kv_service::KvService;
+use super::lease_service::{self, LeaseService};
+use super::services::Services;
+use super::settings::PlatformSettings;
+use super::shared::Shared;
+use super::watch_service::WatchService;
+
+/// The running platform, on a thread of its own.
+#[derive(Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    control_address: Option<SocketAddr>,
+    shared: Arc<Shared>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+struct Started {
+    address: SocketAddr,
+    control_address: Option<SocketAddr>,
+    shared: Arc<Shared>,
+}
+
+impl Platform {
+    /// Starts the platform on a thread of its own.
+    ///
+    /// # Errors
+    /// An address is taken.
+    pub async fn start(settings: PlatformSettings) -> std::io::Result<Self> {
+        let (started_sender, started) = oneshot::channel();
+        let (stop, stopped) = oneshot::channel();
+        let name = "standin-platform".to_owned();
+        let thread = std::thread::Builder::new().name(name).spawn(move || {
+            let stopped = async {
+                // A dropped handle stops the platform as well.
+                let _ = stopped.await;
+            };
+            actix_rt::System::new().block_on(run(settings, started_sender, stopped));
+        })?;
+        let started = started.await.map_err(std::io::Error::other)??;
+        Ok(Self {
+            address: started.address,
+            control_address: started.control_address,
+            shared: started.shared,
+            stop: Some(stop),
+            thread: Some(thread),
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where its control port listens.
+    pub fn control_address(&self) -> Option<SocketAddr> {
+        self.control_address
+    }
+
+    /// The revision of the last change.
+    pub fn revision(&self) -> i64 {
+        self.shared.store().revision()
+    }
+
+    /// How many calls of each kind came, a waiting watch as one.
+    pub fn counts(&self) -> BTreeMap<CallKind, u64> {
+        self.shared.counts()
+    }
+
+    /// Begins or ends an outage.
+    pub fn set_outage(&self, outage: Outage) {
+        self.shared
+            .faults
+            .send_modify(|faults| faults.outage = outage);
+    }
+
+    /// Sets how long each call takes.
+    pub fn set_call_time(&self, call_time: Duration) {
+        self.shared
+            .faults
+            .send_modify(|faults| faults.call_time = call_time);
+    }
+
+    /// Lets the next `count` changes take effect and loses their answers.
+    pub fn lose_answers(&self, count: u32) {
+        self.shared
+            .faults
+            .send_modify(|faults| faults.lost_answers = count);
+    }
+
+    /// Goes back to an older revision, which ends all watches.
+    pub fn restore(&self, revision: i64) {
+        self.shared.restore(revision);
+    }
+
+    /// Stops the platform and waits for its thread.
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            // The platform may have stopped by itself.
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            // A panic of the thread was printed already.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// Runs the platform on this thread's runtime until `stop` is done.
+///
+/// # Errors
+/// An address is taken.
+pub async fn run_platform(
+    settings: PlatformSettings,
+    stop: impl Future<Output = ()>,
+) -> std::io::Result<()> {
+    let (started_sender, started) = oneshot::channel::<std::io::Result<Started>>();
+    let report = async {
+        let started = started.await.map_err(std::io::Error::other)??;
+        let address = started.address.to_string();
+        log::info!(address = address.as_str(); "listening");
+        Ok(())
+    };
+    let ((), reported) = tokio::join!(run(settings, started_sender, stop), report);
+    reported
+}
+
+async fn run(
+    settings: PlatformSettings,
+    started_sender: oneshot::Sender<std::io::Result<Started>>,
+    stop: impl Future<Output = ()>,
+) {
+    let started = start(settings).await;
+    let is_started = started.is_ok();
+    // Whoever started the platform may have gone.
+    let _ = started_sender.send(started);
+    if is_started {
+        stop.await;
+    }
+}
+
+async fn start(settings: PlatformSettings) -> std::io::Result<Started> {
+    let listener = TcpListener::bind(settings.listen).await?;
+    let address = listener.local_addr()?;
+    let shared = Arc::new(Shared::new(&settings));
+    let control_address = match settings.control {
+        Some(control) => {
+            let control_port = PlatformControl {
+                shared: Arc::clone(&shared),
+            };
+            Some(serve_control(control, control_port).await?)
+        }
+        None => None,
+    };
+    actix_rt::spawn(lease_service::expire(Arc::clone(&shared)));
+    let services = Services {
+        kv: KvServer::new(KvService(Arc::clone(&shared))),
+        watch: WatchServer::new(WatchService(Arc::clone(&shared))),
+        lease: LeaseServer::new(LeaseService(Arc::clone(&shared))),
+    };
+    let incoming = TcpListenerStream::new(listener);
+    let server = Server::builder().serve_with_incoming(services, incoming);
+    actix_rt::spawn(async move {
+        if let Err(error) = server.await {
+            log::error!("the platform failed: {error}");
+        }
+    });
+    Ok(Started {
+        address,
+        control_address,
+        shared,
+    })
+}
--- /dev/null
+++ b/crates/jujubehold_standin/src/platform/shared.rs
@@ -0,0 +1,106 @@
+//! What the platform's services share.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::watch;
+use tonic::Status;
+
+use super::faults::{CallKind, Faults, Outage};
+use super::settings::PlatformSettings;
+use super::store::Store;
+
+/// The store, the faults in force and the counts of calls.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    store: Mutex<Store>,
+    counts: Mutex<BTreeMap<CallKind, u64>>,
+    pub(crate) faults: watch::Sender<Faults>,
+    /// Counts changes of the store.
+    pub(crate) changes: watch::Sender<u64>,
+    /// Counts restores, each of which ends all watches.
+    pub(crate) restores: watch::Sender<u64>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: &PlatformSettings) -> Self {
+        let faults = Faults {
+            outage: Outage::None,
+            call_time: settings.call_time,
+            lost_answers: 0,
+        };
+        Self {
+            store: Mutex::new(Store::default()),
+            counts: Mutex::new(BTreeMap::new()),
+            faults: watch::Sender::new(faults),
+            changes: watch::Sender::new(0),
+            restores: watch::Sender::new(0),
+        }
+    }
+
+    pub(crate) fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the store and wakes the watches.
+    pub(crate) fn change<T>(&self, change: impl FnOnce(&mut Store) -> T) -> T {
+        let result = change(&mut self.store());
+        self.changes.send_modify(|count| *count += 1);
+        result
+    }
+
+    /// Counts a call and lets it meet the faults in force.
+    pub(crate) async fn enter(&self, kind: CallKind) -> Result<(), Status> {
+        self.count(kind);
+        self.pass_outage().await?;
+        let call_time = self.faults.borrow().call_time;
+        if !call_time.is_zero() {
+            tokio::time::sleep(call_time).await;
+        }
+        Ok(())
+    }
+
+    fn count(&self, kind: CallKind) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        *counts.entry(kind).or_default() += 1;
+    }
+
+    /// Waits for the end of an outage that hangs, and fails in one that refuses.
+    pub(crate) async fn pass_outage(&self) -> Result<(), Status> {
+        let mut faults = self.faults.subscribe();
+        // The sender lives in `self`, so that waiting can't fail.
+        let _ = faults
+            .wait_for(|faults| faults.outage != Outage::Hang)
+            .await;
+        match self.faults.borrow().outage {
+            Outage::Refuse => Err(Status::unavailable("the service is out")),
+            Outage::None | Outage::Hang => Ok(()),
+        }
+    }
+
+    /// Passes on the answer to a change, or loses it.
+    pub(crate) fn answer<T>(&self, response: T) -> Result<tonic::Response<T>, Status> {
+        let mut is_lost = false;
+        self.faults.send_if_modified(|faults| {
+            is_lost = faults.lost_answers > 0;
+            faults.lost_answers = faults.lost_answers.saturating_sub(1);
+            is_lost
+        });
+        if is_lost {
+            return Err(Status::unavailable("the connection was lost"));
+        }
+        Ok(tonic::Response::new(response))
+    }
+
+    pub(crate) fn counts(&self) -> BTreeMap<CallKind, u64> {
+        self.counts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    pub(crate) fn restore(&self, revision: i64) {
+        self.change(|store| store.restore(revision));
+        self.restores.send_modify(|count| *count += 1);
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_standin/tests/database/support.rs
@@ -0,0 +1,92 @@
+//! What the tests of the stand-in database share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubehold_core::prelude::InstanceStatus;
+use jujubehold_standin::database::{Database, DatabaseSettings};
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+
+/// After how long a test counts as hung.
+const HANG: Duration = Duration::from_secs(20);
+
+/// Settings without a connect cost, so that tests are quick.
+pub(crate) fn settings(name: &str) -> DatabaseSettings {
+    DatabaseSettings {
+        name: name.into(),
+        connect_cost: Duration::ZERO,
+        ..Default::default()
+    }
+}
+
+pub(crate) async fn primary(name: &str) -> Database {
+    Database::start(settings(name))
+        .await
+        .expect("the primary starts")
+}
+
+pub(crate) async fn replica(name: &str, primary: &Database) -> Database {
+    let settings = DatabaseSettings {
+        primary: Some(primary.address()),
+        ..settings(name)
+    };
+    Database::start(settings).await.expect("the replica starts")
+}
+
+pub(crate) async fn connect(address: SocketAddr) -> Client {
+    try_connect(address)
+        .await
+        .expect("the instance takes a connection")
+}
+
+pub(crate) async fn try_connect(address: SocketAddr) -> Result<Client, tokio_postgres::Error> {
+    let text = format!(
+        "host={} port={} user=test dbname=test",
+        address.ip(),
+        address.port()
+    );
+    let (client, connection) = tokio_postgres::connect(&text, NoTls).await?;
+    actix_rt::spawn(async move {
+        // A connection that a test cuts ends with an error.
+        let _ = connection.await;
+    });
+    Ok(client)
+}
+
+/// The first column of the first row of a simple query.
+pub(crate) async fn text(client: &Client, sql: &str) -> String {
+    let messages = client.simple_query(sql).await.expect("the query succeeds");
+    messages
+        .iter()
+        .find_map(|message| match message {
+            SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+            _ => None,
+        })
+        .unwrap_or_default()
+}
+
+pub(crate) async fn status(client: &Client, call: &str) -> InstanceStatus {
+    let text = text(client, &format!("SELECT {call}")).await;
+    InstanceStatus::parse(&text).expect("a status")
+}
+
+/// The SQLSTATE of a query that must fail.
+pub(crate) async fn sqlstate(client: &Client, sql: &str) -> String {
+    let error = client.simple_query(sql).await.expect_err("the query fails");
+    error
+        .code()
+        .map(|code| code.code().to_owned())
+        .unwrap_or_default()
+}
+
+/// Waits for a state that must come.
+pub(crate) async fn until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let wait = async {
+        while !is_so() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(HANG, wait)
+        .await
+        .unwrap_or_else(|_| panic!("never came: {what}"));
+}
