Add the core's smaller decisions

GroupView also keeps the primary's positions over time and the time of the latest proof of its term, on which the age of a read rests.

--- a/crates/jujubehold_core/src/group_view.rs
+++ b/crates/jujubehold_core/src/group_view.rs
@@ -4,6 +4,7 @@
 
 use crate::ids::{InstanceId, Monotonic, Position, Term};
 use crate::instance_status::InstanceStatus;
+use crate::primary_marks::PrimaryMarks;
 use crate::value_type;
 
 value_type! {
@@ -16,6 +17,8 @@
         pub primary: Option<InstanceId>,
         /// The latest sample of each instance.
         pub samples: BTreeMap<InstanceId, Sample>,
+        /// The primary's positions over time, which tell the age of a replica's data.
+        pub marks: PrimaryMarks,
     }
 
     /// A status and when it was asked for.
@@ -39,6 +42,9 @@
             self.primary = Some(status.instance.clone());
             is_changed = true;
         }
+        if status.is_primary_of(self.term) {
+            self.marks.add(self.term, sent_at, status.applied);
+        }
         let is_newer = self
             .samples
             .get(&status.instance)
@@ -65,4 +71,22 @@
         let sample = self.samples.get(self.primary.as_ref()?)?;
         (sample.status.term == self.term).then_some((sample.sent_at, sample.status.applied))
     }
+
+    /// When the latest proof of the present term was asked for, if `replicas_needed` instances
+    /// beside the primary have given one.
+    ///
+    /// That many instances and the primary meet every majority, so as long as they are not fenced
+    /// past the term no majority is; see docs/notes/authority.md.
+    pub fn term_proof(&self, replicas_needed: usize) -> Option<Monotonic> {
+        let mut proofs: Vec<_> = self
+            .samples
+            .values()
+            .filter(|sample| Some(&sample.status.instance) != self.primary.as_ref())
+            .filter(|sample| sample.status.proves(self.term))
+            .map(|sample| sample.sent_at)
+            .collect();
+        proofs.sort_unstable();
+        let index = proofs.len().checked_sub(replicas_needed.max(1))?;
+        proofs.get(index).copied()
+    }
 }
--- a/crates/jujubehold_core/src/instance_status.rs
+++ b/crates/jujubehold_core/src/instance_status.rs
@@ -70,6 +70,16 @@
         self.role == Role::Primary && self.term == term && self.fence_term <= term
     }
 
+    /// Whether the instance knows of nothing above `term`, so that it stands for the term.
+    pub fn proves(&self, term: Term) -> bool {
+        self.fence_term <= term && self.term <= term
+    }
+
+    /// How advanced the instance's log is: a later term outweighs any position.
+    pub fn log_end(&self) -> (Term, Position) {
+        (self.history.last_term(), self.received)
+    }
+
     /// The number of pairs in the text form.
     const PAIRS: usize = 9;
 
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -5,6 +5,9 @@
 //! the exploration tests drive the same code. See docs/ARCHITECTURE.md.
 
 pub mod authority;
+pub mod backoff;
+pub mod config_store;
+pub mod drain;
 pub mod failover_action;
 pub mod failover_event;
 pub mod floor;
@@ -12,11 +15,17 @@
 pub mod ids;
 pub mod instance_status;
 mod macros;
+pub mod outcome;
+pub mod ownership;
 pub mod prelude;
+pub mod primary_marks;
+pub mod read_policy;
 pub mod refusal_reason;
+pub mod retry_budget;
 pub mod retry_reason;
 pub mod route;
 pub mod service_config;
+pub mod session_floor;
 pub mod session_token;
 pub mod statement;
 pub mod term_history;
--- /dev/null
+++ b/crates/jujubehold_core/src/ownership.rs
@@ -0,0 +1,125 @@
+//! Which hosts own an instance, watch a group or watch the configuration.
+//!
+//! All three are picked by rendezvous hashing, so that every host comes to the same answer from
+//! the same list, and a host that comes or goes moves only its own share; see
+//! docs/notes/membership.md.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::{DomainId, HostId, InstanceId, ServiceId};
+use crate::service_config::ServiceConfig;
+use crate::value_type;
+
+/// How many hosts own an instance.
+pub const OWNERS: usize = 2;
+
+/// How many hosts of each of the group's failure domains watch a group.
+pub const WATCHERS_PER_DOMAIN: usize = 2;
+
+/// How many hosts of a failure domain watch the configuration and relay it to the rest.
+pub const CONFIG_WATCHERS: usize = 2;
+
+value_type! {
+    /// A host that watches a group, and the failure domain that it speaks for.
+    pub struct Watcher {
+        /// The host.
+        pub host: HostId,
+        /// Its failure domain.
+        pub domain: DomainId,
+    }
+}
+
+/// The hosts of each failure domain.
+pub type DomainHosts = BTreeMap<DomainId, BTreeSet<HostId>>;
+
+/// The weight of `host` for `key`: FNV-1a over both, mixed so that near names differ widely.
+///
+/// It is written out here because owners must agree across versions of the product, which the
+/// standard library's hashers don't promise.
+pub fn weight(key: &str, host: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let bytes = key.bytes().chain(std::iter::once(0)).chain(host.bytes());
+    let hash = bytes.fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    });
+    mix(hash)
+}
+
+/// Spreads the bits of `value` over the whole word.
+pub fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let value = (value ^ (value >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    value ^ (value >> 33)
+}
+
+/// The `count` hosts with the highest weight for `key`, the first of them the highest.
+pub fn owners<'a>(
+    key: &str,
+    hosts: impl IntoIterator<Item = &'a HostId>,
+    count: usize,
+) -> Vec<HostId> {
+    let mut ranked: Vec<_> = hosts
+        .into_iter()
+        .map(|host| (std::cmp::Reverse(weight(key, host)), host))
+        .collect();
+    ranked.sort_unstable();
+    ranked.dedup();
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, host)| host.clone())
+        .collect()
+}
+
+/// The key under which an instance's owners are picked.
+pub fn instance_key(service: &ServiceId, instance: &InstanceId) -> String {
+    format!("{service}/{instance}")
+}
+
+/// How many connections each of `owner_count` owners may open to an instance that takes
+/// `connections`.
+///
+/// One share is left free, so that one owner more than usual stays under the limit while
+/// ownership moves.
+pub fn quota(connections: u32, owner_count: usize) -> u32 {
+    let shares = u32::try_from(owner_count).map_or(u32::MAX, |count| count.saturating_add(1));
+    (connections / shares).max(1)
+}
+
+/// The hosts that watch a service's group, in the order in which they would act.
+///
+/// They come from the failure domains of the group's instances, so a domain that is cut off still
+/// watches what is inside it.
+pub fn group_watchers(
+    config: &ServiceConfig,
+    hosts: &DomainHosts,
+    per_domain: usize,
+) -> Vec<Watcher> {
+    let domains: BTreeSet<_> = config
+        .instances
+        .values()
+        .map(|instance| &instance.domain)
+        .collect();
+    let mut watchers: Vec<_> = domains
+        .into_iter()
+        .filter_map(|domain| Some((domain, hosts.get(domain)?)))
+        .flat_map(|(domain, hosts)| {
+            owners(&config.service, hosts, per_domain)
+                .into_iter()
+                .map(|host| Watcher {
+                    host,
+                    domain: domain.clone(),
+                })
+        })
+        .collect();
+    watchers.sort_by_key(|watcher| {
+        std::cmp::Reverse((weight(&config.service, &watcher.host), watcher.host.clone()))
+    });
+    watchers
+}
+
+/// The hosts of a failure domain that hold a watch on the platform's service for the rest.
+pub fn config_watchers(domain: &DomainId, hosts: &BTreeSet<HostId>, count: usize) -> Vec<HostId> {
+    owners(&format!("config/{domain}"), hosts, count)
+}
--- /dev/null
+++ b/crates/jujubehold_core/src/primary_marks.rs
@@ -0,0 +1,80 @@
+//! The primary's positions over time.
+
+use std::collections::VecDeque;
+
+use crate::ids::{Monotonic, Position, Term};
+use crate::instance_status::InstanceStatus;
+use crate::value_type;
+
+/// The most marks kept; a mark takes 32 bytes.
+const CAPACITY: usize = 64;
+
+value_type! {
+    /// Positions of the present primary, each with when it was asked for.
+    ///
+    /// A replica that has applied a mark's position has all that was acknowledged when the mark
+    /// was asked for, so its data is no older than the mark.
+    #[derive(Default)]
+    pub struct PrimaryMarks {
+        term: Term,
+        marks: VecDeque<Mark>,
+    }
+
+    struct Mark {
+        sent_at: Monotonic,
+        position: Position,
+    }
+}
+
+impl PrimaryMarks {
+    /// Adds the position that the primary of `term` stated when asked at `sent_at`.
+    ///
+    /// Marks of lower terms are dropped, since a replaced primary's position proves nothing.
+    pub fn add(&mut self, term: Term, sent_at: Monotonic, position: Position) {
+        if term < self.term {
+            return;
+        }
+        if term > self.term {
+            self.term = term;
+            self.marks.clear();
+        }
+        let Some(last) = self.marks.back_mut() else {
+            self.marks.push_back(Mark { sent_at, position });
+            return;
+        };
+        if sent_at <= last.sent_at {
+            return;
+        }
+        if last.position == position {
+            last.sent_at = sent_at;
+            return;
+        }
+        self.marks.push_back(Mark { sent_at, position });
+        if self.marks.len() > CAPACITY {
+            self.thin();
+        }
+    }
+
+    /// When the newest mark was asked for that the instance has applied.
+    pub fn newest_reached(&self, term: Term, status: &InstanceStatus) -> Option<Monotonic> {
+        if term != self.term {
+            return None;
+        }
+        self.marks
+            .iter()
+            .rev()
+            .find(|mark| {
+                status.applied >= mark.position && status.history.contains(term, mark.position)
+            })
+            .map(|mark| mark.sent_at)
+    }
+
+    // Old marks may stand further apart, so every second one of the older half goes.
+    fn thin(&mut self) {
+        let mut index = 0;
+        self.marks.retain(|_| {
+            index += 1;
+            index > CAPACITY / 2 || index % 2 == 0
+        });
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_core/src/read_policy.rs
@@ -0,0 +1,114 @@
+//! Whether an instance's answer to a read may be given to the caller.
+//!
+//! Every age is told by this host's clock alone. See docs/notes/session-floor.md.
+
+use std::time::Duration;
+
+use crate::authority::Authority;
+use crate::floor::{Floor, FloorCheck};
+use crate::group_view::GroupView;
+use crate::ids::Monotonic;
+use crate::instance_status::InstanceStatus;
+use crate::service_config::ServiceConfig;
+use crate::session_floor::FloorKnowledge;
+use crate::value_type;
+
+value_type! {
+    /// What a read needs of the data that answers it.
+    pub struct ReadNeed {
+        /// The session's last write, which the answer must contain.
+        pub floor: Option<Floor>,
+        /// When the request arrived.
+        pub as_of: Monotonic,
+        /// How long before `as_of` the data may be from; `None` when the floor alone counts.
+        pub age: Option<Duration>,
+    }
+}
+
+crate::key_type! {
+    /// Whether an answer may be given to the caller.
+    pub enum ReadJudgement {
+        /// It meets the need.
+        Serve,
+        /// It does not meet the need, but another instance or a later try may.
+        Retry,
+        /// The session's last write is not part of the group's history any more.
+        Cut,
+    }
+}
+
+impl ReadNeed {
+    /// The need of a request that arrived at `now`.
+    ///
+    /// A session that may have written what no one here knows of needs the primary's position as
+    /// of the request; one that surely wrote nothing takes the service's read age.
+    pub fn new(config: &ServiceConfig, knowledge: FloorKnowledge, now: Monotonic) -> Self {
+        let (floor, age) = match knowledge {
+            FloorKnowledge::Floor(floor) => {
+                let age = (config.read_age > Duration::ZERO).then_some(config.read_age);
+                (Some(floor), age)
+            }
+            FloorKnowledge::NoWrites => (None, Some(config.read_age)),
+            FloorKnowledge::Unknown => (None, Some(Duration::ZERO)),
+        };
+        Self {
+            floor,
+            as_of: now,
+            age,
+        }
+    }
+
+    /// Judges an answer by the status that was asked for at `sent_at`, before the read, on the
+    /// same connection.
+    pub fn judge(
+        &self,
+        config: &ServiceConfig,
+        view: &GroupView,
+        authority: &Authority,
+        sent_at: Monotonic,
+        status: &InstanceStatus,
+    ) -> ReadJudgement {
+        let floor_check = self.floor.as_ref().map(|floor| floor.check(status));
+        match floor_check {
+            Some(FloorCheck::Cut) => return ReadJudgement::Cut,
+            Some(FloorCheck::Behind) => return ReadJudgement::Retry,
+            Some(FloorCheck::Reached) | None => {}
+        }
+        let Some(age) = self.age else {
+            return ReadJudgement::Serve;
+        };
+        let oldest_allowed = self.as_of.saturating_sub(age);
+        let is_fresh = complete_as_of(config, view, authority, sent_at, status)
+            .is_some_and(|complete_as_of| complete_as_of >= oldest_allowed);
+        if is_fresh {
+            ReadJudgement::Serve
+        } else {
+            ReadJudgement::Retry
+        }
+    }
+}
+
+/// The latest time, by this host's clock, of which the instance surely has every acknowledged
+/// write.
+///
+/// A primary's position counts as of when it was asked for, but no later than its term's proof
+/// holds: a primary that was replaced unawares must not vouch for itself.
+pub fn complete_as_of(
+    config: &ServiceConfig,
+    view: &GroupView,
+    authority: &Authority,
+    sent_at: Monotonic,
+    status: &InstanceStatus,
+) -> Option<Monotonic> {
+    let position_as_of = if status.is_primary_of(view.term) {
+        sent_at
+    } else {
+        view.marks.newest_reached(view.term, status)?
+    };
+    let replicas_needed = config.proving_replicas();
+    if replicas_needed == 0 {
+        return Some(position_as_of);
+    }
+    let proof_sent_at = view.term_proof(replicas_needed)?;
+    Some(position_as_of.min(proof_sent_at + authority.window))
+}
--- a/crates/jujubehold_core/src/service_config.rs
+++ b/crates/jujubehold_core/src/service_config.rs
@@ -90,4 +90,20 @@
     pub fn majority(&self) -> usize {
         self.instances.len() / 2 + 1
     }
+
+    /// How many replicas must stand for the term beside its primary, so that together they meet
+    /// every majority that could have been fenced.
+    pub fn proving_replicas(&self) -> usize {
+        self.instances.len().saturating_sub(self.majority())
+    }
+
+    /// How many replicas must hold a write before it is acknowledged.
+    ///
+    /// With three instances one is enough: every majority then contains the primary or it.
+    pub fn confirming_replicas(&self) -> usize {
+        match self.confirm {
+            Confirm::None => 0,
+            Confirm::Replica => self.proving_replicas().max(1),
+        }
+    }
 }
