Add the failover and the decision to acknowledge

Every watcher of a group runs one state machine: suspicion by more than one host and domain, the platform's record first with a time limit, fences of all instances, the choice of the most advanced of a fenced majority, the wait for the old term's windows, promotion, announcement. FailoverEvent gains LivenessHeard, Announced and CaughtUp; FailoverAction gains ShareLiveness.

An acknowledgement needs the primary and so many replicas, all asked within the window, that together they meet every majority: with the replica's proof alone, a majority of the primary and the other replica could have been fenced.

--- /dev/null
+++ b/crates/jujubehold_core/src/failover/change.rs
@@ -0,0 +1,125 @@
+//! When the operators want another primary.
+
+use std::time::Duration;
+
+use crate::failover::Failover;
+use crate::ids::{InstanceId, Monotonic};
+use crate::service_config::InstanceState;
+use crate::value_type;
+
+value_type! {
+    /// An order, or a wish that the configuration states.
+    #[derive(Default)]
+    pub(super) struct ChangeWish {
+        order: Option<Order>,
+        configured: Option<InstanceId>,
+        configured_since: Monotonic,
+        changed_at: Option<Monotonic>,
+    }
+
+    struct Order {
+        instance: InstanceId,
+        given_at: Monotonic,
+    }
+}
+
+impl ChangeWish {
+    pub(super) fn order(&mut self, now: Monotonic, instance: InstanceId) {
+        let given_at = now;
+        self.order = Some(Order { instance, given_at });
+    }
+
+    /// Notes that the primary changed, so that no change follows too soon.
+    pub(super) fn note_change(&mut self, now: Monotonic) {
+        self.changed_at = Some(now);
+    }
+
+    fn has_settled(&self, now: Monotonic, min_interval: Duration, settle: Duration) -> bool {
+        let is_rested = self
+            .changed_at
+            .is_none_or(|at| now.saturating_sub(at) >= min_interval);
+        is_rested && now.saturating_sub(self.configured_since) >= settle
+    }
+}
+
+impl Failover {
+    /// The instance that is to become primary now by order; `None` when there is nothing to do.
+    pub(super) fn wanted_change(&mut self, now: Monotonic) -> Option<InstanceId> {
+        self.drop_spent_order(now);
+        if let Some(order) = &self.wish.order {
+            return Some(order.instance.clone());
+        }
+        let configured = self.configured_change(now);
+        if configured != self.wish.configured {
+            self.wish.configured = configured;
+            self.wish.configured_since = now;
+        }
+        let change = &self.settings.change;
+        let rank = u32::try_from(self.rank(|_| true)).unwrap_or(u32::MAX);
+        // The first of the watchers acts; the others do only when it does not.
+        let settle = change.settle.saturating_mul(rank.saturating_add(1));
+        if !self.wish.has_settled(now, change.min_interval, settle) {
+            return None;
+        }
+        self.wish.configured.clone()
+    }
+
+    fn drop_spent_order(&mut self, now: Monotonic) {
+        let lifetime = self.settings.change.order_lifetime;
+        let Some(order) = &self.wish.order else {
+            return;
+        };
+        let is_overdue = now.saturating_sub(order.given_at) > lifetime;
+        let is_done = self.view.primary.as_ref() == Some(&order.instance);
+        if is_overdue || is_done || !self.is_active(&order.instance) {
+            self.wish.order = None;
+        }
+    }
+
+    // The preferred instance, or any other when the primary is leaving.
+    fn configured_change(&self, now: Monotonic) -> Option<InstanceId> {
+        let primary = self.view.primary.as_ref()?;
+        let preferred = self.config.preferred_primary.as_ref();
+        if let Some(preferred) = preferred
+            && preferred != primary
+            && self.is_ready(now, preferred)
+        {
+            return Some(preferred.clone());
+        }
+        if self.is_active(primary) {
+            return None;
+        }
+        self.config
+            .instances
+            .keys()
+            .filter(|instance| *instance != primary && self.is_ready(now, instance))
+            .max_by_key(|instance| {
+                let sample = self.view.samples.get(*instance);
+                sample.map(|sample| sample.status.log_end())
+            })
+            .cloned()
+    }
+
+    fn is_active(&self, instance: &InstanceId) -> bool {
+        self.config
+            .instances
+            .get(instance)
+            .is_some_and(|config| config.state == InstanceState::Active)
+    }
+
+    // Whether the instance answers and is close enough behind the primary.
+    fn is_ready(&self, now: Monotonic, instance: &InstanceId) -> bool {
+        let Some(sample) = self.view.samples.get(instance) else {
+            return false;
+        };
+        let Some((_, position)) = self.view.primary_sample() else {
+            return false;
+        };
+        let is_fresh = now.saturating_sub(sample.sent_at) <= self.settings.sample_interval * 2;
+        let lag = position.saturating_sub(sample.status.received);
+        self.is_active(instance)
+            && is_fresh
+            && sample.status.term == self.view.term
+            && lag <= self.settings.change.max_lag
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_core/src/failover/probing.rs
@@ -0,0 +1,133 @@
+//! When each instance is probed, and what the answers show.
+
+use crate::failover::Failover;
+use crate::failover_action::FailoverAction;
+use crate::ids::{InstanceId, Monotonic};
+use crate::instance_status::InstanceStatus;
+
+impl Failover {
+    /// When the next tick is due at the latest.
+    pub fn next_wakeup(&self) -> Monotonic {
+        let now = self.last_event_at.unwrap_or_default();
+        if !self.is_watching() {
+            return now + self.settings.suspect_after / 2;
+        }
+        let probe_due = self
+            .config
+            .instances
+            .keys()
+            .map(|instance| self.probe_due(now, instance))
+            .min();
+        let attempt_due = self.attempt_due();
+        // A suspicion ripens between probes.
+        let ripens = now + self.settings.probe_interval / 4;
+        let due = [probe_due, attempt_due, Some(ripens)];
+        due.into_iter().flatten().min().unwrap_or(ripens).max(now)
+    }
+
+    pub(super) fn on_probed(
+        &mut self,
+        now: Monotonic,
+        instance: &InstanceId,
+        sent_at: Monotonic,
+        status: Option<InstanceStatus>,
+        actions: &mut Vec<FailoverAction>,
+    ) {
+        let is_primary = self.view.primary.as_ref() == Some(instance);
+        let Some(status) = status else {
+            if is_primary || self.view.primary.is_none() {
+                self.suspicion.count_failure(sent_at);
+            }
+            return;
+        };
+        self.note_promoted(now, &status, actions);
+        self.observe(now, sent_at, status.clone());
+        if status.is_primary_of(self.view.term) {
+            self.on_alive(now, sent_at);
+        } else if is_primary || self.view.primary.is_none() {
+            // It answers, but takes no writes: it is fenced, or came back as a replica.
+            self.suspicion.count_failure(sent_at);
+        }
+        self.follow(now, &status, actions);
+    }
+
+    fn on_alive(&mut self, now: Monotonic, sent_at: Monotonic) {
+        self.suspicion.prove_alive(sent_at);
+        if let (Some(promoted_at), Some(phases)) = (self.promoted_at.take(), &mut self.phases) {
+            phases.announce = now.saturating_sub(promoted_at);
+        }
+        self.cancel_false_alarm();
+    }
+
+    pub(super) fn probe(&mut self, now: Monotonic, actions: &mut Vec<FailoverAction>) {
+        let due: Vec<_> = self
+            .config
+            .instances
+            .keys()
+            .filter(|instance| self.probe_due(now, instance) <= now)
+            .cloned()
+            .collect();
+        for instance in due {
+            self.probed_at.insert(instance.clone(), now);
+            actions.push(FailoverAction::Probe { instance });
+        }
+    }
+
+    fn probe_due(&self, now: Monotonic, instance: &InstanceId) -> Monotonic {
+        let is_primary = self.view.primary.as_ref() == Some(instance);
+        let is_urgent = is_primary
+            || self.view.primary.is_none()
+            || self.attempt.is_some()
+            || self.has_doubt(now);
+        let interval = if is_urgent {
+            self.settings.probe_interval
+        } else {
+            self.settings.sample_interval
+        };
+        let sampled_at = self.view.samples.get(instance).map(|sample| sample.sent_at);
+        let last = self.probed_at.get(instance).copied().max(sampled_at);
+        last.map_or(now, |at| at + interval)
+    }
+
+    // The others are sampled closely as soon as the primary is late, so that their answers are
+    // there when they are needed.
+    fn has_doubt(&self, now: Monotonic) -> bool {
+        now.saturating_sub(self.suspicion.last_alive()) >= self.settings.suspect_after / 2
+    }
+
+    /// How many instances, of those that `counts` takes, answered of late.
+    pub(super) fn reachable(&self, now: Monotonic, counts: impl Fn(&InstanceId) -> bool) -> usize {
+        let oldest = now.saturating_sub(self.settings.suspect_after);
+        self.view
+            .samples
+            .iter()
+            .filter(|(instance, sample)| counts(instance) && sample.sent_at >= oldest)
+            .count()
+    }
+
+    fn follow(
+        &mut self,
+        now: Monotonic,
+        status: &InstanceStatus,
+        actions: &mut Vec<FailoverAction>,
+    ) {
+        let Some(primary) = self.view.primary.clone() else {
+            return;
+        };
+        let is_in_place = status.instance == primary || status.term >= self.view.term;
+        let is_fenced_past = status.fence_term > self.view.term;
+        if is_in_place || is_fenced_past || self.attempt.is_some() || !self.is_watching() {
+            return;
+        }
+        let sent_at = self.follow_sent_at.get(&status.instance).copied();
+        if !self.may_share(now, sent_at) {
+            return;
+        }
+        self.follow_sent_at.insert(status.instance.clone(), now);
+        actions.push(FailoverAction::Follow {
+            instance: status.instance.clone(),
+            primary,
+            term: self.view.term,
+        });
+    }
+}
--- a/crates/jujubehold_core/src/failover_action.rs
+++ b/crates/jujubehold_core/src/failover_action.rs
@@ -16,6 +16,12 @@
             /// The suspected term.
             term: Term,
         },
+        /// Answer the group's other watchers, of whom one suspects the primary of `term`, that this
+        /// host reaches it.
+        ShareLiveness {
+            /// The term of the living primary.
+            term: Term,
+        },
         /// Write the attempt down in the platform's service by compare-and-swap.
         Record {
             /// The new term.
--- a/crates/jujubehold_core/src/failover_event.rs
+++ b/crates/jujubehold_core/src/failover_event.rs
@@ -25,6 +25,22 @@
             /// The term of the primary it suspects.
             term: Term,
         },
+        /// Another host has proof that the primary of `term` is alive.
+        LivenessHeard {
+            /// The host that says so.
+            host: HostId,
+            /// Its failure domain.
+            domain: DomainId,
+            /// The term of the primary it reaches.
+            term: Term,
+        },
+        /// Another host tells of a primary.
+        Announced {
+            /// The term.
+            term: Term,
+            /// The primary.
+            primary: InstanceId,
+        },
         /// A fence was answered; `None` when there was no answer in time.
         Fenced {
             /// The instance asked.
@@ -43,6 +59,13 @@
             /// What is known of the record.
             outcome: RecordOutcome,
         },
+        /// A catch-up was answered; `None` when there was no answer in time.
+        CaughtUp {
+            /// The instance asked.
+            instance: InstanceId,
+            /// Its status after it fetched what it could.
+            status: Option<InstanceStatus>,
+        },
         /// A promotion was answered; `None` when there was no answer in time.
         Promoted {
             /// The instance asked.
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -4,10 +4,12 @@
 //! Events go in with a time, actions come out. The daemon, the replay tool, the experiments and
 //! the exploration tests drive the same code. See docs/ARCHITECTURE.md.
 
+pub mod acknowledgement;
 pub mod authority;
 pub mod backoff;
 pub mod config_store;
 pub mod drain;
+pub mod failover;
 pub mod failover_action;
 pub mod failover_event;
 pub mod floor;
--- /dev/null
+++ b/crates/jujubehold_core/tests/failover.rs
@@ -0,0 +1,196 @@
+//! A failed primary is replaced, a living one is not.
+
+mod support;
+
+use std::time::Duration;
+
+use jujubehold_core::failover::{Failover, FailoverSettings};
+use jujubehold_core::failover_action::FailoverAction;
+use jujubehold_core::failover_event::{FailoverEvent, RecordOutcome};
+use jujubehold_core::ownership::Watcher;
+
+use support::{config, ms, status};
+
+/// Two replicas answer and the primary does not, from 0 ms to `until`.
+fn run_silent(failover: &mut Failover, from_ms: u64, until_ms: u64) -> Vec<FailoverAction> {
+    let mut actions = Vec::new();
+    for at_ms in (from_ms..=until_ms).step_by(100) {
+        let now = ms(at_ms);
+        for (name, answer) in [
+            ("a", None),
+            ("b", Some(status("b", "replica", 1, 10, "1:0"))),
+            ("c", Some(status("c", "replica", 1, 10, "1:0"))),
+        ] {
+            actions.extend(failover.on_event(
+                now,
+                FailoverEvent::Probed {
+                    instance: name.into(),
+                    sent_at: now,
+                    status: answer,
+                },
+            ));
+        }
+    }
+    actions
+}
+
+fn watched() -> Failover {
+    let settings = FailoverSettings::default();
+    let mut failover = Failover::new(settings, &config(), "h1".into(), "delta".into(), 7);
+    failover.set_watchers(vec![
+        Watcher {
+            host: "h1".into(),
+            domain: "delta".into(),
+        },
+        Watcher {
+            host: "h2".into(),
+            domain: "gulf".into(),
+        },
+    ]);
+    failover.on_event(
+        ms(0),
+        FailoverEvent::Probed {
+            instance: "a".into(),
+            sent_at: ms(0),
+            status: Some(status("a", "primary", 1, 10, "1:0")),
+        },
+    );
+    failover
+}
+
+fn suspicion(domain: &str) -> FailoverEvent {
+    FailoverEvent::SuspicionHeard {
+        host: "h2".into(),
+        domain: domain.into(),
+        term: 1,
+    }
+}
+
+fn has_record(actions: &[FailoverAction]) -> bool {
+    actions
+        .iter()
+        .any(|action| matches!(action, FailoverAction::Record { .. }))
+}
+
+#[test]
+fn one_host_alone_starts_nothing_while_another_could_be_heard() {
+    let mut failover = watched();
+    failover.on_event(ms(10), suspicion("gulf"));
+    let actions = run_silent(&mut failover, 100, 3000);
+    assert!(actions.contains(&FailoverAction::ShareSuspicion { term: 1 }));
+    // The other's suspicion was of 10 ms and has lapsed by the time this host has its own.
+    assert!(!has_record(&run_silent(&mut failover, 3100, 4000)));
+}
+
+#[test]
+fn a_second_domain_makes_the_quorum_and_the_steps_follow() {
+    let mut failover = watched();
+    run_silent(&mut failover, 100, 800);
+    let actions = failover.on_event(ms(810), suspicion("gulf"));
+    let nonce = actions.iter().find_map(|action| match action {
+        FailoverAction::Record { term: 2, nonce } => Some(*nonce),
+        _ => None,
+    });
+    let nonce = nonce.expect("the attempt is recorded first");
+    let actions = failover.on_event(
+        ms(820),
+        FailoverEvent::Recorded {
+            term: 2,
+            outcome: RecordOutcome::Unavailable,
+        },
+    );
+    let fences = actions
+        .iter()
+        .filter(|action| matches!(action, FailoverAction::Fence { term: 2, .. }));
+    assert_eq!(fences.count(), 3);
+    for (name, received) in [("b", 10), ("c", 12)] {
+        let mut granted = status(name, "replica", 1, received, "1:0");
+        granted.fence_term = 2;
+        granted.fence_nonce = nonce;
+        failover.on_event(
+            ms(830),
+            FailoverEvent::Fenced {
+                instance: name.into(),
+                term: 2,
+                nonce,
+                status: Some(granted),
+            },
+        );
+    }
+    let promote = FailoverAction::Promote {
+        instance: "c".into(),
+        term: 2,
+        nonce,
+    };
+    let early = failover.on_event(ms(1240), FailoverEvent::Tick);
+    assert!(!early.contains(&promote), "a window may still be open");
+    let actions = failover.on_event(ms(1251), FailoverEvent::Tick);
+    assert!(actions.contains(&promote), "{actions:?}");
+    let mut promoted = status("c", "primary", 2, 12, "1:0,2:12");
+    promoted.fence_term = 2;
+    promoted.fence_nonce = nonce;
+    let actions = failover.on_event(
+        ms(1260),
+        FailoverEvent::Promoted {
+            instance: "c".into(),
+            term: 2,
+            status: Some(promoted),
+        },
+    );
+    assert!(actions.contains(&FailoverAction::Announce {
+        term: 2,
+        primary: "c".into()
+    }));
+    assert_eq!(failover.view().primary.as_deref(), Some("c"));
+    let phases = failover.phases().expect("the run ended here");
+    assert_eq!(phases.wait, Duration::from_millis(421));
+}
+
+#[test]
+fn a_paused_host_suspects_no_one_for_what_it_did_not_hear() {
+    let mut failover = watched();
+    run_silent(&mut failover, 100, 400);
+    failover.on_event(ms(9000), suspicion("gulf"));
+    let actions = failover.on_event(
+        ms(9001),
+        FailoverEvent::Probed {
+            instance: "a".into(),
+            sent_at: ms(400),
+            status: None,
+        },
+    );
+    assert!(!has_record(&actions));
+    assert!(!failover.is_suspecting(ms(9001)));
+}
+
+#[test]
+fn a_host_that_reaches_the_primary_says_so() {
+    let mut failover = watched();
+    let actions = failover.on_event(ms(50), suspicion("gulf"));
+    assert!(actions.contains(&FailoverAction::ShareLiveness { term: 1 }));
+}
+
+#[test]
+fn an_old_primary_that_comes_back_follows_the_new_one() {
+    let mut failover = watched();
+    failover.on_event(
+        ms(60),
+        FailoverEvent::Announced {
+            term: 2,
+            primary: "b".into(),
+        },
+    );
+    let actions = failover.on_event(
+        ms(70),
+        FailoverEvent::Probed {
+            instance: "a".into(),
+            sent_at: ms(65),
+            status: Some(status("a", "primary", 1, 14, "1:0")),
+        },
+    );
+    assert!(actions.contains(&FailoverAction::Follow {
+        instance: "a".into(),
+        primary: "b".into(),
+        term: 2
+    }));
+}
