Add a thin host: callers, pools, probes and a routing table

One control thread reads the configuration and probes the instances; traffic threads serve simple queries through pooled connections, keep a connection while a transaction is open, and say not run or unknown where there is no answer. What it does not do yet: extended queries, floors, confirming, owners, relays.

--- /dev/null
+++ b/crates/jujubehold_host/src/control/mod.rs
@@ -0,0 +1,6 @@
+//! The control thread.
+
+mod control_loop;
+mod probe;
+
+pub use control_loop::Control;
--- a/crates/jujubehold_host/src/lib.rs
+++ b/crates/jujubehold_host/src/lib.rs
@@ -1,1 +1,19 @@
-//! The crate is filled by the commits that follow.
+//! The entry host: callers on one side, upstreams, other hosts and the platform on the other.
+//!
+//! One thread keeps the control state: configuration, groups, membership and failover. The others
+//! carry traffic and see the control state as a [`routing_table::RoutingTable`] that the control
+//! thread publishes. All decisions are `jujubehold_core`'s. See docs/ARCHITECTURE.md.
+
+pub mod clock;
+pub mod control;
+pub mod error;
+pub mod host;
+pub mod observation;
+pub mod platform;
+pub mod pool;
+pub mod routing_table;
+pub mod shared;
+pub mod traffic;
+
+pub use error::HostError;
+pub use host::{Host, run};
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/listener.rs
@@ -0,0 +1,69 @@
+//! Accepts callers and hands them to the traffic threads in turn.
+
+use std::sync::Arc;
+
+use actix_rt::{Arbiter, ArbiterHandle};
+use log::warn;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::shared::Shared;
+use crate::traffic::caller::serve_caller;
+
+/// The threads that carry traffic.
+#[derive(Debug)]
+pub struct TrafficThreads {
+    arbiters: Vec<Arbiter>,
+    next: usize,
+}
+
+impl TrafficThreads {
+    /// Starts `count` threads, at least one.
+    pub fn start(count: usize) -> Self {
+        let arbiters = (0..count.max(1)).map(|_| Arbiter::new()).collect();
+        Self { arbiters, next: 0 }
+    }
+
+    /// The thread that the next caller goes to.
+    fn next(&mut self) -> ArbiterHandle {
+        self.next = (self.next + 1) % self.arbiters.len();
+        self.arbiters[self.next].handle()
+    }
+
+    /// Stops the threads and waits until they have ended.
+    pub fn stop(self) {
+        for arbiter in &self.arbiters {
+            arbiter.stop();
+        }
+        for arbiter in self.arbiters {
+            let _ = arbiter.join();
+        }
+    }
+}
+
+/// Accepts callers until its future is dropped.
+pub async fn accept_callers(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    threads: &mut TrafficThreads,
+) {
+    loop {
+        let stream = match listener
+            .accept()
+            .await
+            .and_then(|(stream, _)| stream.into_std())
+        {
+            Ok(stream) => stream,
+            Err(error) => {
+                warn!("a caller was not accepted: {error}");
+                continue;
+            }
+        };
+        let shared = shared.clone();
+        threads.next().spawn(async move {
+            match TcpStream::from_std(stream) {
+                Ok(stream) => serve_caller(stream, shared).await,
+                Err(error) => warn!("a caller was not accepted: {error}"),
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/upstream_error.rs
@@ -0,0 +1,37 @@
+//! Verdicts as the errors that a caller sees.
+
+use std::fmt::Write;
+
+use jujubehold_core::prelude::*;
+use jujubehold_pg::{ErrorFields, Frame, error_response};
+
+/// The error that tells a caller that its request was not run, and when to come back.
+pub(crate) fn refusal_error(refusal: &Refusal) -> Frame {
+    let name = refusal.reason.as_str();
+    let mut detail = format!("verdict=not_run reason={name}");
+    let mut hint = "The request did not run.".to_owned();
+    if let Some(wait) = refusal.retry_after {
+        let wait_ms = wait.as_millis();
+        let _ = write!(detail, " retry_after_ms={wait_ms}");
+        let _ = write!(hint, " Ask again in {wait_ms} ms.");
+    }
+    error_response(ErrorFields {
+        severity: "ERROR".into(),
+        sqlstate: refusal.reason.sqlstate().into(),
+        message: format!("request refused: {name}"),
+        detail,
+        hint,
+    })
+}
+
+/// The error that tells a caller that its request may have run.
+pub(crate) fn unknown_error(reason: UnknownReason) -> Frame {
+    let name = reason.as_str();
+    error_response(ErrorFields {
+        severity: "ERROR".into(),
+        sqlstate: reason.sqlstate().into(),
+        message: format!("it is not known whether the request ran: {name}"),
+        detail: format!("verdict=unknown reason={name}"),
+        hint: "Look at the data before you ask again.".into(),
+    })
+}
