Add the admission of requests to a service's slots

A request waits only when the slots can finish it by its deadline. Callers and classes share the slots by start-time fair queueing; a full queue makes room by refusing the newest request of the caller with the most waiting. Deferrable writes leave one slot to the others.

--- /dev/null
+++ b/crates/jujubehold_core/src/admission.rs
@@ -0,0 +1,394 @@
+//! Which requests start, which wait and which are refused.
+//!
+//! A request waits only when the slots can finish it by its deadline; any other is refused at
+//! once, so that under overload the slots do only work that is still wanted. See
+//! docs/notes/admission.md.
+
+mod fair_share;
+mod service_times;
+mod settings;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::ids::Monotonic;
+use crate::refusal_reason::RefusalReason;
+use crate::value_type;
+use crate::verdict::Refusal;
+
+pub use settings::{AdmissionSettings, Admitted, RequestClass};
+
+use fair_share::FairShare;
+use service_times::ServiceTimes;
+
+/// The host's own number of a request.
+pub type Ticket = u64;
+
+/// Who is entitled to a fair share: the caller's name, or its session when names are shared.
+pub type CallerKey = SmolStr;
+
+value_type! {
+    /// A request that asks to run.
+    pub struct AdmissionRequest {
+        /// The host's number for it.
+        pub ticket: Ticket,
+        /// Whose share it counts against.
+        pub caller: CallerKey,
+        /// Its class.
+        pub class: RequestClass,
+        /// When its answer is due.
+        pub deadline: Monotonic,
+    }
+
+    /// What came of an offer.
+    pub struct Offered {
+        /// Whether the request runs, waits or is refused.
+        pub decision: Result<Admitted, Refusal>,
+        /// A request of a caller with more than its share, refused to make room.
+        pub displaced: Option<RefusedTicket>,
+    }
+
+    /// A request that waited and is refused; it did not run.
+    pub struct RefusedTicket {
+        /// The request.
+        pub ticket: Ticket,
+        /// Why, and when to come back.
+        pub refusal: Refusal,
+    }
+
+    /// What a freed slot brings.
+    #[derive(Default)]
+    pub struct Released {
+        /// Requests that run now.
+        pub started: Vec<Ticket>,
+        /// Requests that can't be finished in time any more.
+        pub expired: Vec<RefusedTicket>,
+    }
+
+    struct Waiting {
+        ticket: Ticket,
+        expires_at: Monotonic,
+    }
+
+    struct Running {
+        class: RequestClass,
+        started_at: Monotonic,
+    }
+}
+
+type CallerQueues = BTreeMap<CallerKey, VecDeque<Waiting>>;
+
+/// The queue of one service on one host.
+///
+/// A waiting request takes about 150 bytes, so a full queue of 64 about 10 KB.
+#[derive(Debug, Clone)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    service_times: ServiceTimes,
+    running: BTreeMap<Ticket, Running>,
+    waiting: BTreeMap<RequestClass, CallerQueues>,
+    waiting_count: usize,
+    class_shares: FairShare<RequestClass>,
+    caller_shares: BTreeMap<RequestClass, FairShare<CallerKey>>,
+}
+
+impl Admission {
+    /// An empty queue.
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            service_times: ServiceTimes::new(settings.initial_service_time),
+            settings,
+            running: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            waiting_count: 0,
+            class_shares: FairShare::default(),
+            caller_shares: BTreeMap::new(),
+        }
+    }
+
+    /// Changes how many run at once and how many wait; what runs or waits stays.
+    pub fn set_limits(&mut self, slots: usize, queue: usize) {
+        self.settings.slots = slots;
+        self.settings.queue = queue;
+    }
+
+    /// How many requests wait.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting_count
+    }
+
+    /// How many requests run.
+    pub fn running_count(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Decides on a new request.
+    pub fn offer(&mut self, now: Monotonic, request: AdmissionRequest) -> Offered {
+        let service_time = self.service_times.mean(request.class);
+        // What waits while a slot is free waits for another kind of slot.
+        if self.has_slot(request.class) && self.next_flow().is_none() {
+            self.start(now, &request.caller, request.class, request.ticket);
+            return Offered::of(Ok(Admitted::Start));
+        }
+        let wait = self.expected_wait(&request);
+        let is_too_late = now + wait + service_time > request.deadline;
+        if is_too_late || wait > self.settings.max_wait {
+            return Offered::of(Err(self.refuse(RefusalReason::DeadlineTooShort, wait)));
+        }
+        let mut displaced = None;
+        if self.waiting_count >= self.settings.queue {
+            displaced = self.displace(&request.caller, wait);
+            if displaced.is_none() {
+                let reason = self.full_reason(&request.caller);
+                return Offered::of(Err(self.refuse(reason, wait)));
+            }
+        }
+        let last_start = request.deadline.saturating_sub(service_time);
+        let expires_at = last_start.min(now + self.settings.max_wait);
+        self.waiting
+            .entry(request.class)
+            .or_default()
+            .entry(request.caller)
+            .or_default()
+            .push_back(Waiting {
+                ticket: request.ticket,
+                expires_at,
+            });
+        self.waiting_count += 1;
+        Offered {
+            decision: Ok(Admitted::Wait),
+            displaced,
+        }
+    }
+
+    /// Frees the slot of a request that ended, and says which start in its place.
+    ///
+    /// A ticket that does not run, as when it is released twice, frees nothing.
+    pub fn release(&mut self, now: Monotonic, ticket: Ticket) -> Released {
+        if let Some(ended) = self.running.remove(&ticket) {
+            let taken = now.saturating_sub(ended.started_at);
+            self.service_times.measure(ended.class, taken);
+        }
+        self.fill(now)
+    }
+
+    /// Takes a waiting request out, as when its caller went away; whether it waited.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let before = self.waiting_count;
+        self.retain_waiting(|waiting| waiting.ticket != ticket);
+        self.waiting_count < before
+    }
+
+    /// Refuses what can't be finished in time any more, and starts what the slots take.
+    pub fn tick(&mut self, now: Monotonic) -> Released {
+        self.fill(now)
+    }
+
+    /// When the next waiting request expires.
+    pub fn next_expiry(&self) -> Option<Monotonic> {
+        self.queues()
+            .flat_map(|(_, _, queue)| queue)
+            .map(|waiting| waiting.expires_at)
+            .min()
+    }
+
+    fn fill(&mut self, now: Monotonic) -> Released {
+        let expired = self.expire(now);
+        let mut started = Vec::new();
+        while let Some((class, caller)) = self.next_flow() {
+            let Some(waiting) = self.pop(class, &caller) else {
+                break;
+            };
+            self.start(now, &caller, class, waiting.ticket);
+            started.push(waiting.ticket);
+        }
+        Released { started, expired }
+    }
+
+    fn expire(&mut self, now: Monotonic) -> Vec<RefusedTicket> {
+        let overdue: Vec<_> = self
+            .queues()
+            .flat_map(|(class, _, queue)| queue.iter().map(move |waiting| (class, waiting)))
+            .filter(|(_, waiting)| waiting.expires_at < now)
+            .map(|(class, waiting)| RefusedTicket {
+                ticket: waiting.ticket,
+                refusal: self.refuse(
+                    RefusalReason::DeadlineTooShort,
+                    self.drain_time() + self.service_times.mean(class),
+                ),
+            })
+            .collect();
+        if !overdue.is_empty() {
+            self.retain_waiting(|waiting| waiting.expires_at >= now);
+        }
+        overdue
+    }
+
+    fn next_flow(&self) -> Option<(RequestClass, CallerKey)> {
+        let classes = self.waiting.keys().filter(|class| self.has_slot(**class));
+        let class = *self.class_shares.pick(classes)?;
+        let callers = self.waiting.get(&class)?.keys();
+        let caller = match self.caller_shares.get(&class) {
+            Some(shares) => shares.pick(callers)?,
+            None => callers.min()?,
+        };
+        Some((class, caller.clone()))
+    }
+
+    fn pop(&mut self, class: RequestClass, caller: &CallerKey) -> Option<Waiting> {
+        let callers = self.waiting.get_mut(&class)?;
+        let queue = callers.get_mut(caller)?;
+        let waiting = queue.pop_front()?;
+        self.waiting_count -= 1;
+        if queue.is_empty() {
+            callers.remove(caller);
+        }
+        if callers.is_empty() {
+            self.waiting.remove(&class);
+        }
+        Some(waiting)
+    }
+
+    fn start(&mut self, now: Monotonic, caller: &CallerKey, class: RequestClass, ticket: Ticket) {
+        let service_time = self.service_times.mean(class);
+        let cost = u64::try_from(service_time.as_micros()).unwrap_or(u64::MAX / 2);
+        self.class_shares.charge(&class, cost / class.share());
+        self.caller_shares
+            .entry(class)
+            .or_default()
+            .charge(caller, cost);
+        let started_at = now;
+        self.running.insert(ticket, Running { class, started_at });
+    }
+
+    // A deferrable request leaves the last slot to the others, which may come at any moment.
+    fn has_slot(&self, class: RequestClass) -> bool {
+        let limit = match class {
+            RequestClass::Lookup | RequestClass::Write => self.settings.slots,
+            RequestClass::Deferrable => self.settings.slots.saturating_sub(1).max(1),
+        };
+        self.running.len() < limit
+    }
+
+    // Under fair shares a caller waits for its own requests, and for as many of each other
+    // caller, and no longer than until all that waits is done.
+    fn expected_wait(&self, request: &AdmissionRequest) -> Duration {
+        let own = self.waiting_of(&request.caller);
+        let ahead = self
+            .callers_waiting()
+            .into_iter()
+            .map(|(caller, count)| {
+                if *caller == request.caller {
+                    count
+                } else {
+                    count.min(own + 1)
+                }
+            })
+            .sum::<usize>();
+        self.time_for(ahead + 1)
+    }
+
+    fn drain_time(&self) -> Duration {
+        self.time_for(self.waiting_count)
+    }
+
+    fn time_for(&self, requests: usize) -> Duration {
+        let busiest = RequestClass::ALL
+            .into_iter()
+            .filter(|class| {
+                self.waiting.contains_key(class)
+                    || self.running.values().any(|running| running.class == *class)
+            })
+            .map(|class| self.service_times.mean(class))
+            .max()
+            .unwrap_or(self.settings.initial_service_time);
+        let slots = u32::try_from(self.settings.slots.max(1)).unwrap_or(u32::MAX);
+        busiest.saturating_mul(u32::try_from(requests).unwrap_or(u32::MAX)) / slots
+    }
+
+    // Refuses the newest request of the caller with the most waiting, if that is more than the
+    // new request's caller would have.
+    fn displace(&mut self, caller: &CallerKey, wait: Duration) -> Option<RefusedTicket> {
+        let own = self.waiting_of(caller);
+        let (heaviest, count) = self
+            .callers_waiting()
+            .into_iter()
+            .max_by_key(|(_, count)| *count)?;
+        if count <= own + 1 {
+            return None;
+        }
+        let heaviest = heaviest.clone();
+        let newest = self
+            .queues()
+            .filter(|(_, caller, _)| **caller == heaviest)
+            .filter_map(|(_, _, queue)| queue.back())
+            .max_by_key(|waiting| (waiting.expires_at, waiting.ticket))?
+            .ticket;
+        self.cancel(newest);
+        Some(RefusedTicket {
+            ticket: newest,
+            refusal: self.refuse(RefusalReason::CallerOverShare, wait),
+        })
+    }
+
+    fn full_reason(&self, caller: &CallerKey) -> RefusalReason {
+        let callers = self.callers_waiting();
+        let is_over_share =
+            callers.len() > 1 && self.waiting_of(caller) * callers.len() > self.settings.queue;
+        if is_over_share {
+            RefusalReason::CallerOverShare
+        } else {
+            RefusalReason::QueueFull
+        }
+    }
+
+    fn refuse(&self, reason: RefusalReason, wait: Duration) -> Refusal {
+        Refusal::transient(reason, wait.max(self.settings.min_retry_after))
+    }
+
+    fn waiting_of(&self, caller: &CallerKey) -> usize {
+        self.waiting
+            .values()
+            .filter_map(|callers| callers.get(caller))
+            .map(VecDeque::len)
+            .sum()
+    }
+
+    fn callers_waiting(&self) -> BTreeMap<&CallerKey, usize> {
+        let mut counts = BTreeMap::new();
+        for (_, caller, queue) in self.queues() {
+            *counts.entry(caller).or_default() += queue.len();
+        }
+        counts
+    }
+
+    fn queues(&self) -> impl Iterator<Item = (RequestClass, &CallerKey, &VecDeque<Waiting>)> {
+        self.waiting.iter().flat_map(|(class, callers)| {
+            callers
+                .iter()
+                .map(|(caller, queue)| (*class, caller, queue))
+        })
+    }
+
+    fn retain_waiting(&mut self, mut is_kept: impl FnMut(&Waiting) -> bool) {
+        for callers in self.waiting.values_mut() {
+            for queue in callers.values_mut() {
+                queue.retain(&mut is_kept);
+            }
+            callers.retain(|_, queue| !queue.is_empty());
+        }
+        self.waiting.retain(|_, callers| !callers.is_empty());
+        self.waiting_count = self.queues().map(|(_, _, queue)| queue.len()).sum();
+    }
+}
+
+impl Offered {
+    fn of(decision: Result<Admitted, Refusal>) -> Self {
+        Self {
+            decision,
+            displaced: None,
+        }
+    }
+}
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -5,6 +5,7 @@
 //! the exploration tests drive the same code. See docs/ARCHITECTURE.md.
 
 pub mod acknowledgement;
+pub mod admission;
 pub mod authority;
 pub mod backoff;
 pub mod config_store;
