--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ids;
 pub mod instance_status;
 mod macros;
+pub mod membership;
 pub mod outcome;
 pub mod ownership;
 pub mod prelude;
