Add the operators' commands

The program gets check, submit, show, drain, undrain and status, each with its usage, exit codes and an example, and logs in JSON lines. A submission is a compare-and-swap of the service's key; the first line of the value names the change and the one before it, so that after a lost answer the record read back tells whether the write was done, also when one more change has followed. A lease or a second key per change was ruled out: both cost more calls to the platform's service.

--- /dev/null
+++ b/crates/jujubehold/src/cli_error.rs
@@ -0,0 +1,46 @@
+//! Why a command did not do what it was asked.
+
+use jujubehold_settings::IniFaults;
+use thiserror::Error;
+
+use crate::config_store::StoreError;
+use crate::exit_status::ExitStatus;
+
+/// An error that ends a command; its text is what the operator sees.
+#[derive(Debug, Error)]
+pub enum CliError {
+    /// The command line is wrong.
+    #[error("{0}")]
+    Usage(String),
+    /// Files hold faults, each on a line of its own.
+    #[error("{0}")]
+    BadInput(String),
+    /// The configuration could not be read or changed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// A host could not be reached.
+    #[error("{0}")]
+    Unavailable(String),
+    /// The command ran and failed.
+    #[error("{0}")]
+    Failed(String),
+}
+
+impl CliError {
+    /// What the process ends with.
+    pub fn status(&self) -> ExitStatus {
+        match self {
+            Self::Usage(_) => ExitStatus::Usage,
+            Self::BadInput(_) => ExitStatus::BadInput,
+            Self::Store(error) => error.status(),
+            Self::Unavailable(_) => ExitStatus::Unavailable,
+            Self::Failed(_) => ExitStatus::Failed,
+        }
+    }
+}
+
+impl From<IniFaults> for CliError {
+    fn from(faults: IniFaults) -> Self {
+        Self::BadInput(faults.to_string())
+    }
+}
--- /dev/null
+++ b/crates/jujubehold/src/command.rs
@@ -0,0 +1,91 @@
+//! The subcommands by name.
+
+use std::fmt::Write;
+
+use crate::cli_error::CliError;
+use crate::commands::{check, drain, show, status, submit};
+
+/// One subcommand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Command {
+    /// Checks settings and configuration files.
+    Check,
+    /// Submits a service's configuration.
+    Submit,
+    /// Shows the configuration in force.
+    Show,
+    /// Takes an upstream out of service.
+    Drain,
+    /// Takes an upstream back into service.
+    Undrain,
+    /// Shows a host's counters.
+    Status,
+}
+
+impl Command {
+    /// Every command, in the order of the overview.
+    pub const ALL: [Self; 6] = [
+        Self::Check,
+        Self::Submit,
+        Self::Show,
+        Self::Drain,
+        Self::Undrain,
+        Self::Status,
+    ];
+
+    /// The name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Check => "check",
+            Self::Submit => "submit",
+            Self::Show => "show",
+            Self::Drain => "drain",
+            Self::Undrain => "undrain",
+            Self::Status => "status",
+        }
+    }
+
+    /// Finds the command called `name`.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|command| command.name() == name)
+    }
+
+    fn summary(self) -> &'static str {
+        match self {
+            Self::Check => "check settings and configuration files, naming every fault",
+            Self::Submit => "submit a service's configuration",
+            Self::Show => "show the configuration in force",
+            Self::Drain => "take an upstream out of service",
+            Self::Undrain => "take an upstream back into service",
+            Self::Status => "show a host's counters",
+        }
+    }
+
+    /// Runs the command with the arguments after its name.
+    ///
+    /// # Errors
+    /// The command line is wrong, or the command failed.
+    pub fn run(self, arguments: &[String]) -> Result<String, CliError> {
+        match self {
+            Self::Check => check::run(arguments),
+            Self::Submit => submit::run(arguments),
+            Self::Show => show::run(arguments),
+            Self::Drain => drain::run(arguments, drain::Direction::Out),
+            Self::Undrain => drain::run(arguments, drain::Direction::In),
+            Self::Status => status::run(arguments),
+        }
+    }
+}
+
+/// The list of commands.
+pub(crate) fn overview() -> String {
+    let mut text = String::from("Usage: jujubehold COMMAND [OPTIONS]\n\nCommands:\n");
+    for command in Command::ALL {
+        let _ = writeln!(text, "    {:<18} {}", command.name(), command.summary());
+    }
+    text.push_str(
+        "\n`jujubehold COMMAND --help` tells a command's options, exit codes and an example.\n\
+         JUJUBEHOLD_LOG sets what is logged, such as `info` or `jujubehold_host=debug`.\n",
+    );
+    text
+}
--- /dev/null
+++ b/crates/jujubehold/src/commands/check.rs
@@ -0,0 +1,53 @@
+//! `jujubehold check`: names every fault of settings and configuration files.
+
+use getopts::Options;
+use jujubehold_settings::{HostSettings, IniFaults, parse_service};
+
+use super::read_file;
+use crate::cli_error::CliError;
+use crate::exit_status::ExitStatus;
+use crate::options::{CommandHelp, Parsed};
+
+const HELP: CommandHelp = CommandHelp {
+    usage: "check FILE...",
+    about: "Checks host settings and service configurations, and names every fault of every file \
+            at once.\nA file with a [service] section is a configuration; any other is settings.",
+    exits: &[ExitStatus::Ok, ExitStatus::Usage, ExitStatus::BadInput],
+    example: "jujubehold check host.ini greenville-shares.ini",
+};
+
+pub(crate) fn run(arguments: &[String]) -> Result<String, CliError> {
+    let matches = match HELP.parse(Options::new(), arguments)? {
+        Parsed::Help(text) => return Ok(text),
+        Parsed::Run(matches) => matches,
+    };
+    if matches.free.is_empty() {
+        return Err(HELP.usage_error("no file is given"));
+    }
+    let mut good = Vec::new();
+    let mut bad = Vec::new();
+    for file in &matches.free {
+        match read_file(file).and_then(|text| check_text(file, &text).map_err(CliError::from)) {
+            Ok(kind) => good.push(format!("{file}: {kind}, no faults\n")),
+            Err(error) => bad.push(error.to_string()),
+        }
+    }
+    if bad.is_empty() {
+        return Ok(good.concat());
+    }
+    Err(CliError::BadInput(bad.join("\n")))
+}
+
+fn check_text(file: &str, text: &str) -> Result<&'static str, IniFaults> {
+    let is_service = text
+        .lines()
+        .any(|line| matches!(line.trim(), "[service]" | "[callers]") || is_instance(line));
+    if is_service {
+        return parse_service(file, text).map(|_| "configuration of a service");
+    }
+    HostSettings::parse(file, text).map(|_| "settings of a host")
+}
+
+fn is_instance(line: &str) -> bool {
+    line.trim().starts_with("[instance ")
+}
--- /dev/null
+++ b/crates/jujubehold/src/commands/mod.rs
@@ -0,0 +1,43 @@
+//! The subcommands, one module each.
+
+use std::time::Duration;
+
+use getopts::Matches;
+
+use crate::cli_error::CliError;
+use crate::config_store::ConfigStore;
+use crate::kv_calls::KvCalls;
+use crate::options::CommandHelp;
+
+pub(crate) mod check;
+pub(crate) mod drain;
+pub(crate) mod show;
+pub(crate) mod status;
+pub(crate) mod submit;
+
+/// The longest time of one call to the platform's service.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The store that the options of a command name.
+fn store(help: &CommandHelp, matches: &Matches) -> Result<ConfigStore, CliError> {
+    let timeout = help.timeout(matches)?;
+    let addresses = help.addresses(matches, "platform")?;
+    Ok(ConfigStore::new(
+        KvCalls::new(addresses, timeout.min(CALL_TIMEOUT)),
+        timeout,
+    ))
+}
+
+/// Reads a file as text.
+fn read_file(path: &str) -> Result<String, CliError> {
+    std::fs::read_to_string(path)
+        .map_err(|error| CliError::BadInput(format!("{path}: the file can't be read: {error}")))
+}
+
+/// A name for a change that no other change has.
+fn change_name() -> String {
+    use std::hash::{BuildHasher, RandomState};
+    // The standard library's only source of randomness; a name needs no cryptographic strength.
+    let parts = [RandomState::new(), RandomState::new()].map(|state| state.hash_one(0_u8));
+    format!("{:016x}{:016x}", parts[0], parts[1])
+}
--- /dev/null
+++ b/crates/jujubehold/src/exit_status.rs
@@ -0,0 +1,67 @@
+//! The exit codes of the program.
+
+use std::process::ExitCode;
+
+/// How a command ended, for scripts. docs/OPERATIONS.md lists the codes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ExitStatus {
+    /// The command did what it was asked.
+    Ok,
+    /// The command ran and failed.
+    Failed,
+    /// The command line is wrong.
+    Usage,
+    /// Settings or a configuration hold faults.
+    BadInput,
+    /// Someone else changed the configuration first; nothing was written.
+    Conflict,
+    /// The platform's service or a host could not be reached; nothing was written.
+    Unavailable,
+    /// It can't be known whether the change was written.
+    OutcomeUnknown,
+}
+
+impl ExitStatus {
+    /// Every status, by its code.
+    pub const ALL: [Self; 7] = [
+        Self::Ok,
+        Self::Failed,
+        Self::Usage,
+        Self::BadInput,
+        Self::Conflict,
+        Self::Unavailable,
+        Self::OutcomeUnknown,
+    ];
+
+    /// The code that the process ends with.
+    pub fn code(self) -> u8 {
+        match self {
+            Self::Ok => 0,
+            Self::Failed => 1,
+            Self::Usage => 2,
+            Self::BadInput => 3,
+            Self::Conflict => 4,
+            Self::Unavailable => 5,
+            Self::OutcomeUnknown => 6,
+        }
+    }
+
+    /// What the code means, for the help texts.
+    pub fn meaning(self) -> &'static str {
+        match self {
+            Self::Ok => "done",
+            Self::Failed => "failed",
+            Self::Usage => "the command line is wrong",
+            Self::BadInput => "settings or configuration hold faults",
+            Self::Conflict => "someone else changed it first; nothing was written",
+            Self::Unavailable => "could not be reached; nothing was written",
+            Self::OutcomeUnknown => "it is not known whether the change was written",
+        }
+    }
+}
+
+impl From<ExitStatus> for ExitCode {
+    fn from(status: ExitStatus) -> Self {
+        Self::from(status.code())
+    }
+}
--- /dev/null
+++ b/crates/jujubehold/src/json_log.rs
@@ -0,0 +1,57 @@
+//! Logs as JSON lines on standard error.
+
+use std::io::Write;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use env_logger::{Builder, Env};
+use log::Record;
+use log::kv::{Error, Key, Value, VisitSource};
+use serde_json::{Map, json};
+
+const FILTER_VARIABLE: &str = "JUJUBEHOLD_LOG";
+
+/// Starts the logger; a second start changes nothing.
+pub(crate) fn start() {
+    let _ = Builder::from_env(Env::new().filter_or(FILTER_VARIABLE, "info"))
+        .format(|out, record| writeln!(out, "{}", line(record, now_ms())))
+        .try_init();
+}
+
+/// One record as a JSON object: its time in milliseconds since 1970, level, target and message, and
+/// its key-value pairs.
+fn line(record: &Record<'_>, ts_ms: u64) -> String {
+    let mut fields = Map::new();
+    fields.insert("ts_ms".into(), json!(ts_ms));
+    fields.insert("level".into(), json!(record.level().as_str()));
+    fields.insert("target".into(), json!(record.target()));
+    fields.insert("message".into(), json!(record.args().to_string()));
+    // A pair that can't be read is left out; the message still counts.
+    let _ = record.key_values().visit(&mut Pairs(&mut fields));
+    serde_json::Value::Object(fields).to_string()
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| {
+            u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+        })
+}
+
+struct Pairs<'a>(&'a mut Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Pairs<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = if let Some(number) = value.to_u64() {
+            json!(number)
+        } else if let Some(number) = value.to_i64() {
+            json!(number)
+        } else if let Some(flag) = value.to_bool() {
+            json!(flag)
+        } else {
+            json!(value.to_string())
+        };
+        self.0.entry(key.as_str()).or_insert(value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/jujubehold/src/lib.rs
@@ -0,0 +1,61 @@
+//! The command line of jujubehold: one program, one subcommand for each role and each operator's
+//! task.
+//!
+//! A command reads its options, calls the library that does the work and turns the outcome into a
+//! text and an [`ExitStatus`]. Nothing here decides where a statement goes. See
+//! docs/OPERATIONS.md.
+
+mod cli_error;
+mod command;
+mod commands;
+mod config_store;
+mod exit_status;
+mod json_log;
+mod kv_calls;
+mod options;
+mod service_diff;
+
+use std::process::ExitCode;
+
+pub use cli_error::CliError;
+pub use command::Command;
+pub use config_store::{ConfigRecord, ConfigStore, StoreError, Submitted};
+pub use exit_status::ExitStatus;
+pub use kv_calls::{KvCallError, KvCalls};
+pub use service_diff::service_differences;
+
+/// Runs the command that `arguments` name, and returns the process's exit code.
+pub fn run(arguments: Vec<String>) -> ExitCode {
+    json_log::start();
+    match dispatch(arguments) {
+        Ok(text) => {
+            print!("{text}");
+            ExitStatus::Ok.into()
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            error.status().into()
+        }
+    }
+}
+
+fn dispatch(mut arguments: Vec<String>) -> Result<String, CliError> {
+    if arguments.is_empty() {
+        return Err(CliError::Usage(command::overview()));
+    }
+    let name = arguments.remove(0);
+    if matches!(name.as_str(), "--help" | "-h" | "help") {
+        return Ok(command::overview());
+    }
+    if matches!(name.as_str(), "--version" | "-V") {
+        return Ok(format!("jujubehold {}\n", env!("CARGO_PKG_VERSION")));
+    }
+    let Some(command) = Command::from_name(&name) else {
+        let text = format!(
+            "jujubehold has no command {name:?}\n\n{}",
+            command::overview()
+        );
+        return Err(CliError::Usage(text));
+    };
+    command.run(&arguments)
+}
--- a/crates/jujubehold/src/main.rs
+++ b/crates/jujubehold/src/main.rs
@@ -1,3 +1,7 @@
-//! The command line of jujubehold.
+//! The program `jujubehold`; everything it does is in the library beside it.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    jujubehold::run(std::env::args().skip(1).collect())
+}
--- /dev/null
+++ b/crates/jujubehold/src/options.rs
@@ -0,0 +1,131 @@
+//! Options of a subcommand, and its help text.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use getopts::{Matches, Options};
+
+use crate::cli_error::CliError;
+use crate::exit_status::ExitStatus;
+
+const DEFAULT_TIMEOUT_MS: u64 = 5_000;
+
+/// What the help text of a subcommand says beside its options.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CommandHelp {
+    /// The command and its arguments, after the program's name.
+    pub(crate) usage: &'static str,
+    /// What the command does, in a few sentences.
+    pub(crate) about: &'static str,
+    /// The codes that the command can end with.
+    pub(crate) exits: &'static [ExitStatus],
+    /// A whole command line.
+    pub(crate) example: &'static str,
+}
+
+/// What a command line asks for.
+pub(crate) enum Parsed {
+    /// The help text.
+    Help(String),
+    /// The command, with its options.
+    Run(Matches),
+}
+
+impl CommandHelp {
+    /// Reads `arguments`; `options` lacks only `--help`.
+    pub(crate) fn parse(
+        &self,
+        mut options: Options,
+        arguments: &[String],
+    ) -> Result<Parsed, CliError> {
+        options.optflag("h", "help", "show this text");
+        let matches = options
+            .parse(arguments)
+            .map_err(|error| self.usage_error(&error.to_string()))?;
+        if matches.opt_present("help") {
+            return Ok(Parsed::Help(self.text(&options)));
+        }
+        Ok(Parsed::Run(matches))
+    }
+
+    /// An error that names the problem and the usage.
+    pub(crate) fn usage_error(&self, problem: &str) -> CliError {
+        let name = self.usage.split(' ').next().unwrap_or_default();
+        CliError::Usage(format!(
+            "{problem}\nUsage: jujubehold {}\n`jujubehold {name} --help` tells more.",
+            self.usage
+        ))
+    }
+
+    /// Reads the value of `option`, or returns `default`.
+    pub(crate) fn value<T: FromStr>(
+        &self,
+        matches: &Matches,
+        option: &str,
+        default: T,
+        expected: &str,
+    ) -> Result<T, CliError> {
+        let Some(text) = matches.opt_str(option) else {
+            return Ok(default);
+        };
+        text.parse()
+            .map_err(|_| self.usage_error(&format!("--{option} {text:?} is not {expected}")))
+    }
+
+    /// Reads addresses with commas between them.
+    pub(crate) fn addresses(
+        &self,
+        matches: &Matches,
+        option: &str,
+    ) -> Result<Vec<SocketAddr>, CliError> {
+        let Some(text) = matches.opt_str(option) else {
+            return Err(self.usage_error(&format!("--{option} is missing")));
+        };
+        text.split(',')
+            .map(|part| {
+                part.trim().parse().map_err(|_| {
+                    let problem = format!("--{option} {part:?} is not an IP number and a port");
+                    self.usage_error(&problem)
+                })
+            })
+            .collect()
+    }
+
+    /// Reads `--timeout-ms`.
+    pub(crate) fn timeout(&self, matches: &Matches) -> Result<Duration, CliError> {
+        let expected = "a whole number of milliseconds";
+        self.value(matches, "timeout-ms", DEFAULT_TIMEOUT_MS, expected)
+            .map(Duration::from_millis)
+    }
+
+    fn text(&self, options: &Options) -> String {
+        let brief = format!("Usage: jujubehold {}\n\n{}", self.usage, self.about);
+        let mut text = options.usage(&brief);
+        text.push_str("\nExit codes:\n");
+        for status in self.exits {
+            let _ = writeln!(text, "    {}  {}", status.code(), status.meaning());
+        }
+        let _ = writeln!(text, "\nExample:\n    {}", self.example);
+        text
+    }
+}
+
+/// The options of every command that calls the platform's service.
+pub(crate) fn platform_options() -> Options {
+    let mut options = Options::new();
+    options.optopt(
+        "p",
+        "platform",
+        "the platform's key-value service, IP numbers and ports with commas between them",
+        "ADDRESSES",
+    );
+    options.optopt(
+        "t",
+        "timeout-ms",
+        "how long the whole command may take, in milliseconds (5000)",
+        "MS",
+    );
+    options
+}
