Name every fault of an INI text with its line and what to write

Settings and configuration were checked key by key, without lines, without ranges, and a wrong unit was told like any other text. Each fault now carries its line (found by an index of the text, since the INI library tells lines only for texts that it can't read), the nearest known name, the number of milliseconds that a text with a unit means, and the range. A name in place of an IP number, a doubled key, a missing key and a listener off loopback in the clear or with the development key are told. Values are taken as written, without quotes and escapes, so that other writers need none.

The reader, the values, the writer and the lists of keys have files of their own.

--- /dev/null
+++ b/crates/jujubehold/tests/check.rs
@@ -0,0 +1,21 @@
+//! `check` names every fault of every file together.
+
+mod support;
+
+use support::jujubehold;
+
+#[test]
+fn good_files_pass() {
+    insta::assert_snapshot!(jujubehold(&["check", "host.ini", "shares.ini"]));
+}
+
+#[test]
+fn every_fault_of_every_file_is_named() {
+    insta::assert_snapshot!(jujubehold(&[
+        "check",
+        "host.ini",
+        "host-faults.ini",
+        "shares-faults.ini",
+        "missing.ini",
+    ]));
+}
--- a/crates/jujubehold_settings/src/ini_fault.rs
+++ b/crates/jujubehold_settings/src/ini_fault.rs
@@ -7,6 +7,8 @@
 /// One fault: its place, what was wrong, and what to write instead.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct IniFault {
+    /// The line, from 1 up; `None` when the fault is something that is not there.
+    pub line: Option<usize>,
     /// The section; empty outside of any.
     pub section: SmolStr,
     /// The key; empty when the section itself is at fault.
@@ -22,7 +24,7 @@
 pub struct IniFaults {
     /// The file, or what else the text came from.
     pub file: SmolStr,
-    /// The faults, in the order in which they were found.
+    /// The faults, by line; those without a line come last.
     pub faults: Vec<IniFault>,
 }
 
@@ -32,11 +34,23 @@
             if index > 0 {
                 writeln!(f)?;
             }
-            write!(f, "{}: [{}]", self.file, fault.section)?;
+            f.write_str(&self.file)?;
+            if let Some(line) = fault.line {
+                write!(f, ":{line}")?;
+            }
+            f.write_str(":")?;
+            if !fault.section.is_empty() {
+                write!(f, " [{}]", fault.section)?;
+            }
             if !fault.key.is_empty() {
                 write!(f, " {}", fault.key)?;
             }
-            write!(f, ": {}; {}", fault.problem, fault.advice)?;
+            let colon = if fault.section.is_empty() && fault.key.is_empty() {
+                ""
+            } else {
+                ":"
+            };
+            write!(f, "{colon} {}; {}", fault.problem, fault.advice)?;
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/jujubehold_settings/src/known_keys.rs
@@ -0,0 +1,67 @@
+//! Every section and key that the product's INI texts can have.
+//!
+//! The readers name unknown keys by these lists, and a test holds docs/CONFIGURATION.md against
+//! them.
+
+/// The sections of a host's settings.
+pub(crate) const HOST_SECTIONS: &[&str] = &["host", "failover", "tls", "peer NAME"];
+
+/// Keys of a settings file's `[host]` section.
+pub(crate) const HOST_KEYS: &[&str] = &[
+    "name",
+    "domain",
+    "region",
+    "caller_address",
+    "peer_address",
+    "metrics_address",
+    "platform_addresses",
+    "token_key",
+    "traffic_threads",
+    "drain_timeout_ms",
+    "allow_cleartext",
+];
+
+/// Keys of a settings file's `[failover]` section.
+pub(crate) const FAILOVER_KEYS: &[&str] = &[
+    "probe_interval_ms",
+    "probe_timeout_ms",
+    "window_ms",
+    "drift_ms",
+    "owners_per_instance",
+];
+
+/// Keys of a settings file's `[tls]` section.
+pub(crate) const TLS_KEYS: &[&str] = &["certificate_file", "key_file", "authority_file"];
+
+/// Keys of a settings file's `[peer NAME]` sections.
+pub(crate) const PEER_KEYS: &[&str] = &["domain", "peer_address"];
+
+/// The sections of a service's configuration.
+pub(crate) const SERVICE_SECTIONS: &[&str] = &["service", "instance NAME", "callers"];
+
+/// Keys of a configuration's `[service]` section.
+pub(crate) const SERVICE_KEYS: &[&str] = &[
+    "name",
+    "generation",
+    "confirm",
+    "read_age_ms",
+    "slots",
+    "queue",
+    "statement_timeout_ms",
+    "preferred_primary",
+];
+
+/// Keys of a configuration's `[instance NAME]` sections.
+pub(crate) const INSTANCE_KEYS: &[&str] = &["address", "domain", "region", "state", "connections"];
+
+/// The sections with fixed keys, and those keys.
+pub fn known_keys() -> Vec<(&'static str, &'static [&'static str])> {
+    vec![
+        ("host", HOST_KEYS),
+        ("failover", FAILOVER_KEYS),
+        ("tls", TLS_KEYS),
+        ("peer NAME", PEER_KEYS),
+        ("service", SERVICE_KEYS),
+        ("instance NAME", INSTANCE_KEYS),
+    ]
+}
--- a/crates/jujubehold_settings/src/lib.rs
+++ b/crates/jujubehold_settings/src/lib.rs
@@ -5,11 +5,26 @@
 //! and every fault is named together with its place. See docs/CONFIGURATION.md.
 
 mod host_settings;
+mod host_settings_reader;
 mod ini_fault;
 mod ini_reader;
-mod service_text;
+mod ini_section;
+mod ini_values;
+mod known_keys;
+mod line_index;
+mod nearest_key;
+mod peer_seed;
+mod service_reader;
+mod service_writer;
+mod tls_settings;
+mod unit_hint;
 
-pub use host_settings::{HostSettings, PeerSeed};
+pub use host_settings::HostSettings;
 pub use ini_fault::{IniFault, IniFaults};
-pub use ini_reader::{IniReader, IniSection};
-pub use service_text::{format_service, parse_service};
+pub use ini_reader::IniReader;
+pub use ini_section::IniSection;
+pub use known_keys::known_keys;
+pub use peer_seed::PeerSeed;
+pub use service_reader::parse_service;
+pub use service_writer::format_service;
+pub use tls_settings::TlsSettings;
--- a/crates/jujubehold_settings/tests/service_text.rs
+++ b/crates/jujubehold_settings/tests/service_text.rs
@@ -50,3 +50,40 @@
         Ok(HostSettings::default())
     );
 }
+
+#[test]
+fn every_fault_of_a_host_is_named_at_once() {
+    let faults = HostSettings::parse(
+        "host.ini",
+        "stray = 1\n[host]\ncaller_address = 10.0.0.1:6432\ntoken_key = short\n\
+         traffic_threads = 99999999999999999999\n[tls]\nkey_file = key.pem\n\
+         [failover]\nwindow_ms = 4 s\nprobe_timeout_ms = fast\nowners_per_instance = 0\n\
+         [peer a b]\npeer_address = 127.0.0.1:0\n",
+    )
+    .expect_err("the text is bad");
+    insta::assert_snapshot!(faults);
+}
+
+#[test]
+fn a_host_in_the_clear_off_loopback_must_be_asked_for() {
+    let exposed = "[host]\ncaller_address = 10.0.0.1:6432\ntoken_key = 0123456789abcdef\n";
+    let faults = HostSettings::parse("host.ini", exposed).expect_err("it would be in the clear");
+    insta::assert_snapshot!(faults);
+    let allowed = format!("{exposed}allow_cleartext = true\n");
+    assert!(HostSettings::parse("host.ini", &allowed).is_ok());
+    let tls = "[tls]\ncertificate_file = c.pem\nkey_file = k.pem\nauthority_file = a.pem\n";
+    assert!(HostSettings::parse("host.ini", &format!("{exposed}{tls}")).is_ok());
+}
+
+#[test]
+fn values_are_taken_as_they_are_written() {
+    let text = "[host]\ntoken_key = \"a\\tb'0123456789\n";
+    let settings = HostSettings::parse("host.ini", text).expect("the text is good");
+    assert_eq!(settings.token_key, "\"a\\tb'0123456789");
+}
+
+#[test]
+fn a_text_that_is_not_ini_is_told_with_its_line() {
+    let faults = HostSettings::parse("host.ini", "[host]\nname").expect_err("the text is bad");
+    insta::assert_snapshot!(faults);
+}
