--- a/crates/jujubehold_core/src/instance_status.rs
+++ b/crates/jujubehold_core/src/instance_status.rs
@@ -75,9 +75,12 @@
         self.fence_term <= term && self.term <= term
     }
 
-    /// How advanced the instance's log is: a later term outweighs any position.
+    /// How advanced the instance's log is: the term of its last entry outweighs any position.
+    ///
+    /// The history's last term won't do: an instance may know of a term of which it has received
+    /// nothing yet, and still lack acknowledged writes of the term before.
     pub fn log_end(&self) -> (Term, Position) {
-        (self.history.last_term(), self.received)
+        (self.history.term_of(self.received), self.received)
     }
 
     /// The number of pairs in the text form.
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod ownership;
 pub mod prelude;
 pub mod primary_marks;
+pub mod read_candidates;
 pub mod read_policy;
 pub mod refusal_reason;
 pub mod retry_budget;
--- a/crates/jujubehold_core/src/outcome.rs
+++ b/crates/jujubehold_core/src/outcome.rs
@@ -25,11 +25,8 @@
     pub enum OutcomeLookup {
         /// The request's record is there: it ran.
         Found,
-        /// The table was read on the present primary, after every earlier attempt was shut out,
-        /// and has no record.
+        /// The table was read on an instance that took itself for the primary, and has no record.
         Absent,
-        /// The table has no record, but an earlier attempt may still commit one.
-        AbsentMaybeRunning,
         /// The table could not be read.
         Unavailable,
     }
@@ -81,15 +78,9 @@
     }
     match history.lookup {
         Some(OutcomeLookup::Found) => RerunDecision::AlreadyRan,
+        // An earlier attempt may still be under way. It can't run beside this one, because both
+        // write the same unique record in their transactions and only one of them can commit.
         Some(OutcomeLookup::Absent) => RerunDecision::MayRun,
-        // The record's key is unique, so of two attempts in flight only one can commit. That
-        // makes a first run safe while an earlier attempt elsewhere may still be under way.
-        Some(OutcomeLookup::AbsentMaybeRunning) => match history.progress {
-            AttemptProgress::NotSent | AttemptProgress::Refused | AttemptProgress::RolledBack => {
-                RerunDecision::MayRun
-            }
-            AttemptProgress::Sent | AttemptProgress::Answered => RerunDecision::StillUnknown,
-        },
         Some(OutcomeLookup::Unavailable) | None => RerunDecision::StillUnknown,
     }
 }
--- a/crates/jujubehold_core/src/primary_marks.rs
+++ b/crates/jujubehold_core/src/primary_marks.rs
@@ -69,6 +69,12 @@
             .map(|mark| mark.sent_at)
     }
 
+    /// When the oldest mark was asked for that is at or past `position`.
+    pub fn reached_by_primary(&self, term: Term, position: Position) -> Option<Monotonic> {
+        let mark = self.marks.iter().find(|mark| mark.position >= position)?;
+        (term == self.term).then_some(mark.sent_at)
+    }
+
     // Old marks may stand further apart, so every second one of the older half goes.
     fn thin(&mut self) {
         let mut index = 0;
--- /dev/null
+++ b/crates/jujubehold_core/src/read_candidates.rs
@@ -0,0 +1,131 @@
+//! In which order the instances are tried for a read.
+//!
+//! What is known here is a guess: the answer is judged by the status that the instance gives on
+//! the connection of the read, so a wrong guess costs a retry and never a stale answer.
+
+use crate::floor::FloorCheck;
+use crate::group_view::{GroupView, Sample};
+use crate::ids::{DomainId, InstanceId, Monotonic, RegionId};
+use crate::ownership::{mix, weight};
+use crate::read_policy::ReadNeed;
+use crate::service_config::{InstanceConfig, InstanceState, ServiceConfig};
+use crate::value_type;
+
+value_type! {
+    /// From where, when and for what the instances are ranked.
+    pub struct ReadOrigin {
+        /// This host's failure domain.
+        pub domain: DomainId,
+        /// Its region.
+        pub region: RegionId,
+        /// The present time.
+        pub now: Monotonic,
+        /// A number that differs from read to read, to spread reads over equal instances.
+        pub spread: u64,
+    }
+}
+
+crate::key_type! {
+    // How likely it is that an instance's answer will meet the need, the best first.
+    enum Chance {
+        Known,
+        Likely,
+        Primary,
+        Unlikely,
+    }
+
+    enum Distance {
+        SameDomain,
+        SameRegion,
+        OtherRegion,
+    }
+}
+
+/// The active instances that may serve a read, the best guess first.
+///
+/// Replicas that will likely do come before the primary, which has writes to serve, and of those
+/// the ones in the host's own failure domain come first.
+pub fn read_candidates(
+    config: &ServiceConfig,
+    view: &GroupView,
+    need: &ReadNeed,
+    origin: &ReadOrigin,
+) -> Vec<InstanceId> {
+    let mut ranked: Vec<_> = config
+        .instances
+        .iter()
+        .filter(|(_, instance)| instance.state == InstanceState::Active)
+        .filter_map(|(name, instance)| {
+            let chance = chance(view, need, origin.now, name)?;
+            let spread = mix(weight("read", name) ^ origin.spread);
+            Some((chance, distance(instance, origin), spread, name))
+        })
+        .collect();
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(.., name)| name.clone()).collect()
+}
+
+fn distance(instance: &InstanceConfig, origin: &ReadOrigin) -> Distance {
+    if instance.domain == origin.domain {
+        Distance::SameDomain
+    } else if instance.region == origin.region {
+        Distance::SameRegion
+    } else {
+        Distance::OtherRegion
+    }
+}
+
+// `None` when the instance's history lacks the floor's write.
+fn chance(
+    view: &GroupView,
+    need: &ReadNeed,
+    now: Monotonic,
+    instance: &InstanceId,
+) -> Option<Chance> {
+    if view.primary.as_ref() == Some(instance) {
+        return Some(Chance::Primary);
+    }
+    let Some(sample) = view.samples.get(instance) else {
+        return Some(Chance::Unlikely);
+    };
+    let floor_chance = match &need.floor {
+        None => Chance::Known,
+        Some(floor) => match floor.check(&sample.status) {
+            FloorCheck::Cut => return None,
+            FloorCheck::Reached => Chance::Known,
+            FloorCheck::Behind => view
+                .marks
+                .reached_by_primary(view.term, floor.position)
+                .map_or(Chance::Unlikely, |at| {
+                    catch_up_chance(view, sample, now, at)
+                }),
+        },
+    };
+    let age_chance = need.age.map_or(Chance::Known, |age| {
+        let oldest_allowed = need.as_of.saturating_sub(age);
+        match view.marks.newest_reached(view.term, &sample.status) {
+            Some(reached) if reached >= oldest_allowed => Chance::Known,
+            Some(_) | None => catch_up_chance(view, sample, now, oldest_allowed),
+        }
+    });
+    Some(floor_chance.max(age_chance))
+}
+
+// Whether the instance, if it lags as much as when it was sampled, has by now what the primary had
+// at `position_at`.
+fn catch_up_chance(
+    view: &GroupView,
+    sample: &Sample,
+    now: Monotonic,
+    position_at: Monotonic,
+) -> Chance {
+    let Some(reached_at) = view.marks.newest_reached(view.term, &sample.status) else {
+        return Chance::Unlikely;
+    };
+    let lag = sample.sent_at.saturating_sub(reached_at);
+    if now.saturating_sub(lag) >= position_at && position_at < now {
+        Chance::Likely
+    } else {
+        Chance::Unlikely
+    }
+}
--- a/crates/jujubehold_core/src/term_history.rs
+++ b/crates/jujubehold_core/src/term_history.rs
@@ -33,6 +33,17 @@
         self.starts.last_key_value().map_or(0, |(term, _)| *term)
     }
 
+    /// The term in which the entry at `position` was written; 0 when there is no entry.
+    ///
+    /// A history may name terms that start after the end of a log that lags behind it.
+    pub fn term_of(&self, position: Position) -> Term {
+        self.starts
+            .iter()
+            .rev()
+            .find(|(_, start)| **start < position)
+            .map_or(0, |(term, _)| *term)
+    }
+
     /// The terms and the positions after which they start, in order.
     pub fn iter(&self) -> impl Iterator<Item = (Term, Position)> {
         self.starts.iter().map(|(term, start)| (*term, *start))
--- /dev/null
+++ b/crates/jujubehold_core/tests/read_policy.rs
@@ -0,0 +1,129 @@
+//! A read is served by a replica only when its data is known to be new enough.
+
+mod support;
+
+use jujubehold_core::authority::Authority;
+use jujubehold_core::prelude::*;
+use jujubehold_core::read_candidates::{ReadOrigin, read_candidates};
+use jujubehold_core::read_policy::{ReadJudgement, ReadNeed};
+use jujubehold_core::session_floor::FloorKnowledge;
+
+use support::{config, ms, status};
+
+/// The primary `a` at 100 at 1,000 ms and at 120 at 2,000 ms; both replicas at 110.
+fn view() -> GroupView {
+    let mut view = GroupView::default();
+    view.observe(ms(1000), status("a", "primary", 1, 100, "1:0"));
+    view.observe(ms(2000), status("a", "primary", 1, 120, "1:0"));
+    for name in ["b", "c"] {
+        view.observe(ms(2000), status(name, "replica", 1, 110, "1:0"));
+    }
+    view
+}
+
+fn judge(need: &ReadNeed, view: &GroupView, sent_ms: u64, by: &InstanceStatus) -> ReadJudgement {
+    need.judge(&config(), view, &Authority::default(), ms(sent_ms), by)
+}
+
+fn aged(as_of_ms: u64, age_ms: u64) -> ReadNeed {
+    ReadNeed {
+        floor: None,
+        as_of: ms(as_of_ms),
+        age: Some(ms(age_ms)),
+    }
+}
+
+#[test]
+fn a_replica_is_as_old_as_the_newest_mark_it_has_reached() {
+    let replica = status("b", "replica", 1, 110, "1:0");
+    let view = view();
+    let judged = judge(&aged(2100, 1100), &view, 2100, &replica);
+    assert_eq!(judged, ReadJudgement::Serve);
+    let judged = judge(&aged(2100, 1099), &view, 2100, &replica);
+    assert_eq!(judged, ReadJudgement::Retry);
+}
+
+#[test]
+fn the_age_grows_when_the_primary_cannot_be_sampled() {
+    let replica = status("b", "replica", 1, 120, "1:0");
+    let view = view();
+    let judged = judge(&aged(3000, 1000), &view, 3000, &replica);
+    assert_eq!(judged, ReadJudgement::Serve);
+    let judged = judge(&aged(3001, 1000), &view, 3001, &replica);
+    assert_eq!(judged, ReadJudgement::Retry);
+}
+
+#[test]
+fn a_primary_whose_term_no_replica_proves_does_not_vouch_for_itself() {
+    let primary = status("a", "primary", 1, 120, "1:0");
+    let view = view();
+    // The replicas were last asked at 2,000 ms, and the window is 400 ms long.
+    let judged = judge(&aged(2390, 0), &view, 2395, &primary);
+    assert_eq!(judged, ReadJudgement::Serve);
+    let judged = judge(&aged(2401, 0), &view, 2405, &primary);
+    assert_eq!(judged, ReadJudgement::Retry);
+}
+
+#[test]
+fn marks_of_a_replaced_primary_are_dropped() {
+    let mut view = view();
+    view.observe(ms(2500), status("b", "primary", 2, 110, "1:0,2:110"));
+    view.observe(ms(2600), status("a", "primary", 1, 130, "1:0"));
+    let old_follower = status("c", "replica", 1, 120, "1:0");
+    let judged = judge(&aged(2700, 600), &view, 2700, &old_follower);
+    assert_eq!(judged, ReadJudgement::Retry);
+}
+
+#[test]
+fn a_floor_that_a_failover_cut_is_told() {
+    let need = ReadNeed::new(
+        &config(),
+        FloorKnowledge::Floor(Floor {
+            service: "shares".into(),
+            term: 1,
+            position: 115,
+        }),
+        ms(3000),
+    );
+    let judged = judge(
+        &need,
+        &view(),
+        3000,
+        &status("b", "primary", 2, 200, "1:0,2:110"),
+    );
+    assert_eq!(judged, ReadJudgement::Cut);
+    let judged = judge(&need, &view(), 3000, &status("b", "replica", 1, 114, "1:0"));
+    assert_eq!(judged, ReadJudgement::Retry);
+    let judged = judge(&need, &view(), 3000, &status("b", "replica", 1, 115, "1:0"));
+    assert_eq!(judged, ReadJudgement::Serve);
+}
+
+#[test]
+fn a_session_that_may_have_written_elsewhere_gets_data_as_of_its_request() {
+    let mut config = config();
+    config.read_age = ms(5000);
+    let need = |knowledge| ReadNeed::new(&config, knowledge, ms(10));
+    assert_eq!(need(FloorKnowledge::Unknown).age, Some(ms(0)));
+    assert_eq!(need(FloorKnowledge::NoWrites).age, Some(ms(5000)));
+}
+
+#[test]
+fn replicas_that_will_do_come_first_and_near_ones_before_far_ones() {
+    let mut config = config();
+    let origin = ReadOrigin {
+        domain: "piedmont".into(),
+        region: "south".into(),
+        now: ms(2100),
+        spread: 3,
+    };
+    let need = aged(2100, 1500);
+    let candidates = read_candidates(&config, &view(), &need, &origin);
+    assert_eq!(candidates, ["c", "b", "a"]);
+    let fresh = aged(2100, 0);
+    let candidates = read_candidates(&config, &view(), &fresh, &origin);
+    assert_eq!(candidates, ["a", "c", "b"]);
+    for instance in config.instances.values_mut() {
+        instance.state = InstanceState::Leaving;
+    }
+    assert!(read_candidates(&config, &view(), &need, &origin).is_empty());
+}
