--- a/crates/jujubehold_core/src/instance_status.rs
+++ b/crates/jujubehold_core/src/instance_status.rs
@@ -70,6 +70,19 @@
         self.role == Role::Primary && self.term == term && self.fence_term <= term
     }
 
+    /// Whether the instance knows of nothing above `term`, so that it stands for the term.
+    pub fn proves(&self, term: Term) -> bool {
+        self.fence_term <= term && self.term <= term
+    }
+
+    /// How advanced the instance's log is: the term of its last entry outweighs any position.
+    ///
+    /// The history's last term won't do: an instance may know of a term of which it has received
+    /// nothing yet, and still lack acknowledged writes of the term before.
+    pub fn log_end(&self) -> (Term, Position) {
+        (self.history.term_of(self.received), self.received)
+    }
+
     /// The number of pairs in the text form.
     const PAIRS: usize = 9;
 
