--- a/crates/jujubehold/src/command.rs
+++ b/crates/jujubehold/src/command.rs
@@ -3,11 +3,13 @@
 use std::fmt::Write;
 
 use crate::cli_error::CliError;
-use crate::commands::{check, drain, show, status, submit};
+use crate::commands::{check, drain, host, show, status, submit};
 
 /// One subcommand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Command {
+    /// Runs an entry host.
+    Host,
     /// Checks settings and configuration files.
     Check,
     /// Submits a service's configuration.
@@ -24,7 +26,8 @@
 
 impl Command {
     /// Every command, in the order of the overview.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
+        Self::Host,
         Self::Check,
         Self::Submit,
         Self::Show,
@@ -36,6 +39,7 @@
     /// The name on the command line.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Host => "host",
             Self::Check => "check",
             Self::Submit => "submit",
             Self::Show => "show",
@@ -52,6 +56,7 @@
 
     fn summary(self) -> &'static str {
         match self {
+            Self::Host => "run an entry host",
             Self::Check => "check settings and configuration files, naming every fault",
             Self::Submit => "submit a service's configuration",
             Self::Show => "show the configuration in force",
@@ -67,6 +72,7 @@
     /// The command line is wrong, or the command failed.
     pub fn run(self, arguments: &[String]) -> Result<String, CliError> {
         match self {
+            Self::Host => host::run(arguments),
             Self::Check => check::run(arguments),
             Self::Submit => submit::run(arguments),
             Self::Show => show::run(arguments),
