Add the operators' Python library

It describes a service, checks it by the hosts' rules, prints it as the hosts write it and reads it back, with nothing but the standard library.

--- /dev/null
+++ b/python/jujubehold_operator/errors.py
@@ -0,0 +1,26 @@
+"""What is wrong with a configuration."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One fault: its place, what was wrong, and what to write instead."""
+
+    section: str
+    key: str
+    problem: str
+    advice: str
+
+    def __str__(self) -> str:
+        place = f"[{self.section}] {self.key}".rstrip()
+        return f"{place}: {self.problem}; {self.advice}"
+
+
+class ConfigurationError(ValueError):
+    """Every fault of a configuration, together."""
+
+    def __init__(self, faults: Sequence[Fault]) -> None:
+        super().__init__("\n".join(str(fault) for fault in faults))
+        self.faults = tuple(faults)
