--- a/crates/jujubehold_pg/src/lib.rs
+++ b/crates/jujubehold_pg/src/lib.rs
@@ -8,6 +8,11 @@
 mod frame;
 mod frame_reader;
 mod reply;
+mod scram_client;
+mod scram_error;
+mod scram_frames;
+mod scram_server;
+mod scram_verifier;
 mod startup;
 
 pub use classify::{Classifier, classify};
@@ -17,4 +22,12 @@
     ErrorFields, command_complete, error_response, notice_response, parameter_status,
     ready_for_query, row_description, text_row,
 };
+pub use scram_client::ScramClient;
+pub use scram_error::ScramError;
+pub use scram_frames::{
+    authentication_ok, sasl_continue, sasl_final, sasl_initial_response, sasl_mechanisms,
+    sasl_response,
+};
+pub use scram_server::{SCRAM_SHA_256, ScramServer};
+pub use scram_verifier::ScramVerifier;
 pub use startup::{FirstPacket, query, read_first_packet, startup_message, terminate};
--- /dev/null
+++ b/crates/jujubehold_pg/src/scram_server.rs
@@ -0,0 +1,173 @@
+//! The server's side of SCRAM-SHA-256 (RFC 5802 and RFC 7677), without I/O.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use sha2::{Digest, Sha256};
+
+use crate::scram_error::ScramError;
+use crate::scram_verifier::{KEY_BYTES, ScramVerifier, mac};
+
+/// The one mechanism that is offered; channel binding is not.
+pub const SCRAM_SHA_256: &str = "SCRAM-SHA-256";
+
+/// One exchange with a caller.
+///
+/// Messages are taken in their order; a second use of a message ends the exchange.
+#[derive(Debug)]
+pub struct ScramServer {
+    verifier: ScramVerifier,
+    nonce: String,
+    state: State,
+}
+
+#[derive(Debug)]
+enum State {
+    Start,
+    Challenged {
+        gs2_header: String,
+        client_first_bare: String,
+        server_first: String,
+    },
+    Ended,
+}
+
+impl ScramServer {
+    /// An exchange in which the caller must fit `verifier`. `nonce` is printable text without
+    /// commas that no other exchange has.
+    pub fn new(verifier: ScramVerifier, nonce: String) -> Self {
+        Self {
+            verifier,
+            nonce,
+            state: State::Start,
+        }
+    }
+
+    /// Takes the caller's first message, and returns the challenge.
+    ///
+    /// # Errors
+    /// The message is malformed, out of turn, or asks for what was not offered.
+    pub fn challenge(&mut self, mechanism: &str, message: &[u8]) -> Result<String, ScramError> {
+        if !matches!(
+            std::mem::replace(&mut self.state, State::Ended),
+            State::Start
+        ) {
+            return Err(ScramError::OutOfTurn);
+        }
+        if mechanism != SCRAM_SHA_256 {
+            return Err(ScramError::Mechanism(mechanism.to_owned()));
+        }
+        let message = text(message)?;
+        let (gs2_header, client_first_bare) = split_gs2_header(message)?;
+        let client_nonce = client_nonce(client_first_bare)?;
+        self.nonce.insert_str(0, client_nonce);
+        let server_first = format!(
+            "r={},s={},i={}",
+            self.nonce,
+            STANDARD.encode(&self.verifier.salt),
+            self.verifier.iterations
+        );
+        self.state = State::Challenged {
+            gs2_header: gs2_header.to_owned(),
+            client_first_bare: client_first_bare.to_owned(),
+            server_first: server_first.clone(),
+        };
+        Ok(server_first)
+    }
+
+    /// Takes the caller's proof, and returns the server's.
+    ///
+    /// # Errors
+    /// The message is malformed or out of turn, or the proof is wrong.
+    pub fn verify(&mut self, message: &[u8]) -> Result<String, ScramError> {
+        let State::Challenged {
+            gs2_header,
+            client_first_bare,
+            server_first,
+        } = std::mem::replace(&mut self.state, State::Ended)
+        else {
+            return Err(ScramError::OutOfTurn);
+        };
+        let message = text(message)?;
+        let (without_proof, proof) = message
+            .rsplit_once(",p=")
+            .ok_or(ScramError::Malformed("the proof is missing"))?;
+        self.check_binding_and_nonce(without_proof, &gs2_header)?;
+        let proof: [u8; KEY_BYTES] = STANDARD
+            .decode(proof)
+            .ok()
+            .and_then(|proof| proof.try_into().ok())
+            .ok_or(ScramError::Malformed("the proof is not one"))?;
+        let exchange = format!("{client_first_bare},{server_first},{without_proof}");
+        if !self.is_proof(&exchange, proof) {
+            return Err(ScramError::Proof);
+        }
+        let signature = mac(&self.verifier.server_key, &exchange);
+        Ok(format!("v={}", STANDARD.encode(signature)))
+    }
+
+    fn check_binding_and_nonce(
+        &self,
+        without_proof: &str,
+        gs2_header: &str,
+    ) -> Result<(), ScramError> {
+        let mut attributes = without_proof.split(',');
+        let binding = attributes.next().and_then(|part| part.strip_prefix("c="));
+        // The header comes back under the proof, so that a changed first message is seen.
+        if binding != Some(STANDARD.encode(gs2_header).as_str()) {
+            return Err(ScramError::ChannelBinding);
+        }
+        let nonce = attributes.next().and_then(|part| part.strip_prefix("r="));
+        if nonce != Some(self.nonce.as_str()) {
+            return Err(ScramError::Nonce);
+        }
+        Ok(())
+    }
+
+    fn is_proof(&self, exchange: &str, proof: [u8; KEY_BYTES]) -> bool {
+        let mut client_key = mac(&self.verifier.stored_key, exchange);
+        for (key, proof) in client_key.iter_mut().zip(proof) {
+            *key ^= proof;
+        }
+        let stored_key: [u8; KEY_BYTES] = Sha256::digest(client_key).into();
+        is_equal(&stored_key, &self.verifier.stored_key)
+    }
+}
+
+/// Compares in a time that does not depend on where two keys differ.
+fn is_equal(left: &[u8; KEY_BYTES], right: &[u8; KEY_BYTES]) -> bool {
+    left.iter()
+        .zip(right)
+        .fold(0, |difference, (left, right)| difference | (left ^ right))
+        == 0
+}
+
+fn text(message: &[u8]) -> Result<&str, ScramError> {
+    std::str::from_utf8(message).map_err(|_| ScramError::Malformed("it is not text"))
+}
+
+/// Cuts the header that tells about channel binding, `n,,` or `y,,`, from the first message.
+fn split_gs2_header(message: &str) -> Result<(&str, &str), ScramError> {
+    if message.starts_with("p=") {
+        return Err(ScramError::ChannelBinding);
+    }
+    if message.starts_with("n,,") || message.starts_with("y,,") {
+        return Ok(message.split_at("n,,".len()));
+    }
+    Err(ScramError::Malformed("the header is not n,, or y,,"))
+}
+
+/// The nonce of `n=USER,r=NONCE`. The user is not read: it is the one that the session named.
+fn client_nonce(client_first_bare: &str) -> Result<&str, ScramError> {
+    let mut attributes = client_first_bare.split(',');
+    if !attributes.next().is_some_and(|part| part.starts_with("n=")) {
+        return Err(ScramError::Malformed("the user is missing"));
+    }
+    let nonce = attributes
+        .next()
+        .and_then(|part| part.strip_prefix("r="))
+        .ok_or(ScramError::Malformed("the nonce is missing"))?;
+    if nonce.is_empty() || !nonce.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(ScramError::Malformed("the nonce is not printable"));
+    }
+    Ok(nonce)
+}
