--- a/crates/jujubehold/src/command.rs
+++ b/crates/jujubehold/src/command.rs
@@ -3,7 +3,9 @@
 use std::fmt::Write;
 
 use crate::cli_error::CliError;
-use crate::commands::{check, drain, host, show, status, submit};
+use crate::commands::{
+    check, drain, host, show, standin_database, standin_platform, status, submit,
+};
 
 /// One subcommand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,11 +24,15 @@
     Undrain,
     /// Shows a host's counters.
     Status,
+    /// Runs a stand-in of a database instance.
+    StandinDatabase,
+    /// Runs a stand-in of the platform's service.
+    StandinPlatform,
 }
 
 impl Command {
     /// Every command, in the order of the overview.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 9] = [
         Self::Host,
         Self::Check,
         Self::Submit,
@@ -34,6 +40,8 @@
         Self::Drain,
         Self::Undrain,
         Self::Status,
+        Self::StandinDatabase,
+        Self::StandinPlatform,
     ];
 
     /// The name on the command line.
@@ -46,6 +54,8 @@
             Self::Drain => "drain",
             Self::Undrain => "undrain",
             Self::Status => "status",
+            Self::StandinDatabase => "standin-database",
+            Self::StandinPlatform => "standin-platform",
         }
     }
 
@@ -63,6 +73,8 @@
             Self::Drain => "take an upstream out of service",
             Self::Undrain => "take an upstream back into service",
             Self::Status => "show a host's counters",
+            Self::StandinDatabase => "run a stand-in of a database instance",
+            Self::StandinPlatform => "run a stand-in of the platform's key-value service",
         }
     }
 
@@ -79,6 +91,8 @@
             Self::Drain => drain::run(arguments, drain::Direction::Out),
             Self::Undrain => drain::run(arguments, drain::Direction::In),
             Self::Status => status::run(arguments),
+            Self::StandinDatabase => standin_database::run(arguments),
+            Self::StandinPlatform => standin_platform::run(arguments),
         }
     }
 }
--- a/crates/jujubehold/src/commands/mod.rs
+++ b/crates/jujubehold/src/commands/mod.rs
@@ -13,6 +13,8 @@
 pub(crate) mod drain;
 pub(crate) mod host;
 pub(crate) mod show;
+pub(crate) mod standin_database;
+pub(crate) mod standin_platform;
 pub(crate) mod status;
 pub(crate) mod submit;
 
--- a/crates/jujubehold/src/commands/status.rs
+++ b/crates/jujubehold/src/commands/status.rs
@@ -40,8 +40,7 @@
         Parsed::Run(matches) => matches,
     };
     let timeout = HELP.timeout(&matches)?;
-    let mut addresses = HELP.addresses(&matches, "metrics")?;
-    let address = addresses.remove(0);
+    let address = HELP.required_address(&matches, "metrics")?;
     let page = actix_rt::System::new().block_on(fetch(address, timeout))?;
     Ok(select(&page, matches.opt_present("all")))
 }
--- a/crates/jujubehold/src/config_store.rs
+++ b/crates/jujubehold/src/config_store.rs
@@ -299,11 +299,15 @@
 }
 
 fn conflict(config: &ServiceConfig, expected: Generation, found: &ConfigRecord) -> StoreError {
+    let mut differences = service_differences(&found.config, config);
+    if differences.is_empty() {
+        differences.push("Both say the same.".to_owned());
+    }
     StoreError::Conflict {
         service: config.service.clone(),
         expected,
         current: found.config.generation,
-        differences: service_differences(&found.config, config),
+        differences,
     }
 }
 
--- a/crates/jujubehold/src/options.rs
+++ b/crates/jujubehold/src/options.rs
@@ -10,7 +10,7 @@
 use crate::cli_error::CliError;
 use crate::exit_status::ExitStatus;
 
-const DEFAULT_TIMEOUT_MS: u64 = 5_000;
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// What the help text of a subcommand says beside its options.
 #[derive(Debug, Clone, Copy)]
@@ -84,20 +84,60 @@
             return Err(self.usage_error(&format!("--{option} is missing")));
         };
         text.split(',')
-            .map(|part| {
-                part.trim().parse().map_err(|_| {
-                    let problem = format!("--{option} {part:?} is not an IP number and a port");
-                    self.usage_error(&problem)
-                })
-            })
+            .map(|part| self.parse_address(option, part.trim()))
             .collect()
     }
 
+    /// Reads one address, or `None` when the option is not there.
+    pub(crate) fn address(
+        &self,
+        matches: &Matches,
+        option: &str,
+    ) -> Result<Option<SocketAddr>, CliError> {
+        matches
+            .opt_str(option)
+            .map(|text| self.parse_address(option, &text))
+            .transpose()
+    }
+
+    /// Reads one address that must be there.
+    pub(crate) fn required_address(
+        &self,
+        matches: &Matches,
+        option: &str,
+    ) -> Result<SocketAddr, CliError> {
+        self.address(matches, option)?
+            .ok_or_else(|| self.usage_error(&format!("--{option} is missing")))
+    }
+
+    fn parse_address(&self, option: &str, text: &str) -> Result<SocketAddr, CliError> {
+        text.parse().map_err(|_| {
+            self.usage_error(&format!(
+                "--{option} {text:?} is not an IP number and a port"
+            ))
+        })
+    }
+
+    /// Reads a whole number of milliseconds, or returns `default`.
+    pub(crate) fn duration_ms(
+        &self,
+        matches: &Matches,
+        option: &str,
+        default: Duration,
+    ) -> Result<Duration, CliError> {
+        let default_ms = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
+        self.value(
+            matches,
+            option,
+            default_ms,
+            "a whole number of milliseconds",
+        )
+        .map(Duration::from_millis)
+    }
+
     /// Reads `--timeout-ms`.
     pub(crate) fn timeout(&self, matches: &Matches) -> Result<Duration, CliError> {
-        let expected = "a whole number of milliseconds";
-        self.value(matches, "timeout-ms", DEFAULT_TIMEOUT_MS, expected)
-            .map(Duration::from_millis)
+        self.duration_ms(matches, "timeout-ms", DEFAULT_TIMEOUT)
     }
 
     fn text(&self, options: &Options) -> String {
