--- a/crates/jujubehold/src/command.rs
+++ b/crates/jujubehold/src/command.rs
@@ -3,11 +3,15 @@
 use std::fmt::Write;
 
 use crate::cli_error::CliError;
-use crate::commands::{check, drain, show, status, submit};
+use crate::commands::{
+    check, drain, host, show, standin_database, standin_platform, status, submit,
+};
 
 /// One subcommand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Command {
+    /// Runs an entry host.
+    Host,
     /// Checks settings and configuration files.
     Check,
     /// Submits a service's configuration.
@@ -20,28 +24,38 @@
     Undrain,
     /// Shows a host's counters.
     Status,
+    /// Runs a stand-in of a database instance.
+    StandinDatabase,
+    /// Runs a stand-in of the platform's service.
+    StandinPlatform,
 }
 
 impl Command {
     /// Every command, in the order of the overview.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 9] = [
+        Self::Host,
         Self::Check,
         Self::Submit,
         Self::Show,
         Self::Drain,
         Self::Undrain,
         Self::Status,
+        Self::StandinDatabase,
+        Self::StandinPlatform,
     ];
 
     /// The name on the command line.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Host => "host",
             Self::Check => "check",
             Self::Submit => "submit",
             Self::Show => "show",
             Self::Drain => "drain",
             Self::Undrain => "undrain",
             Self::Status => "status",
+            Self::StandinDatabase => "standin-database",
+            Self::StandinPlatform => "standin-platform",
         }
     }
 
@@ -52,12 +66,15 @@
 
     fn summary(self) -> &'static str {
         match self {
+            Self::Host => "run an entry host",
             Self::Check => "check settings and configuration files, naming every fault",
             Self::Submit => "submit a service's configuration",
             Self::Show => "show the configuration in force",
             Self::Drain => "take an upstream out of service",
             Self::Undrain => "take an upstream back into service",
             Self::Status => "show a host's counters",
+            Self::StandinDatabase => "run a stand-in of a database instance",
+            Self::StandinPlatform => "run a stand-in of the platform's key-value service",
         }
     }
 
@@ -67,12 +84,15 @@
     /// The command line is wrong, or the command failed.
     pub fn run(self, arguments: &[String]) -> Result<String, CliError> {
         match self {
+            Self::Host => host::run(arguments),
             Self::Check => check::run(arguments),
             Self::Submit => submit::run(arguments),
             Self::Show => show::run(arguments),
             Self::Drain => drain::run(arguments, drain::Direction::Out),
             Self::Undrain => drain::run(arguments, drain::Direction::In),
             Self::Status => status::run(arguments),
+            Self::StandinDatabase => standin_database::run(arguments),
+            Self::StandinPlatform => standin_platform::run(arguments),
         }
     }
 }
--- a/crates/jujubehold/src/commands/mod.rs
+++ b/crates/jujubehold/src/commands/mod.rs
@@ -11,7 +11,10 @@
 
 pub(crate) mod check;
 pub(crate) mod drain;
+pub(crate) mod host;
 pub(crate) mod show;
+pub(crate) mod standin_database;
+pub(crate) mod standin_platform;
 pub(crate) mod status;
 pub(crate) mod submit;
 
