--- /dev/null
+++ b/crates/jujubehold_host/src/control/action_runner.rs
@@ -0,0 +1,254 @@
+//! Carries out what a group's failover asks for, in tasks that end in events.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jujubehold_core::failover::FailoverSettings;
+use jujubehold_core::failover_action::FailoverAction;
+use jujubehold_core::failover_event::FailoverEvent;
+use jujubehold_core::prelude::*;
+use log::info;
+use metrics::counter;
+
+use super::control_event::{ControlEvent, ControlSender};
+use super::instance_caller::InstanceCaller;
+use crate::clock::Clock;
+use crate::platform::{GroupRecord, KvClient};
+
+/// The query that every instance answers with its status.
+pub(crate) const STATUS_QUERY: &str = "SELECT group_status()";
+
+/// How long an instance may take to be promoted or to begin to follow.
+const ROLE_CHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Runs actions on instances and on the platform's service.
+#[derive(Debug)]
+pub(crate) struct ActionRunner {
+    clock: Clock,
+    host: HostId,
+    settings: FailoverSettings,
+    kv: KvClient,
+    events: ControlSender,
+    callers: BTreeMap<(ServiceId, InstanceId), Rc<InstanceCaller>>,
+}
+
+impl ActionRunner {
+    /// A runner that knows no instance yet.
+    pub(crate) fn new(
+        clock: Clock,
+        host: HostId,
+        settings: FailoverSettings,
+        kv: KvClient,
+        events: ControlSender,
+    ) -> Self {
+        Self {
+            clock,
+            host,
+            settings,
+            kv,
+            events,
+            callers: BTreeMap::new(),
+        }
+    }
+
+    /// Closes the kept connections to a service's instances, when the host stops watching it.
+    pub(crate) fn forget(&mut self, service: &ServiceId) {
+        self.callers.retain(|(known, _), _| known != service);
+    }
+
+    /// Starts one action on an instance or on the platform's service; the actions that go to
+    /// other hosts are not its own and are left alone.
+    pub(crate) fn run(&mut self, config: &ServiceConfig, action: &FailoverAction) {
+        count(action);
+        match action {
+            FailoverAction::Probe { instance } => self.probe(config, instance),
+            FailoverAction::Record { term, nonce } => self.record(config, *term, *nonce),
+            FailoverAction::Fence {
+                instance,
+                term,
+                nonce,
+            } => self.fence(config, instance, *term, *nonce),
+            FailoverAction::CatchUp {
+                instance,
+                from,
+                position,
+            } => self.catch_up(config, instance, from, *position),
+            FailoverAction::Promote {
+                instance,
+                term,
+                nonce,
+            } => self.promote(config, instance, *term, *nonce),
+            FailoverAction::Follow {
+                instance,
+                primary,
+                term,
+            } => self.follow(config, instance, primary, *term),
+            FailoverAction::ShareSuspicion { .. }
+            | FailoverAction::ShareLiveness { .. }
+            | FailoverAction::Announce { .. } => {}
+        }
+    }
+
+    fn probe(&mut self, config: &ServiceConfig, instance: &InstanceId) {
+        let Some(caller) = self.caller(config, instance) else {
+            return;
+        };
+        if !caller.begin_probe() {
+            return;
+        }
+        let (instance, clock) = (instance.clone(), self.clock);
+        let timeout = self.settings.probe_timeout;
+        self.spawn(config, async move {
+            let sent_at = clock.now();
+            let status = caller.ask(STATUS_QUERY, timeout).await;
+            caller.end_probe();
+            FailoverEvent::Probed {
+                instance,
+                sent_at,
+                status,
+            }
+        });
+    }
+
+    fn record(&self, config: &ServiceConfig, term: Term, nonce: Nonce) {
+        let record = GroupRecord {
+            term,
+            nonce,
+            host: self.host.clone(),
+        };
+        info!(service = config.service.as_str(), term; "replacing the primary");
+        let mut kv = self.kv.clone();
+        let service = config.service.clone();
+        let time_limit = self.settings.record_timeout;
+        self.spawn(config, async move {
+            let outcome = record.write(&mut kv, &service, time_limit).await;
+            FailoverEvent::Recorded { term, outcome }
+        });
+    }
+
+    fn fence(&mut self, config: &ServiceConfig, instance: &InstanceId, term: Term, nonce: Nonce) {
+        let Some(caller) = self.caller(config, instance) else {
+            return;
+        };
+        let instance = instance.clone();
+        let timeout = self.settings.fence_timeout;
+        self.spawn(config, async move {
+            let sql = format!("SELECT group_fence({term}, {nonce})");
+            let status = caller.ask(&sql, timeout).await;
+            FailoverEvent::Fenced {
+                instance,
+                term,
+                nonce,
+                status,
+            }
+        });
+    }
+
+    fn catch_up(
+        &mut self,
+        config: &ServiceConfig,
+        instance: &InstanceId,
+        from: &InstanceId,
+        position: Position,
+    ) {
+        let Some(caller) = self.caller(config, instance) else {
+            return;
+        };
+        let Some(source) = config.instances.get(from).map(|source| source.address) else {
+            return;
+        };
+        let instance = instance.clone();
+        let timeout = self.settings.catch_up_timeout;
+        self.spawn(config, async move {
+            let sql = format!("SELECT group_catch_up('{source}', {position})");
+            let status = caller.ask(&sql, timeout).await;
+            FailoverEvent::CaughtUp { instance, status }
+        });
+    }
+
+    fn promote(&mut self, config: &ServiceConfig, instance: &InstanceId, term: Term, nonce: Nonce) {
+        let Some(caller) = self.caller(config, instance) else {
+            return;
+        };
+        info!(service = config.service.as_str(), instance = instance.as_str(), term; "promoting");
+        let instance = instance.clone();
+        self.spawn(config, async move {
+            let sql = format!("SELECT group_promote({term}, {nonce})");
+            let status = caller.ask(&sql, ROLE_CHANGE_TIMEOUT).await;
+            FailoverEvent::Promoted {
+                instance,
+                term,
+                status,
+            }
+        });
+    }
+
+    fn follow(
+        &mut self,
+        config: &ServiceConfig,
+        instance: &InstanceId,
+        primary: &InstanceId,
+        term: Term,
+    ) {
+        let Some(caller) = self.caller(config, instance) else {
+            return;
+        };
+        let Some(leader) = config.instances.get(primary).map(|leader| leader.address) else {
+            return;
+        };
+        let (instance, clock) = (instance.clone(), self.clock);
+        self.spawn(config, async move {
+            let sent_at = clock.now();
+            let sql = format!("SELECT group_follow({term}, '{leader}')");
+            let status = caller.ask(&sql, ROLE_CHANGE_TIMEOUT).await;
+            FailoverEvent::Probed {
+                instance,
+                sent_at,
+                status,
+            }
+        });
+    }
+
+    fn spawn(&self, config: &ServiceConfig, work: impl Future<Output = FailoverEvent> + 'static) {
+        let service = config.service.clone();
+        let events = self.events.clone();
+        actix_rt::spawn(async move {
+            let event = work.await;
+            // The host may have ended meanwhile.
+            let _ = events.send(ControlEvent::Group { service, event });
+        });
+    }
+
+    /// The caller of an instance at its present address.
+    fn caller(
+        &mut self,
+        config: &ServiceConfig,
+        instance: &InstanceId,
+    ) -> Option<Rc<InstanceCaller>> {
+        let address = config.instances.get(instance)?.address;
+        let key = (config.service.clone(), instance.clone());
+        let known = self.callers.get(&key);
+        if let Some(caller) = known.filter(|caller| caller.address() == address) {
+            return Some(Rc::clone(caller));
+        }
+        let caller = Rc::new(InstanceCaller::new(address, config.service.clone()));
+        self.callers.insert(key, Rc::clone(&caller));
+        Some(caller)
+    }
+}
+
+fn count(action: &FailoverAction) {
+    let kind = match action {
+        FailoverAction::Probe { .. } => "probe",
+        FailoverAction::ShareSuspicion { .. } => "share_suspicion",
+        FailoverAction::ShareLiveness { .. } => "share_liveness",
+        FailoverAction::Record { .. } => "record",
+        FailoverAction::Fence { .. } => "fence",
+        FailoverAction::CatchUp { .. } => "catch_up",
+        FailoverAction::Promote { .. } => "promote",
+        FailoverAction::Follow { .. } => "follow",
+        FailoverAction::Announce { .. } => "announce",
+    };
+    counter!("jujubehold_failover_actions_total", "kind" => kind).increment(1);
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/control/configuration.rs
@@ -0,0 +1,176 @@
+//! The configuration's part of the control state.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujubehold_core::config_store::{ConfigRecord, Offer, PlatformAction, PlatformValue};
+use jujubehold_core::ownership::{CONFIG_WATCHERS, config_watchers};
+use jujubehold_core::prelude::*;
+use jujubehold_wire::peer;
+use log::{info, warn};
+use metrics::counter;
+
+use super::control_event::ControlEvent;
+use super::control_loop::Control;
+use super::group_driver::GroupDriver;
+use super::restore_queue::Restore;
+use crate::platform::{SERVICES_PREFIX, watch_platform};
+
+/// The longest wait before a lost configuration is written back, in milliseconds: the hosts that
+/// see the loss at the same time spread out over it.
+const RESTORE_SPREAD_MS: u64 = 300;
+impl Control {
+    /// Takes in all that the platform's service shows.
+    pub(super) fn on_listed(&mut self, services: BTreeMap<ServiceId, PlatformValue>) {
+        self.restores.clear();
+        let lost: Vec<_> = self
+            .store
+            .generations()
+            .into_keys()
+            .filter(|service| !services.contains_key(service))
+            .collect();
+        for service in lost {
+            let value = PlatformValue {
+                record: None,
+                mod_revision: 0,
+            };
+            self.on_shown(&service, value);
+        }
+        for (service, value) in services {
+            self.on_shown(&service, value);
+        }
+    }
+
+    /// Takes in what the platform's service shows for one service.
+    pub(super) fn on_shown(&mut self, service: &ServiceId, value: PlatformValue) {
+        self.restores.drop_service(service);
+        match self.store.on_platform(service, value) {
+            PlatformAction::Nothing => {}
+            PlatformAction::HandOn => {
+                self.apply(service);
+                self.hand_on(service);
+            }
+            PlatformAction::Restore { text, mod_revision } => {
+                warn!(service = service.as_str(); "the platform's service lost a configuration");
+                let restore = Restore { text, mod_revision };
+                self.restores.add(service.clone(), restore);
+                self.start_restore();
+            }
+        }
+    }
+
+    /// Takes in a record that a peer has; returns whether it was new.
+    pub(super) fn offer(&mut self, record: ConfigRecord) -> bool {
+        let service = record.config.service.clone();
+        match self.store.offer(record) {
+            Offer::Applied => {
+                self.apply(&service);
+                true
+            }
+            Offer::Differs => {
+                counter!("jujubehold_configuration_conflicts_total").increment(1);
+                false
+            }
+            Offer::Same | Offer::Older { .. } => false,
+        }
+    }
+
+    /// Puts the stored configuration of a service in force.
+    fn apply(&mut self, service: &ServiceId) {
+        let Some(config) = self.store.config(service) else {
+            return;
+        };
+        let config = Arc::new(config.clone());
+        info!(service = service.as_str(), generation = config.generation; "configuration");
+        let group = self
+            .groups
+            .entry(service.clone())
+            .or_insert_with(|| GroupDriver::new(Arc::clone(&config)));
+        group.set_config(config);
+        self.assign(service);
+        self.dirty.insert(service.clone());
+        self.is_urgent = true;
+    }
+
+    /// Hands a service's configuration on to the hosts of this failure domain, if this host is
+    /// one of those that do.
+    pub(super) fn hand_on(&mut self, service: &ServiceId) {
+        if !self.is_config_watcher() {
+            return;
+        }
+        let Some(message) = self.service_message(service) else {
+            return;
+        };
+        self.notify_own_domain(&peer::notify_request::Kind::Service(message));
+    }
+
+    /// A service's record with its text.
+    pub(super) fn service_message(&self, service: &ServiceId) -> Option<peer::ServiceRecord> {
+        let record = self.store.record(service)?;
+        Some(peer::ServiceRecord {
+            service: service.to_string(),
+            generation: record.config.generation,
+            text: record.text.to_string(),
+        })
+    }
+
+    /// Whether this host watches the platform's service for its failure domain.
+    pub(super) fn is_config_watcher(&self) -> bool {
+        let own_domain = self.live_hosts.get(&self.domain);
+        own_domain.is_none_or(|hosts| {
+            config_watchers(&self.domain, hosts, CONFIG_WATCHERS).contains(&self.owner.host)
+        })
+    }
+
+    /// Begins or ends the watch of the platform's service.
+    pub(super) fn update_platform_watch(&mut self, is_starting: bool) {
+        let is_watcher = self.is_config_watcher() && !self.is_leaving;
+        if !is_watcher {
+            if let Some(watch) = self.platform_watch.take() {
+                watch.abort();
+            }
+            return;
+        }
+        if self.platform_watch.is_some() {
+            return;
+        }
+        let wait = if is_starting {
+            self.first_watch_spread.mul_f64(rand::random())
+        } else {
+            Duration::ZERO
+        };
+        let (kv, events) = (self.kv.clone(), self.events_sender.clone());
+        self.platform_watch = Some(actix_rt::spawn(async move {
+            tokio::time::sleep(wait).await;
+            watch_platform(kv, events).await;
+        }));
+    }
+
+    /// Takes in that a write back ended.
+    pub(super) fn on_restore_ended(&mut self) {
+        self.restores.end();
+        self.start_restore();
+    }
+
+    fn start_restore(&mut self) {
+        let Some((service, restore)) = self.restores.take(rand::random()) else {
+            return;
+        };
+        let (mut kv, events) = (self.kv.clone(), self.events_sender.clone());
+        let wait = Duration::from_millis(rand::random_range(0..RESTORE_SPREAD_MS));
+        actix_rt::spawn(async move {
+            tokio::time::sleep(wait).await;
+            let key = format!("{SERVICES_PREFIX}{service}");
+            let value = restore.text.as_bytes().to_vec();
+            // Whether it was written or not, the watch shows what stands then.
+            match kv.put_if(&key, restore.mod_revision, value).await {
+                Ok(is_written) => {
+                    info!(service = service.as_str(), is_written; "wrote a configuration back");
+                }
+                Err(error) => warn!("a configuration was not written back: {error}"),
+            }
+            let _ = events.send(ControlEvent::RestoreEnded);
+        });
+    }
+}
--- a/crates/jujubehold_host/src/control/control_loop.rs
+++ b/crates/jujubehold_host/src/control/control_loop.rs
@@ -1,150 +1,273 @@
 //! The loop that keeps the control state and publishes the routing table.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use jujubehold_core::config_store::ConfigStore;
+use jujubehold_core::failover::FailoverSettings;
+use jujubehold_core::membership::{
+    Member, MemberState, Membership, MembershipEvent, MembershipSettings,
+};
+use jujubehold_core::ownership::DomainHosts;
 use jujubehold_core::prelude::*;
-use jujubehold_settings::parse_service;
-use log::{info, warn};
+use jujubehold_settings::HostSettings;
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
+use super::action_runner::ActionRunner;
+use super::control_event::{ControlEvent, ControlReceiver, ControlSender};
+use super::group_driver::{FailoverOwner, GroupDriver};
+use super::restore_queue::RestoreQueue;
 use crate::clock::Clock;
-use crate::control::probe::{Probe, STATUS_QUERY};
 use crate::observation::{Observation, ObservationReceiver};
+use crate::peer::PeerClients;
 use crate::platform::KvClient;
 use crate::routing_table::{RoutingTable, ServiceRoute};
 
-/// Where the platform's service holds the configuration of services.
-pub(crate) const SERVICES_PREFIX: &str = "/jujubehold/services/";
+/// How long a call of the platform's service may take.
+const PLATFORM_CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How many events are taken in before the time and the routing table are looked at again.
+const MAX_BATCH: usize = 256;
+/// How often a host exchanges digests with another one.
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(2);
+/// The longest sleep of the loop.
+const MAX_SLEEP: Duration = Duration::from_secs(1);
 
-/// How often the configuration is read.
-const CONFIGURATION_INTERVAL: Duration = Duration::from_millis(500);
+/// The longest wait before the first call of the platform's service on a host with seeds: its
+/// peers are faster to ask, and cost the platform's service nothing.
+const FIRST_WATCH_SPREAD: Duration = Duration::from_millis(500);
+
+/// What this host knows of others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum HostKnowledge {
+    /// It has heard of nobody yet, and watches no group: it might take itself for the only one.
+    Alone,
+    /// It has heard of others, or waited long enough.
+    Heard,
+    /// It watches the groups that it is to watch.
+    Watching,
+}
 
 /// The control state of one host.
 #[derive(Debug)]
 pub struct Control {
-    clock: Clock,
-    kv: KvClient,
-    services: BTreeMap<ServiceId, ServiceRoute>,
-    probes: BTreeMap<(ServiceId, InstanceId), Probe>,
-    probe_interval: Duration,
-    probe_timeout: Duration,
+    pub(super) clock: Clock,
+    pub(super) domain: DomainId,
+    pub(super) owners_per_instance: usize,
+    pub(super) owner: FailoverOwner,
+    pub(super) store: ConfigStore,
+    pub(super) groups: BTreeMap<ServiceId, GroupDriver>,
+    pub(super) timers: BTreeSet<(Monotonic, ServiceId)>,
+    pub(super) membership: Membership,
+    pub(super) live_hosts: DomainHosts,
+    pub(super) is_membership_changed: bool,
+    pub(super) knowledge: HostKnowledge,
+    pub(super) first_watch_spread: Duration,
+    pub(super) runner: ActionRunner,
+    pub(super) peers: PeerClients,
+    pub(super) socket: Rc<UdpSocket>,
+    pub(super) kv: KvClient,
+    pub(super) platform_watch: Option<JoinHandle<()>>,
+    pub(super) restores: RestoreQueue,
+    pub(super) events_sender: ControlSender,
+    pub(super) routes: BTreeMap<ServiceId, Arc<ServiceRoute>>,
+    pub(super) dirty: BTreeSet<ServiceId>,
+    pub(super) is_urgent: bool,
+    pub(super) published_at: Monotonic,
+    pub(super) is_leaving: bool,
     table: watch::Sender<Arc<RoutingTable>>,
+    events: ControlReceiver,
     observations: ObservationReceiver,
 }
 
+/// What a control state is made of.
+#[derive(Debug)]
+pub struct ControlParts {
+    /// The host's clock.
+    pub clock: Clock,
+    /// Where other hosts reach this one.
+    pub peer_address: SocketAddr,
+    /// The socket for datagrams at that address.
+    pub socket: std::net::UdpSocket,
+    /// Where the routing table goes.
+    pub table: watch::Sender<Arc<RoutingTable>>,
+    /// What traffic observes.
+    pub observations: ObservationReceiver,
+    /// How events are sent.
+    pub events_sender: ControlSender,
+    /// How events are taken.
+    pub events: ControlReceiver,
+}
+
 impl Control {
-    /// A control state that knows nothing yet.
-    pub fn new(
-        settings: &jujubehold_settings::HostSettings,
-        clock: Clock,
-        table: watch::Sender<Arc<RoutingTable>>,
-        observations: ObservationReceiver,
-    ) -> Self {
-        let address = settings.platform_addresses[0];
-        Self {
-            clock,
-            kv: KvClient::new(address, Duration::from_secs(2)),
-            services: BTreeMap::new(),
-            probes: BTreeMap::new(),
+    /// A control state that knows nothing yet; made on the control thread.
+    ///
+    /// # Errors
+    /// The socket can't be used.
+    pub fn new(settings: &HostSettings, parts: ControlParts) -> std::io::Result<Self> {
+        let failover_settings = FailoverSettings {
             probe_interval: settings.probe_interval,
             probe_timeout: settings.probe_timeout,
-            table,
-            observations,
-        }
+            authority: settings.authority.clone(),
+            ..FailoverSettings::default()
+        };
+        let kv = KvClient::with_addresses(&settings.platform_addresses, PLATFORM_CALL_TIMEOUT);
+        let runner = ActionRunner::new(
+            parts.clock,
+            settings.host.clone(),
+            failover_settings.clone(),
+            kv.clone(),
+            parts.events_sender.clone(),
+        );
+        let membership = new_membership(settings, parts.peer_address);
+        Ok(Self {
+            clock: parts.clock,
+            domain: settings.domain.clone(),
+            owners_per_instance: settings.owners_per_instance,
+            owner: FailoverOwner {
+                settings: failover_settings,
+                host: settings.host.clone(),
+                domain: settings.domain.clone(),
+                nonce_seed: rand::random(),
+            },
+            store: ConfigStore::default(),
+            groups: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            live_hosts: membership.live_hosts(),
+            membership,
+            is_membership_changed: true,
+            knowledge: HostKnowledge::Alone,
+            first_watch_spread: if settings.peer_seeds.is_empty() {
+                Duration::ZERO
+            } else {
+                FIRST_WATCH_SPREAD
+            },
+            runner,
+            peers: PeerClients::default(),
+            socket: Rc::new(UdpSocket::from_std(parts.socket)?),
+            kv,
+            platform_watch: None,
+            restores: RestoreQueue::default(),
+            events_sender: parts.events_sender,
+            routes: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            is_urgent: false,
+            published_at: Monotonic::ZERO,
+            is_leaving: false,
+            table: parts.table,
+            events: parts.events,
+            observations: parts.observations,
+        })
     }
 
     /// Runs until its future is dropped.
     pub async fn run(mut self) {
-        let mut configuration = tokio::time::interval(CONFIGURATION_INTERVAL);
-        let mut probing = tokio::time::interval(self.probe_interval);
+        self.receive_datagrams();
         loop {
+            let sleep = self.next_wakeup().saturating_sub(self.clock.now());
             tokio::select! {
-                _ = configuration.tick() => self.read_configuration().await,
-                _ = probing.tick() => self.probe_all().await,
-                Some(observation) = self.observations.recv() => self.observe(observation),
+                Some(event) = self.events.recv() => self.take_events(event),
+                Some(observation) = self.observations.recv() => self.observe_all(observation),
+                () = tokio::time::sleep(sleep) => {}
+            }
+            self.tick();
+            if self.is_publishing_due() {
+                let table = self.next_table();
+                self.table.send_replace(Arc::new(table));
             }
-            self.publish();
         }
     }
 
-    async fn read_configuration(&mut self) {
-        let records = match self.kv.list(SERVICES_PREFIX).await {
-            Ok((records, _)) => records,
-            Err(error) => {
-                warn!("{error}");
+    fn take_events(&mut self, first: ControlEvent) {
+        self.take_event(first);
+        for _ in 1..MAX_BATCH {
+            let Ok(event) = self.events.try_recv() else {
                 return;
-            }
-        };
-        for record in records {
-            let text = String::from_utf8_lossy(&record.value);
-            match parse_service(&String::from_utf8_lossy(&record.key), &text) {
-                Ok(config) => self.apply(config),
-                Err(faults) => warn!("a configuration was not taken: {faults}"),
-            }
+            };
+            self.take_event(event);
         }
     }
 
-    fn apply(&mut self, config: ServiceConfig) {
-        let known = self.services.get(&config.service);
-        if known.is_some_and(|route| route.config.generation >= config.generation) {
-            return;
-        }
-        info!(service = config.service.as_str(), generation = config.generation; "configuration");
-        for (name, instance) in &config.instances {
-            let key = (config.service.clone(), name.clone());
-            self.probes
-                .insert(key, Probe::new(instance.address, config.service.clone()));
+    fn take_event(&mut self, event: ControlEvent) {
+        match event {
+            ControlEvent::Group { service, event } => self.on_group_event(&service, event),
+            ControlEvent::Listed { services } => self.on_listed(services),
+            ControlEvent::Shown { service, value } => self.on_shown(&service, value),
+            ControlEvent::HostsListed { hosts } => {
+                self.hear_of_hosts();
+                self.on_membership(MembershipEvent::Listed { hosts });
+            }
+            ControlEvent::Notified(request) => self.on_notified(*request),
+            ControlEvent::ExchangeAsked { request, answer } => {
+                let response = self.answer_exchange(&request);
+                // The asking host may have gone.
+                let _ = answer.send(response);
+            }
+            ControlEvent::Exchanged { with, response } => self.on_exchanged(with, &response),
+            ControlEvent::Received { from, text } => self.on_datagram(from, &text),
+            ControlEvent::RestoreEnded => self.on_restore_ended(),
+            ControlEvent::Leave => self.on_leave(),
         }
-        let view = known.map(|route| route.view.clone()).unwrap_or_default();
-        let service = config.service.clone();
-        let route = ServiceRoute {
-            config: Arc::new(config),
-            view,
-            owners: BTreeMap::new(),
-        };
-        self.services.insert(service, route);
     }
 
-    async fn probe_all(&mut self) {
-        for ((service, _), probe) in &mut self.probes {
-            let sent_at = self.clock.now();
-            let Some(status) = probe.ask(STATUS_QUERY, self.probe_timeout).await else {
-                continue;
+    fn observe_all(&mut self, first: Observation) {
+        self.observe(first);
+        for _ in 1..MAX_BATCH {
+            let Ok(observation) = self.observations.try_recv() else {
+                return;
             };
-            if let Some(route) = self.services.get_mut(service) {
-                route.view.observe(sent_at, status);
-            }
+            self.observe(observation);
         }
     }
 
-    fn observe(&mut self, observation: Observation) {
-        match observation {
-            Observation::Status {
-                service,
-                sent_at,
-                status,
-            } => {
-                if let Some(route) = self.services.get_mut(&service) {
-                    route.view.observe(sent_at, status);
-                }
-            }
-            Observation::Unreachable { service, instance } => {
-                warn!(service = service.as_str(), instance = instance.as_str(); "unreachable");
-            }
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        if now >= self.membership.next_wakeup() {
+            self.on_membership(MembershipEvent::Tick);
+        }
+        self.settle(now);
+        if self.is_membership_changed {
+            self.apply_membership(now);
         }
+        self.tick_groups(now);
     }
 
-    fn publish(&self) {
-        let services = self
-            .services
-            .iter()
-            .map(|(name, route)| (name.clone(), Arc::new(route.clone())))
-            .collect();
-        self.table.send_replace(Arc::new(RoutingTable {
-            services,
-            is_leaving: false,
-        }));
+    fn next_wakeup(&self) -> Monotonic {
+        let now = self.clock.now();
+        let group = self.timers.first().map(|(due, _)| *due);
+        let publishing = self.publishing_due();
+        [group, publishing, Some(self.membership.next_wakeup())]
+            .into_iter()
+            .flatten()
+            .fold(now + MAX_SLEEP, Ord::min)
     }
 }
+
+fn new_membership(settings: &HostSettings, peer_address: SocketAddr) -> Membership {
+    let started_at = std::time::SystemTime::UNIX_EPOCH.elapsed();
+    let own = Member {
+        host: settings.host.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        peer_address,
+        // Higher than in any earlier life, unless the clock was set back; then others' words of
+        // the earlier life are refuted.
+        incarnation: started_at.map_or(1, |age| age.as_secs()),
+        state: MemberState::Alive,
+    };
+    let seeds = settings
+        .peer_seeds
+        .iter()
+        .map(|seed| seed.peer_address)
+        .filter(|seed| *seed != peer_address)
+        .collect();
+    let membership_settings = MembershipSettings {
+        exchange_interval: EXCHANGE_INTERVAL,
+        ..MembershipSettings::default()
+    };
+    Membership::new(membership_settings, own, seeds, rand::random())
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/control/exchange.rs
@@ -0,0 +1,277 @@
+//! What hosts tell each other, at once and by exchanges.
+//!
+//! See docs/notes/configuration-relay.md.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use jujubehold_core::failover_event::FailoverEvent;
+use jujubehold_core::membership::MembershipEvent;
+use jujubehold_core::prelude::*;
+use jujubehold_wire::peer;
+use jujubehold_wire::peer::notify_request::Kind;
+
+use super::control_event::ControlEvent;
+use super::control_loop::Control;
+use crate::peer::{Digests, bucket_of, host_message, member_of};
+use crate::platform::config_record;
+
+impl Control {
+    /// Takes in a notification.
+    pub(super) fn on_notified(&mut self, request: peer::NotifyRequest) {
+        let Some(kind) = request.kind else {
+            return;
+        };
+        let (host, domain) = (request.host.into(), request.domain.into());
+        let is_news = match &kind {
+            Kind::Suspicion(suspicion) => {
+                let term = suspicion.term;
+                let event = FailoverEvent::SuspicionHeard { host, domain, term };
+                self.on_group_event(&suspicion.service.as_str().into(), event);
+                false
+            }
+            Kind::Liveness(liveness) => {
+                let term = liveness.term;
+                let event = FailoverEvent::LivenessHeard { host, domain, term };
+                self.on_group_event(&liveness.service.as_str().into(), event);
+                false
+            }
+            Kind::Announcement(record) => self.on_announced(record),
+            Kind::Service(record) => self.offer_message(record),
+            Kind::Leaving(host) => {
+                let hosts: Vec<_> = member_of(host).into_iter().collect();
+                let was_changed = std::mem::take(&mut self.is_membership_changed);
+                self.on_membership(MembershipEvent::Heard { hosts });
+                let is_news = self.is_membership_changed;
+                self.is_membership_changed |= was_changed;
+                is_news
+            }
+        };
+        if is_news && request.is_for_domain {
+            self.notify_own_domain(&kind);
+        }
+    }
+
+    /// Takes in a primary; returns whether it was new.
+    fn on_announced(&mut self, record: &peer::GroupRecord) -> bool {
+        let service = record.service.as_str().into();
+        if record.term <= self.term_of(&service) || record.primary.is_empty() {
+            return false;
+        }
+        let event = FailoverEvent::Announced {
+            term: record.term,
+            primary: record.primary.as_str().into(),
+        };
+        self.on_group_event(&service, event);
+        true
+    }
+
+    fn offer_message(&mut self, record: &peer::ServiceRecord) -> bool {
+        let in_force = self.store.config(&record.service);
+        if in_force.is_some_and(|config| config.generation > record.generation) {
+            return false;
+        }
+        config_record(&record.service, &record.text).is_some_and(|record| self.offer(record))
+    }
+
+    fn term_of(&self, service: &ServiceId) -> Term {
+        self.groups
+            .get(service)
+            .map_or(0, |group| group.view().term)
+    }
+
+    /// Begins an exchange with a host; a host that watches the platform's service also exchanges
+    /// with one of another failure domain, for which there is no other way when that domain or
+    /// this one is cut off from the platform.
+    pub(super) fn start_exchange(&mut self, with: SocketAddr) {
+        self.send_exchange(with, self.digest_request());
+        if self.is_config_watcher()
+            && let Some(other) = self.host_of_other_domain()
+        {
+            self.send_exchange(other, self.digest_request());
+        }
+    }
+
+    fn host_of_other_domain(&self) -> Option<SocketAddr> {
+        let others: Vec<_> = self
+            .membership
+            .members()
+            .filter(|member| member.is_live() && member.domain != self.domain)
+            .collect();
+        if others.is_empty() {
+            return None;
+        }
+        let index = rand::random_range(0..others.len());
+        Some(others[index].peer_address)
+    }
+
+    fn digest_request(&self) -> peer::ExchangeRequest {
+        peer::ExchangeRequest {
+            host: self.owner.host.to_string(),
+            digest: self.digests().whole(),
+            // The sender's own word, so that a new host becomes known by its first exchange.
+            hosts: vec![host_message(self.membership.own())],
+            ..peer::ExchangeRequest::default()
+        }
+    }
+
+    fn send_exchange(&mut self, with: SocketAddr, request: peer::ExchangeRequest) {
+        let events = self.events_sender.clone();
+        self.peers.exchange(with, request, move |response| {
+            let response = Box::new(response);
+            let _ = events.send(ControlEvent::Exchanged { with, response });
+        });
+    }
+
+    /// Answers one call of an exchange.
+    pub(super) fn answer_exchange(
+        &mut self,
+        request: &peer::ExchangeRequest,
+    ) -> peer::ExchangeResponse {
+        let is_digest_only = request.buckets.is_empty() && request.services.is_empty();
+        let their_digest = request.digest;
+        let theirs = request
+            .services
+            .iter()
+            .map(|record| (record.service.as_str().into(), record.generation))
+            .collect();
+        self.take_in(&request.hosts, &request.groups, &request.services);
+        if is_digest_only {
+            let digests = self.digests();
+            let is_same = digests.whole() == their_digest;
+            let bucket_digests = if is_same {
+                Vec::new()
+            } else {
+                digests.buckets().to_vec()
+            };
+            return peer::ExchangeResponse {
+                bucket_digests,
+                ..peer::ExchangeResponse::default()
+            };
+        }
+        let buckets: BTreeSet<_> = request.buckets.iter().copied().collect();
+        let difference = self.store.compare(&theirs);
+        let services = difference
+            .offered
+            .iter()
+            .filter(|service| is_in(&buckets, service))
+            .filter_map(|service| self.service_message(service))
+            .collect();
+        peer::ExchangeResponse {
+            hosts: self.host_messages(&buckets),
+            groups: self.group_messages(&buckets),
+            services,
+            wanted: difference.wanted.iter().map(ToString::to_string).collect(),
+            ..peer::ExchangeResponse::default()
+        }
+    }
+
+    /// Takes in the answer to one call of an exchange, and makes the next call if there is one.
+    pub(super) fn on_exchanged(&mut self, with: SocketAddr, response: &peer::ExchangeResponse) {
+        self.hear_of_hosts();
+        self.take_in(&response.hosts, &response.groups, &response.services);
+        if !response.bucket_digests.is_empty() {
+            let buckets = self.digests().differing(&response.bucket_digests);
+            if !buckets.is_empty() {
+                let request = self.bucket_request(buckets);
+                self.send_exchange(with, request);
+            }
+            return;
+        }
+        let wanted: Vec<_> = response
+            .wanted
+            .iter()
+            .filter_map(|service| self.service_message(&service.as_str().into()))
+            .collect();
+        if !wanted.is_empty() {
+            let request = peer::ExchangeRequest {
+                host: self.owner.host.to_string(),
+                services: wanted,
+                ..peer::ExchangeRequest::default()
+            };
+            self.send_exchange(with, request);
+        }
+    }
+
+    fn bucket_request(&self, buckets: Vec<u32>) -> peer::ExchangeRequest {
+        let wanted: BTreeSet<_> = buckets.iter().copied().collect();
+        let services = self
+            .store
+            .records()
+            .filter(|record| is_in(&wanted, &record.config.service))
+            .map(|record| peer::ServiceRecord {
+                service: record.config.service.to_string(),
+                generation: record.config.generation,
+                text: String::new(),
+            })
+            .collect();
+        peer::ExchangeRequest {
+            host: self.owner.host.to_string(),
+            hosts: self.host_messages(&wanted),
+            groups: self.group_messages(&wanted),
+            services,
+            buckets,
+            ..peer::ExchangeRequest::default()
+        }
+    }
+
+    fn take_in(
+        &mut self,
+        hosts: &[peer::Host],
+        groups: &[peer::GroupRecord],
+        services: &[peer::ServiceRecord],
+    ) {
+        let hosts: Vec<_> = hosts.iter().filter_map(member_of).collect();
+        if !hosts.is_empty() {
+            self.on_membership(MembershipEvent::Heard { hosts });
+        }
+        // A record without its text states only its generation.
+        for record in services.iter().filter(|record| !record.text.is_empty()) {
+            if self.offer_message(record) {
+                self.hand_on(&record.service.as_str().into());
+            }
+        }
+        for record in groups {
+            self.on_announced(record);
+        }
+    }
+
+    fn digests(&self) -> Digests {
+        let mut digests = Digests::default();
+        for (service, group) in &self.groups {
+            let generation = group.config().generation;
+            digests.add_service(service, generation, group.view().term);
+        }
+        for member in self.membership.members() {
+            digests.add_host(member);
+        }
+        digests
+    }
+
+    fn host_messages(&self, buckets: &BTreeSet<u32>) -> Vec<peer::Host> {
+        self.membership
+            .members()
+            .filter(|member| is_in(buckets, &member.host))
+            .map(host_message)
+            .collect()
+    }
+
+    fn group_messages(&self, buckets: &BTreeSet<u32>) -> Vec<peer::GroupRecord> {
+        self.groups
+            .iter()
+            .filter(|(service, _)| is_in(buckets, service))
+            .filter_map(|(service, group)| {
+                let view = group.view();
+                Some(peer::GroupRecord {
+                    service: service.to_string(),
+                    term: view.term,
+                    primary: view.primary.as_ref()?.to_string(),
+                })
+            })
+            .collect()
+    }
+}
+
+fn is_in(buckets: &BTreeSet<u32>, name: &str) -> bool {
+    u32::try_from(bucket_of(name)).is_ok_and(|bucket| buckets.contains(&bucket))
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/control/groups.rs
@@ -0,0 +1,234 @@
+//! The groups' part of the control state.
+
+use jujubehold_core::failover_action::FailoverAction;
+use jujubehold_core::failover_event::FailoverEvent;
+use jujubehold_core::ownership::{CONFIG_WATCHERS, config_watchers};
+use jujubehold_core::prelude::*;
+use jujubehold_wire::peer;
+use log::info;
+use metrics::histogram;
+
+use super::control_loop::Control;
+use super::group_driver::GroupDriver;
+use crate::observation::Observation;
+
+impl Control {
+    /// Takes in what traffic learned; a status counts as much as a probe's.
+    pub(super) fn observe(&mut self, observation: Observation) {
+        match observation {
+            Observation::Status {
+                service,
+                sent_at,
+                status,
+            } => {
+                let event = FailoverEvent::Probed {
+                    instance: status.instance.clone(),
+                    sent_at,
+                    status: Some(status),
+                };
+                self.on_group_event(&service, event);
+            }
+            Observation::Unreachable { service, instance } => {
+                // A probe of its own tells a broken connection from an instance that is gone.
+                let is_watched = self
+                    .groups
+                    .get(&service)
+                    .is_some_and(|group| group.due().is_some());
+                if is_watched {
+                    self.act(&service, vec![FailoverAction::Probe { instance }]);
+                }
+            }
+        }
+    }
+
+    /// Takes in an event of a group and does what follows from it.
+    pub(super) fn on_group_event(&mut self, service: &ServiceId, event: FailoverEvent) {
+        let now = self.clock.now();
+        let Some(group) = self.groups.get_mut(service) else {
+            return;
+        };
+        let is_news = match &event {
+            FailoverEvent::Probed { status, .. } => status.is_some(),
+            FailoverEvent::Announced { .. } | FailoverEvent::Promoted { .. } => true,
+            FailoverEvent::SuspicionHeard { .. }
+            | FailoverEvent::LivenessHeard { .. }
+            | FailoverEvent::Fenced { .. }
+            | FailoverEvent::Recorded { .. }
+            | FailoverEvent::CaughtUp { .. }
+            | FailoverEvent::ChangeOrdered { .. }
+            | FailoverEvent::Tick => false,
+        };
+        let old_due = group.due();
+        let (actions, is_new_primary) = group.on_event(now, event);
+        let new_due = group.due();
+        if is_new_primary {
+            let view = group.view();
+            let primary = view.primary.as_deref().unwrap_or_default();
+            info!(service = service.as_str(), term = view.term, primary; "primary");
+            self.is_urgent = true;
+        }
+        if is_news || is_new_primary {
+            self.dirty.insert(service.clone());
+        }
+        self.reset_timer(service, old_due, new_due);
+        self.act(service, actions);
+    }
+
+    /// Lets the groups that are due look at the time.
+    pub(super) fn tick_groups(&mut self, now: Monotonic) {
+        while let Some((due, _)) = self.timers.first()
+            && *due <= now
+            && let Some((_, service)) = self.timers.pop_first()
+        {
+            self.on_group_event(&service, FailoverEvent::Tick);
+        }
+    }
+
+    /// Moves a group's timer.
+    pub(super) fn reset_timer(
+        &mut self,
+        service: &ServiceId,
+        old_due: Option<Monotonic>,
+        new_due: Option<Monotonic>,
+    ) {
+        if let Some(due) = old_due {
+            self.timers.remove(&(due, service.clone()));
+        }
+        if let Some(due) = new_due {
+            // A group that is due at once waits for the next turn, so that no group holds the
+            // loop.
+            let earliest = self.clock.now() + MIN_TICK;
+            let due = due.max(earliest);
+            if let Some(group) = self.groups.get_mut(service) {
+                group.set_due(due);
+            }
+            self.timers.insert((due, service.clone()));
+        }
+    }
+
+    fn act(&mut self, service: &ServiceId, actions: Vec<FailoverAction>) {
+        for action in actions {
+            match &action {
+                FailoverAction::ShareSuspicion { term } => self.share(service, *term, true),
+                FailoverAction::ShareLiveness { term } => self.share(service, *term, false),
+                FailoverAction::Announce { term, primary } => {
+                    self.report_phases(service);
+                    self.announce(service, *term, primary);
+                }
+                FailoverAction::Probe { .. }
+                | FailoverAction::Record { .. }
+                | FailoverAction::Fence { .. }
+                | FailoverAction::CatchUp { .. }
+                | FailoverAction::Promote { .. }
+                | FailoverAction::Follow { .. } => {
+                    if let Some(group) = self.groups.get(service) {
+                        self.runner.run(group.config(), &action);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tells how long the parts of a failover took that this host has brought to its end.
+    fn report_phases(&self, service: &ServiceId) {
+        let Some(phases) = self.groups.get(service).and_then(GroupDriver::phases) else {
+            return;
+        };
+        info!(service = service.as_str(), detect_ms = ms(phases.detect),
+            agree_ms = ms(phases.agree), fence_ms = ms(phases.fence), wait_ms = ms(phases.wait),
+            promote_ms = ms(phases.promote); "replaced the primary");
+        histogram!("jujubehold_failover_seconds").record(phases.total());
+    }
+
+    /// Tells the group's other watchers that its primary is suspected, or that it is alive.
+    fn share(&mut self, service: &ServiceId, term: Term, is_suspected: bool) {
+        use peer::notify_request::Kind;
+        let Some(group) = self.groups.get(service) else {
+            return;
+        };
+        let suspicion = peer::Suspicion {
+            service: service.to_string(),
+            term,
+            primary: group.view().primary.as_deref().unwrap_or_default().into(),
+        };
+        let kind = if is_suspected {
+            Kind::Suspicion(suspicion)
+        } else {
+            Kind::Liveness(suspicion)
+        };
+        let hosts: Vec<_> = group.watchers().iter().map(|w| w.host.clone()).collect();
+        for host in hosts {
+            self.notify(&host, kind.clone(), false);
+        }
+    }
+
+    /// Tells a new primary to the group's watchers, and by relays to every failure domain.
+    fn announce(&mut self, service: &ServiceId, term: Term, primary: &InstanceId) {
+        let record = peer::GroupRecord {
+            service: service.to_string(),
+            term,
+            primary: primary.to_string(),
+        };
+        let kind = peer::notify_request::Kind::Announcement(record);
+        let watchers: Vec<_> = self
+            .groups
+            .get(service)
+            .map(|group| group.watchers().iter().map(|w| w.host.clone()).collect())
+            .unwrap_or_default();
+        for host in watchers {
+            self.notify(&host, kind.clone(), false);
+        }
+        self.notify_domains(&kind);
+    }
+
+    /// Notifies the hosts of this failure domain, and relays of every other.
+    pub(super) fn notify_domains(&mut self, kind: &peer::notify_request::Kind) {
+        let relays: Vec<_> = self
+            .live_hosts
+            .iter()
+            .filter(|(domain, _)| **domain != self.domain)
+            .flat_map(|(domain, hosts)| config_watchers(domain, hosts, CONFIG_WATCHERS))
+            .collect();
+        for host in relays {
+            self.notify(&host, kind.clone(), true);
+        }
+        self.notify_own_domain(kind);
+    }
+
+    /// Notifies the hosts of this failure domain.
+    pub(super) fn notify_own_domain(&mut self, kind: &peer::notify_request::Kind) {
+        let hosts = self.live_hosts.get(&self.domain).cloned();
+        for host in hosts.unwrap_or_default() {
+            self.notify(&host, kind.clone(), false);
+        }
+    }
+
+    /// Notifies one other host.
+    pub(super) fn notify(
+        &mut self,
+        host: &HostId,
+        kind: peer::notify_request::Kind,
+        is_for_domain: bool,
+    ) {
+        if *host == self.owner.host {
+            return;
+        }
+        let Some(member) = self.membership.member(host) else {
+            return;
+        };
+        let request = peer::NotifyRequest {
+            host: self.owner.host.to_string(),
+            domain: self.domain.to_string(),
+            kind: Some(kind),
+            is_for_domain,
+        };
+        self.peers.notify(member.peer_address, request);
+    }
+}
+
+fn ms(duration: Monotonic) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The least time between two looks at one group.
+const MIN_TICK: Monotonic = Monotonic::from_millis(5);
--- a/crates/jujubehold_host/src/control/mod.rs
+++ b/crates/jujubehold_host/src/control/mod.rs
@@ -1,6 +1,16 @@
 //! The control thread.
 
+mod action_runner;
+mod configuration;
+mod control_event;
 mod control_loop;
-mod probe;
+mod exchange;
+mod group_driver;
+mod groups;
+mod hosts;
+mod instance_caller;
+mod publishing;
+mod restore_queue;
 
-pub use control_loop::Control;
+pub use control_event::{ControlEvent, ControlReceiver, ControlSender};
+pub use control_loop::{Control, ControlParts};
--- a/crates/jujubehold_host/src/host.rs
+++ b/crates/jujubehold_host/src/host.rs
@@ -3,28 +3,43 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_rt::Arbiter;
+use jujubehold_core::drain::{Drain, DrainAction, DrainEvent, DrainSettings};
 use jujubehold_settings::HostSettings;
-use log::info;
+use log::{info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
+use crate::activity::Activity;
 use crate::clock::Clock;
-use crate::control::Control;
+use crate::control::{Control, ControlEvent, ControlParts, ControlSender};
+use crate::drain_phase::DrainPhase;
 use crate::error::HostError;
+use crate::metrics_page;
+use crate::peer::serve_peers;
+use crate::peer_sockets::PeerSockets;
 use crate::pool::Pools;
 use crate::routing_table::RoutingTable;
 use crate::shared::Shared;
 use crate::traffic::{TrafficThreads, accept_callers};
 
+/// How often a leaving host looks at what is still in flight.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A host that listens for callers.
 #[derive(Debug)]
 pub struct Host {
     listener: TcpListener,
+    peer_address: SocketAddr,
+    metrics_address: Option<SocketAddr>,
     shared: Arc<Shared>,
+    events: ControlSender,
+    phase: watch::Sender<DrainPhase>,
     threads: TrafficThreads,
     control: Arbiter,
+    peers: Arbiter,
 }
 
 /// Runs a host until `stop` is done, on the present actix system.
@@ -38,21 +53,34 @@
 }
 
 impl Host {
-    /// Opens the host's sockets and starts its threads.
+    /// Opens the host's sockets and starts its threads. Port 0 takes any free port.
     ///
     /// # Errors
     /// An address can't be listened on.
     pub async fn start(settings: HostSettings) -> Result<Self, HostError> {
-        let address = settings.caller_address;
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|source| HostError::Listen { address, source })?;
+        if settings.metrics_address.is_some() {
+            metrics_page::install();
+        }
+        let listener = listen(settings.caller_address).await?;
+        let peer_sockets = PeerSockets::open(settings.peer_address)?;
+        let peer_address = peer_sockets.address;
         let clock = Clock::start();
         let (table_sender, table) = watch::channel(Arc::new(RoutingTable::default()));
         let (observations, observation_receiver) = mpsc::unbounded_channel();
+        let (events_sender, events) = mpsc::unbounded_channel();
+        let (phase, phase_receiver) = watch::channel(DrainPhase::Serving);
         let control = Arbiter::new();
-        let control_state = Control::new(&settings, clock, table_sender, observation_receiver);
-        control.spawn(control_state.run());
+        let parts = ControlParts {
+            clock,
+            peer_address,
+            socket: peer_sockets.datagrams,
+            table: table_sender,
+            observations: observation_receiver,
+            events_sender: events_sender.clone(),
+            events,
+        };
+        let control_settings = settings.clone();
+        control.spawn_fn(move || spawn_control(&control_settings, parts));
         let threads = TrafficThreads::start(settings.traffic_threads);
         let shared = Arc::new(Shared {
             settings,
@@ -60,13 +88,25 @@
             table,
             observations,
             pools: Pools::default(),
+            activity: Arc::default(),
+            phase: phase_receiver,
         });
-        info!(host = shared.settings.host.as_str(), address:% = address; "listening");
+        let peers = Arbiter::new();
+        let (peer_events, peer_shared) = (events_sender.clone(), Arc::clone(&shared));
+        peers.spawn_fn(move || spawn_peers(peer_sockets.calls, peer_events, peer_shared));
+        let metrics_address = start_metrics(&shared.settings, &peers).await?;
+        let address = listener.local_addr().ok();
+        info!(host = shared.settings.host.as_str(), address:? = address; "listening");
         Ok(Self {
             listener,
+            peer_address,
+            metrics_address,
             shared,
+            events: events_sender,
+            phase,
             threads,
             control,
+            peers,
         })
     }
 
@@ -80,14 +120,139 @@
             .expect("a bound listener has an address")
     }
 
-    /// Serves callers until `stop` is done.
-    pub async fn serve(mut self, stop: impl Future<Output = ()>) {
-        tokio::select! {
-            () = accept_callers(self.listener, self.shared, &mut self.threads) => {}
-            () = stop => {}
+    /// Where other hosts reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Where the metrics page is read; `None` when there is none.
+    pub fn metrics_address(&self) -> Option<SocketAddr> {
+        self.metrics_address
+    }
+
+    /// The routing tables that the control thread publishes, for experiments and tests.
+    pub fn tables(&self) -> watch::Receiver<Arc<RoutingTable>> {
+        self.shared.table.clone()
+    }
+
+    /// What is in flight.
+    pub fn activity(&self) -> Arc<Activity> {
+        Arc::clone(&self.shared.activity)
+    }
+
+    /// Serves callers until `stop` is done, then leaves without cutting anything in flight.
+    pub async fn serve(self, stop: impl Future<Output = ()>) {
+        let Self {
+            listener,
+            shared,
+            events,
+            phase,
+            mut threads,
+            control,
+            peers,
+            ..
+        } = self;
+        let accepting = accept_callers(listener, Arc::clone(&shared), &mut threads);
+        let leaving = async {
+            stop.await;
+            leave(&shared, &events, &phase).await;
+        };
+        tokio::join!(accepting, leaving);
+        threads.stop();
+        for arbiter in [control, peers] {
+            arbiter.stop();
+            // A thread that panicked has said so.
+            let _ = arbiter.join();
+        }
+    }
+}
+
+/// Leaves: tells the others, stops accepting, and waits until nothing is in flight.
+///
+/// See docs/notes/graceful-shutdown.md.
+async fn leave(shared: &Shared, events: &ControlSender, phase: &watch::Sender<DrainPhase>) {
+    let mut drain = Drain::new(DrainSettings {
+        limit: Some(shared.settings.drain_timeout),
+        ..DrainSettings::default()
+    });
+    let mut event = DrainEvent::Asked;
+    loop {
+        for action in drain.on_event(shared.clock.now(), &event) {
+            match action {
+                DrainAction::TellPeers => {
+                    info!("leaving");
+                    let _ = events.send(ControlEvent::Leave);
+                }
+                DrainAction::StopAccepting => {
+                    phase.send_replace(DrainPhase::Finishing);
+                }
+                // Sessions see the phase themselves, and the pools close with the host.
+                DrainAction::EndIdleSessions | DrainAction::HandOver => {}
+                DrainAction::Exit => {
+                    info!("left");
+                    return;
+                }
+                DrainAction::ExitOverdue => {
+                    let activity = &shared.activity;
+                    warn!(sessions = activity.sessions(), lent = activity.lent();
+                        "left although something was in flight");
+                    return;
+                }
+            }
+        }
+        tokio::time::sleep(DRAIN_INTERVAL).await;
+        let activity = &shared.activity;
+        event = DrainEvent::InFlight {
+            // A session ends by itself once nothing of it is in flight.
+            requests: activity.requests().max(activity.sessions()),
+            lent: activity.lent(),
+        };
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, HostError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| HostError::Listen { address, source })
+}
+
+fn spawn_control(settings: &HostSettings, parts: ControlParts) {
+    match Control::new(settings, parts) {
+        // The control state stays on this thread.
+        Ok(control) => {
+            actix_rt::spawn(control.run());
+        }
+        Err(error) => warn!("the control thread did not start: {error}"),
+    }
+}
+
+fn spawn_peers(calls: std::net::TcpListener, events: ControlSender, shared: Arc<Shared>) {
+    match TcpListener::from_std(calls) {
+        Ok(listener) => {
+            actix_rt::spawn(serve_peers(listener, events, shared));
         }
-        self.threads.stop();
-        self.control.stop();
-        let _ = self.control.join();
+        Err(error) => warn!("other hosts are not served: {error}"),
     }
 }
+
+async fn start_metrics(
+    settings: &HostSettings,
+    arbiter: &Arbiter,
+) -> Result<Option<SocketAddr>, HostError> {
+    let Some(address) = settings.metrics_address else {
+        return Ok(None);
+    };
+    let listen_error = |source| HostError::Listen { address, source };
+    let listener = listen(address).await?;
+    let bound = listener.local_addr().map_err(listen_error)?;
+    let listener = listener.into_std().map_err(listen_error)?;
+    arbiter.spawn(async move {
+        match TcpListener::from_std(listener) {
+            Ok(listener) => {
+                actix_rt::spawn(metrics_page::serve(listener));
+            }
+            Err(error) => warn!("the metrics page is not served: {error}"),
+        }
+    });
+    Ok(Some(bound))
+}
--- a/crates/jujubehold_host/src/lib.rs
+++ b/crates/jujubehold_host/src/lib.rs
@@ -4,16 +4,22 @@
 //! carry traffic and see the control state as a [`routing_table::RoutingTable`] that the control
 //! thread publishes. All decisions are `jujubehold_core`'s. See docs/ARCHITECTURE.md.
 
+pub mod activity;
 pub mod clock;
 pub mod control;
+mod drain_phase;
 pub mod error;
 pub mod host;
+pub mod metrics_page;
 pub mod observation;
+pub mod peer;
+mod peer_sockets;
 pub mod platform;
 pub mod pool;
 pub mod routing_table;
 pub mod shared;
 pub mod traffic;
 
+pub use drain_phase::DrainPhase;
 pub use error::HostError;
 pub use host::{Host, run};
--- /dev/null
+++ b/crates/jujubehold_host/src/peer/forward_server.rs
@@ -0,0 +1,231 @@
+//! Lends one upstream connection of this host to another host.
+//!
+//! See docs/notes/ownership-and-forwarding.md.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
+use jujubehold_core::prelude::*;
+use jujubehold_pg::{Frame, FrameError, backend, frontend};
+use jujubehold_wire::peer;
+use jujubehold_wire::peer::forward_request::Kind as RequestKind;
+use jujubehold_wire::peer::forward_response::Kind as ResponseKind;
+use metrics::counter;
+use tokio::sync::mpsc;
+use tonic::{Status, Streaming};
+
+use crate::activity::Activity;
+use crate::pool::PooledConnection;
+use crate::shared::Shared;
+
+/// How many answers may wait for a slow entry host; more of them hold the upstream back.
+pub(crate) const WAITING_ANSWERS: usize = 16;
+/// About how many bytes of the upstream's messages one answer carries.
+const ANSWER_BYTES: usize = 16 * 1024;
+/// When a refused entry host may ask again.
+const RETRY_AFTER_MS: u32 = 50;
+
+/// Where the answers of one stream go.
+pub(crate) type ForwardSender = mpsc::Sender<Result<peer::ForwardResponse, Status>>;
+
+/// Serves one stream: lends a connection, passes messages both ways, and takes it back.
+pub(crate) async fn forward(
+    mut requests: Streaming<peer::ForwardRequest>,
+    answers: ForwardSender,
+    shared: Arc<Shared>,
+) {
+    let Ok(Some(first)) = requests.message().await else {
+        return;
+    };
+    let Some(RequestKind::Open(open)) = first.kind else {
+        send(&answers, broken("the stream does not begin with an open")).await;
+        return;
+    };
+    let connection = match lend(&shared, &open).await {
+        Ok(connection) => connection,
+        Err(reason) => {
+            counter!("jujubehold_forward_refused_total", "reason" => reason.as_str()).increment(1);
+            let refused = peer::ForwardRefused {
+                reason: reason.as_str().to_owned(),
+                retry_after_ms: RETRY_AFTER_MS,
+            };
+            send(&answers, ResponseKind::Refused(refused)).await;
+            return;
+        }
+    };
+    let _lent = Activity::begin_lent(&shared.activity);
+    counter!("jujubehold_forward_lent_total").increment(1);
+    let request_id = open.request_id;
+    if !send(
+        &answers,
+        ResponseKind::Opened(peer::ForwardOpened { request_id }),
+    )
+    .await
+    {
+        connection.put_back();
+        return;
+    }
+    let mut lent = LentConnection::new(connection);
+    match lent.pass(&mut requests, &answers).await {
+        Ok(()) => lent.end(),
+        Err(detail) => {
+            send(&answers, broken(&detail)).await;
+        }
+    }
+}
+
+async fn lend(
+    shared: &Shared,
+    open: &peer::ForwardOpen,
+) -> Result<PooledConnection, RefusalReason> {
+    let service: ServiceId = open.service.as_str().into();
+    let instance: InstanceId = open.instance.as_str().into();
+    let route = shared.table.borrow().services.get(&service).cloned();
+    let Some(route) = route else {
+        return Err(RefusalReason::UnknownService);
+    };
+    let Some(config) = route.config.instances.get(&instance) else {
+        return Err(RefusalReason::UnknownService);
+    };
+    if config.state == InstanceState::Leaving && route.view.primary.as_ref() != Some(&instance) {
+        return Err(RefusalReason::Leaving);
+    }
+    if open.term != 0 && open.term < route.view.term {
+        return Err(RefusalReason::NoPrimary);
+    }
+    let wait = Duration::from_millis(open.wait_ms.into());
+    let acquire = shared.pools.acquire(&service, &instance, config);
+    match tokio::time::timeout(wait, acquire).await {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(_)) => Err(RefusalReason::UpstreamUnreachable),
+        Err(_) => Err(RefusalReason::QueueFull),
+    }
+}
+
+/// A lent connection, and what passed over it.
+struct LentConnection {
+    connection: PooledConnection,
+    received: u64,
+    sent: u64,
+    // Whether the upstream waits for the next message outside of a transaction.
+    is_idle: bool,
+    // Whether statements were prepared by name, of which this host keeps no list.
+    has_prepared: bool,
+}
+
+impl LentConnection {
+    fn new(connection: PooledConnection) -> Self {
+        Self {
+            connection,
+            received: 0,
+            sent: 0,
+            is_idle: true,
+            has_prepared: false,
+        }
+    }
+
+    /// Passes messages both ways until the entry host closes the stream as clean.
+    async fn pass(
+        &mut self,
+        requests: &mut Streaming<peer::ForwardRequest>,
+        answers: &ForwardSender,
+    ) -> Result<(), String> {
+        loop {
+            tokio::select! {
+                request = requests.message() => {
+                    let request = request.map_err(|status| status.to_string())?;
+                    match request.and_then(|request| request.kind) {
+                        Some(RequestKind::Frames(frames)) => self.take_frames(frames).await?,
+                        Some(RequestKind::Close(close)) if close.is_clean => return Ok(()),
+                        Some(RequestKind::Close(_)) | None => {
+                            return Err("the stream ended within a request".to_owned());
+                        }
+                        Some(RequestKind::Open(_)) => {
+                            return Err("the stream was opened twice".to_owned());
+                        }
+                    }
+                }
+                frame = self.connection.connection().receive() => {
+                    let frame = frame.map_err(|error| error.to_string())?;
+                    let frames = self.gather(&frame).map_err(|error| error.to_string())?;
+                    self.sent += 1;
+                    let sequence = self.sent;
+                    let frames = peer::ForwardFrames { sequence, frames };
+                    if !send(answers, ResponseKind::Frames(frames)).await {
+                        return Err("the entry host is gone".to_owned());
+                    }
+                }
+            }
+        }
+    }
+
+    async fn take_frames(&mut self, frames: peer::ForwardFrames) -> Result<(), String> {
+        self.received += 1;
+        if frames.sequence != self.received {
+            counter!("jujubehold_forward_sequence_faults_total").increment(1);
+            return Err(format!(
+                "message {} came where {} was due",
+                frames.sequence, self.received
+            ));
+        }
+        self.is_idle = false;
+        self.has_prepared |= has_parse(&frames.frames);
+        let connection = self.connection.connection();
+        connection
+            .send(&frames.frames)
+            .await
+            .map_err(|error| error.to_string())
+    }
+
+    /// The bytes of `first` and of the messages that have come after it already.
+    fn gather(&mut self, first: &Frame) -> Result<Bytes, FrameError> {
+        self.note(first);
+        let mut bytes = BytesMut::from(first.bytes().as_ref());
+        while bytes.len() < ANSWER_BYTES {
+            let Some(next) = self.connection.connection().receive().now_or_never() else {
+                break;
+            };
+            let next = next?;
+            self.note(&next);
+            bytes.extend_from_slice(next.bytes());
+        }
+        Ok(bytes.freeze())
+    }
+
+    fn note(&mut self, frame: &Frame) {
+        self.is_idle = frame.tag() == backend::READY_FOR_QUERY && frame.body() == b"I";
+    }
+
+    /// Takes the connection back; one that is not clean is closed.
+    fn end(self) {
+        if self.is_idle && !self.has_prepared {
+            self.connection.put_back();
+        }
+    }
+}
+
+/// Whether messages of a frontend hold one that prepares a statement by name.
+fn has_parse(frames: &Bytes) -> bool {
+    let mut rest = BytesMut::from(frames.as_ref());
+    while let Ok(Some(frame)) = Frame::cut(&mut rest) {
+        let is_named = frame.first_text().is_some_and(|name| !name.is_empty());
+        if frame.tag() == frontend::PARSE && is_named {
+            return true;
+        }
+    }
+    false
+}
+
+fn broken(detail: &str) -> ResponseKind {
+    ResponseKind::Broken(peer::ForwardBroken {
+        detail: detail.to_owned(),
+    })
+}
+
+/// Sends an answer; returns whether the entry host may still take it.
+async fn send(answers: &ForwardSender, kind: ResponseKind) -> bool {
+    let response = peer::ForwardResponse { kind: Some(kind) };
+    answers.send(Ok(response)).await.is_ok()
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/peer/forwarded_lane.rs
@@ -0,0 +1,248 @@
+//! A connection that another host lends to this one.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use jujubehold_core::prelude::*;
+use jujubehold_pg::{Frame, FrameError};
+use jujubehold_wire::peer;
+use jujubehold_wire::peer::forward_request::Kind as RequestKind;
+use jujubehold_wire::peer::forward_response::Kind as ResponseKind;
+use jujubehold_wire::peer::peer_client::PeerClient;
+use metrics::counter;
+use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Streaming;
+use tonic::transport::Channel;
+
+use super::peer_clients::{MAX_MESSAGE_BYTES, channel_to};
+use crate::routing_table::Owner;
+
+/// How many messages may wait for a slow owner; more of them hold the caller back.
+const WAITING_REQUESTS: usize = 16;
+/// What the network adds to the time that the owner is asked to wait.
+const NETWORK_ALLOWANCE: Duration = Duration::from_millis(500);
+
+thread_local! {
+    // A channel's work runs on the thread that opened it, so each thread keeps its own.
+    static CHANNELS: RefCell<BTreeMap<SocketAddr, Channel>> = const { RefCell::new(BTreeMap::new()) };
+}
+
+/// Why a connection could not be had from another host, or was lost.
+#[derive(Debug, Error)]
+pub enum ForwardError {
+    /// The owner refused; nothing was sent.
+    #[error("the owner refused: {reason}")]
+    Refused {
+        /// The stable name of the reason.
+        reason: String,
+        /// When to ask again.
+        retry_after: Duration,
+    },
+    /// No owner could be reached; nothing was sent.
+    #[error("the owner can't be reached: {0}")]
+    Unreachable(String),
+    /// The stream broke; what was sent may have run.
+    #[error("the stream to the owner broke: {0}")]
+    Broken(String),
+}
+
+/// What is asked of an owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ForwardTarget {
+    /// The request, for the logs of both hosts.
+    pub request_id: RequestId,
+    /// The service.
+    pub service: ServiceId,
+    /// The instance.
+    pub instance: InstanceId,
+    /// The term that the route was taken from; 0 accepts any.
+    pub term: Term,
+    /// How long the owner may keep the request waiting for a connection.
+    pub wait: Duration,
+}
+
+/// A connection that another host lends to this one until [`ForwardedLane::finish`]. The owner
+/// closes it when the lane is dropped before.
+#[derive(Debug)]
+pub struct ForwardedLane {
+    requests: mpsc::Sender<peer::ForwardRequest>,
+    responses: Streaming<peer::ForwardResponse>,
+    sent: u64,
+    received: u64,
+    buffer: BytesMut,
+}
+
+impl ForwardedLane {
+    /// Borrows a connection from the first of `owners` that lends one.
+    ///
+    /// Nothing has been sent when an owner refuses or can't be reached, so the next one is asked.
+    ///
+    /// # Errors
+    /// None of them lends one.
+    pub async fn open(owners: &[Owner], target: &ForwardTarget) -> Result<Self, ForwardError> {
+        let mut failure = ForwardError::Unreachable("the instance has no owner".to_owned());
+        for owner in owners.iter().filter(|owner| !owner.is_local) {
+            match Self::open_at(owner.peer_address, target).await {
+                Ok(lane) => return Ok(lane),
+                Err(error) => {
+                    counter!("jujubehold_retries_total", "reason" => "next_owner").increment(1);
+                    failure = error;
+                }
+            }
+        }
+        Err(failure)
+    }
+
+    /// Borrows a connection from the host at `address`.
+    ///
+    /// # Errors
+    /// The host refuses or can't be reached; nothing was sent.
+    pub async fn open_at(
+        address: SocketAddr,
+        target: &ForwardTarget,
+    ) -> Result<Self, ForwardError> {
+        let limit = target.wait + NETWORK_ALLOWANCE;
+        match tokio::time::timeout(limit, Self::try_open(address, target)).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(ForwardError::Unreachable("no answer in time".to_owned())),
+        }
+    }
+
+    async fn try_open(address: SocketAddr, target: &ForwardTarget) -> Result<Self, ForwardError> {
+        let (requests, receiver) = mpsc::channel(WAITING_REQUESTS);
+        let open = peer::ForwardOpen {
+            request_id: target.request_id.to_string(),
+            service: target.service.to_string(),
+            instance: target.instance.to_string(),
+            term: target.term,
+            wait_ms: u32::try_from(target.wait.as_millis()).unwrap_or(u32::MAX),
+        };
+        let mut lane = Self {
+            responses: start_stream(address, &requests, receiver, open).await?,
+            requests,
+            sent: 0,
+            received: 0,
+            buffer: BytesMut::new(),
+        };
+        match lane.next_answer().await.map_err(unsent)? {
+            ResponseKind::Opened(_) => Ok(lane),
+            ResponseKind::Refused(refused) => Err(ForwardError::Refused {
+                reason: refused.reason,
+                retry_after: Duration::from_millis(refused.retry_after_ms.into()),
+            }),
+            ResponseKind::Broken(broken) => Err(ForwardError::Unreachable(broken.detail)),
+            ResponseKind::Frames(_) => Err(ForwardError::Unreachable(
+                "an answer came unasked".to_owned(),
+            )),
+        }
+    }
+
+    /// Sends bytes of whole messages.
+    ///
+    /// # Errors
+    /// The stream broke; the bytes may have reached the upstream.
+    pub async fn send(&mut self, bytes: &[u8]) -> Result<(), ForwardError> {
+        self.sent += 1;
+        let frames = peer::ForwardFrames {
+            sequence: self.sent,
+            frames: Bytes::copy_from_slice(bytes),
+        };
+        self.requests
+            .send(request(RequestKind::Frames(frames)))
+            .await
+            .map_err(|_| ForwardError::Broken("the owner is gone".to_owned()))
+    }
+
+    /// The next message. Dropping the future loses nothing.
+    ///
+    /// # Errors
+    /// The stream broke.
+    pub async fn receive(&mut self) -> Result<Frame, ForwardError> {
+        loop {
+            match Frame::cut(&mut self.buffer) {
+                Ok(Some(frame)) => return Ok(frame),
+                Ok(None) => {}
+                Err(error) => return Err(malformed(&error)),
+            }
+            match self.next_answer().await? {
+                ResponseKind::Frames(frames) => self.take(&frames)?,
+                ResponseKind::Broken(broken) => return Err(ForwardError::Broken(broken.detail)),
+                ResponseKind::Opened(_) | ResponseKind::Refused(_) => {
+                    return Err(ForwardError::Broken("an answer came twice".to_owned()));
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, frames: &peer::ForwardFrames) -> Result<(), ForwardError> {
+        self.received += 1;
+        if frames.sequence != self.received {
+            counter!("jujubehold_forward_sequence_faults_total").increment(1);
+            let detail = format!(
+                "message {} came where {} was due",
+                frames.sequence, self.received
+            );
+            return Err(ForwardError::Broken(detail));
+        }
+        self.buffer.extend_from_slice(&frames.frames);
+        Ok(())
+    }
+
+    /// Gives a clean connection back: outside of a transaction, with every answer read.
+    pub async fn finish(self) {
+        let close = peer::ForwardClose { is_clean: true };
+        // An owner that is gone has closed the connection.
+        let _ = self.requests.send(request(RequestKind::Close(close))).await;
+    }
+
+    async fn next_answer(&mut self) -> Result<ResponseKind, ForwardError> {
+        match self.responses.message().await {
+            Ok(Some(response)) => response
+                .kind
+                .ok_or_else(|| ForwardError::Broken("an answer is empty".to_owned())),
+            Ok(None) => Err(ForwardError::Broken("the owner ended it".to_owned())),
+            Err(status) => Err(ForwardError::Broken(status.to_string())),
+        }
+    }
+}
+
+async fn start_stream(
+    address: SocketAddr,
+    requests: &mpsc::Sender<peer::ForwardRequest>,
+    receiver: mpsc::Receiver<peer::ForwardRequest>,
+    open: peer::ForwardOpen,
+) -> Result<Streaming<peer::ForwardResponse>, ForwardError> {
+    // The channel has room, so the open is in place before the stream starts.
+    let _ = requests.try_send(request(RequestKind::Open(open)));
+    let channel = CHANNELS.with_borrow_mut(|channels| {
+        let channel = channels.entry(address);
+        channel.or_insert_with(|| channel_to(address)).clone()
+    });
+    let mut client = PeerClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let response = client
+        .forward(ReceiverStream::new(receiver))
+        .await
+        .map_err(|status| ForwardError::Unreachable(status.to_string()))?;
+    Ok(response.into_inner())
+}
+
+fn request(kind: RequestKind) -> peer::ForwardRequest {
+    peer::ForwardRequest { kind: Some(kind) }
+}
+
+/// A stream that breaks before a connection was lent has sent nothing.
+fn unsent(error: ForwardError) -> ForwardError {
+    match error {
+        ForwardError::Broken(detail) => ForwardError::Unreachable(detail),
+        ForwardError::Refused { .. } | ForwardError::Unreachable(_) => error,
+    }
+}
+
+fn malformed(error: &FrameError) -> ForwardError {
+    ForwardError::Broken(error.to_string())
+}
--- a/crates/jujubehold_host/src/platform/kv_client.rs
+++ b/crates/jujubehold_host/src/platform/kv_client.rs
@@ -1,12 +1,26 @@
 //! Calls of the platform's key-value service.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use jujubehold_wire::kv;
+use metrics::counter;
+use prost::Message;
 use thiserror::Error;
+use tokio_stream::{Stream, StreamExt};
 use tonic::transport::{Channel, Endpoint};
 
+/// How many keys one answer of a list holds at the most, so that it stays under a few megabytes.
+const LIST_PAGE_KEYS: i64 = 500;
+/// The longest answer that is taken, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// How often an open connection is checked, so that a cut one is noticed.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(10);
+/// How long the check may take.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Why a call gave nothing.
 #[derive(Debug, Error)]
 pub enum KvError {
@@ -16,47 +30,86 @@
 }
 
 /// A client of the key-value service.
+///
+/// It keeps to one of the service's addresses until that one fails.
 #[derive(Debug, Clone)]
 pub struct KvClient {
-    kv: kv::kv_client::KvClient<Channel>,
+    channels: Vec<Channel>,
+    present: Arc<AtomicUsize>,
+    call_timeout: Duration,
 }
 
 impl KvClient {
     /// A client of the service at `address`; it connects at the first call.
+    pub fn new(address: SocketAddr, call_timeout: Duration) -> Self {
+        Self::with_addresses(&[address], call_timeout)
+    }
+
+    /// A client of the service at any of `addresses`, of which there must be one.
     ///
     /// # Panics
     /// Never: an address and a port always make a good URI.
-    pub fn new(address: SocketAddr, call_timeout: Duration) -> Self {
-        let channel = Endpoint::from_shared(format!("http://{address}"))
-            .expect("an address is a good URI")
-            .connect_timeout(call_timeout)
-            .timeout(call_timeout)
-            .connect_lazy();
+    pub fn with_addresses(addresses: &[SocketAddr], call_timeout: Duration) -> Self {
+        let channels = addresses
+            .iter()
+            .map(|address| {
+                Endpoint::from_shared(format!("http://{address}"))
+                    .expect("an address is a good URI")
+                    .connect_timeout(call_timeout)
+                    .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
+                    .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+                    .connect_lazy()
+            })
+            .collect();
         Self {
-            kv: kv::kv_client::KvClient::new(channel),
+            channels,
+            present: Arc::default(),
+            call_timeout,
         }
     }
 
-    /// Every key that starts with `prefix`, and the revision at which they were read.
+    /// Every key that starts with `prefix`, and the revision at which they were read at the latest.
+    ///
+    /// A watch from the next revision on misses nothing.
     ///
     /// # Errors
     /// The service did not answer.
     pub async fn list(&mut self, prefix: &str) -> Result<(Vec<kv::KeyValue>, i64), KvError> {
+        let mut start = prefix.as_bytes().to_vec();
+        let mut found = Vec::new();
+        let mut revision = None;
+        loop {
+            let request = kv::RangeRequest {
+                key: start,
+                range_end: prefix_end(prefix),
+                limit: LIST_PAGE_KEYS,
+                ..Default::default()
+            };
+            let response = self.range(request).await?;
+            let read_at = response.header.map_or(0, |header| header.revision);
+            let revision = *revision.get_or_insert(read_at);
+            let last = response.kvs.last().map(|entry| entry.key.clone());
+            found.extend(response.kvs);
+            match last.filter(|_| response.more) {
+                Some(mut last) => {
+                    last.push(0);
+                    start = last;
+                }
+                None => return Ok((found, revision)),
+            }
+        }
+    }
+
+    /// The value of one key.
+    ///
+    /// # Errors
+    /// The service did not answer.
+    pub async fn get(&mut self, key: &str) -> Result<Option<kv::KeyValue>, KvError> {
         let request = kv::RangeRequest {
-            key: prefix.into(),
-            range_end: prefix_end(prefix),
+            key: key.into(),
             ..Default::default()
         };
-        let response = self
-            .kv
-            .range(request)
-            .await
-            .map_err(unavailable)?
-            .into_inner();
-        Ok((
-            response.kvs,
-            response.header.map_or(0, |header| header.revision),
-        ))
+        Ok(self.range(request).await?.kvs.pop())
     }
 
     /// Writes `value` under `key` if its modification revision is `expected`, 0 for a new key;
@@ -88,14 +141,81 @@
             }],
             failure: Vec::new(),
         };
-        Ok(self
-            .kv
-            .txn(request)
-            .await
-            .map_err(unavailable)?
-            .into_inner()
-            .succeeded)
+        count("txn", request.encoded_len());
+        let (index, mut client) = self.client();
+        let call = client.txn(request);
+        let response = self.within_timeout(index, call).await?;
+        Ok(response.into_inner().succeeded)
     }
+
+    /// Opens one watch over all keys that start with one of `prefixes`, from `revision` on.
+    ///
+    /// # Errors
+    /// The service did not answer.
+    pub async fn watch(
+        &mut self,
+        prefixes: &[&str],
+        revision: i64,
+    ) -> Result<impl Stream<Item = Result<kv::WatchResponse, KvError>> + use<>, KvError> {
+        let requests: Vec<_> = prefixes
+            .iter()
+            .map(|prefix| kv::WatchRequest {
+                request_union: Some(kv::watch_request::RequestUnion::CreateRequest(
+                    kv::WatchCreateRequest {
+                        key: (*prefix).into(),
+                        range_end: prefix_end(prefix),
+                        start_revision: revision,
+                        ..Default::default()
+                    },
+                )),
+            })
+            .collect();
+        count("watch", requests.iter().map(Message::encoded_len).sum());
+        // The stream of requests stays open, since its end would end the watches.
+        let requests = tokio_stream::iter(requests).chain(tokio_stream::pending());
+        let index = self.present.load(Ordering::Relaxed) % self.channels.len();
+        let mut client = kv::watch_client::WatchClient::new(self.channels[index].clone())
+            .max_decoding_message_size(MAX_ANSWER_BYTES);
+        let call = client.watch(requests);
+        let stream = self.within_timeout(index, call).await?.into_inner();
+        Ok(stream.map(|response| response.map_err(unavailable)))
+    }
+
+    async fn range(&self, request: kv::RangeRequest) -> Result<kv::RangeResponse, KvError> {
+        count("range", request.encoded_len());
+        let (index, mut client) = self.client();
+        let call = client.range(request);
+        Ok(self.within_timeout(index, call).await?.into_inner())
+    }
+
+    fn client(&self) -> (usize, kv::kv_client::KvClient<Channel>) {
+        let index = self.present.load(Ordering::Relaxed) % self.channels.len();
+        let client = kv::kv_client::KvClient::new(self.channels[index].clone())
+            .max_decoding_message_size(MAX_ANSWER_BYTES);
+        (index, client)
+    }
+
+    /// Waits for a call; one that fails moves later calls to the next address.
+    async fn within_timeout<T>(
+        &self,
+        index: usize,
+        call: impl Future<Output = Result<T, tonic::Status>>,
+    ) -> Result<T, KvError> {
+        let outcome = match tokio::time::timeout(self.call_timeout, call).await {
+            Ok(outcome) => outcome.map_err(unavailable),
+            Err(_) => Err(KvError::Unavailable("no answer in time".to_owned())),
+        };
+        if outcome.is_err() {
+            counter!("jujubehold_platform_failures_total").increment(1);
+            self.present.store(index + 1, Ordering::Relaxed);
+        }
+        outcome
+    }
+}
+
+fn count(kind: &'static str, bytes: usize) {
+    counter!("jujubehold_platform_calls_total", "kind" => kind).increment(1);
+    counter!("jujubehold_platform_sent_bytes_total", "kind" => kind).increment(bytes as u64);
 }
 
 #[expect(clippy::needless_pass_by_value, reason = "the form that map_err calls")]
--- a/crates/jujubehold_host/src/shared.rs
+++ b/crates/jujubehold_host/src/shared.rs
@@ -5,7 +5,9 @@
 use jujubehold_settings::HostSettings;
 use tokio::sync::watch;
 
+use crate::activity::Activity;
 use crate::clock::Clock;
+use crate::drain_phase::DrainPhase;
 use crate::observation::ObservationSender;
 use crate::pool::Pools;
 use crate::routing_table::RoutingTable;
@@ -23,4 +25,8 @@
     pub observations: ObservationSender,
     /// The connections to upstreams that this host owns.
     pub pools: Pools,
+    /// What is in flight, which a shutdown waits for.
+    pub activity: Arc<Activity>,
+    /// How far the host's leaving has come.
+    pub phase: watch::Receiver<DrainPhase>,
 }
--- a/crates/jujubehold_host/src/traffic/caller.rs
+++ b/crates/jujubehold_host/src/traffic/caller.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use crate::drain_phase::DrainPhase;
 use crate::pool::PooledConnection;
 use crate::routing_table::ServiceRoute;
 use crate::shared::Shared;
@@ -65,7 +66,7 @@
         pinned: None,
     };
     caller.greet().await?;
-    while let Some(frame) = caller.reader.read().await? {
+    while let Some(frame) = caller.next_frame().await? {
         match frame.tag() {
             frontend::TERMINATE => break,
             frontend::QUERY => caller.run(&frame).await?,
@@ -89,6 +90,25 @@
         Ok(self.writer.write_all(&bytes).await?)
     }
 
+    /// The caller's next message; `None` when it left, or was told that the host shuts down, which
+    /// it is only between transactions.
+    async fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
+        if self.pinned.is_some() {
+            return self.reader.read().await;
+        }
+        let mut phase = self.shared.phase.clone();
+        tokio::select! {
+            biased;
+            frame = self.reader.read() => return frame,
+            _ = phase.wait_for(|phase| *phase == DrainPhase::Finishing) => {}
+        }
+        let refusal = Refusal::transient(RefusalReason::ShuttingDown, RETRY_AFTER);
+        self.writer
+            .write_all(refusal_error(&refusal).bytes())
+            .await?;
+        Ok(None)
+    }
+
     async fn run(&mut self, frame: &Frame) -> Result<(), FrameError> {
         if let Some(pinned) = self.pinned.take() {
             return self.run_on(pinned, frame.bytes()).await;
--- a/crates/jujubehold_host/src/traffic/listener.rs
+++ b/crates/jujubehold_host/src/traffic/listener.rs
@@ -6,6 +6,8 @@
 use log::warn;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::activity::Activity;
+use crate::drain_phase::DrainPhase;
 use crate::shared::Shared;
 use crate::traffic::caller::serve_caller;
 
@@ -40,30 +42,36 @@
     }
 }
 
-/// Accepts callers until its future is dropped.
+/// Accepts callers until the host is finishing, and then those that had connected before.
 pub async fn accept_callers(
     listener: TcpListener,
     shared: Arc<Shared>,
     threads: &mut TrafficThreads,
 ) {
+    let mut phase = shared.phase.clone();
     loop {
-        let stream = match listener
-            .accept()
-            .await
-            .and_then(|(stream, _)| stream.into_std())
-        {
-            Ok(stream) => stream,
-            Err(error) => {
-                warn!("a caller was not accepted: {error}");
-                continue;
-            }
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == DrainPhase::Finishing) => return,
         };
-        let shared = shared.clone();
-        threads.next().spawn(async move {
-            match TcpStream::from_std(stream) {
-                Ok(stream) => serve_caller(stream, shared).await,
-                Err(error) => warn!("a caller was not accepted: {error}"),
-            }
-        });
+        match accepted.and_then(|(stream, _)| stream.into_std()) {
+            Ok(stream) => hand_over(stream, &shared, threads),
+            Err(error) => warn!("a caller was not accepted: {error}"),
+        }
     }
 }
+
+/// Hands a caller to a traffic thread. Its session counts from here on, so that a shutdown waits
+/// for it also before the thread has taken it.
+fn hand_over(stream: std::net::TcpStream, shared: &Arc<Shared>, threads: &mut TrafficThreads) {
+    let session = Activity::begin_session(&shared.activity);
+    let shared = shared.clone();
+    threads.next().spawn(async move {
+        match TcpStream::from_std(stream) {
+            Ok(stream) => serve_caller(stream, shared).await,
+            Err(error) => warn!("a caller was not accepted: {error}"),
+        }
+        drop(session);
+    });
+}
--- /dev/null
+++ b/crates/jujubehold_host/tests/control_configuration.rs
@@ -0,0 +1,127 @@
+//! An accepted configuration is in force everywhere and never reverts.
+
+#[path = "support/control.rs"]
+mod control;
+
+use control::{Installation, RunningHost, SERVICE, wait_until};
+use jujubehold_host::platform::SERVICES_PREFIX;
+use jujubehold_settings::{HostSettings, parse_service};
+use jujubehold_standin::platform::{CallKind, Outage};
+
+async fn host(installation: &Installation, name: &str, seeds: &[&RunningHost]) -> RunningHost {
+    let settings = HostSettings {
+        peer_seeds: seeds.iter().map(|host| host.seed()).collect(),
+        ..installation.settings(name, "delta")
+    };
+    RunningHost::start(settings).await
+}
+
+#[actix_rt::test]
+async fn a_change_reaches_hosts_that_hold_no_watch() {
+    let installation = Installation::start().await;
+    let first = host(&installation, "host-1", &[]).await;
+    wait_until("the first has it", || first.generation() == 1).await;
+    let mut hosts = vec![first];
+    for name in ["host-2", "host-3", "host-4", "host-5"] {
+        let next = host(&installation, name, &[&hosts[0]]).await;
+        wait_until("the next has it", || next.generation() == 1).await;
+        hosts.push(next);
+    }
+    installation.submit(&installation.config(2)).await;
+    let have_all = || hosts.iter().all(|host| host.generation() == 2);
+    wait_until("all have the second", have_all).await;
+}
+
+#[actix_rt::test]
+async fn a_fresh_host_learns_from_its_peers_while_the_platform_is_out() {
+    let installation = Installation::start().await;
+    let first = host(&installation, "host-1", &[]).await;
+    wait_until("the first has it", || first.primary().is_some()).await;
+    installation.platform.set_outage(Outage::Refuse);
+    let fresh = host(&installation, "host-2", &[&first]).await;
+    wait_until("the fresh one has it", || fresh.generation() == 1).await;
+    wait_until("it knows the primary", || fresh.primary().is_some()).await;
+}
+
+#[actix_rt::test]
+async fn a_platform_that_was_restored_gets_the_higher_generation_back() {
+    let installation = Installation::start().await;
+    let host = host(&installation, "host-1", &[]).await;
+    wait_until("it has the first", || host.generation() == 1).await;
+    let older = installation.platform.revision();
+    installation.submit(&installation.config(2)).await;
+    wait_until("it has the second", || host.generation() == 2).await;
+    installation.platform.restore(older);
+    let key = format!("{SERVICES_PREFIX}{SERVICE}");
+    let reading = async {
+        loop {
+            let shown = installation.kv().get(&key).await.expect("it answers");
+            let text = shown.map_or_else(Vec::new, |entry| entry.value);
+            let text = String::from_utf8(text).expect("it is text");
+            if parse_service(SERVICE, &text).is_ok_and(|config| config.generation == 2) {
+                return;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    };
+    let limited = tokio::time::timeout(control::HANG_LIMIT, reading).await;
+    limited.expect("the second is written back");
+    assert_eq!(host.generation(), 2);
+}
+
+#[actix_rt::test]
+async fn changes_made_during_an_outage_of_the_watch_are_found_after_it() {
+    let installation = Installation::start().await;
+    let host = host(&installation, "host-1", &[]).await;
+    wait_until("it has the first", || host.generation() == 1).await;
+    installation.platform.set_outage(Outage::Refuse);
+    installation.platform.set_outage(Outage::None);
+    installation.submit(&installation.config(2)).await;
+    wait_until("it has the second", || host.generation() == 2).await;
+}
+
+#[actix_rt::test]
+async fn only_two_hosts_of_a_domain_watch_the_platform() {
+    let installation = Installation::start().await;
+    let first = host(&installation, "host-1", &[]).await;
+    wait_until("the first has it", || first.generation() == 1).await;
+    let mut hosts = vec![first];
+    for name in ["host-2", "host-3", "host-4", "host-5", "host-6"] {
+        hosts.push(host(&installation, name, &[&hosts[0]]).await);
+    }
+    let owners = |host: &RunningHost| host.route().map(|route| route.owners.clone());
+    let agree = || {
+        let first = owners(&hosts[0]);
+        first.as_ref().is_some_and(|owners| owners["a"].len() == 2)
+            && hosts
+                .iter()
+                .all(|host| owners(host) == first || same_hosts(host, &hosts[0]))
+    };
+    wait_until("all agree on the owners", agree).await;
+    // Each watch is two watch calls, one for each prefix; a host that found that it is no watcher
+    // before its first call made none.
+    let watches = installation
+        .platform
+        .counts()
+        .get(&CallKind::Watch)
+        .copied();
+    assert!(watches.unwrap_or_default() <= 2 * 6);
+    // The remaining hosts still follow each change.
+    installation.submit(&installation.config(2)).await;
+    let have_all = || hosts.iter().all(|host| host.generation() == 2);
+    wait_until("all have the second", have_all).await;
+}
+
+fn same_hosts(one: &RunningHost, other: &RunningHost) -> bool {
+    let names = |host: &RunningHost| {
+        let route = host.route()?;
+        let owners = route.owners.get("a")?;
+        Some(
+            owners
+                .iter()
+                .map(|owner| owner.host.clone())
+                .collect::<Vec<_>>(),
+        )
+    };
+    names(one) == names(other)
+}
--- /dev/null
+++ b/crates/jujubehold_host/tests/control_forwarding.rs
@@ -0,0 +1,159 @@
+//! An entry host that does not own an instance borrows a connection from one that does.
+
+#[path = "support/control.rs"]
+mod control;
+
+use std::time::Duration;
+
+use control::{Installation, RunningHost, SERVICE, wait_until};
+use jujubehold_host::peer::{ForwardError, ForwardTarget, ForwardedLane};
+use jujubehold_host::routing_table::Owner;
+use jujubehold_pg::{backend, query};
+use jujubehold_wire::peer;
+use jujubehold_wire::peer::peer_client::PeerClient;
+
+fn target() -> ForwardTarget {
+    ForwardTarget {
+        request_id: "request-1".into(),
+        service: SERVICE.into(),
+        instance: "a".into(),
+        term: 0,
+        wait: Duration::from_secs(5),
+    }
+}
+
+async fn started() -> (Installation, RunningHost) {
+    let installation = Installation::start().await;
+    let host = RunningHost::start(installation.settings("host-1", "delta")).await;
+    wait_until("the primary is known", || host.primary().is_some()).await;
+    (installation, host)
+}
+
+/// Runs a query and returns the tags of the answer.
+async fn tags_of(lane: &mut ForwardedLane, sql: &str) -> Vec<u8> {
+    lane.send(query(sql).bytes()).await.expect("it is sent");
+    let mut tags = Vec::new();
+    loop {
+        let frame = lane.receive().await.expect("the answer comes");
+        tags.push(frame.tag());
+        if frame.tag() == backend::READY_FOR_QUERY {
+            return tags;
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_borrowed_connection_carries_a_whole_transaction() {
+    let (installation, host) = started().await;
+    let mut lane = ForwardedLane::open_at(host.peer_address, &target())
+        .await
+        .expect("it opens");
+    for sql in [
+        "CREATE TABLE casks (id INTEGER)",
+        "BEGIN",
+        "INSERT INTO casks (id) VALUES (1)",
+        "COMMIT",
+    ] {
+        let tags = tags_of(&mut lane, sql).await;
+        assert!(tags.contains(&backend::COMMAND_COMPLETE), "{sql}: {tags:?}");
+    }
+    lane.finish().await;
+    // The same connection is lent again.
+    let before = installation.instances[0].connection_count();
+    let mut lane = ForwardedLane::open_at(host.peer_address, &target())
+        .await
+        .expect("it opens");
+    let tags = tags_of(&mut lane, "SELECT id FROM casks").await;
+    assert!(tags.contains(&backend::DATA_ROW));
+    assert!(installation.instances[0].connection_count() <= before + 1);
+}
+
+#[actix_rt::test]
+async fn a_lane_that_is_dropped_in_a_transaction_rolls_it_back() {
+    let (installation, host) = started().await;
+    let mut lane = ForwardedLane::open_at(host.peer_address, &target())
+        .await
+        .expect("it opens");
+    tags_of(&mut lane, "CREATE TABLE casks (id INTEGER)").await;
+    tags_of(&mut lane, "BEGIN").await;
+    tags_of(&mut lane, "INSERT INTO casks (id) VALUES (1)").await;
+    let with_lane = installation.instances[0].connection_count();
+    drop(lane);
+    let is_closed = || installation.instances[0].connection_count() < with_lane;
+    wait_until("the connection is closed", is_closed).await;
+    let mut lane = ForwardedLane::open_at(host.peer_address, &target())
+        .await
+        .expect("it opens");
+    let tags = tags_of(&mut lane, "SELECT id FROM casks").await;
+    assert!(!tags.contains(&backend::DATA_ROW), "{tags:?}");
+}
+
+#[actix_rt::test]
+async fn the_second_owner_lends_when_the_first_is_gone() {
+    let (_installation, host) = started().await;
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").expect("there is a free port");
+    let address = gone.local_addr().expect("it is bound");
+    drop(gone);
+    let owner = |host: &str, peer_address| Owner {
+        host: host.into(),
+        peer_address,
+        is_local: false,
+    };
+    let owners = [owner("gone", address), owner("host-1", host.peer_address)];
+    let mut lane = ForwardedLane::open(&owners, &target())
+        .await
+        .expect("it opens");
+    let tags = tags_of(&mut lane, "SELECT 1").await;
+    assert!(tags.contains(&backend::DATA_ROW));
+}
+
+#[actix_rt::test]
+async fn an_unknown_service_is_refused_before_anything_is_sent() {
+    let (_installation, host) = started().await;
+    let target = ForwardTarget {
+        service: "no-such".into(),
+        ..target()
+    };
+    let refused = ForwardedLane::open_at(host.peer_address, &target).await;
+    let Err(ForwardError::Refused { reason, .. }) = refused else {
+        panic!("it is refused");
+    };
+    assert_eq!(reason, "unknown_service");
+}
+
+#[actix_rt::test]
+async fn a_doubled_message_breaks_the_stream_and_closes_the_connection() {
+    let (installation, host) = started().await;
+    let uri = format!("http://{}", host.peer_address);
+    let mut client = PeerClient::connect(uri).await.expect("the host answers");
+    let (requests, receiver) = tokio::sync::mpsc::channel(8);
+    let request = |kind| peer::ForwardRequest { kind: Some(kind) };
+    let open = peer::ForwardOpen {
+        request_id: "request-2".to_owned(),
+        service: SERVICE.to_owned(),
+        instance: "a".to_owned(),
+        term: 0,
+        wait_ms: 5000,
+    };
+    let begin = peer::ForwardFrames {
+        sequence: 1,
+        frames: query("CREATE TABLE staves (id INTEGER)").bytes().clone(),
+    };
+    for kind in [
+        peer::forward_request::Kind::Open(open),
+        peer::forward_request::Kind::Frames(begin.clone()),
+        peer::forward_request::Kind::Frames(begin),
+    ] {
+        requests.send(request(kind)).await.expect("it is sent");
+    }
+    let stream = tokio_stream::wrappers::ReceiverStream::new(receiver);
+    let response = client.forward(stream).await.expect("the stream starts");
+    let mut answers = response.into_inner();
+    let mut is_broken = false;
+    while let Some(answer) = answers.message().await.expect("the stream ends in order") {
+        is_broken |= matches!(answer.kind, Some(peer::forward_response::Kind::Broken(_)));
+    }
+    assert!(is_broken);
+    let is_closed = || installation.instances[0].connection_count() <= 3;
+    wait_until("only probes and replicas are connected", is_closed).await;
+}
--- /dev/null
+++ b/crates/jujubehold_host/tests/control_metrics.rs
@@ -0,0 +1,50 @@
+//! The metrics page.
+
+#[path = "support/control.rs"]
+mod control;
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use control::{Installation, RunningHost, wait_until};
+use jujubehold_settings::HostSettings;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+async fn get(address: SocketAddr, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("it listens");
+    let request = format!("GET {path} HTTP/1.1\r\nHost: test\r\n\r\n");
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("it is sent");
+    let mut answer = String::new();
+    stream
+        .read_to_string(&mut answer)
+        .await
+        .expect("it is text");
+    answer
+}
+
+#[actix_rt::test]
+async fn the_page_shows_what_control_costs() {
+    let installation = Installation::start().await;
+    let settings = HostSettings {
+        metrics_address: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
+        ..installation.settings("host-1", "delta")
+    };
+    let host = RunningHost::start(settings).await;
+    wait_until("the primary is known", || host.primary().is_some()).await;
+    let address = host.metrics_address.expect("there is a page");
+    let page = get(address, "/metrics").await;
+    assert!(page.starts_with("HTTP/1.1 200 OK"));
+    for name in [
+        "jujubehold_platform_calls_total{kind=\"range\"}",
+        "jujubehold_platform_calls_total{kind=\"watch\"}",
+        "jujubehold_failover_actions_total{kind=\"probe\"}",
+        "process_cpu_seconds_total",
+        "process_resident_memory_bytes",
+    ] {
+        assert!(page.contains(name), "{name} is missing from {page}");
+    }
+    assert!(get(address, "/other").await.starts_with("HTTP/1.1 404"));
+}
