Explore several hosts' failovers under random faults

A model of a group, of callers and of the platform runs three hosts' failovers with lost, doubled and late messages, frozen and lost instances, frozen hosts and cut failure domains. No write is acknowledged after a higher term began, none acknowledged is lost, no read misses its floor or what was acknowledged before it, none runs twice. Each of three planted faults is found.

--- a/crates/jujubehold_core/src/failover/run.rs
+++ b/crates/jujubehold_core/src/failover/run.rs
@@ -330,7 +330,13 @@
             }
             Step::Fence => self.advance_fence(now, step_age, actions),
             Step::Wait => self.advance_wait(now, step_age, actions),
-            Step::Promote => {}
+            Step::Promote => {
+                // The instance was lost after its fence; it may still be promoted late, at a term
+                // that the next attempt's fences then outweigh.
+                if step_age >= self.settings.promote_timeout {
+                    self.fail_attempt(now);
+                }
+            }
         }
         self.resend(now, actions);
     }
--- a/crates/jujubehold_core/src/failover/settings.rs
+++ b/crates/jujubehold_core/src/failover/settings.rs
@@ -36,6 +36,8 @@
         pub fence_timeout: Duration,
         /// How long an instance may take to catch up before the one ahead is promoted itself.
         pub catch_up_timeout: Duration,
+        /// How long a promotion may go unanswered before another attempt is made.
+        pub promote_timeout: Duration,
         /// When an unanswered action is sent again.
         pub resend_interval: Duration,
         /// How long an attempt may take in all.
@@ -77,6 +79,7 @@
             record_timeout: Duration::from_millis(300),
             fence_timeout: Duration::from_millis(300),
             catch_up_timeout: Duration::from_secs(1),
+            promote_timeout: Duration::from_millis(600),
             resend_interval: Duration::from_millis(150),
             attempt_timeout: Duration::from_secs(3),
             attempt_grace: Duration::from_secs(1),
--- /dev/null
+++ b/crates/jujubehold_core/tests/exploration.rs
@@ -0,0 +1,120 @@
+//! Random interleavings of several hosts on one group, with what must always hold.
+//!
+//! A failure prints its seed; `JUJUBEHOLD_EXPLORE_SEEDS` sets how many seeds are run.
+
+#[path = "exploration/callers.rs"]
+mod callers;
+#[path = "exploration/instance.rs"]
+mod instance;
+#[path = "exploration/message.rs"]
+mod message;
+#[path = "exploration/random.rs"]
+mod random;
+mod support;
+#[path = "exploration/world.rs"]
+mod world;
+
+use std::collections::BTreeSet;
+
+use jujubehold_core::prelude::*;
+
+use callers::Counts;
+use support::{ms, status};
+use world::{Planted, World};
+
+const CALM_FROM: u64 = 20_000;
+const END: u64 = 35_000;
+const DEFAULT_SEEDS: u64 = 12;
+
+/// Runs one seed; returns what was violated and what happened.
+fn explore(seed: u64, planted: Planted, confirm: Confirm) -> (Vec<String>, Counts) {
+    let mut world = World::new(seed, planted, confirm, CALM_FROM);
+    world.run(END - 5000);
+    let acknowledged = world.callers.counts.acknowledged;
+    world.run(END);
+    if world.callers.counts.acknowledged == acknowledged {
+        world
+            .callers
+            .violations
+            .push("no write is acknowledged after all is well".to_owned());
+    }
+    for instance in world.instances.values() {
+        let distinct: BTreeSet<_> = instance.log.iter().map(|entry| entry.write).collect();
+        if distinct.len() < instance.log.len() {
+            let message = format!("a write ran twice on {}", instance.name);
+            world.callers.violations.push(message);
+        }
+    }
+    if !world.callers.violations.is_empty() && planted == Planted::Nothing {
+        println!("seed {seed} with {confirm:?}\n{}", world.faults.join("\n"));
+    }
+    (world.callers.violations, world.callers.counts)
+}
+
+fn seeds() -> u64 {
+    std::env::var("JUJUBEHOLD_EXPLORE_SEEDS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(DEFAULT_SEEDS)
+}
+
+#[test]
+fn nothing_is_violated_whatever_fails() {
+    let mut promotions = 0;
+    for seed in 0..seeds() {
+        let confirm = if seed % 4 == 3 {
+            Confirm::None
+        } else {
+            Confirm::Replica
+        };
+        let (violations, counts) = explore(seed, Planted::Nothing, confirm);
+        println!("seed {seed} {confirm:?}: {counts:?}");
+        assert!(
+            violations.is_empty(),
+            "seed {seed} with {confirm:?}: {violations:#?}"
+        );
+        assert!(
+            counts.replica_reads > 0 && counts.unknown > 0,
+            "seed {seed}: {counts:?}"
+        );
+        promotions += counts.promotions;
+    }
+    assert!(promotions > 0, "the schedules lead to failovers");
+}
+
+/// The first seed whose check finds the planted fault, with what it found.
+fn find(planted: Planted) -> Option<(u64, String)> {
+    (0..40).find_map(|seed| {
+        let (violations, _) = explore(seed, planted, Confirm::Replica);
+        violations.into_iter().next().map(|found| (seed, found))
+    })
+}
+
+#[test]
+fn the_checks_find_that_fencing_is_ignored() {
+    let found = find(Planted::FencingIgnored);
+    println!("{found:?}");
+    assert!(found.is_some());
+}
+
+#[test]
+fn the_checks_find_that_the_floor_is_not_checked() {
+    let found = find(Planted::FloorCheckIgnored);
+    println!("{found:?}");
+    assert!(found.is_some());
+}
+
+#[test]
+fn the_checks_find_that_a_write_runs_twice() {
+    let found = find(Planted::AtMostOnceIgnored);
+    println!("{found:?}");
+    assert!(found.is_some());
+}
+
+#[test]
+fn the_models_instance_states_its_status_as_the_product_reads_it() {
+    let shown = instance::Instance::new("a", None).status();
+    assert_eq!(shown, status("a", "primary", 1, 0, "1:0"));
+    assert_eq!(shown.log_end(), (0, 0));
+    assert_eq!(ms(1).as_micros(), 1000);
+}
