Add the lab: load, demonstration, experiments and capacity slopes

It runs real hosts beside the stand-ins in one process, keeps what every writer was told, and compares it with the ledger: lost, run twice, run though said not to have. Reports are Markdown tables and SVG plots.

--- /dev/null
+++ b/crates/jujubehold_lab/src/capacity/host_slopes.rs
@@ -0,0 +1,206 @@
+//! What whole hosts cost, run in this process beside stand-ins.
+
+use std::time::{Duration, Instant};
+
+use jujubehold_core::prelude::*;
+use jujubehold_settings::HostSettings;
+
+use crate::capacity::slope::Slope;
+use crate::capacity::usage::processor_time;
+use crate::cluster::{Cluster, ClusterSettings};
+use crate::error::LabError;
+use crate::load::{idle_memory_bytes, resident_bytes};
+use crate::report::{counter_sum, start_counting};
+
+const HOSTS: [u32; 5] = [3, 6, 12, 24, 36];
+const SERVICES: [u32; 5] = [1, 2, 4, 8, 12];
+const IDLE_CALLERS: [u32; 4] = [250, 500, 1000, 2000];
+const CHANGES_PER_S: [u32; 4] = [1, 2, 5, 10];
+/// 2,400 hosts over 26 failure domains.
+const TARGET_HOSTS_PER_DOMAIN: f64 = 92.0;
+/// 12,600 instances over 2,400 hosts, each with two owners, in services of three instances.
+const TARGET_SERVICES_PER_HOST: f64 = 10.5;
+/// 5.2 million callers over 2,400 hosts.
+const TARGET_CALLERS: f64 = 2167.0;
+/// 4,400 changes a day, should a day's changes all come within one hour.
+const TARGET_CHANGES_PER_S: f64 = 1.2;
+const SETTLE: Duration = Duration::from_secs(4);
+const WATCH: Duration = Duration::from_secs(8);
+
+/// What one host spends on control while nothing happens.
+struct QuietCost {
+    processor_percent: f64,
+    sent_bytes_per_s: f64,
+    memory_mb: f64,
+    platform_calls_per_s: f64,
+}
+
+/// Measures quiet hosts, services, idle callers and changes of configuration.
+///
+/// # Errors
+/// A part could not be started.
+pub(crate) async fn measure() -> Result<Vec<Slope>, LabError> {
+    start_counting();
+    let mut slopes = quiet_slopes("hosts of one domain", &HOSTS, TARGET_HOSTS_PER_DOMAIN).await?;
+    slopes.extend(quiet_slopes("services", &SERVICES, TARGET_SERVICES_PER_HOST).await?);
+    slopes.push(idle_callers().await?);
+    slopes.extend(changes().await?);
+    Ok(slopes)
+}
+
+async fn quiet_slopes(
+    by: &'static str,
+    sizes: &[u32],
+    target: f64,
+) -> Result<Vec<Slope>, LabError> {
+    let names = [
+        ("processor of a quiet host", "% of a core"),
+        ("control bytes sent by a quiet host", "bytes/s"),
+        ("memory of a quiet host", "MB"),
+        ("platform calls of a quiet host", "calls/s"),
+    ];
+    let mut points: [Vec<(f64, f64)>; 4] = Default::default();
+    for &size in sizes {
+        let settings = match by {
+            "services" => quiet_cluster(3, size as usize, 3),
+            _ => quiet_cluster(size as usize, 1, 1),
+        };
+        let cost = quiet_cost(settings).await?;
+        let values = [
+            cost.processor_percent,
+            cost.sent_bytes_per_s,
+            cost.memory_mb,
+            cost.platform_calls_per_s,
+        ];
+        for (series, value) in points.iter_mut().zip(values) {
+            series.push((f64::from(size), value));
+        }
+    }
+    Ok(names
+        .into_iter()
+        .zip(points)
+        .map(|((what, unit), points)| Slope {
+            what: format!("{what}, by {by}"),
+            by,
+            unit,
+            points,
+            target,
+        })
+        .collect())
+}
+
+fn quiet_cluster(hosts: usize, services: usize, domains: usize) -> ClusterSettings {
+    let domains = (0..domains)
+        .map(|index| format!("domain-{index}").into())
+        .collect();
+    ClusterSettings {
+        domains,
+        hosts,
+        services,
+        host: HostSettings {
+            traffic_threads: 1,
+            ..HostSettings::default()
+        },
+        connect_cost: Duration::ZERO,
+        ..ClusterSettings::default()
+    }
+}
+
+/// Runs an installation without callers and divides its cost by its hosts; the stand-ins' own
+/// share of processor and memory is taken off by a run without hosts.
+async fn quiet_cost(settings: ClusterSettings) -> Result<QuietCost, LabError> {
+    let hosts = settings.hosts as f64;
+    let base = observe(ClusterSettings {
+        hosts: 0,
+        ..settings.clone()
+    })
+    .await?;
+    let whole = observe(settings).await?;
+    Ok(QuietCost {
+        processor_percent: (whole.processor_percent - base.processor_percent).max(0.0) / hosts,
+        sent_bytes_per_s: whole.sent_bytes_per_s / hosts,
+        memory_mb: (whole.memory_mb - base.memory_mb).max(0.0) / hosts,
+        platform_calls_per_s: whole.platform_calls_per_s / hosts,
+    })
+}
+
+async fn observe(settings: ClusterSettings) -> Result<QuietCost, LabError> {
+    let memory_before = resident_bytes()?;
+    let cluster = Cluster::start(settings).await?;
+    actix_rt::time::sleep(SETTLE).await;
+    let started_at = Instant::now();
+    let processor_before = processor_time()?;
+    let bytes_before = counter_sum("jujubehold_control_bytes_total", "");
+    let calls_before: u64 = cluster.platform.counts().values().sum();
+    actix_rt::time::sleep(WATCH).await;
+    let seconds = started_at.elapsed().as_secs_f64();
+    let processor = processor_time()?
+        .saturating_sub(processor_before)
+        .as_secs_f64();
+    let bytes = counter_sum("jujubehold_control_bytes_total", "") - bytes_before;
+    let calls = cluster.platform.counts().values().sum::<u64>() - calls_before;
+    let memory = resident_bytes()?.saturating_sub(memory_before);
+    Ok(QuietCost {
+        processor_percent: 100.0 * processor / seconds,
+        sent_bytes_per_s: bytes as f64 / seconds,
+        memory_mb: memory as f64 / 1e6,
+        platform_calls_per_s: calls as f64 / seconds,
+    })
+}
+
+async fn idle_callers() -> Result<Slope, LabError> {
+    let cluster = Cluster::start(quiet_cluster(1, 1, 1)).await?;
+    actix_rt::time::sleep(SETTLE).await;
+    let service = Cluster::service_name(0);
+    let mut points = Vec::new();
+    for size in IDLE_CALLERS {
+        let bytes = idle_memory_bytes(cluster.caller_address(0), &service, size as usize)?;
+        points.push((f64::from(size), bytes as f64 * f64::from(size) / 1e6));
+    }
+    Ok(Slope {
+        what: "memory of idle callers".into(),
+        by: "caller connections",
+        unit: "MB",
+        points,
+        target: TARGET_CALLERS,
+    })
+}
+
+async fn changes() -> Result<Vec<Slope>, LabError> {
+    let mut calls = Vec::new();
+    let mut bytes = Vec::new();
+    for rate in CHANGES_PER_S {
+        let mut cluster = Cluster::start(quiet_cluster(6, 1, 3)).await?;
+        actix_rt::time::sleep(SETTLE).await;
+        let service = Cluster::service_name(0);
+        let calls_before: u64 = cluster.platform.counts().values().sum();
+        let bytes_before = counter_sum("jujubehold_control_bytes_total", "");
+        let started_at = Instant::now();
+        while started_at.elapsed() < WATCH {
+            let config: ServiceConfig = cluster.configs[&service].clone();
+            cluster.submit(config).await?;
+            actix_rt::time::sleep(Duration::from_secs(1) / rate).await;
+        }
+        let seconds = started_at.elapsed().as_secs_f64();
+        let hosts = cluster.hosts.len() as f64;
+        let called = cluster.platform.counts().values().sum::<u64>() - calls_before;
+        let sent = counter_sum("jujubehold_control_bytes_total", "") - bytes_before;
+        calls.push((f64::from(rate), called as f64 / seconds));
+        bytes.push((f64::from(rate), sent as f64 / seconds / hosts));
+    }
+    let slope = |what: &str, unit, points| Slope {
+        what: what.into(),
+        by: "changes of configuration a second",
+        unit,
+        points,
+        target: TARGET_CHANGES_PER_S,
+    };
+    Ok(vec![
+        slope(
+            "platform calls of six hosts and an operator",
+            "calls/s",
+            calls,
+        ),
+        slope("control bytes sent by a host, by changes", "bytes/s", bytes),
+    ])
+}
--- /dev/null
+++ b/crates/jujubehold_lab/src/cluster/installation.rs
@@ -0,0 +1,220 @@
+//! The start of an installation and the faults that a run brings about.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubehold_core::prelude::*;
+use jujubehold_host::platform::KvClient;
+use jujubehold_settings::{HostSettings, PeerSeed, format_service};
+use jujubehold_standin::database::{Database, DatabaseSettings};
+use jujubehold_standin::platform::{Platform, PlatformSettings};
+
+use crate::cluster::cluster_settings::ClusterSettings;
+use crate::cluster::free_address::free_address;
+use crate::cluster::running_host::RunningHost;
+use crate::error::LabError;
+
+const SERVICES_PREFIX: &str = "/jujubehold/services/";
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A running installation; its parts stop when it is dropped.
+pub struct Cluster {
+    /// The hosts, in the order of their names.
+    pub hosts: Vec<RunningHost>,
+    /// The instances by service and name.
+    pub instances: BTreeMap<(ServiceId, InstanceId), Database>,
+    /// The platform's service.
+    pub platform: Platform,
+    /// The configuration of each service, as submitted.
+    pub configs: BTreeMap<ServiceId, ServiceConfig>,
+    settings: ClusterSettings,
+    host_settings: Vec<HostSettings>,
+}
+
+impl Cluster {
+    /// Starts every part, and submits the configuration of every service.
+    ///
+    /// # Errors
+    /// A part could not be started.
+    pub async fn start(settings: ClusterSettings) -> Result<Self, LabError> {
+        let platform = Platform::start(PlatformSettings::default())
+            .await
+            .map_err(|error| start_error("the platform", &error))?;
+        let mut cluster = Self {
+            hosts: Vec::new(),
+            instances: BTreeMap::new(),
+            platform,
+            configs: BTreeMap::new(),
+            settings,
+            host_settings: Vec::new(),
+        };
+        for index in 0..cluster.settings.services {
+            cluster.start_service(index).await?;
+        }
+        cluster.host_settings = cluster.lay_out_hosts()?;
+        for settings in cluster.host_settings.clone() {
+            cluster.hosts.push(RunningHost::start(settings)?);
+        }
+        Ok(cluster)
+    }
+
+    /// The name of the service with the number `index`.
+    pub fn service_name(index: usize) -> ServiceId {
+        format!("service-{index}").into()
+    }
+
+    /// Where the callers of the host with the number `index` connect.
+    pub fn caller_address(&self, index: usize) -> SocketAddr {
+        self.hosts[index % self.hosts.len()].caller_address
+    }
+
+    /// The name of the instance that is primary of the highest term and not stopped.
+    pub fn primary(&self, service: &ServiceId) -> Option<InstanceId> {
+        self.group(service)
+            .map(|(name, database)| (name, database.status()))
+            .filter(|(_, status)| status.is_primary_of(status.term))
+            .max_by_key(|(_, status)| status.term)
+            .map(|(name, _)| name.clone())
+    }
+
+    /// The instances of one service.
+    pub fn group<'a>(
+        &'a self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = (&'a InstanceId, &'a Database)> {
+        self.instances
+            .iter()
+            .filter(move |((owner, _), _)| owner == service)
+            .map(|((_, name), database)| (name, database))
+    }
+
+    /// One instance.
+    pub fn instance(&self, service: &ServiceId, name: &InstanceId) -> Option<&Database> {
+        self.instances.get(&(service.clone(), name.clone()))
+    }
+
+    /// Stops the host with the number `index` and starts it again with the same settings.
+    ///
+    /// # Errors
+    /// The host could not start.
+    pub fn replace_host(&mut self, index: usize) -> Result<(), LabError> {
+        self.hosts.remove(index).stop();
+        let host = RunningHost::start(self.host_settings[index].clone())?;
+        self.hosts.insert(index, host);
+        Ok(())
+    }
+
+    /// Submits a changed configuration with the next generation.
+    ///
+    /// # Errors
+    /// The platform's service did not take it.
+    pub async fn submit(&mut self, mut config: ServiceConfig) -> Result<Generation, LabError> {
+        let key = format!("{SERVICES_PREFIX}{}", config.service);
+        let mut kv = KvClient::new(self.platform.address(), PLATFORM_TIMEOUT);
+        let failed = |detail: String| LabError::Start {
+            part: "a configuration",
+            detail,
+        };
+        let (records, _) = kv
+            .list(&key)
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        let expected = records
+            .iter()
+            .find(|record| record.key == key.as_bytes())
+            .map_or(0, |record| record.mod_revision);
+        config.generation += 1;
+        let text = format_service(&config).into_bytes();
+        let is_written = kv
+            .put_if(&key, expected, text)
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        if !is_written {
+            return Err(failed("another change came first".into()));
+        }
+        let generation = config.generation;
+        self.configs.insert(config.service.clone(), config);
+        Ok(generation)
+    }
+
+    async fn start_service(&mut self, index: usize) -> Result<(), LabError> {
+        let service = Self::service_name(index);
+        let mut config = ServiceConfig {
+            service: service.clone(),
+            ..self.settings.service.clone()
+        };
+        let mut primary = None;
+        for number in 0..self.settings.instances_per_service {
+            let name = InstanceId::from(format!("i{number}"));
+            let database = Database::start(DatabaseSettings {
+                name: name.clone(),
+                primary,
+                connection_limit: self.settings.connections as usize,
+                slots: self.settings.slots,
+                connect_cost: self.settings.connect_cost,
+                service_time: self.settings.service_time,
+                apply_lag: self.settings.apply_lag,
+                ..DatabaseSettings::default()
+            })
+            .await
+            .map_err(|error| start_error("an instance", &error))?;
+            primary.get_or_insert(database.address());
+            let domain = self.domain(number + index);
+            let instance = InstanceConfig {
+                address: database.address(),
+                domain,
+                region: "south".into(),
+                state: InstanceState::Active,
+                connections: self.settings.connections,
+            };
+            config.instances.insert(name.clone(), instance);
+            self.instances.insert((service.clone(), name), database);
+        }
+        self.submit(config).await?;
+        Ok(())
+    }
+
+    fn lay_out_hosts(&self) -> Result<Vec<HostSettings>, LabError> {
+        let mut all = Vec::new();
+        for index in 0..self.settings.hosts {
+            all.push(HostSettings {
+                host: format!("host-{index:03}").into(),
+                domain: self.domain(index),
+                region: "south".into(),
+                caller_address: free_address()?,
+                peer_address: free_address()?,
+                platform_addresses: vec![self.platform.address()],
+                ..self.settings.host.clone()
+            });
+        }
+        let seeds: Vec<_> = all.iter().map(seed_of).collect();
+        for settings in &mut all {
+            settings.peer_seeds = seeds
+                .iter()
+                .filter(|seed| seed.host != settings.host)
+                .cloned()
+                .collect();
+        }
+        Ok(all)
+    }
+
+    fn domain(&self, index: usize) -> DomainId {
+        self.settings.domains[index % self.settings.domains.len()].clone()
+    }
+}
+
+fn seed_of(settings: &HostSettings) -> PeerSeed {
+    PeerSeed {
+        host: settings.host.clone(),
+        domain: settings.domain.clone(),
+        peer_address: settings.peer_address,
+    }
+}
+
+fn start_error(part: &'static str, error: &std::io::Error) -> LabError {
+    LabError::Start {
+        part,
+        detail: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_lab/src/cluster/mod.rs
@@ -0,0 +1,11 @@
+//! A whole installation in one process: platform, database groups and hosts.
+
+mod cluster_settings;
+mod free_address;
+mod installation;
+mod running_host;
+
+pub use cluster_settings::ClusterSettings;
+pub use free_address::free_address;
+pub use installation::Cluster;
+pub use running_host::RunningHost;
--- /dev/null
+++ b/crates/jujubehold_lab/src/experiment/failover_gap.rs
@@ -0,0 +1,216 @@
+//! How long writes are impossible after a primary is lost.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use jujubehold_core::prelude::*;
+use jujubehold_standin::platform::Outage;
+use log::info;
+
+use crate::cluster::{Cluster, ClusterSettings};
+use crate::demo::{gap_after_change, surviving_ids};
+use crate::error::LabError;
+use crate::experiment::gap_kind::GapKind;
+use crate::report::{Plot, Series, Table};
+use crate::workload::{LedgerCheck, WriteLog, WriterSettings, create_ledger, write_until};
+
+const START_PATIENCE: Duration = Duration::from_secs(20);
+/// How long writes run before the primary is lost.
+const BEFORE: Duration = Duration::from_millis(800);
+/// How long writes are awaited afterwards.
+const AFTER: Duration = Duration::from_millis(3500);
+/// How long a lost instance gets to follow its new primary.
+const REJOIN: Duration = Duration::from_millis(1500);
+const IDS_PER_WRITER: u64 = 1_000_000;
+
+/// How the gap is measured.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FailoverGapSettings {
+    /// The kinds of loss.
+    pub kinds: Vec<GapKind>,
+    /// How often each kind is brought about.
+    pub runs: u64,
+    /// How many callers write.
+    pub writers: u64,
+}
+
+impl Default for FailoverGapSettings {
+    fn default() -> Self {
+        Self {
+            kinds: GapKind::ALL.to_vec(),
+            runs: 50,
+            writers: 6,
+        }
+    }
+}
+
+/// One kind's figures.
+#[derive(Debug, Clone, Default)]
+struct KindResult {
+    gaps_ms: Vec<u64>,
+    never: u64,
+    lost: usize,
+    doubled: usize,
+    ran_after_all: usize,
+    unknown: usize,
+}
+
+/// Runs every kind and writes `failover-gap.svg` into `out`; returns the table.
+///
+/// # Errors
+/// A part could not be started or a report not written.
+pub async fn run_failover_gap(
+    settings: &FailoverGapSettings,
+    out: &Path,
+) -> Result<Table, LabError> {
+    let mut table = Table::new(&[
+        "loss",
+        "runs",
+        "p50 ms",
+        "p90 ms",
+        "worst ms",
+        "never",
+        "lost",
+        "doubled",
+        "run though not run",
+        "unknown",
+    ]);
+    let mut plot = Plot {
+        title: "Failover gap".into(),
+        x_label: "runs, sorted".into(),
+        y_label: "gap, ms".into(),
+        series: Vec::new(),
+    };
+    for &kind in &settings.kinds {
+        let result = run_kind(settings, kind).await?;
+        table.row(result.row(kind));
+        let points = result.gaps_ms.iter().enumerate();
+        plot.series.push(Series {
+            name: kind.as_str().into(),
+            points: points
+                .map(|(index, gap_ms)| (index as f64 + 1.0, *gap_ms as f64))
+                .collect(),
+        });
+    }
+    plot.write(&out.join("failover-gap.svg"))?;
+    Ok(table)
+}
+
+async fn run_kind(settings: &FailoverGapSettings, kind: GapKind) -> Result<KindResult, LabError> {
+    let mut cluster = Cluster::start(ClusterSettings::default()).await?;
+    let service = Cluster::service_name(0);
+    create_ledger(cluster.caller_address(0), &service, START_PATIENCE).await?;
+    let mut result = KindResult::default();
+    let mut log = WriteLog::default();
+    for run in 0..settings.runs {
+        let (writes, lost_at) = run_once(settings, kind, &mut cluster, &service, run).await?;
+        match gap_after_change(&writes, lost_at) {
+            Some(gap) => result
+                .gaps_ms
+                .push(u64::try_from(gap.as_millis()).unwrap_or(u64::MAX)),
+            None => result.never += 1,
+        }
+        info!(kind = kind.as_str(), run = run, gap_ms:? = result.gaps_ms.last(); "run");
+        log.merge(writes);
+    }
+    let check = LedgerCheck::of(&log, &surviving_ids(&cluster, &service).await?);
+    result.gaps_ms.sort_unstable();
+    result.lost = check.lost.len();
+    result.doubled = check.doubled.len();
+    result.ran_after_all = check.ran_after_all.len();
+    result.unknown = log.unknown.len();
+    Ok(result)
+}
+
+async fn run_once(
+    settings: &FailoverGapSettings,
+    kind: GapKind,
+    cluster: &mut Cluster,
+    service: &ServiceId,
+    run: u64,
+) -> Result<(WriteLog, Instant), LabError> {
+    let deadline = Instant::now() + BEFORE + AFTER;
+    let targets: Vec<_> = cluster
+        .hosts
+        .iter()
+        .map(|host| host.caller_address)
+        .collect();
+    let tasks: Vec<_> = (0..settings.writers)
+        .map(|number| {
+            let writer = WriterSettings {
+                targets: targets.clone(),
+                service: service.to_string(),
+                first_id: (run * settings.writers + number + 1) * IDS_PER_WRITER,
+                pause: Duration::from_millis(5),
+            };
+            actix_rt::spawn(write_until(writer, deadline))
+        })
+        .collect();
+    actix_rt::time::sleep(BEFORE).await;
+    let primary = cluster
+        .primary(service)
+        .ok_or(LabError::TimedOut("a primary"))?;
+    if kind == GapKind::CrashInOutage {
+        cluster.platform.set_outage(Outage::Hang);
+    }
+    let lost_at = Instant::now();
+    bring_about(kind, cluster, service, &primary).await?;
+    let mut writes = WriteLog::default();
+    for task in tasks {
+        writes.merge(task.await.unwrap_or_default());
+    }
+    cluster.platform.set_outage(Outage::None);
+    if let Some(database) = cluster.instance(service, &primary) {
+        database.revive();
+        database.thaw();
+    }
+    actix_rt::time::sleep(REJOIN).await;
+    Ok((writes, lost_at))
+}
+
+async fn bring_about(
+    kind: GapKind,
+    cluster: &mut Cluster,
+    service: &ServiceId,
+    primary: &InstanceId,
+) -> Result<(), LabError> {
+    let database = cluster.instance(service, primary);
+    match (kind, database) {
+        (GapKind::Crash | GapKind::CrashInOutage, Some(database)) => database.kill(),
+        (GapKind::Freeze, Some(database)) => database.freeze(),
+        (GapKind::Ordered, _) => {
+            let mut config = cluster.configs[service].clone();
+            config.preferred_primary = config
+                .instances
+                .keys()
+                .find(|name| *name != primary)
+                .cloned();
+            cluster.submit(config).await?;
+        }
+        (_, None) => return Err(LabError::TimedOut("a primary")),
+    }
+    Ok(())
+}
+
+impl KindResult {
+    fn row(&self, kind: GapKind) -> Vec<String> {
+        let at = |percent: usize| {
+            let index = (self.gaps_ms.len() * percent / 100).min(self.gaps_ms.len().max(1) - 1);
+            self.gaps_ms
+                .get(index)
+                .map_or_else(|| "-".into(), ToString::to_string)
+        };
+        vec![
+            kind.as_str().into(),
+            (self.gaps_ms.len() as u64 + self.never).to_string(),
+            at(50),
+            at(90),
+            at(100),
+            self.never.to_string(),
+            self.lost.to_string(),
+            self.doubled.to_string(),
+            self.ran_after_all.to_string(),
+            self.unknown.to_string(),
+        ]
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_lab/src/experiment/mod.rs
@@ -0,0 +1,11 @@
+//! Experiments that anyone can run again; each writes a table and a plot.
+
+mod failover_gap;
+mod gap_kind;
+mod overload;
+mod replica_reads;
+
+pub use failover_gap::{FailoverGapSettings, run_failover_gap};
+pub use gap_kind::GapKind;
+pub use overload::{OverloadSettings, run_overload};
+pub use replica_reads::{ReplicaReadsSettings, run_replica_reads};
--- /dev/null
+++ b/crates/jujubehold_lab/src/experiment/replica_reads.rs
@@ -0,0 +1,206 @@
+//! The share of reads that replicas serve.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use jujubehold_core::prelude::*;
+
+use crate::cluster::{Cluster, ClusterSettings};
+use crate::error::LabError;
+use crate::load::LoadConnection;
+use crate::report::{Plot, Series, Table, read_counts};
+use crate::workload::{create_ledger, insert_sql};
+
+const START_PATIENCE: Duration = Duration::from_secs(20);
+const SETTLE: Duration = Duration::from_secs(1);
+/// What a session waits between two statements.
+const PAUSE: Duration = Duration::from_millis(4);
+
+/// How the share is measured.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicaReadsSettings {
+    /// How far the replicas' readers lag.
+    pub lags: Vec<Duration>,
+    /// How old the data of a read may be.
+    pub ages: Vec<Duration>,
+    /// How many sessions there are; each writes once in so many statements as `reads_per_write`.
+    pub sessions: usize,
+    /// How many reads follow a write in a session.
+    pub reads_per_write: u32,
+    /// How long each pair of lag and age runs.
+    pub duration: Duration,
+}
+
+impl Default for ReplicaReadsSettings {
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        Self {
+            lags: vec![ms(0), ms(20), ms(100), ms(500)],
+            ages: vec![ms(0), ms(200), ms(1000)],
+            sessions: 12,
+            reads_per_write: 40,
+            duration: Duration::from_secs(4),
+        }
+    }
+}
+
+/// One pair's figures.
+#[derive(Debug, Clone, Copy, Default)]
+struct ShareResult {
+    by_replicas: u64,
+    all: u64,
+    best_by_replicas: u64,
+    best_all: u64,
+    stale: u64,
+    failed: u64,
+}
+
+/// Runs every pair of lag and age, and writes `replica-reads.svg` into `out`; returns the table.
+///
+/// The best possible share is worked out on the same trace: a read counts as eligible for a
+/// replica when its session's last write is at least the lag old, or when the session has no
+/// write and the age allows the lag.
+///
+/// # Errors
+/// A part could not be started or a report not written.
+pub async fn run_replica_reads(
+    settings: &ReplicaReadsSettings,
+    out: &Path,
+) -> Result<Table, LabError> {
+    let mut table = Table::new(&[
+        "lag ms",
+        "age ms",
+        "reads",
+        "by replicas %",
+        "best possible %",
+        "own write missed",
+        "failed",
+    ]);
+    let mut plot = Plot {
+        title: "Reads served by replicas".into(),
+        x_label: "lag, ms".into(),
+        y_label: "share, %".into(),
+        series: Vec::new(),
+    };
+    for &age in &settings.ages {
+        let mut points = Vec::new();
+        for &lag in &settings.lags {
+            let result = run_pair(settings, lag, age).await?;
+            points.push((lag.as_millis() as f64, result.share_percent()));
+            table.row(vec![
+                lag.as_millis().to_string(),
+                age.as_millis().to_string(),
+                result.all.to_string(),
+                format!("{:.1}", result.share_percent()),
+                format!("{:.1}", result.best_percent()),
+                result.stale.to_string(),
+                result.failed.to_string(),
+            ]);
+        }
+        plot.series.push(Series {
+            name: format!("age {} ms", age.as_millis()),
+            points,
+        });
+    }
+    plot.write(&out.join("replica-reads.svg"))?;
+    Ok(table)
+}
+
+async fn run_pair(
+    settings: &ReplicaReadsSettings,
+    lag: Duration,
+    age: Duration,
+) -> Result<ShareResult, LabError> {
+    let cluster = Cluster::start(ClusterSettings {
+        apply_lag: lag,
+        service: ServiceConfig {
+            read_age: age,
+            ..ServiceConfig::default()
+        },
+        ..ClusterSettings::default()
+    })
+    .await?;
+    let service = Cluster::service_name(0);
+    create_ledger(cluster.caller_address(0), &service, START_PATIENCE).await?;
+    actix_rt::time::sleep(SETTLE + lag).await;
+    let before = read_counts();
+    let deadline = Instant::now() + settings.duration;
+    let sessions: Vec<_> = (0..settings.sessions)
+        .map(|index| {
+            let target = cluster.caller_address(index);
+            let session = Session {
+                first_id: (index as u64 + 1) * 1_000_000,
+                reads_per_write: settings.reads_per_write,
+                lag,
+            };
+            actix_rt::spawn(session.run(target, service.to_string(), deadline))
+        })
+        .collect();
+    let mut total = ShareResult::default();
+    for session in sessions {
+        let result = session.await.unwrap_or_default();
+        total.best_by_replicas += result.best_by_replicas;
+        total.best_all += result.best_all;
+        total.stale += result.stale;
+        total.failed += result.failed;
+    }
+    let after = read_counts();
+    total.by_replicas = after.0 - before.0;
+    total.all = after.1 - before.1;
+    Ok(total)
+}
+
+struct Session {
+    first_id: u64,
+    reads_per_write: u32,
+    lag: Duration,
+}
+
+impl Session {
+    async fn run(
+        self,
+        target: std::net::SocketAddr,
+        service: String,
+        deadline: Instant,
+    ) -> ShareResult {
+        let mut result = ShareResult::default();
+        let Ok(mut connection) = LoadConnection::open(target, &service, None).await else {
+            result.failed += 1;
+            return result;
+        };
+        let mut id = self.first_id;
+        while Instant::now() < deadline {
+            id += 1;
+            let written = connection.run(&insert_sql(id)).await;
+            if !written.is_ok_and(|answer| answer.is_ok()) {
+                result.failed += 1;
+                continue;
+            }
+            let written_at = Instant::now();
+            for _ in 0..self.reads_per_write {
+                let is_eligible = written_at.elapsed() >= self.lag;
+                let sql = format!("SELECT id FROM ledger WHERE id = {id}");
+                match connection.run(&sql).await {
+                    Ok(answer) if answer.is_ok() => {
+                        result.best_all += 1;
+                        result.best_by_replicas += u64::from(is_eligible);
+                        result.stale += u64::from(answer.values.is_empty());
+                    }
+                    Ok(_) | Err(_) => result.failed += 1,
+                }
+                actix_rt::time::sleep(PAUSE).await;
+            }
+        }
+        result
+    }
+}
+
+impl ShareResult {
+    fn share_percent(&self) -> f64 {
+        100.0 * self.by_replicas as f64 / self.all.max(1) as f64
+    }
+
+    fn best_percent(&self) -> f64 {
+        100.0 * self.best_by_replicas as f64 / self.best_all.max(1) as f64
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_lab/src/load/benchmark.rs
@@ -0,0 +1,164 @@
+//! The speed of one host beside the same load straight to the same instance.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubehold_core::prelude::*;
+use jujubehold_settings::HostSettings;
+
+use crate::cluster::{Cluster, ClusterSettings};
+use crate::error::LabError;
+use crate::load::idle_memory::idle_memory_bytes;
+use crate::load::load_report::LoadReport;
+use crate::load::load_run::{LoadSettings, run_load};
+use crate::report::Table;
+
+const WARM_UP: Duration = Duration::from_secs(3);
+/// The age that the benchmark's reads accept, so that no read asks the primary first.
+const READ_AGE: Duration = Duration::from_mins(1);
+/// Connections that the instance takes beyond those of the load.
+const SPARE_CONNECTIONS: u32 = 200;
+
+/// How the benchmark is run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BenchmarkSettings {
+    /// The numbers of caller connections.
+    pub connections: Vec<usize>,
+    /// The connections that the host holds to the instance.
+    pub upstream_connections: u32,
+    /// The host's traffic threads.
+    pub traffic_threads: usize,
+    /// How long each load runs.
+    pub duration: Duration,
+    /// The statement.
+    pub sql: String,
+}
+
+impl Default for BenchmarkSettings {
+    fn default() -> Self {
+        Self {
+            connections: vec![1, 32, 2000],
+            upstream_connections: 20,
+            traffic_threads: 4,
+            duration: Duration::from_secs(5),
+            sql: "SELECT 1".into(),
+        }
+    }
+}
+
+/// Runs every load straight to the instance and through one host, in this process, and returns
+/// the table of figures.
+///
+/// # Errors
+/// A part could not be started or a load failed.
+pub async fn run_benchmark(settings: &BenchmarkSettings) -> Result<Table, LabError> {
+    let most = settings.connections.iter().max().copied().unwrap_or(0);
+    let most = u32::try_from(most).unwrap_or(u32::MAX / 2);
+    // The instance takes the straight load's connections too, while the host's share, a third of
+    // what the configuration states, stays at the wanted number.
+    let cluster = Cluster::start(ClusterSettings {
+        instances_per_service: 1,
+        hosts: 1,
+        connections: most + SPARE_CONNECTIONS,
+        slots: most as usize + SPARE_CONNECTIONS as usize,
+        connect_cost: Duration::ZERO,
+        service: ServiceConfig {
+            confirm: Confirm::None,
+            read_age: READ_AGE,
+            queue: most + SPARE_CONNECTIONS,
+            slots: settings.upstream_connections,
+            ..ServiceConfig::default()
+        },
+        host: HostSettings {
+            traffic_threads: settings.traffic_threads,
+            ..HostSettings::default()
+        },
+        ..ClusterSettings::default()
+    })
+    .await?;
+    let mut cluster = cluster;
+    let service = Cluster::service_name(0);
+    let mut config = cluster.configs[&service].clone();
+    for instance in config.instances.values_mut() {
+        instance.connections = settings.upstream_connections * 3;
+    }
+    cluster.submit(config).await?;
+    let host = cluster.caller_address(0);
+    let straight = cluster
+        .group(&service)
+        .map(|(_, database)| database.address())
+        .next();
+    let Some(straight) = straight else {
+        return Err(LabError::Start {
+            part: "an instance",
+            detail: "there is none".into(),
+        });
+    };
+    actix_rt::time::sleep(WARM_UP).await;
+    let mut table = Table::new(&[
+        "connections",
+        "way",
+        "statements/s",
+        "p50 µs",
+        "p99 µs",
+        "failed",
+        "rate to straight",
+        "added p50 µs",
+    ]);
+    for &connections in &settings.connections {
+        let direct = run_one(settings, straight, connections)?;
+        let through = run_one(settings, host, connections)?;
+        let added_us = through
+            .percentile_us(50.0)
+            .saturating_sub(direct.percentile_us(50.0));
+        let ratio = through.rate_per_s() / direct.rate_per_s().max(f64::EPSILON);
+        table.row(row(
+            connections,
+            "straight",
+            &direct,
+            ["1.00".into(), "0".into()],
+        ));
+        let rest = [format!("{ratio:.2}"), added_us.to_string()];
+        table.row(row(connections, "through a host", &through, rest));
+    }
+    let idle_bytes = idle_memory_bytes(host, &service, most as usize)?;
+    table.row(vec![
+        most.to_string(),
+        format!("idle: {idle_bytes} bytes a connection"),
+        String::new(),
+        String::new(),
+        String::new(),
+        String::new(),
+        String::new(),
+        String::new(),
+    ]);
+    Ok(table)
+}
+
+fn run_one(
+    settings: &BenchmarkSettings,
+    target: SocketAddr,
+    connections: usize,
+) -> Result<LoadReport, LabError> {
+    run_load(&LoadSettings {
+        targets: vec![target],
+        sql: settings.sql.clone(),
+        connections,
+        duration: settings.duration,
+        ..LoadSettings::default()
+    })
+}
+
+fn row(connections: usize, way: &str, report: &LoadReport, rest: [String; 2]) -> Vec<String> {
+    let [ratio, added_us] = rest;
+    vec![
+        connections.to_string(),
+        way.to_owned(),
+        format!("{:.0}", report.rate_per_s()),
+        report.percentile_us(50.0).to_string(),
+        report.percentile_us(99.0).to_string(),
+        report.failed.to_string(),
+        ratio,
+        added_us,
+    ]
+}
--- /dev/null
+++ b/crates/jujubehold_lab/src/report/mod.rs
@@ -0,0 +1,11 @@
+//! Tables, fits, plots and counters.
+
+mod line_fit;
+mod plot;
+mod read_counts;
+mod table;
+
+pub use line_fit::LineFit;
+pub use plot::{Plot, Series};
+pub use read_counts::{counter_sum, read_counts, start_counting};
+pub use table::Table;
--- /dev/null
+++ b/crates/jujubehold_lab/src/workload/writer.rs
@@ -0,0 +1,93 @@
+//! A caller that writes entries one after another.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::load::{Answer, LoadConnection};
+use crate::workload::ledger::insert_sql;
+use crate::workload::write_log::WriteLog;
+
+/// What a refused caller waits when it was not told how long.
+const DEFAULT_RETRY: Duration = Duration::from_millis(50);
+/// How long a caller waits for one answer before it takes the write's outcome as unknown.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long a caller tries to reach one host.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How a caller writes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WriterSettings {
+    /// The hosts that it goes to; it changes host when its connection breaks.
+    pub targets: Vec<SocketAddr>,
+    /// The service.
+    pub service: String,
+    /// Its first id; the others follow by one.
+    pub first_id: u64,
+    /// What it waits between two writes.
+    pub pause: Duration,
+}
+
+enum Outcome {
+    Acknowledged,
+    Unknown,
+    Refused(Duration),
+}
+
+/// Writes until `deadline`, and finishes the write that it is at.
+pub async fn write_until(settings: WriterSettings, deadline: Instant) -> WriteLog {
+    let mut log = WriteLog::default();
+    let mut id = settings.first_id;
+    let mut turn = usize::try_from(settings.first_id).unwrap_or(0);
+    let mut connection = None;
+    while Instant::now() < deadline {
+        if connection.is_none() {
+            turn += 1;
+            let target = settings.targets[turn % settings.targets.len()];
+            let open = LoadConnection::open(target, &settings.service, None);
+            connection = tokio::time::timeout(OPEN_TIMEOUT, open)
+                .await
+                .ok()
+                .and_then(Result::ok);
+        }
+        let Some(open) = &mut connection else {
+            actix_rt::time::sleep(DEFAULT_RETRY).await;
+            continue;
+        };
+        let sql = insert_sql(id);
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, open.run(&sql)).await;
+        let outcome = if let Ok(Ok(answer)) = answer {
+            judge(&answer)
+        } else {
+            connection = None;
+            Outcome::Unknown
+        };
+        match outcome {
+            Outcome::Acknowledged => log.acknowledged.push((id, Instant::now())),
+            Outcome::Unknown => log.unknown.push(id),
+            Outcome::Refused(wait) => {
+                log.refusals += 1;
+                actix_rt::time::sleep(wait).await;
+                if Instant::now() >= deadline {
+                    log.not_run.push(id);
+                }
+                continue;
+            }
+        }
+        id += 1;
+        actix_rt::time::sleep(settings.pause).await;
+    }
+    log
+}
+
+fn judge(answer: &Answer) -> Outcome {
+    if answer.is_ok() {
+        return Outcome::Acknowledged;
+    }
+    if answer.is_not_run() {
+        let wait = answer
+            .retry_after_ms()
+            .map_or(DEFAULT_RETRY, Duration::from_millis);
+        return Outcome::Refused(wait);
+    }
+    Outcome::Unknown
+}
