Replay traces against their stated outcomes, and mend what they and the exploration showed

Connections lent to a session and the order of forwarded frames are decided in the core as well.

A primary whose replicas are fenced past its term now counts as failed, and a single instance that an ended attempt left fenced gets back in by a new term of the same primary. A trace showed a host that woke from a pause and vouched for a primary it had not heard; another, that the choice of a leaving primary's successor could change for ever.

--- a/crates/jujubehold_core/src/failover.rs
+++ b/crates/jujubehold_core/src/failover.rs
@@ -214,8 +214,8 @@
             self.announce_again(now, actions);
             return;
         }
-        let is_alive = now.saturating_sub(self.suspicion.last_alive())
-            < self.settings.probe_interval + self.settings.probe_timeout;
+        let recent = self.settings.probe_interval + self.settings.probe_timeout;
+        let is_alive = self.suspicion.has_proof_since(now.saturating_sub(recent));
         if term == self.view.term && is_alive && self.may_share(now, self.liveness_shared_at) {
             self.liveness_shared_at = Some(now);
             actions.push(FailoverAction::ShareLiveness { term });
--- a/crates/jujubehold_core/src/failover/change.rs
+++ b/crates/jujubehold_core/src/failover/change.rs
@@ -14,6 +14,7 @@
         order: Option<Order>,
         configured: Option<InstanceId>,
         configured_since: Monotonic,
+        stranded_since: Option<Monotonic>,
         changed_at: Option<Monotonic>,
     }
 
@@ -54,14 +55,39 @@
             self.wish.configured = configured;
             self.wish.configured_since = now;
         }
+        if !self.has_stranded(now) {
+            self.wish.stranded_since = None;
+        } else if self.wish.stranded_since.is_none() {
+            self.wish.stranded_since = Some(now);
+        }
         let change = &self.settings.change;
         let rank = u32::try_from(self.rank(|_| true)).unwrap_or(u32::MAX);
         // The first of the watchers acts; the others do only when it does not.
         let settle = change.settle.saturating_mul(rank.saturating_add(1));
-        if !self.wish.has_settled(now, change.min_interval, settle) {
-            return None;
+        // An instance that an ended attempt left fenced gets back in by a new term of the same
+        // primary.
+        let stranded_limit = change.stranded_after + change.settle.saturating_mul(rank);
+        let is_stranded = self
+            .wish
+            .stranded_since
+            .is_some_and(|since| now.saturating_sub(since) >= stranded_limit);
+        if is_stranded {
+            self.wish.stranded_since = None;
+            return self.view.primary.clone();
         }
-        self.wish.configured.clone()
+        let is_leaving = self
+            .view
+            .primary
+            .as_ref()
+            .is_some_and(|primary| !self.is_active(primary));
+        let has_settled = if is_leaving {
+            // Its writes are refused already, so the change can't wait.
+            let settle = change.leaving_settle.saturating_mul(rank.saturating_add(1));
+            self.wish.has_settled(now, Duration::ZERO, settle)
+        } else {
+            self.wish.has_settled(now, change.min_interval, settle)
+        };
+        self.wish.configured.clone().filter(|_| has_settled)
     }
 
     fn drop_spent_order(&mut self, now: Monotonic) {
@@ -89,6 +115,13 @@
         if self.is_active(primary) {
             return None;
         }
+        // A choice once made stays, so that it can settle.
+        let chosen = self.wish.configured.as_ref();
+        if let Some(chosen) = chosen.filter(|chosen| *chosen != primary)
+            && self.is_ready(now, chosen)
+        {
+            return Some(chosen.clone());
+        }
         self.config
             .instances
             .keys()
--- a/crates/jujubehold_core/src/failover/probing.rs
+++ b/crates/jujubehold_core/src/failover/probing.rs
@@ -42,10 +42,11 @@
         };
         self.note_promoted(now, &status, actions);
         self.observe(now, sent_at, status.clone());
-        if status.is_primary_of(self.view.term) {
+        if status.is_primary_of(self.view.term) && !self.is_term_over() {
             self.on_alive(now, sent_at);
         } else if is_primary || self.view.primary.is_none() {
-            // It answers, but takes no writes: it is fenced, or came back as a replica.
+            // It answers, but no write can be acknowledged: it is fenced, or a majority is, or it
+            // came back as a replica.
             self.suspicion.count_failure(sent_at);
         }
         self.follow(now, &status, actions);
@@ -95,6 +96,27 @@
         now.saturating_sub(self.suspicion.last_alive()) >= self.settings.suspect_after / 2
     }
 
+    // An attempt that ended after its fences leaves a primary that can acknowledge nothing.
+    fn is_term_over(&self) -> bool {
+        let fenced_past = self
+            .view
+            .samples
+            .values()
+            .filter(|sample| !sample.status.proves(self.view.term))
+            .count();
+        fenced_past >= self.config.majority()
+    }
+
+    /// Whether an instance that answers is fenced past the present term, so that it can't follow
+    /// the primary.
+    pub(super) fn has_stranded(&self, now: Monotonic) -> bool {
+        let oldest = now.saturating_sub(self.settings.sample_interval * 2);
+        self.view
+            .samples
+            .values()
+            .any(|sample| sample.sent_at >= oldest && sample.status.fence_term > self.view.term)
+    }
+
     /// How many instances, of those that `counts` takes, answered of late.
     pub(super) fn reachable(&self, now: Monotonic, counts: impl Fn(&InstanceId) -> bool) -> usize {
         let oldest = now.saturating_sub(self.settings.suspect_after);
--- a/crates/jujubehold_core/src/failover/settings.rs
+++ b/crates/jujubehold_core/src/failover/settings.rs
@@ -58,6 +58,11 @@
         pub min_interval: Duration,
         /// How long the wish must have stood, and the instance answered, before the change.
         pub settle: Duration,
+        /// How long a primary must have been leaving before it is replaced.
+        pub leaving_settle: Duration,
+        /// How long an instance may be fenced past the present term before the primary takes a new
+        /// one, so that the instance can follow again.
+        pub stranded_after: Duration,
         /// How many positions the instance may be behind when the change starts.
         pub max_lag: u64,
     }
@@ -98,6 +103,8 @@
             order_lifetime: Duration::from_secs(10),
             min_interval: Duration::from_secs(10),
             settle: Duration::from_secs(2),
+            leaving_settle: Duration::from_millis(200),
+            stranded_after: Duration::from_secs(5),
             max_lag: 1000,
         }
     }
--- a/crates/jujubehold_core/src/failover/suspicion.rs
+++ b/crates/jujubehold_core/src/failover/suspicion.rs
@@ -13,7 +13,9 @@
     /// What this host and the group's other watchers say of the primary.
     #[derive(Default)]
     pub(super) struct SuspicionTable {
+        // The last proof of life, or when the count began anew.
         last_alive: Monotonic,
+        proved_alive_at: Option<Monotonic>,
         failures: u32,
         suspects: BTreeMap<HostId, Report>,
         vouchers: BTreeMap<HostId, Report>,
@@ -39,6 +41,11 @@
         self.last_alive
     }
 
+    /// Whether the primary gave proof of life at or after `since`.
+    pub(super) fn has_proof_since(&self, since: Monotonic) -> bool {
+        self.proved_alive_at.is_some_and(|at| at >= since)
+    }
+
     /// Starts to count anew, as after a change of primary or after this host was paused.
     pub(super) fn reset(&mut self, now: Monotonic) {
         *self = Self::new(now);
@@ -47,6 +54,7 @@
     pub(super) fn prove_alive(&mut self, sent_at: Monotonic) {
         if sent_at >= self.last_alive {
             self.last_alive = sent_at;
+            self.proved_alive_at = Some(sent_at);
             self.failures = 0;
             self.quorum_since = None;
         }
--- /dev/null
+++ b/crates/jujubehold_core/src/replay/failover_lines.rs
@@ -0,0 +1,116 @@
+//! The events and actions of a failover as text.
+
+use crate::failover_action::FailoverAction;
+use crate::failover_event::{FailoverEvent, RecordOutcome};
+use crate::replay::TraceFault;
+use crate::replay::line::TraceLine;
+use crate::replay::runner::{Outcomes, Runner};
+
+impl Runner {
+    pub(super) fn on_failover(&mut self, line: &TraceLine<'_>) -> Outcomes {
+        let event = failover_event(line)?;
+        let failover = self.failover.as_mut().ok_or(TraceFault::NoGroup)?;
+        let actions = failover.on_event(line.at, event);
+        Ok(actions.iter().filter_map(action_text).collect())
+    }
+}
+
+fn failover_event(line: &TraceLine<'_>) -> Result<FailoverEvent, TraceFault> {
+    let event = match line.verb {
+        "probed" => {
+            let instance = line.word(0, "the instance")?;
+            FailoverEvent::Probed {
+                instance: instance.into(),
+                sent_at: line.duration_or("sent_ms", line.at)?,
+                status: line.status(instance)?,
+            }
+        }
+        "suspicion" => FailoverEvent::SuspicionHeard {
+            host: line.word(0, "the host")?.into(),
+            domain: line.word(1, "the domain")?.into(),
+            term: line.number("term")?,
+        },
+        "liveness" => FailoverEvent::LivenessHeard {
+            host: line.word(0, "the host")?.into(),
+            domain: line.word(1, "the domain")?.into(),
+            term: line.number("term")?,
+        },
+        "announced" => FailoverEvent::Announced {
+            term: line.number("term")?,
+            primary: line.word(0, "the primary")?.into(),
+        },
+        "recorded" => FailoverEvent::Recorded {
+            term: line.number("term")?,
+            outcome: match line.word(0, "the outcome")? {
+                "written" => RecordOutcome::Written,
+                "lost" => RecordOutcome::Lost {
+                    term: line.number("stands")?,
+                },
+                "unavailable" => RecordOutcome::Unavailable,
+                other => return Err(TraceFault::Malformed(other.to_owned())),
+            },
+        },
+        "fenced" => {
+            let instance = line.word(0, "the instance")?;
+            FailoverEvent::Fenced {
+                instance: instance.into(),
+                term: line.number("term")?,
+                nonce: line.number("nonce")?,
+                status: line.status(instance)?,
+            }
+        }
+        "caught_up" => {
+            let instance = line.word(0, "the instance")?;
+            FailoverEvent::CaughtUp {
+                instance: instance.into(),
+                status: line.status(instance)?,
+            }
+        }
+        "promoted" => {
+            let instance = line.word(0, "the instance")?;
+            FailoverEvent::Promoted {
+                instance: instance.into(),
+                term: line.number("term")?,
+                status: line.status(instance)?,
+            }
+        }
+        "change" => FailoverEvent::ChangeOrdered {
+            instance: line.word(0, "the instance")?.into(),
+        },
+        "tick" => FailoverEvent::Tick,
+        other => return Err(TraceFault::UnknownEvent(other.to_owned())),
+    };
+    Ok(event)
+}
+
+// Probes are left out: they follow from the time alone, and a trace would be full of them.
+fn action_text(action: &FailoverAction) -> Option<String> {
+    let text = match action {
+        FailoverAction::Probe { .. } => return None,
+        FailoverAction::ShareSuspicion { term } => format!("share_suspicion term={term}"),
+        FailoverAction::ShareLiveness { term } => format!("share_liveness term={term}"),
+        FailoverAction::Record { term, nonce } => format!("record term={term} nonce={nonce}"),
+        FailoverAction::Fence {
+            instance,
+            term,
+            nonce,
+        } => format!("fence {instance} term={term} nonce={nonce}"),
+        FailoverAction::CatchUp {
+            instance,
+            from,
+            position,
+        } => format!("catch_up {instance} from={from} position={position}"),
+        FailoverAction::Promote {
+            instance,
+            term,
+            nonce,
+        } => format!("promote {instance} term={term} nonce={nonce}"),
+        FailoverAction::Follow {
+            instance,
+            primary,
+            term,
+        } => format!("follow {instance} primary={primary} term={term}"),
+        FailoverAction::Announce { term, primary } => format!("announce {primary} term={term}"),
+    };
+    Some(text)
+}
--- /dev/null
+++ b/crates/jujubehold_core/src/replay/lease_lines.rs
@@ -0,0 +1,51 @@
+//! Lent connections and forwarded frames as text.
+
+use crate::frame_order::FrameDecision;
+use crate::lease::{LeaseDecision, TransactionStatus};
+use crate::replay::TraceFault;
+use crate::replay::line::TraceLine;
+use crate::replay::runner::{Outcomes, Runner};
+
+impl Runner {
+    // lease NAME sent | ready idle|in_transaction|failed | broken | rest | end
+    pub(super) fn on_lease(&mut self, line: &TraceLine<'_>) -> Outcomes {
+        let name = line.word(0, "the connection")?;
+        let lease = self.leases.entry(name.to_owned()).or_default();
+        match line.word(1, "what happened")? {
+            "sent" => lease.note_sent(),
+            "ready" => lease.note_ready(match line.word(2, "the status")? {
+                "idle" => TransactionStatus::Idle,
+                "in_transaction" => TransactionStatus::InTransaction,
+                "failed" => TransactionStatus::Failed,
+                other => return Err(TraceFault::Malformed(other.to_owned())),
+            }),
+            "broken" => lease.note_broken(),
+            "rest" | "end" => {}
+            other => return Err(TraceFault::Malformed(other.to_owned())),
+        }
+        let is_end = line.words().get(1) == Some(&"end");
+        let decision = if is_end {
+            lease.at_end()
+        } else {
+            lease.at_rest()
+        };
+        let text = match decision {
+            LeaseDecision::Return => "return",
+            LeaseDecision::Keep => "keep",
+            LeaseDecision::Discard => "discard",
+        };
+        Ok(vec![format!("{name} {text}")])
+    }
+
+    // frame NAME sequence=
+    pub(super) fn on_frame(&mut self, line: &TraceLine<'_>) -> Outcomes {
+        let name = line.word(0, "the stream")?;
+        let order = self.frames.entry(name.to_owned()).or_default();
+        let text = match order.accept(line.number("sequence")?) {
+            FrameDecision::Deliver => "deliver",
+            FrameDecision::Drop => "drop",
+            FrameDecision::Broken => "broken",
+        };
+        Ok(vec![format!("{name} {text}")])
+    }
+}
--- a/crates/jujubehold_core/tests/failover.rs
+++ b/crates/jujubehold_core/tests/failover.rs
@@ -194,3 +194,28 @@
         term: 2
     }));
 }
+
+#[test]
+fn a_primary_whose_replicas_an_ended_attempt_left_fenced_counts_as_failed() {
+    let mut failover = watched();
+    for at_ms in (100..=900).step_by(100) {
+        let now = ms(at_ms);
+        for name in ["a", "b", "c"] {
+            let role = if name == "a" { "primary" } else { "replica" };
+            let mut answer = status(name, role, 1, 10, "1:0");
+            if name != "a" {
+                answer.fence_term = 2;
+                answer.fence_nonce = 99;
+            }
+            failover.on_event(
+                now,
+                FailoverEvent::Probed {
+                    instance: name.into(),
+                    sent_at: now,
+                    status: Some(answer),
+                },
+            );
+        }
+    }
+    assert!(failover.is_suspecting(ms(900)));
+}
