--- a/crates/jujubehold/src/cli_error.rs
+++ b/crates/jujubehold/src/cli_error.rs
@@ -3,8 +3,8 @@
 use jujubehold_settings::IniFaults;
 use thiserror::Error;
 
-use crate::config_store::StoreError;
 use crate::exit_status::ExitStatus;
+use crate::store_error::StoreError;
 
 /// An error that ends a command; its text is what the operator sees.
 #[derive(Debug, Error)]
--- a/crates/jujubehold/src/commands/drain.rs
+++ b/crates/jujubehold/src/commands/drain.rs
@@ -4,9 +4,10 @@
 
 use super::{change_name, store};
 use crate::cli_error::CliError;
-use crate::config_store::{StoreError, Submitted};
+use crate::config_store::Submitted;
 use crate::exit_status::ExitStatus;
 use crate::options::{CommandHelp, Parsed, platform_options};
+use crate::store_error::StoreError;
 
 const DRAIN: CommandHelp = CommandHelp {
     usage: "drain SERVICE INSTANCE --platform ADDRESSES",
--- a/crates/jujubehold/src/commands/show.rs
+++ b/crates/jujubehold/src/commands/show.rs
@@ -6,9 +6,10 @@
 
 use super::store;
 use crate::cli_error::CliError;
-use crate::config_store::{ConfigRecord, StoreError};
+use crate::config_record::ConfigRecord;
 use crate::exit_status::ExitStatus;
 use crate::options::{CommandHelp, Parsed, platform_options};
+use crate::store_error::StoreError;
 
 const HELP: CommandHelp = CommandHelp {
     usage: "show [SERVICE] --platform ADDRESSES",
--- a/crates/jujubehold/src/config_store.rs
+++ b/crates/jujubehold/src/config_store.rs
@@ -7,34 +7,16 @@
 use std::time::{Duration, Instant};
 
 use jujubehold_core::prelude::*;
-use jujubehold_settings::{IniFaults, format_service, parse_service};
-use jujubehold_wire::kv::KeyValue;
-use thiserror::Error;
 
-use crate::exit_status::ExitStatus;
+use crate::config_record::{
+    ConfigRecord, NO_CHANGE, PREFIX, format_record, parse_record, service_key,
+};
 use crate::kv_calls::{KvCallError, KvCalls};
 use crate::service_diff::service_differences;
+use crate::store_error::StoreError;
 
-const PREFIX: &str = "/jujubehold/services/";
-const CHANGE_MARK: &str = "; change = ";
-const AFTER_MARK: &str = " after ";
-/// The name that stands for the change before a service's first.
-const NO_CHANGE: &str = "none";
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// A service's configuration as it stands in the platform's service.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ConfigRecord {
-    /// The configuration.
-    pub config: ServiceConfig,
-    /// The revision of the key at its last change; 0 when the key is not there.
-    pub mod_revision: i64,
-    /// The name of the change that wrote it.
-    pub change: String,
-    /// The name of the change before that one.
-    pub previous_change: String,
-}
-
 /// What became of a submission.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Submitted {
@@ -44,72 +26,6 @@
     Unchanged(Generation),
 }
 
-/// Why the configuration could not be read or changed.
-#[derive(Debug, Error)]
-pub enum StoreError {
-    /// Someone else changed the service first.
-    #[error(
-        "conflict: {service} is at generation {current}, the file was built on generation \
-         {expected}; nothing was written\n{}\nRead the service again with `jujubehold show \
-         {service}`, make the change there and submit that.",
-        .differences.join("\n")
-    )]
-    Conflict {
-        /// The service.
-        service: ServiceId,
-        /// The generation that the file was built on.
-        expected: Generation,
-        /// The generation in force.
-        current: Generation,
-        /// What differs between the two, one line a key.
-        differences: Vec<String>,
-    },
-    /// It can't be known whether the change was written.
-    #[error(
-        "unknown: it is not known whether the change of {service} was written ({detail})\nRead \
-         the service with `jujubehold show {service}` before submitting again; a second \
-         submission of the same file is safe."
-    )]
-    Unknown {
-        /// The service.
-        service: ServiceId,
-        /// What was seen last.
-        detail: String,
-    },
-    /// Nothing was written.
-    #[error("unavailable: {0}; nothing was written")]
-    Unavailable(String),
-    /// What stands in the platform's service can't be read.
-    #[error("what stands in the platform's service holds faults:\n{0}")]
-    BadRecord(#[from] IniFaults),
-    /// There is no such service.
-    #[error("there is no service {0}")]
-    NoService(ServiceId),
-    /// The service has no such instance.
-    #[error("service {service} has no instance {instance}; it has {known}")]
-    NoInstance {
-        /// The service.
-        service: ServiceId,
-        /// What was asked for.
-        instance: InstanceId,
-        /// The instances that it has.
-        known: String,
-    },
-}
-
-impl StoreError {
-    /// What a command that meets this error ends with.
-    pub fn status(&self) -> ExitStatus {
-        match self {
-            Self::Conflict { .. } => ExitStatus::Conflict,
-            Self::Unknown { .. } => ExitStatus::OutcomeUnknown,
-            Self::Unavailable(_) => ExitStatus::Unavailable,
-            Self::BadRecord(_) => ExitStatus::BadInput,
-            Self::NoService(_) | Self::NoInstance { .. } => ExitStatus::Failed,
-        }
-    }
-}
-
 /// Reads and changes services' configuration.
 #[derive(Debug)]
 pub struct ConfigStore {
@@ -128,18 +44,10 @@
     /// # Errors
     /// The platform's service can't be reached, or the record holds faults.
     pub async fn read(&self, service: &ServiceId) -> Result<ConfigRecord, StoreError> {
-        let value = self.kv.read(&key(service)).await;
+        let value = self.kv.read(&service_key(service)).await;
         match value.map_err(|error| StoreError::Unavailable(error.to_string()))? {
-            Some(value) => parse_record(&value),
-            None => Ok(ConfigRecord {
-                config: ServiceConfig {
-                    service: service.clone(),
-                    ..ServiceConfig::default()
-                },
-                mod_revision: 0,
-                change: NO_CHANGE.into(),
-                previous_change: NO_CHANGE.into(),
-            }),
+            Some(value) => Ok(parse_record(&value)?),
+            None => Ok(ConfigRecord::absent(service)),
         }
     }
 
@@ -150,7 +58,7 @@
     pub async fn read_all(&self) -> Result<Vec<ConfigRecord>, StoreError> {
         let values = self.kv.read_prefix(PREFIX).await;
         let values = values.map_err(|error| StoreError::Unavailable(error.to_string()))?;
-        values.iter().map(parse_record).collect()
+        Ok(values.iter().map(parse_record).collect::<Result<_, _>>()?)
     }
 
     /// Writes `config` as the generation after `expected`, under the name `change`.
@@ -213,7 +121,7 @@
             return Ok(Submitted::Unchanged(expected));
         }
         let value = format_record(&next, change, &current.change);
-        let key = key(&config.service);
+        let key = service_key(&config.service);
         let deadline = Instant::now() + self.timeout;
         let mut may_have_written = false;
         loop {
@@ -310,31 +218,3 @@
         differences,
     }
 }
-
-fn key(service: &ServiceId) -> String {
-    format!("{PREFIX}{service}")
-}
-
-fn format_record(config: &ServiceConfig, change: &str, previous: &str) -> String {
-    format!(
-        "{CHANGE_MARK}{change}{AFTER_MARK}{previous}\n{}",
-        format_service(config)
-    )
-}
-
-fn parse_record(value: &KeyValue) -> Result<ConfigRecord, StoreError> {
-    let text = String::from_utf8_lossy(&value.value);
-    let config = parse_service(&String::from_utf8_lossy(&value.key), &text)?;
-    let names = text
-        .lines()
-        .next()
-        .and_then(|line| line.strip_prefix(CHANGE_MARK))
-        .and_then(|line| line.split_once(AFTER_MARK));
-    let (change, previous_change) = names.unwrap_or((NO_CHANGE, NO_CHANGE));
-    Ok(ConfigRecord {
-        config,
-        mod_revision: value.mod_revision,
-        change: change.to_owned(),
-        previous_change: previous_change.to_owned(),
-    })
-}
--- a/crates/jujubehold/src/lib.rs
+++ b/crates/jujubehold/src/lib.rs
@@ -8,21 +8,25 @@
 mod cli_error;
 mod command;
 mod commands;
+mod config_record;
 mod config_store;
 mod exit_status;
 mod json_log;
 mod kv_calls;
 mod options;
 mod service_diff;
+mod store_error;
 
 use std::process::ExitCode;
 
 pub use cli_error::CliError;
 pub use command::Command;
-pub use config_store::{ConfigRecord, ConfigStore, StoreError, Submitted};
+pub use config_record::ConfigRecord;
+pub use config_store::{ConfigStore, Submitted};
 pub use exit_status::ExitStatus;
 pub use kv_calls::{KvCallError, KvCalls};
 pub use service_diff::service_differences;
+pub use store_error::StoreError;
 
 /// Runs the command that `arguments` name, and returns the process's exit code.
 pub fn run(arguments: Vec<String>) -> ExitCode {
