--- a/crates/jujubehold/src/command.rs
+++ b/crates/jujubehold/src/command.rs
@@ -4,7 +4,7 @@
 
 use crate::cli_error::CliError;
 use crate::commands::{
-    check, drain, host, show, standin_database, standin_platform, status, submit,
+    check, drain, faults, host, show, standin_database, standin_platform, status, submit,
 };
 
 /// One subcommand.
@@ -28,11 +28,13 @@
     StandinDatabase,
     /// Runs a stand-in of the platform's service.
     StandinPlatform,
+    /// Runs the fault proxy.
+    Faults,
 }
 
 impl Command {
     /// Every command, in the order of the overview.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Host,
         Self::Check,
         Self::Submit,
@@ -42,6 +44,7 @@
         Self::Status,
         Self::StandinDatabase,
         Self::StandinPlatform,
+        Self::Faults,
     ];
 
     /// The name on the command line.
@@ -56,6 +59,7 @@
             Self::Status => "status",
             Self::StandinDatabase => "standin-database",
             Self::StandinPlatform => "standin-platform",
+            Self::Faults => "faults",
         }
     }
 
@@ -75,6 +79,7 @@
             Self::Status => "show a host's counters",
             Self::StandinDatabase => "run a stand-in of a database instance",
             Self::StandinPlatform => "run a stand-in of the platform's key-value service",
+            Self::Faults => "run a proxy that injects faults",
         }
     }
 
@@ -93,6 +98,7 @@
             Self::Status => status::run(arguments),
             Self::StandinDatabase => standin_database::run(arguments),
             Self::StandinPlatform => standin_platform::run(arguments),
+            Self::Faults => faults::run(arguments),
         }
     }
 }
--- a/crates/jujubehold/src/commands/mod.rs
+++ b/crates/jujubehold/src/commands/mod.rs
@@ -11,6 +11,7 @@
 
 pub(crate) mod check;
 pub(crate) mod drain;
+pub(crate) mod faults;
 pub(crate) mod host;
 pub(crate) mod show;
 pub(crate) mod standin_database;
--- a/crates/jujubehold_host/src/lib.rs
+++ b/crates/jujubehold_host/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod platform;
 pub mod pool;
 pub mod routing_table;
+pub mod security;
 pub mod shared;
 pub mod traffic;
 
--- /dev/null
+++ b/crates/jujubehold_host/src/security/mod.rs
@@ -0,0 +1,16 @@
+//! Who may talk to a host, and in what secrecy.
+//!
+//! Callers prove themselves by SCRAM-SHA-256 and may ask for TLS; hosts talk to each other by
+//! mutual TLS. The files are read once, when the host starts. See docs/notes/security.md.
+
+mod caller_stream;
+mod caller_tls;
+mod login;
+mod peer_tls;
+mod security_error;
+
+pub use caller_stream::{CallerReadHalf, CallerStream, CallerWriteHalf};
+pub use caller_tls::CallerTls;
+pub use login::{LoginError, log_in};
+pub use peer_tls::PeerTls;
+pub use security_error::SecurityError;
--- /dev/null
+++ b/crates/jujubehold_host/tests/security.rs
@@ -0,0 +1,303 @@
+//! TLS towards callers, mutual TLS between hosts, and callers' logins.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use bytes::BytesMut;
+use jujubehold_core::prelude::*;
+use jujubehold_host::security::{
+    CallerReadHalf, CallerTls, LoginError, PeerTls, SecurityError, log_in,
+};
+use jujubehold_pg::{Frame, FrameReader, ScramClient, ScramError, backend};
+use jujubehold_settings::TlsSettings;
+use jujubehold_wire::kv::kv_client::KvClient;
+use jujubehold_wire::kv::kv_server::{Kv, KvServer};
+use jujubehold_wire::kv::{
+    DeleteRangeRequest, DeleteRangeResponse, PutRequest, PutResponse, RangeRequest, RangeResponse,
+    TxnRequest, TxnResponse,
+};
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, ServerName};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::{Endpoint, Server};
+use tonic::{Code, Request, Response, Status};
+
+/// The verifier of `pencil`, with the salt of RFC 7677's example.
+const VERIFIER: &str = "SCRAM-SHA-256$4096:W22ZaJ0SNY7soEsUEjb6gQ==\
+                        $WG5d8oPm3OtcPnkdi4Uo7BkeZkBFzpcXkuLmtbsT4qY=\
+                        :wfPLwcE6nTWhTAmQ7tl2KeoiWGPlZqQxSrmfPwDl2dU=";
+
+type Authority = CertifiedIssuer<'static, KeyPair>;
+
+fn authority() -> Authority {
+    let mut params = CertificateParams::new(Vec::new()).expect("no names are good names");
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let key = KeyPair::generate().expect("a key can be made");
+    CertifiedIssuer::self_signed(params, key).expect("an authority can sign itself")
+}
+
+/// Writes the identity of `host` by `authority` to files whose names start with `test`.
+fn identity(test: &str, authority: &Authority, host: &str) -> TlsSettings {
+    let key = KeyPair::generate().expect("a key can be made");
+    let certificate = CertificateParams::new(vec![host.to_owned()])
+        .expect("the name is good")
+        .signed_by(&key, authority)
+        .expect("the authority can sign");
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let write = |kind: &str, text: &str| -> PathBuf {
+        let file = directory.join(format!("{test}-{host}-{kind}.pem"));
+        std::fs::write(&file, text).expect("the target directory can be written");
+        file
+    };
+    TlsSettings {
+        certificate_file: write("certificate", &certificate.pem()),
+        key_file: write("key", &key.serialize_pem()),
+        authority_file: write("authority", &authority.pem()),
+    }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("loopback has free ports");
+    let address = listener.local_addr().expect("a listener has an address");
+    (listener, address)
+}
+
+fn caller_connector(authority: &Authority) -> tokio_rustls::TlsConnector {
+    let mut roots = rustls::RootCertStore::empty();
+    let root = CertificateDer::from_pem_slice(authority.pem().as_bytes());
+    roots.add(root.expect("it is PEM")).expect("it is a root");
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .expect("the versions are known")
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    Arc::new(config).into()
+}
+
+#[actix_rt::test]
+async fn a_caller_talks_by_tls_both_ways_at_once() {
+    let authority = authority();
+    let tls = CallerTls::load(&identity("caller", &authority, "greenville-1"));
+    let tls = tls.expect("the identity is good");
+    let (listener, address) = listen().await;
+    let server = async {
+        let (stream, _) = listener.accept().await.expect("a caller connects");
+        let stream = tls.accept(stream).await.expect("the handshake is good");
+        assert!(stream.is_tls());
+        let (mut read, mut write) = stream.into_split();
+        assert!(matches!(read, CallerReadHalf::Tls(_)));
+        let mut asked = [0; 4];
+        read.read_exact(&mut asked).await.expect("the caller asks");
+        write.write_all(b"pong").await.expect("it can be written");
+        write.flush().await.expect("it can be sent");
+        assert_eq!(&asked, b"ping");
+    };
+    let caller = async {
+        let stream = TcpStream::connect(address).await.expect("the host listens");
+        let name = ServerName::try_from("greenville-1").expect("the name is good");
+        let stream = caller_connector(&authority).connect(name, stream).await;
+        let mut stream = stream.expect("the handshake is good");
+        stream.write_all(b"ping").await.expect("it can be written");
+        let mut answer = [0; 4];
+        stream
+            .read_exact(&mut answer)
+            .await
+            .expect("the host answers");
+        assert_eq!(&answer, b"pong");
+    };
+    tokio::join!(server, caller);
+}
+
+#[test]
+fn faults_of_an_identity_name_the_file() {
+    let authority = authority();
+    let good = identity("faults", &authority, "greenville-1");
+    let other = identity("faults", &authority, "salisbury-1");
+    let missing = TlsSettings {
+        key_file: "missing.pem".into(),
+        ..good.clone()
+    };
+    let error = CallerTls::load(&missing).expect_err("there is no such file");
+    assert!(matches!(&error, SecurityError::File { .. }));
+    assert!(error.to_string().starts_with("missing.pem: "));
+    let swapped = TlsSettings {
+        certificate_file: good.key_file.clone(),
+        ..good.clone()
+    };
+    let error = CallerTls::load(&swapped).expect_err("a key is no certificate");
+    assert!(matches!(error, SecurityError::Pem { .. }));
+    let unfit = TlsSettings {
+        key_file: other.key_file,
+        ..good
+    };
+    let error = PeerTls::load(&unfit).expect_err("the key is another host's");
+    assert!(matches!(error, SecurityError::Identity(_)));
+}
+
+/// Answers every call alike; that an answer comes shows that the call was taken.
+struct Answering;
+
+const ANSWER: Code = Code::Unimplemented;
+
+#[tonic::async_trait]
+impl Kv for Answering {
+    async fn range(&self, _: Request<RangeRequest>) -> Result<Response<RangeResponse>, Status> {
+        Err(Status::new(ANSWER, "range"))
+    }
+
+    async fn put(&self, _: Request<PutRequest>) -> Result<Response<PutResponse>, Status> {
+        Err(Status::new(ANSWER, "put"))
+    }
+
+    async fn delete_range(
+        &self,
+        _: Request<DeleteRangeRequest>,
+    ) -> Result<Response<DeleteRangeResponse>, Status> {
+        Err(Status::new(ANSWER, "delete_range"))
+    }
+
+    async fn txn(&self, _: Request<TxnRequest>) -> Result<Response<TxnResponse>, Status> {
+        Err(Status::new(ANSWER, "txn"))
+    }
+}
+
+async fn serve(tls: &PeerTls) -> SocketAddr {
+    let (listener, address) = listen().await;
+    let server = Server::builder()
+        .tls_config(tls.server_config())
+        .expect("the identity is good")
+        .serve_with_incoming(KvServer::new(Answering), TcpListenerStream::new(listener));
+    actix_rt::spawn(server);
+    address
+}
+
+/// Whether a call with `endpoint` is taken.
+async fn is_taken(endpoint: Endpoint) -> bool {
+    let Ok(channel) = endpoint.connect().await else {
+        return false;
+    };
+    let answer = KvClient::new(channel).range(RangeRequest::default()).await;
+    answer.expect_err("no call succeeds").code() == ANSWER
+}
+
+#[actix_rt::test]
+async fn only_hosts_of_the_installation_are_taken() {
+    let own = authority();
+    let greenville = PeerTls::load(&identity("peer", &own, "greenville-1"));
+    let greenville = greenville.expect("the identity is good");
+    let salisbury = PeerTls::load(&identity("peer", &own, "salisbury-1"));
+    let salisbury = salisbury.expect("the identity is good");
+    let stranger = PeerTls::load(&identity("peer-other", &authority(), "salisbury-1"));
+    let stranger = stranger.expect("the identity is good");
+    let address = serve(&greenville).await;
+    let endpoint = || Endpoint::from_shared(format!("https://{address}")).expect("it is a URI");
+    let by = |tls: &PeerTls, host: &str| {
+        let config = tls.client_config(&host.into());
+        endpoint().tls_config(config).expect("the identity is good")
+    };
+    assert!(is_taken(by(&salisbury, "greenville-1")).await);
+    // The host at the address is not the one that is meant.
+    assert!(!is_taken(by(&salisbury, "mobile-1")).await);
+    // A certificate of another authority, from either side.
+    assert!(!is_taken(by(&stranger, "greenville-1")).await);
+    let clear = Endpoint::from_shared(format!("http://{address}")).expect("it is a URI");
+    assert!(!is_taken(clear).await);
+}
+
+#[actix_rt::test]
+async fn a_caller_without_a_certificate_of_a_host_is_not_taken() {
+    let own = authority();
+    let settings = identity("bare", &own, "greenville-1");
+    let address = serve(&PeerTls::load(&settings).expect("the identity is good")).await;
+    let config = tonic::transport::ClientTlsConfig::new()
+        .domain_name("greenville-1")
+        .ca_certificate(tonic::transport::Certificate::from_pem(own.pem()));
+    let endpoint = Endpoint::from_shared(format!("https://{address}"))
+        .expect("it is a URI")
+        .tls_config(config)
+        .expect("the authority is good");
+    assert!(!is_taken(endpoint).await);
+}
+
+fn config(callers: &[(&str, &str)]) -> ServiceConfig {
+    ServiceConfig {
+        callers: callers
+            .iter()
+            .map(|(name, verifier)| ((*name).into(), (*verifier).into()))
+            .collect(),
+        ..ServiceConfig::default()
+    }
+}
+
+/// Logs `user` in over a pipe; returns the host's outcome, and whether the caller was let in.
+async fn try_log_in(
+    config: &ServiceConfig,
+    user: &str,
+    password: &str,
+) -> (Result<(), LoginError>, bool) {
+    let (host, caller) = tokio::io::duplex(4096);
+    let host = async move {
+        let (read, mut write) = tokio::io::split(host);
+        let mut reader = FrameReader::new(read, BytesMut::new());
+        log_in(&mut reader, &mut write, config, user, b"the secret").await
+    };
+    let caller = async move {
+        let (read, mut write) = tokio::io::split(caller);
+        let mut reader = FrameReader::new(read, BytesMut::new());
+        let mut scram = ScramClient::new(password);
+        while let Ok(Some(frame)) = reader.read().await {
+            if is_ok(&frame) {
+                return true;
+            }
+            let answer = scram
+                .answer(&frame)
+                .expect("the host keeps to the exchange");
+            if let Some(answer) = answer {
+                write
+                    .write_all(answer.bytes())
+                    .await
+                    .expect("the pipe is open");
+            }
+        }
+        false
+    };
+    tokio::join!(host, caller)
+}
+
+fn is_ok(frame: &Frame) -> bool {
+    frame.tag() == backend::AUTHENTICATION && frame.body() == [0; 4]
+}
+
+#[actix_rt::test]
+async fn a_caller_with_its_password_is_let_in() {
+    let config = config(&[("clerk", VERIFIER)]);
+    let (outcome, is_in) = try_log_in(&config, "clerk", "pencil").await;
+    assert!(outcome.is_ok());
+    assert!(is_in);
+}
+
+#[actix_rt::test]
+async fn wrong_passwords_and_unknown_users_fail_alike() {
+    let config = config(&[("clerk", VERIFIER), ("broken", "not a verifier")]);
+    for (user, password) in [("clerk", "pen"), ("eve", "pencil"), ("broken", "pencil")] {
+        let (outcome, is_in) = try_log_in(&config, user, password).await;
+        assert!(
+            matches!(outcome, Err(LoginError::Scram(ScramError::Proof))),
+            "{user}: {outcome:?}"
+        );
+        assert!(!is_in);
+    }
+}
+
+#[actix_rt::test]
+async fn a_service_without_callers_lets_everyone_in() {
+    let (outcome, is_in) = try_log_in(&config(&[]), "anyone", "").await;
+    assert!(outcome.is_ok());
+    assert!(is_in);
+}
--- a/crates/jujubehold_pg/src/lib.rs
+++ b/crates/jujubehold_pg/src/lib.rs
@@ -25,8 +25,8 @@
 pub use scram_client::ScramClient;
 pub use scram_error::ScramError;
 pub use scram_frames::{
-    authentication_ok, sasl_continue, sasl_final, sasl_initial_response, sasl_mechanisms,
-    sasl_response,
+    InitialResponse, authentication_ok, read_sasl_initial_response, read_sasl_response,
+    sasl_continue, sasl_final, sasl_initial_response, sasl_mechanisms, sasl_response,
 };
 pub use scram_server::{SCRAM_SHA_256, ScramServer};
 pub use scram_verifier::ScramVerifier;
--- a/crates/jujubehold_pg/src/scram_frames.rs
+++ b/crates/jujubehold_pg/src/scram_frames.rs
@@ -1,9 +1,20 @@
 //! The messages that carry a SASL exchange.
 
 use bytes::Bytes;
-use pgwire::messages::startup::{Authentication, SASLInitialResponse, SASLResponse};
+use pgwire::messages::startup::{
+    Authentication, PasswordMessageFamily, SASLInitialResponse, SASLResponse,
+};
 
-use crate::frame::Frame;
+use crate::frame::{Frame, FrameError};
+
+/// The client's first message, as it came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InitialResponse {
+    /// The mechanism that the client chose.
+    pub mechanism: String,
+    /// The exchange's first message; empty when the client sent none.
+    pub message: Bytes,
+}
 
 /// The server offers `mechanism`.
 pub fn sasl_mechanisms(mechanism: &str) -> Frame {
@@ -38,3 +49,30 @@
 pub fn sasl_response(message: &[u8]) -> Frame {
     Frame::encode(&SASLResponse::new(Bytes::copy_from_slice(message)))
 }
+
+/// Reads the client's first message.
+///
+/// # Errors
+/// The content does not match.
+pub fn read_sasl_initial_response(frame: &Frame) -> Result<InitialResponse, FrameError> {
+    let message = frame
+        .decode::<PasswordMessageFamily>()?
+        .into_sasl_initial_response()
+        .map_err(|error| FrameError::Malformed(error.to_string()))?;
+    Ok(InitialResponse {
+        mechanism: message.auth_method,
+        message: message.data.unwrap_or_default(),
+    })
+}
+
+/// Reads the client's proof.
+///
+/// # Errors
+/// The content does not match.
+pub fn read_sasl_response(frame: &Frame) -> Result<Bytes, FrameError> {
+    let message = frame
+        .decode::<PasswordMessageFamily>()?
+        .into_sasl_response()
+        .map_err(|error| FrameError::Malformed(error.to_string()))?;
+    Ok(message.data)
+}
--- a/crates/jujubehold_pg/tests/scram.rs
+++ b/crates/jujubehold_pg/tests/scram.rs
@@ -1,10 +1,9 @@
 //! SCRAM-SHA-256 from both sides.
 
 use jujubehold_pg::{
-    Frame, SCRAM_SHA_256, ScramClient, ScramError, ScramServer, ScramVerifier, authentication_ok,
-    sasl_continue, sasl_final, sasl_mechanisms,
+    SCRAM_SHA_256, ScramClient, ScramError, ScramServer, ScramVerifier, authentication_ok,
+    read_sasl_initial_response, read_sasl_response, sasl_continue, sasl_final, sasl_mechanisms,
 };
-use pgwire::messages::startup::{PasswordMessageFamily, SASLInitialResponse, SASLResponse};
 
 /// The verifier of the password `pencil`, with the salt and iterations of RFC 7677's example.
 const VERIFIER: &str = "SCRAM-SHA-256$4096:W22ZaJ0SNY7soEsUEjb6gQ==\
@@ -157,32 +156,18 @@
     );
 }
 
-fn initial_response(frame: &Frame) -> SASLInitialResponse {
-    frame
-        .decode::<PasswordMessageFamily>()
-        .expect("it is a password message")
-        .into_sasl_initial_response()
-        .expect("it is a first message")
-}
-
-fn response(frame: &Frame) -> SASLResponse {
-    frame
-        .decode::<PasswordMessageFamily>()
-        .expect("it is a password message")
-        .into_sasl_response()
-        .expect("it is a proof")
-}
-
 /// Runs a whole exchange between both of our sides.
 fn exchange(password: &str) -> Result<(), ScramError> {
     let mut client = ScramClient::new(password);
     let mut server = server();
     let first = client.answer(&sasl_mechanisms(SCRAM_SHA_256))?;
-    let first = initial_response(&first.expect("the offer wants an answer"));
-    let challenge = server.challenge(&first.auth_method, &first.data.expect("it has data"))?;
+    let first = read_sasl_initial_response(&first.expect("the offer wants an answer"))
+        .expect("it is a first message");
+    let challenge = server.challenge(&first.mechanism, &first.message)?;
     let proof = client.answer(&sasl_continue(challenge))?;
-    let proof = response(&proof.expect("the challenge wants an answer"));
-    let server_proof = server.verify(&proof.data)?;
+    let proof =
+        read_sasl_response(&proof.expect("the challenge wants an answer")).expect("it is a proof");
+    let server_proof = server.verify(&proof)?;
     assert_eq!(client.answer(&sasl_final(server_proof))?, None);
     assert_eq!(client.answer(&authentication_ok())?, None);
     Ok(())
