--- a/crates/jujubehold_host/src/lib.rs
+++ b/crates/jujubehold_host/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod platform;
 pub mod pool;
 pub mod routing_table;
+pub mod security;
 pub mod shared;
 pub mod traffic;
 
