Take a primary whose log shrank for failed

An instance that restarts without its log may call itself the primary of its old term; what replicas hold of the lost log would confirm its new commits.

--- a/crates/jujubehold_core/src/failover/probing.rs
+++ b/crates/jujubehold_core/src/failover/probing.rs
@@ -42,7 +42,10 @@
         };
         self.note_promoted(now, &status, actions);
         self.observe(now, sent_at, status.clone());
-        if status.is_primary_of(self.view.term) && !self.is_term_over() {
+        let is_serving = self.view.primary.as_ref() == Some(instance)
+            && status.is_primary_of(self.view.term)
+            && !self.is_term_over();
+        if is_serving {
             self.on_alive(now, sent_at);
         } else if is_primary || self.view.primary.is_none() {
             // It answers, but no write can be acknowledged: it is fenced, or a majority is, or it
--- a/crates/jujubehold_core/src/group_view.rs
+++ b/crates/jujubehold_core/src/group_view.rs
@@ -42,9 +42,13 @@
             self.primary = Some(status.instance.clone());
             is_changed = true;
         }
-        if status.is_primary_of(self.term) {
+        if status.is_primary_of(self.term) && self.primary.as_ref() == Some(&status.instance) {
             self.marks.add(self.term, sent_at, status.applied);
         }
+        if self.has_lost_log(sent_at, &status) {
+            self.primary = None;
+            is_changed = true;
+        }
         let is_newer = self
             .samples
             .get(&status.instance)
@@ -56,6 +60,16 @@
         is_changed
     }
 
+    // A primary's log only grows within its term. One that shrank came back without it, and what
+    // replicas hold of the lost log would falsely confirm its new commits.
+    fn has_lost_log(&self, sent_at: Monotonic, status: &InstanceStatus) -> bool {
+        self.primary.as_ref() == Some(&status.instance)
+            && status.is_primary_of(self.term)
+            && self
+                .marks
+                .is_contradicted(self.term, sent_at, status.received)
+    }
+
     /// Takes in an announcement of a primary; returns whether the primary changed.
     pub fn announce(&mut self, term: Term, primary: &InstanceId) -> bool {
         if term <= self.term {
--- a/crates/jujubehold_core/src/primary_marks.rs
+++ b/crates/jujubehold_core/src/primary_marks.rs
@@ -1,11 +1,17 @@
 //! The primary's positions over time.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use crate::ids::{Monotonic, Position, Term};
 use crate::instance_status::InstanceStatus;
 use crate::value_type;
 
+/// How much later than a mark a question must have left to be surely answered after it.
+///
+/// Questions overtake each other on different connections, so that a position may seem to shrink.
+const ORDER_MARGIN: Duration = Duration::from_secs(1);
+
 /// The most marks kept; a mark takes 32 bytes.
 const CAPACITY: usize = 64;
 
@@ -42,7 +48,7 @@
             self.marks.push_back(Mark { sent_at, position });
             return;
         };
-        if sent_at <= last.sent_at {
+        if sent_at <= last.sent_at || position < last.position {
             return;
         }
         if last.position == position {
@@ -69,6 +75,15 @@
             .map(|mark| mark.sent_at)
     }
 
+    /// Whether a primary that was asked at `sent_at` has less than it had surely before.
+    pub fn is_contradicted(&self, term: Term, sent_at: Monotonic, position: Position) -> bool {
+        term == self.term
+            && self
+                .marks
+                .iter()
+                .any(|mark| mark.position > position && mark.sent_at + ORDER_MARGIN <= sent_at)
+    }
+
     /// When the oldest mark was asked for that is at or past `position`.
     pub fn reached_by_primary(&self, term: Term, position: Position) -> Option<Monotonic> {
         let mark = self.marks.iter().find(|mark| mark.position >= position)?;
--- a/crates/jujubehold_core/tests/exploration.rs
+++ b/crates/jujubehold_core/tests/exploration.rs
@@ -1,6 +1,6 @@
 //! Random interleavings of several hosts on one group, with what must always hold.
 //!
-//! A failure prints its seed; `JUJUBEHOLD_EXPLORE_SEEDS` sets how many seeds are run.
+//! A failure prints its seed; see [`seeds`] for longer runs.
 
 #[path = "exploration/callers.rs"]
 mod callers;
@@ -51,17 +51,20 @@
     (world.callers.violations, world.callers.counts)
 }
 
-fn seeds() -> u64 {
-    std::env::var("JUJUBEHOLD_EXPLORE_SEEDS")
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(DEFAULT_SEEDS)
+/// The seeds to run: `JUJUBEHOLD_EXPLORE_SEEDS` is their count, `JUJUBEHOLD_EXPLORE_FROM` the first.
+fn seeds() -> std::ops::Range<u64> {
+    let number = |name, default| {
+        let text = std::env::var(name).ok();
+        text.and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    let first = number("JUJUBEHOLD_EXPLORE_FROM", 0);
+    first..first + number("JUJUBEHOLD_EXPLORE_SEEDS", DEFAULT_SEEDS)
 }
 
 #[test]
 fn nothing_is_violated_whatever_fails() {
     let mut promotions = 0;
-    for seed in 0..seeds() {
+    for seed in seeds() {
         let confirm = if seed % 4 == 3 {
             Confirm::None
         } else {
--- a/crates/jujubehold_core/tests/failover.rs
+++ b/crates/jujubehold_core/tests/failover.rs
@@ -219,3 +219,21 @@
     }
     assert!(failover.is_suspecting(ms(900)));
 }
+
+#[test]
+fn a_primary_that_came_back_without_its_log_is_no_primary() {
+    let mut failover = watched();
+    for at_ms in (100..=2000).step_by(100) {
+        let now = ms(at_ms);
+        failover.on_event(
+            now,
+            FailoverEvent::Probed {
+                instance: "a".into(),
+                sent_at: now,
+                status: Some(status("a", "primary", 1, 2, "1:0")),
+            },
+        );
+    }
+    assert_eq!(failover.view().primary, None);
+    assert!(failover.is_suspecting(ms(2000)));
+}
