--- a/crates/jujubehold/src/cli_error.rs
+++ b/crates/jujubehold/src/cli_error.rs
@@ -1,5 +1,6 @@
 //! Why a command did not do what it was asked.
 
+use jujubehold_lab::LabError;
 use jujubehold_settings::IniFaults;
 use thiserror::Error;
 
@@ -39,6 +40,12 @@
     }
 }
 
+impl From<LabError> for CliError {
+    fn from(error: LabError) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
 impl From<IniFaults> for CliError {
     fn from(faults: IniFaults) -> Self {
         Self::BadInput(faults.to_string())
--- a/crates/jujubehold/src/command.rs
+++ b/crates/jujubehold/src/command.rs
@@ -4,7 +4,8 @@
 
 use crate::cli_error::CliError;
 use crate::commands::{
-    check, drain, faults, host, show, standin_database, standin_platform, status, submit,
+    check, demo, drain, experiment, faults, host, load, replay, show, standin_database,
+    standin_platform, status, submit,
 };
 
 /// One subcommand.
@@ -30,11 +31,19 @@
     StandinPlatform,
     /// Runs the fault proxy.
     Faults,
+    /// Replays recorded traces.
+    Replay,
+    /// Makes load.
+    Load,
+    /// Runs the demonstration.
+    Demo,
+    /// Runs an experiment.
+    Experiment,
 }
 
 impl Command {
     /// Every command, in the order of the overview.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 14] = [
         Self::Host,
         Self::Check,
         Self::Submit,
@@ -45,6 +54,10 @@
         Self::StandinDatabase,
         Self::StandinPlatform,
         Self::Faults,
+        Self::Replay,
+        Self::Load,
+        Self::Demo,
+        Self::Experiment,
     ];
 
     /// The name on the command line.
@@ -60,6 +73,10 @@
             Self::StandinDatabase => "standin-database",
             Self::StandinPlatform => "standin-platform",
             Self::Faults => "faults",
+            Self::Replay => "replay",
+            Self::Load => "load",
+            Self::Demo => "demo",
+            Self::Experiment => "experiment",
         }
     }
 
@@ -80,6 +97,10 @@
             Self::StandinDatabase => "run a stand-in of a database instance",
             Self::StandinPlatform => "run a stand-in of the platform's key-value service",
             Self::Faults => "run a proxy that injects faults",
+            Self::Replay => "run recorded traces against their stated outcomes",
+            Self::Load => "repeat a statement and measure the answers",
+            Self::Demo => "run a whole installation in one process",
+            Self::Experiment => "run a measurement",
         }
     }
 
@@ -99,6 +120,10 @@
             Self::StandinDatabase => standin_database::run(arguments),
             Self::StandinPlatform => standin_platform::run(arguments),
             Self::Faults => faults::run(arguments),
+            Self::Replay => replay::run(arguments),
+            Self::Load => load::run(arguments),
+            Self::Demo => demo::run(arguments),
+            Self::Experiment => experiment::run(arguments),
         }
     }
 }
--- /dev/null
+++ b/crates/jujubehold/src/commands/experiment.rs
@@ -0,0 +1,92 @@
+//! `jujubehold experiment`: measurements that anyone can run again.
+
+use std::path::{Path, PathBuf};
+
+use getopts::{Matches, Options};
+use jujubehold_lab::LabError;
+use jujubehold_lab::capacity::run_capacity;
+use jujubehold_lab::experiment::{
+    FailoverGapSettings, OverloadSettings, ReplicaReadsSettings, run_failover_gap, run_overload,
+    run_replica_reads,
+};
+use jujubehold_lab::load::{BenchmarkSettings, run_benchmark};
+use jujubehold_lab::report::Table;
+
+use crate::cli_error::CliError;
+use crate::exit_status::ExitStatus;
+use crate::options::{CommandHelp, Parsed};
+
+const HELP: CommandHelp = CommandHelp {
+    usage: "experiment NAME [--out DIRECTORY] [--runs N]",
+    about: "Runs an experiment on loopback, prints its table in Markdown and writes its plots. \
+            NAME is one of\n    failover-gap   how long writes are impossible after a primary is \
+            lost\n    replica-reads  the share of reads that replicas serve\n    overload       \
+            what callers meet beyond capacity\n    benchmark      one host beside the same load \
+            without it\n    capacity       the slopes of docs/CAPACITY.md",
+    exits: &[ExitStatus::Ok, ExitStatus::Failed, ExitStatus::Usage],
+    example: "jujubehold experiment failover-gap --runs 10 --out /tmp",
+};
+
+/// An experiment's name on the command line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Experiment {
+    FailoverGap,
+    ReplicaReads,
+    Overload,
+    Benchmark,
+    Capacity,
+}
+
+impl Experiment {
+    fn from_name(name: &str) -> Option<Self> {
+        match name {
+            "failover-gap" => Some(Self::FailoverGap),
+            "replica-reads" => Some(Self::ReplicaReads),
+            "overload" => Some(Self::Overload),
+            "benchmark" => Some(Self::Benchmark),
+            "capacity" => Some(Self::Capacity),
+            _ => None,
+        }
+    }
+}
+
+pub(crate) fn run(arguments: &[String]) -> Result<String, CliError> {
+    let mut options = Options::new();
+    options.optopt("o", "out", "where plots are written (.)", "DIRECTORY");
+    options.optopt("r", "runs", "runs of each kind of failover-gap (50)", "N");
+    let matches = match HELP.parse(options, arguments)? {
+        Parsed::Help(text) => return Ok(text),
+        Parsed::Run(matches) => matches,
+    };
+    let [name] = matches.free.as_slice() else {
+        return Err(HELP.usage_error("one experiment is needed"));
+    };
+    let experiment = Experiment::from_name(name)
+        .ok_or_else(|| HELP.usage_error(&format!("there is no experiment {name:?}")))?;
+    let out = PathBuf::from(matches.opt_str("out").unwrap_or_else(|| ".".into()));
+    let gap = gap_settings(&matches)?;
+    let table = actix_rt::System::new().block_on(measure(experiment, &gap, &out))?;
+    Ok(table.to_string())
+}
+
+fn gap_settings(matches: &Matches) -> Result<FailoverGapSettings, CliError> {
+    let default = FailoverGapSettings::default();
+    Ok(FailoverGapSettings {
+        runs: HELP.value(matches, "runs", default.runs, "a whole number")?,
+        ..default
+    })
+}
+
+async fn measure(
+    experiment: Experiment,
+    gap: &FailoverGapSettings,
+    out: &Path,
+) -> Result<Table, LabError> {
+    match experiment {
+        Experiment::FailoverGap => run_failover_gap(gap, out).await,
+        Experiment::ReplicaReads => run_replica_reads(&ReplicaReadsSettings::default(), out).await,
+        Experiment::Overload => run_overload(&OverloadSettings::default(), out).await,
+        Experiment::Benchmark => run_benchmark(&BenchmarkSettings::default()).await,
+        Experiment::Capacity => run_capacity(out).await,
+    }
+}
--- a/crates/jujubehold/src/commands/mod.rs
+++ b/crates/jujubehold/src/commands/mod.rs
@@ -10,9 +10,13 @@
 use crate::options::CommandHelp;
 
 pub(crate) mod check;
+pub(crate) mod demo;
 pub(crate) mod drain;
+pub(crate) mod experiment;
 pub(crate) mod faults;
 pub(crate) mod host;
+pub(crate) mod load;
+pub(crate) mod replay;
 pub(crate) mod show;
 pub(crate) mod standin_database;
 pub(crate) mod standin_platform;
