--- /dev/null
+++ b/crates/jujubehold_host/tests/control_many_hosts.rs
@@ -0,0 +1,134 @@
+//! Several hosts in several failure domains act as one.
+
+#[path = "support/control.rs"]
+mod control;
+
+use control::{Installation, RunningHost, wait_until};
+use jujubehold_core::prelude::*;
+use jujubehold_settings::HostSettings;
+use jujubehold_standin::platform::Outage;
+
+const DOMAINS: [&str; 3] = ["delta", "piedmont", "gulf"];
+
+/// Starts `per_domain` hosts in each domain, on the platform's list.
+async fn hosts(installation: &Installation, per_domain: usize) -> Vec<RunningHost> {
+    let mut hosts: Vec<RunningHost> = Vec::new();
+    for domain in DOMAINS {
+        for number in 0..per_domain {
+            let settings = HostSettings {
+                peer_seeds: hosts.first().map(RunningHost::seed).into_iter().collect(),
+                ..installation.settings(&format!("{domain}-{number}"), domain)
+            };
+            let host = RunningHost::start(settings).await;
+            installation
+                .list_host(&host.name, domain, host.peer_address)
+                .await;
+            hosts.push(host);
+        }
+    }
+    let know_all = || {
+        hosts.iter().all(|host| {
+            let route = host.route();
+            route.is_some_and(|route| {
+                let counts = route.owners.values().map(Vec::len);
+                counts.sum::<usize>() == DOMAINS.len() * per_domain.min(2)
+            })
+        })
+    };
+    wait_until("every host knows every owner", know_all).await;
+    let know_primary = || hosts.iter().all(|host| host.primary().is_some());
+    wait_until("every host knows the primary", know_primary).await;
+    hosts
+}
+
+fn agree_on_new_primary(hosts: &[RunningHost]) -> bool {
+    let first = hosts[0].primary();
+    first.as_ref().is_some_and(|(_, term)| *term > 1)
+        && hosts.iter().all(|host| host.primary() == first)
+}
+
+#[actix_rt::test]
+async fn all_hosts_follow_a_failover_also_those_that_do_not_watch_the_group() {
+    let installation = Installation::start().await;
+    let hosts = hosts(&installation, 3).await;
+    installation.instances[0].kill();
+    wait_until("all agree", || agree_on_new_primary(&hosts)).await;
+    let primaries = installation.instances[1..]
+        .iter()
+        .map(|instance| instance.status())
+        .filter(|status| status.role == Role::Primary);
+    assert_eq!(primaries.count(), 1);
+}
+
+#[actix_rt::test]
+async fn hosts_fail_over_together_while_the_platform_is_out() {
+    let installation = Installation::start().await;
+    let hosts = hosts(&installation, 1).await;
+    installation.platform.set_outage(Outage::Refuse);
+    installation.instances[0].kill();
+    wait_until("all agree", || agree_on_new_primary(&hosts)).await;
+}
+
+#[actix_rt::test]
+async fn a_replaced_primary_that_comes_back_follows() {
+    let installation = Installation::start().await;
+    let hosts = hosts(&installation, 1).await;
+    installation.instances[0].kill();
+    wait_until("all agree", || agree_on_new_primary(&hosts)).await;
+    installation.instances[0].revive();
+    let follows = || {
+        let status = installation.instances[0].status();
+        status.role == Role::Replica && status.term > 1
+    };
+    wait_until("it follows", follows).await;
+}
+
+#[actix_rt::test]
+async fn a_host_that_left_loses_its_ownership() {
+    let installation = Installation::start().await;
+    let mut hosts = hosts(&installation, 2).await;
+    let mut gone = hosts.remove(1);
+    gone.ask_to_leave();
+    gone.ended().await;
+    let owners = |host: &RunningHost| {
+        let route = host.route()?;
+        let owners = route.owners.get("a")?;
+        Some(
+            owners
+                .iter()
+                .map(|owner| owner.host.clone())
+                .collect::<Vec<_>>(),
+        )
+    };
+    let all_moved = || {
+        let mut all = hosts.iter();
+        all.all(|host| owners(host).is_some_and(|owners| owners == ["delta-0"]))
+    };
+    wait_until("everyone knows the remaining owner", all_moved).await;
+}
+
+#[actix_rt::test]
+async fn a_leaving_instance_is_seen_through_peers_while_the_platform_is_out() {
+    let installation = Installation::start().await;
+    let hosts = hosts(&installation, 1).await;
+    let mut config = installation.config(2);
+    if let Some(instance) = config.instances.get_mut("a") {
+        instance.state = InstanceState::Leaving;
+    }
+    installation.submit(&config).await;
+    wait_until("one host has it", || {
+        hosts.iter().any(|host| host.generation() == 2)
+    })
+    .await;
+    installation.platform.set_outage(Outage::Refuse);
+    wait_until("every host has it", || {
+        hosts.iter().all(|host| host.generation() == 2)
+    })
+    .await;
+    let is_other = || {
+        hosts
+            .iter()
+            .all(|host| host.primary().is_some_and(|(primary, _)| primary != "a"))
+    };
+    wait_until("another instance is the primary", is_other).await;
+}
