Use mutual TLS between hosts and end a dropped host's threads

Hosts with an identity call each other by TLS and take only calls with a certificate of their authority; a stranger that opens a Forward stream gets nothing. A host whose future is dropped now stops its control and peer threads, so that a crash can be brought about in one process.

--- a/crates/jujubehold_host/src/control/control_event.rs
+++ b/crates/jujubehold_host/src/control/control_event.rs
@@ -10,6 +10,8 @@
 use jujubehold_wire::peer;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::peer::PeerTarget;
+
 /// An event of the control thread. Whatever waits runs in a task and ends in one of these, so
 /// that nothing slow ever holds up the control loop.
 #[derive(Debug)]
@@ -50,7 +52,7 @@
     /// A peer answered an exchange.
     Exchanged {
         /// The peer.
-        with: SocketAddr,
+        with: PeerTarget,
         /// Its answer.
         response: Box<peer::ExchangeResponse>,
     },
--- a/crates/jujubehold_host/src/control/control_loop.rs
+++ b/crates/jujubehold_host/src/control/control_loop.rs
@@ -13,7 +13,7 @@
 };
 use jujubehold_core::ownership::DomainHosts;
 use jujubehold_core::prelude::*;
-use jujubehold_settings::HostSettings;
+use jujubehold_settings::{HostSettings, PeerSeed};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -24,7 +24,7 @@
 use super::restore_queue::RestoreQueue;
 use crate::clock::Clock;
 use crate::observation::{Observation, ObservationReceiver};
-use crate::peer::PeerClients;
+use crate::peer::{PeerClients, PeerConnector};
 use crate::platform::KvClient;
 use crate::routing_table::{RoutingTable, ServiceRoute};
 
@@ -69,6 +69,7 @@
     pub(super) first_watch_spread: Duration,
     pub(super) runner: ActionRunner,
     pub(super) peers: PeerClients,
+    pub(super) seeds: Vec<PeerSeed>,
     pub(super) socket: Rc<UdpSocket>,
     pub(super) kv: KvClient,
     pub(super) platform_watch: Option<JoinHandle<()>>,
@@ -91,6 +92,8 @@
     pub clock: Clock,
     /// Where other hosts reach this one.
     pub peer_address: SocketAddr,
+    /// How channels to other hosts are opened.
+    pub connector: PeerConnector,
     /// The socket for datagrams at that address.
     pub socket: std::net::UdpSocket,
     /// Where the routing table goes.
@@ -147,7 +150,8 @@
                 FIRST_WATCH_SPREAD
             },
             runner,
-            peers: PeerClients::default(),
+            peers: PeerClients::new(parts.connector),
+            seeds: settings.peer_seeds.clone(),
             socket: Rc::new(UdpSocket::from_std(parts.socket)?),
             kv,
             platform_watch: None,
--- a/crates/jujubehold_host/src/control/exchange.rs
+++ b/crates/jujubehold_host/src/control/exchange.rs
@@ -6,14 +6,14 @@
 use std::net::SocketAddr;
 
 use jujubehold_core::failover_event::FailoverEvent;
-use jujubehold_core::membership::MembershipEvent;
+use jujubehold_core::membership::{Member, MembershipEvent};
 use jujubehold_core::prelude::*;
 use jujubehold_wire::peer;
 use jujubehold_wire::peer::notify_request::Kind;
 
 use super::control_event::ControlEvent;
 use super::control_loop::Control;
-use crate::peer::{Digests, bucket_of, host_message, member_of};
+use crate::peer::{Digests, PeerTarget, bucket_of, host_message, member_of};
 use crate::platform::config_record;
 
 impl Control {
@@ -84,7 +84,9 @@
     /// with one of another failure domain, for which there is no other way when that domain or
     /// this one is cut off from the platform.
     pub(super) fn start_exchange(&mut self, with: SocketAddr) {
-        self.send_exchange(with, self.digest_request());
+        if let Some(with) = self.target_at(with) {
+            self.send_exchange(with, self.digest_request());
+        }
         if self.is_config_watcher()
             && let Some(other) = self.host_of_other_domain()
         {
@@ -92,7 +94,19 @@
         }
     }
 
-    fn host_of_other_domain(&self) -> Option<SocketAddr> {
+    /// The host at an address, which is a member or a seed.
+    fn target_at(&self, address: SocketAddr) -> Option<PeerTarget> {
+        let is_there = |member: &&Member| member.peer_address == address;
+        let member = self.membership.members().find(is_there);
+        let seed = || self.seeds.iter().find(|seed| seed.peer_address == address);
+        let host = match member {
+            Some(member) => member.host.clone(),
+            None => seed()?.host.clone(),
+        };
+        Some(PeerTarget { host, address })
+    }
+
+    fn host_of_other_domain(&self) -> Option<PeerTarget> {
         let others: Vec<_> = self
             .membership
             .members()
@@ -102,7 +116,10 @@
             return None;
         }
         let index = rand::random_range(0..others.len());
-        Some(others[index].peer_address)
+        Some(PeerTarget {
+            host: others[index].host.clone(),
+            address: others[index].peer_address,
+        })
     }
 
     fn digest_request(&self) -> peer::ExchangeRequest {
@@ -115,9 +132,9 @@
         }
     }
 
-    fn send_exchange(&mut self, with: SocketAddr, request: peer::ExchangeRequest) {
+    fn send_exchange(&mut self, with: PeerTarget, request: peer::ExchangeRequest) {
         let events = self.events_sender.clone();
-        self.peers.exchange(with, request, move |response| {
+        self.peers.exchange(with.clone(), request, move |response| {
             let response = Box::new(response);
             let _ = events.send(ControlEvent::Exchanged { with, response });
         });
@@ -167,7 +184,7 @@
     }
 
     /// Takes in the answer to one call of an exchange, and makes the next call if there is one.
-    pub(super) fn on_exchanged(&mut self, with: SocketAddr, response: &peer::ExchangeResponse) {
+    pub(super) fn on_exchanged(&mut self, with: PeerTarget, response: &peer::ExchangeResponse) {
         self.hear_of_hosts();
         self.take_in(&response.hosts, &response.groups, &response.services);
         if !response.bucket_digests.is_empty() {
--- a/crates/jujubehold_host/src/control/groups.rs
+++ b/crates/jujubehold_host/src/control/groups.rs
@@ -11,6 +11,7 @@
 use super::control_loop::Control;
 use super::group_driver::GroupDriver;
 use crate::observation::Observation;
+use crate::peer::PeerTarget;
 
 impl Control {
     /// Takes in what traffic learned; a status counts as much as a probe's.
@@ -222,7 +223,11 @@
             kind: Some(kind),
             is_for_domain,
         };
-        self.peers.notify(member.peer_address, request);
+        let to = PeerTarget {
+            host: host.clone(),
+            address: member.peer_address,
+        };
+        self.peers.notify(to, request);
     }
 }
 
--- a/crates/jujubehold_host/src/error.rs
+++ b/crates/jujubehold_host/src/error.rs
@@ -4,6 +4,8 @@
 
 use thiserror::Error;
 
+use crate::security::SecurityError;
+
 /// A fault that ends the host.
 #[derive(Debug, Error)]
 pub enum HostError {
@@ -15,6 +17,9 @@
         /// The system's error.
         source: std::io::Error,
     },
+    /// The host's TLS identity can't be used.
+    #[error(transparent)]
+    Security(#[from] SecurityError),
     /// A thread can't be started.
     #[error("can't start a thread: {0}")]
     Thread(std::io::Error),
--- a/crates/jujubehold_host/src/host.rs
+++ b/crates/jujubehold_host/src/host.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_rt::Arbiter;
 use jujubehold_core::drain::{Drain, DrainAction, DrainEvent, DrainSettings};
 use jujubehold_settings::HostSettings;
 use log::{info, warn};
@@ -17,8 +16,9 @@
 use crate::control::{Control, ControlEvent, ControlParts, ControlSender};
 use crate::drain_phase::DrainPhase;
 use crate::error::HostError;
+use crate::host_thread::HostThread;
 use crate::metrics_page;
-use crate::peer::serve_peers;
+use crate::peer::{PeerConnector, serve_peers};
 use crate::peer_sockets::PeerSockets;
 use crate::pool::Pools;
 use crate::routing_table::RoutingTable;
@@ -38,8 +38,8 @@
     events: ControlSender,
     phase: watch::Sender<DrainPhase>,
     threads: TrafficThreads,
-    control: Arbiter,
-    peers: Arbiter,
+    control: HostThread,
+    peers: HostThread,
 }
 
 /// Runs a host until `stop` is done, on the present actix system.
@@ -62,6 +62,7 @@
             metrics_page::install();
         }
         let listener = listen(settings.caller_address).await?;
+        let connector = PeerConnector::load(&settings)?;
         let peer_sockets = PeerSockets::open(settings.peer_address)?;
         let peer_address = peer_sockets.address;
         let clock = Clock::start();
@@ -69,10 +70,11 @@
         let (observations, observation_receiver) = mpsc::unbounded_channel();
         let (events_sender, events) = mpsc::unbounded_channel();
         let (phase, phase_receiver) = watch::channel(DrainPhase::Serving);
-        let control = Arbiter::new();
+        let control = HostThread::start();
         let parts = ControlParts {
             clock,
             peer_address,
+            connector: connector.clone(),
             socket: peer_sockets.datagrams,
             table: table_sender,
             observations: observation_receiver,
@@ -80,7 +82,9 @@
             events,
         };
         let control_settings = settings.clone();
-        control.spawn_fn(move || spawn_control(&control_settings, parts));
+        control
+            .handle()
+            .spawn_fn(move || spawn_control(&control_settings, parts));
         let threads = TrafficThreads::start(settings.traffic_threads);
         let shared = Arc::new(Shared {
             settings,
@@ -88,12 +92,15 @@
             table,
             observations,
             pools: Pools::default(),
+            connector,
             activity: Arc::default(),
             phase: phase_receiver,
         });
-        let peers = Arbiter::new();
+        let peers = HostThread::start();
         let (peer_events, peer_shared) = (events_sender.clone(), Arc::clone(&shared));
-        peers.spawn_fn(move || spawn_peers(peer_sockets.calls, peer_events, peer_shared));
+        peers
+            .handle()
+            .spawn_fn(move || spawn_peers(peer_sockets.calls, peer_events, peer_shared));
         let metrics_address = start_metrics(&shared.settings, &peers).await?;
         let address = listener.local_addr().ok();
         info!(host = shared.settings.host.as_str(), address:? = address; "listening");
@@ -159,11 +166,8 @@
         };
         tokio::join!(accepting, leaving);
         threads.stop();
-        for arbiter in [control, peers] {
-            arbiter.stop();
-            // A thread that panicked has said so.
-            let _ = arbiter.join();
-        }
+        control.join();
+        peers.join();
     }
 }
 
@@ -237,7 +241,7 @@
 
 async fn start_metrics(
     settings: &HostSettings,
-    arbiter: &Arbiter,
+    thread: &HostThread,
 ) -> Result<Option<SocketAddr>, HostError> {
     let Some(address) = settings.metrics_address else {
         return Ok(None);
@@ -246,7 +250,7 @@
     let listener = listen(address).await?;
     let bound = listener.local_addr().map_err(listen_error)?;
     let listener = listener.into_std().map_err(listen_error)?;
-    arbiter.spawn(async move {
+    thread.handle().spawn(async move {
         match TcpListener::from_std(listener) {
             Ok(listener) => {
                 actix_rt::spawn(metrics_page::serve(listener));
--- a/crates/jujubehold_host/src/lib.rs
+++ b/crates/jujubehold_host/src/lib.rs
@@ -10,6 +10,7 @@
 mod drain_phase;
 pub mod error;
 pub mod host;
+mod host_thread;
 pub mod metrics_page;
 pub mod observation;
 pub mod peer;
--- a/crates/jujubehold_host/src/peer/forwarded_lane.rs
+++ b/crates/jujubehold_host/src/peer/forwarded_lane.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -19,7 +18,8 @@
 use tonic::Streaming;
 use tonic::transport::Channel;
 
-use super::peer_clients::{MAX_MESSAGE_BYTES, channel_to};
+use super::peer_clients::{MAX_MESSAGE_BYTES, PeerTarget};
+use super::peer_connector::PeerConnector;
 use crate::routing_table::Owner;
 
 /// How many messages may wait for a slow owner; more of them hold the caller back.
@@ -29,7 +29,7 @@
 
 thread_local! {
     // A channel's work runs on the thread that opened it, so each thread keeps its own.
-    static CHANNELS: RefCell<BTreeMap<SocketAddr, Channel>> = const { RefCell::new(BTreeMap::new()) };
+    static CHANNELS: RefCell<BTreeMap<PeerTarget, Channel>> = const { RefCell::new(BTreeMap::new()) };
 }
 
 /// Why a connection could not be had from another host, or was lost.
@@ -84,10 +84,18 @@
     ///
     /// # Errors
     /// None of them lends one.
-    pub async fn open(owners: &[Owner], target: &ForwardTarget) -> Result<Self, ForwardError> {
+    pub async fn open(
+        connector: &PeerConnector,
+        owners: &[Owner],
+        target: &ForwardTarget,
+    ) -> Result<Self, ForwardError> {
         let mut failure = ForwardError::Unreachable("the instance has no owner".to_owned());
         for owner in owners.iter().filter(|owner| !owner.is_local) {
-            match Self::open_at(owner.peer_address, target).await {
+            let host = PeerTarget {
+                host: owner.host.clone(),
+                address: owner.peer_address,
+            };
+            match Self::open_at(connector, &host, target).await {
                 Ok(lane) => return Ok(lane),
                 Err(error) => {
                     counter!("jujubehold_retries_total", "reason" => "next_owner").increment(1);
@@ -98,22 +106,27 @@
         Err(failure)
     }
 
-    /// Borrows a connection from the host at `address`.
+    /// Borrows a connection from `host`.
     ///
     /// # Errors
     /// The host refuses or can't be reached; nothing was sent.
     pub async fn open_at(
-        address: SocketAddr,
+        connector: &PeerConnector,
+        host: &PeerTarget,
         target: &ForwardTarget,
     ) -> Result<Self, ForwardError> {
         let limit = target.wait + NETWORK_ALLOWANCE;
-        match tokio::time::timeout(limit, Self::try_open(address, target)).await {
+        match tokio::time::timeout(limit, Self::try_open(connector, host, target)).await {
             Ok(outcome) => outcome,
             Err(_) => Err(ForwardError::Unreachable("no answer in time".to_owned())),
         }
     }
 
-    async fn try_open(address: SocketAddr, target: &ForwardTarget) -> Result<Self, ForwardError> {
+    async fn try_open(
+        connector: &PeerConnector,
+        host: &PeerTarget,
+        target: &ForwardTarget,
+    ) -> Result<Self, ForwardError> {
         let (requests, receiver) = mpsc::channel(WAITING_REQUESTS);
         let open = peer::ForwardOpen {
             request_id: target.request_id.to_string(),
@@ -122,8 +135,10 @@
             term: target.term,
             wait_ms: u32::try_from(target.wait.as_millis()).unwrap_or(u32::MAX),
         };
+        // The channel has room, so the open is in place before the stream starts.
+        let _ = requests.try_send(request(RequestKind::Open(open)));
         let mut lane = Self {
-            responses: start_stream(address, &requests, receiver, open).await?,
+            responses: start_stream(channel(connector, host)?, receiver).await?,
             requests,
             sent: 0,
             received: 0,
@@ -211,18 +226,24 @@
     }
 }
 
+/// This thread's channel to a host.
+fn channel(connector: &PeerConnector, host: &PeerTarget) -> Result<Channel, ForwardError> {
+    CHANNELS.with_borrow_mut(|channels| {
+        if let Some(channel) = channels.get(host) {
+            return Ok(channel.clone());
+        }
+        let channel = connector
+            .channel(&host.host, host.address)
+            .map_err(|error| ForwardError::Unreachable(error.to_string()))?;
+        channels.insert(host.clone(), channel.clone());
+        Ok(channel)
+    })
+}
+
 async fn start_stream(
-    address: SocketAddr,
-    requests: &mpsc::Sender<peer::ForwardRequest>,
+    channel: Channel,
     receiver: mpsc::Receiver<peer::ForwardRequest>,
-    open: peer::ForwardOpen,
 ) -> Result<Streaming<peer::ForwardResponse>, ForwardError> {
-    // The channel has room, so the open is in place before the stream starts.
-    let _ = requests.try_send(request(RequestKind::Open(open)));
-    let channel = CHANNELS.with_borrow_mut(|channels| {
-        let channel = channels.entry(address);
-        channel.or_insert_with(|| channel_to(address)).clone()
-    });
     let mut client = PeerClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let response = client
         .forward(ReceiverStream::new(receiver))
--- a/crates/jujubehold_host/src/peer/mod.rs
+++ b/crates/jujubehold_host/src/peer/mod.rs
@@ -5,9 +5,12 @@
 mod forwarded_lane;
 mod messages;
 mod peer_clients;
+mod peer_connector;
 mod peer_server;
 
 pub use forwarded_lane::{ForwardError, ForwardTarget, ForwardedLane};
+pub use peer_clients::PeerTarget;
+pub use peer_connector::PeerConnector;
 
 pub(crate) use digest::{Digests, bucket_of};
 pub(crate) use messages::{host_message, member_of};
--- a/crates/jujubehold_host/src/peer/peer_clients.rs
+++ b/crates/jujubehold_host/src/peer/peer_clients.rs
@@ -4,12 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jujubehold_core::prelude::*;
 use jujubehold_wire::peer;
 use jujubehold_wire::peer::peer_client::PeerClient;
-use log::debug;
+use log::{debug, warn};
 use metrics::counter;
 use prost::Message;
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::Channel;
+
+use super::peer_connector::PeerConnector;
 
 /// How long a call of another host may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -18,22 +21,42 @@
 /// The longest message between hosts, in bytes.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
 
+/// A host and where it is reached.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PeerTarget {
+    /// Its name, which its certificate must carry.
+    pub host: HostId,
+    /// Its address for calls.
+    pub address: SocketAddr,
+}
+
 /// Channels to other hosts, opened when first used.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PeerClients {
-    channels: BTreeMap<SocketAddr, Channel>,
+    connector: PeerConnector,
+    channels: BTreeMap<PeerTarget, Channel>,
 }
 
 impl PeerClients {
+    /// No channels yet.
+    pub(crate) fn new(connector: PeerConnector) -> Self {
+        Self {
+            connector,
+            channels: BTreeMap::new(),
+        }
+    }
+
     /// Sends a notification; a lost one is made up for by the next exchange.
-    pub(crate) fn notify(&mut self, to: SocketAddr, request: peer::NotifyRequest) {
-        let mut client = self.client(to);
+    pub(crate) fn notify(&mut self, to: PeerTarget, request: peer::NotifyRequest) {
+        let Some(mut client) = self.client(&to) else {
+            return;
+        };
         count_sent(notification_kind(&request), request.encoded_len());
         actix_rt::spawn(async move {
             match tokio::time::timeout(CALL_TIMEOUT, client.notify(request)).await {
                 Ok(Ok(_)) => {}
-                Ok(Err(error)) => debug!("host at {to} was not notified: {error}"),
-                Err(_) => debug!("host at {to} was not notified in time"),
+                Ok(Err(error)) => debug!("host {} was not notified: {error}", to.host),
+                Err(_) => debug!("host {} was not notified in time", to.host),
             }
         });
     }
@@ -41,42 +64,41 @@
     /// Sends one call of an exchange and hands its answer to `on_answer`.
     pub(crate) fn exchange(
         &mut self,
-        with: SocketAddr,
+        with: PeerTarget,
         request: peer::ExchangeRequest,
         on_answer: impl FnOnce(peer::ExchangeResponse) + 'static,
     ) {
-        let mut client = self.client(with);
+        let Some(mut client) = self.client(&with) else {
+            return;
+        };
         count_sent("exchange", request.encoded_len());
         actix_rt::spawn(async move {
             match tokio::time::timeout(CALL_TIMEOUT, client.exchange(request)).await {
                 Ok(Ok(response)) => on_answer(response.into_inner()),
-                Ok(Err(error)) => debug!("no exchange with the host at {with}: {error}"),
-                Err(_) => debug!("no exchange with the host at {with} in time"),
+                Ok(Err(error)) => debug!("no exchange with host {}: {error}", with.host),
+                Err(_) => debug!("no exchange with host {} in time", with.host),
             }
         });
     }
 
-    fn client(&mut self, to: SocketAddr) -> PeerClient<Channel> {
-        if self.channels.len() >= MAX_CHANNELS && !self.channels.contains_key(&to) {
+    fn client(&mut self, to: &PeerTarget) -> Option<PeerClient<Channel>> {
+        if self.channels.len() >= MAX_CHANNELS && !self.channels.contains_key(to) {
             self.channels.clear();
         }
-        let channel = self.channels.entry(to).or_insert_with(|| channel_to(to));
-        PeerClient::new(channel.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES)
+        if !self.channels.contains_key(to) {
+            match self.connector.channel(&to.host, to.address) {
+                Ok(channel) => self.channels.insert(to.clone(), channel),
+                Err(error) => {
+                    warn!("no channel to host {}: {error}", to.host);
+                    return None;
+                }
+            };
+        }
+        let channel = self.channels.get(to)?.clone();
+        Some(PeerClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES))
     }
 }
 
-/// A channel to the host at `address`, which connects at its first call.
-///
-/// # Panics
-/// Never: an address and a port always make a good URI.
-pub(crate) fn channel_to(address: SocketAddr) -> Channel {
-    Endpoint::from_shared(format!("http://{address}"))
-        .expect("an address is a good URI")
-        .connect_timeout(CALL_TIMEOUT)
-        .tcp_nodelay(true)
-        .connect_lazy()
-}
-
 /// Counts a message to another host.
 pub(crate) fn count_sent(kind: &'static str, bytes: usize) {
     counter!("jujubehold_control_messages_sent_total", "kind" => kind).increment(1);
--- a/crates/jujubehold_host/src/peer/peer_server.rs
+++ b/crates/jujubehold_host/src/peer/peer_server.rs
@@ -25,11 +25,19 @@
 
 /// Serves other hosts on `listener` until its future is dropped.
 pub(crate) async fn serve_peers(listener: TcpListener, events: ControlSender, shared: Arc<Shared>) {
+    let shared_tls = shared.connector.server_config();
     let service = PeerServer::new(PeerService { events, shared })
         .max_decoding_message_size(MAX_MESSAGE_BYTES);
     let incoming = TcpListenerStream::new(listener);
-    let server = Server::builder().serve_with_incoming(service, incoming);
-    if let Err(error) = server.await {
+    let builder = match shared_tls {
+        Some(tls) => Server::builder().tls_config(tls),
+        None => Ok(Server::builder()),
+    };
+    let served = match builder {
+        Ok(server) => server.serve_with_incoming(service, incoming).await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = served {
         warn!("other hosts are not served any more: {error}");
     }
 }
--- a/crates/jujubehold_host/src/shared.rs
+++ b/crates/jujubehold_host/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::drain_phase::DrainPhase;
 use crate::observation::ObservationSender;
+use crate::peer::PeerConnector;
 use crate::pool::Pools;
 use crate::routing_table::RoutingTable;
 
@@ -25,6 +26,8 @@
     pub observations: ObservationSender,
     /// The connections to upstreams that this host owns.
     pub pools: Pools,
+    /// How channels to other hosts are opened.
+    pub connector: PeerConnector,
     /// What is in flight, which a shutdown waits for.
     pub activity: Arc<Activity>,
     /// How far the host's leaving has come.
--- a/crates/jujubehold_host/tests/control_many_hosts.rs
+++ b/crates/jujubehold_host/tests/control_many_hosts.rs
@@ -6,6 +6,7 @@
 use control::{Installation, RunningHost, wait_until};
 use jujubehold_core::prelude::*;
 use jujubehold_settings::HostSettings;
+use jujubehold_standin::database::Database;
 use jujubehold_standin::platform::Outage;
 
 const DOMAINS: [&str; 3] = ["delta", "piedmont", "gulf"];
@@ -55,7 +56,7 @@
     wait_until("all agree", || agree_on_new_primary(&hosts)).await;
     let primaries = installation.instances[1..]
         .iter()
-        .map(|instance| instance.status())
+        .map(Database::status)
         .filter(|status| status.role == Role::Primary);
     assert_eq!(primaries.count(), 1);
 }
@@ -107,6 +108,20 @@
     wait_until("everyone knows the remaining owner", all_moved).await;
 }
 
+#[actix_rt::test]
+async fn a_host_that_crashed_loses_its_ownership() {
+    let installation = Installation::start().await;
+    let mut hosts = hosts(&installation, 2).await;
+    hosts.remove(1).crash();
+    let owners = |host: &RunningHost| {
+        let route = host.route()?;
+        Some(route.owners.get("a")?.len())
+    };
+    // The hosts of other domains hear of it by exchanges.
+    let all_moved = || hosts.iter().all(|host| owners(host) == Some(1));
+    wait_until("everyone knows the remaining owner", all_moved).await;
+}
+
 #[actix_rt::test]
 async fn a_leaving_instance_is_seen_through_peers_while_the_platform_is_out() {
     let installation = Installation::start().await;
--- a/crates/jujubehold_host/tests/control_shutdown.rs
+++ b/crates/jujubehold_host/tests/control_shutdown.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use control::{Installation, RunningHost, SERVICE, wait_until};
-use jujubehold_host::peer::{ForwardTarget, ForwardedLane};
+use jujubehold_host::peer::{ForwardTarget, ForwardedLane, PeerConnector};
 use jujubehold_pg::{backend, query};
 use jujubehold_settings::HostSettings;
 
@@ -82,7 +82,7 @@
         term: 0,
         wait: Duration::from_secs(5),
     };
-    let mut lane = ForwardedLane::open_at(host.peer_address, &target)
+    let mut lane = ForwardedLane::open_at(&PeerConnector::default(), &host.target(), &target)
         .await
         .expect("it opens");
     host.ask_to_leave();
--- a/crates/jujubehold_host/tests/support/control.rs
+++ b/crates/jujubehold_host/tests/support/control.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use jujubehold_core::prelude::*;
+use jujubehold_host::peer::PeerTarget;
 use jujubehold_host::platform::{HOSTS_PREFIX, KvClient, SERVICES_PREFIX};
 use jujubehold_host::routing_table::RoutingTable;
 use jujubehold_host::{Host, HostError};
@@ -180,6 +181,21 @@
         }
     }
 
+    /// This host as one that is called.
+    pub(crate) fn target(&self) -> PeerTarget {
+        PeerTarget {
+            host: self.name.clone(),
+            address: self.peer_address,
+        }
+    }
+
+    /// Ends the host without a word, as a crash would.
+    pub(crate) fn crash(&mut self) {
+        if let Some(ended) = self.ended.take() {
+            ended.abort();
+        }
+    }
+
     /// The route of the tests' service.
     pub(crate) fn route(&self) -> Option<Arc<jujubehold_host::routing_table::ServiceRoute>> {
         self.tables.borrow().services.get(SERVICE).cloned()
