--- a/crates/jujubehold_core/tests/exploration/callers.rs
+++ b/crates/jujubehold_core/tests/exploration/callers.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Whether a write of a higher term than `term` was acknowledged.
+    pub(crate) fn has_acknowledged_past(&self, term: Term) -> bool {
+        self.acknowledged.values().any(|ack| ack.term > term)
+    }
+
     fn acknowledge(&mut self, at: At, write: &Write, term: Term, position: Position) {
         self.counts.acknowledged += 1;
         self.acknowledged.insert(write.id, Ack { term, at });
