--- a/crates/jujubehold_host/tests/control_configuration.rs
+++ b/crates/jujubehold_host/tests/control_configuration.rs
@@ -98,18 +98,22 @@
                 .all(|host| owners(host) == first || same_hosts(host, &hosts[0]))
     };
     wait_until("all agree on the owners", agree).await;
-    // Each watch is two watch calls, one for each prefix; a host that found that it is no watcher
-    // before its first call made none.
-    let watches = installation
-        .platform
-        .counts()
-        .get(&CallKind::Watch)
-        .copied();
-    assert!(watches.unwrap_or_default() <= 2 * 6);
+    let watches = || {
+        installation
+            .platform
+            .counts()
+            .get(&CallKind::Watch)
+            .copied()
+    };
+    let before = watches().unwrap_or_default();
+    installation.platform.set_outage(Outage::Refuse);
+    installation.platform.set_outage(Outage::None);
     // The remaining hosts still follow each change.
     installation.submit(&installation.config(2)).await;
     let have_all = || hosts.iter().all(|host| host.generation() == 2);
     wait_until("all have the second", have_all).await;
+    // Each of the two watches two prefixes; the others call nothing after the outage.
+    assert!(watches().unwrap_or_default() - before <= 4);
 }
 
 fn same_hosts(one: &RunningHost, other: &RunningHost) -> bool {
