--- a/crates/jujubehold_host/src/peer/forwarded_lane.rs
+++ b/crates/jujubehold_host/src/peer/forwarded_lane.rs
@@ -98,7 +98,7 @@
             match Self::open_at(connector, &host, target).await {
                 Ok(lane) => return Ok(lane),
                 Err(error) => {
-                    counter!("jujubehold_retries_total", "reason" => "next_owner").increment(1);
+                    counter!("jujubehold_retries_total", "reason" => RetryReason::OwnerMoved.as_str()).increment(1);
                     failure = error;
                 }
             }
--- a/crates/jujubehold_host/src/platform/config_watch.rs
+++ b/crates/jujubehold_host/src/platform/config_watch.rs
@@ -42,7 +42,7 @@
     loop {
         let mut hosts = BTreeMap::new();
         if let Err(error) = read_and_watch(&mut kv, &events, &mut hosts, &mut failures).await {
-            counter!("jujubehold_retries_total", "reason" => "platform_watch").increment(1);
+            counter!("jujubehold_platform_watch_retries_total").increment(1);
             if failures == 0 {
                 warn!("{error}");
             }
