Let a replica's own answer prove the term for its read

A group without writes had no proof of its term between samples, so reads of a stated age were sent on to the primary although the answering replica itself stood for the term.

--- a/crates/jujubehold_core/src/group_view.rs
+++ b/crates/jujubehold_core/src/group_view.rs
@@ -92,12 +92,35 @@
     /// That many instances and the primary meet every majority, so as long as they are not fenced
     /// past the term no majority is; see docs/notes/authority.md.
     pub fn term_proof(&self, replicas_needed: usize) -> Option<Monotonic> {
-        let mut proofs: Vec<_> = self
+        self.proof_of(replicas_needed, self.samples.values(), None)
+    }
+
+    /// The same, with an answer that the view has not taken in yet.
+    pub fn term_proof_with(
+        &self,
+        replicas_needed: usize,
+        sent_at: Monotonic,
+        status: &InstanceStatus,
+    ) -> Option<Monotonic> {
+        let others = self
             .samples
             .values()
-            .filter(|sample| Some(&sample.status.instance) != self.primary.as_ref())
-            .filter(|sample| sample.status.proves(self.term))
-            .map(|sample| sample.sent_at)
+            .filter(|sample| sample.status.instance != status.instance);
+        self.proof_of(replicas_needed, others, Some((sent_at, status)))
+    }
+
+    fn proof_of<'a>(
+        &'a self,
+        replicas_needed: usize,
+        samples: impl Iterator<Item = &'a Sample>,
+        latest: Option<(Monotonic, &'a InstanceStatus)>,
+    ) -> Option<Monotonic> {
+        let mut proofs: Vec<_> = samples
+            .map(|sample| (sample.sent_at, &sample.status))
+            .chain(latest)
+            .filter(|(_, status)| Some(&status.instance) != self.primary.as_ref())
+            .filter(|(_, status)| status.proves(self.term))
+            .map(|(sent_at, _)| sent_at)
             .collect();
         proofs.sort_unstable();
         let index = proofs.len().checked_sub(replicas_needed.max(1))?;
--- a/crates/jujubehold_core/src/read_policy.rs
+++ b/crates/jujubehold_core/src/read_policy.rs
@@ -109,6 +109,7 @@
     if replicas_needed == 0 {
         return Some(position_as_of);
     }
-    let proof_sent_at = view.term_proof(replicas_needed)?;
+    // A replica that answers a read stands for the term by that answer.
+    let proof_sent_at = view.term_proof_with(replicas_needed, sent_at, status)?;
     Some(position_as_of.min(proof_sent_at + authority.window))
 }
--- a/crates/jujubehold_core/tests/read_policy.rs
+++ b/crates/jujubehold_core/tests/read_policy.rs
@@ -127,3 +127,17 @@
     }
     assert!(read_candidates(&config, &view(), &need, &origin).is_empty());
 }
+
+#[test]
+fn a_replica_stands_for_the_term_by_its_own_answer() {
+    let mut view = view();
+    view.observe(ms(5000), status("a", "primary", 1, 130, "1:0"));
+    // No replica was asked since 2,000 ms but the one that answers the read.
+    let replica = status("b", "replica", 1, 130, "1:0");
+    let judged = judge(&aged(5010, 20), &view, 5010, &replica);
+    assert_eq!(judged, ReadJudgement::Serve);
+    let mut outdated = status("b", "replica", 1, 130, "1:0");
+    outdated.fence_term = 2;
+    let judged = judge(&aged(5010, 20), &view, 5010, &outdated);
+    assert_eq!(judged, ReadJudgement::Retry);
+}
