Let transactions of the stand-in read at READ COMMITTED until they write

A transaction that had read, or had met another one's lock, before another commit could not write any more (40001), which PostgreSQL does at a higher isolation level only. The SQL library's transaction now opens at the first write and takes the write lock. The first of the two new tests failed before.

A killed instance could still answer a COMMIT that was read at the same moment, as the two branches were polled in random order; the kill comes first now.

--- a/crates/jujubehold_standin/src/database/executor.rs
+++ b/crates/jujubehold_standin/src/database/executor.rs
@@ -62,32 +62,32 @@
         }
     }
 
-    pub(crate) fn begin(&mut self, transaction: Transaction) -> Result<(), SqlError> {
-        if let Some(open) = &mut self.transaction {
-            open.is_implicit &= transaction.is_implicit;
-            return Ok(());
+    pub(crate) fn begin(&mut self, transaction: Transaction) {
+        match &mut self.transaction {
+            Some(open) => open.is_implicit &= transaction.is_implicit,
+            None => self.transaction = Some(transaction),
         }
-        self.refresh()?;
-        self.connection.execute_batch("BEGIN")?;
-        self.transaction = Some(transaction);
-        Ok(())
     }
 
     /// Ends the transaction and returns the command tag.
     pub(crate) fn commit(&mut self) -> Result<&'static str, SqlError> {
-        let Some(transaction) = self.transaction.take() else {
-            return Ok("COMMIT");
-        };
-        if transaction.is_failed {
-            self.connection.execute_batch("ROLLBACK")?;
+        if self.status_byte() == b'E' {
+            self.rollback()?;
             return Ok("ROLLBACK");
         }
-        self.commit_writes(transaction.writes)?;
+        if let Some(transaction) = self.transaction.take().filter(|open| open.is_begun) {
+            let writes = if transaction.has_written {
+                transaction.writes
+            } else {
+                Vec::new()
+            };
+            self.commit_writes(writes)?;
+        }
         Ok("COMMIT")
     }
 
     pub(crate) fn rollback(&mut self) -> Result<(), SqlError> {
-        if self.transaction.take().is_some() {
+        if self.transaction.take().is_some_and(|open| open.is_begun) {
             self.connection.execute_batch("ROLLBACK")?;
         }
         Ok(())
@@ -115,9 +115,7 @@
         sql: &str,
         parameters: &[Value],
     ) -> Result<Attempt<Outcome>, SqlError> {
-        if self.transaction.is_none() {
-            self.refresh()?;
-        }
+        self.refresh()?;
         match self.run_prepared(sql, parameters) {
             Ok(outcome) => Ok(Attempt::Done(outcome)),
             Err(RunError::Busy) => Ok(Attempt::Busy),
@@ -131,9 +129,7 @@
         sql: &str,
         type_oids: &[u32],
     ) -> Result<Description, SqlError> {
-        if self.transaction.is_none() {
-            self.refresh()?;
-        }
+        self.refresh()?;
         let parameters = inference::parameter_types(&self.connection, sql, type_oids);
         let statement = self.connection.prepare(&without_postgres_forms(sql))?;
         let columns = columns_of(statement);
@@ -146,13 +142,14 @@
     fn run_prepared(&mut self, sql: &str, parameters: &[Value]) -> Result<Outcome, RunError> {
         let takes_lock = sql.trim_end().to_ascii_lowercase().ends_with("for update");
         let text = without_postgres_forms(sql);
+        if is_savepoint(&text) {
+            return self.run_savepoint(&text);
+        }
         let mut statement = self.connection.prepare(&text)?;
         bind(&mut statement, parameters)?;
-        let is_read = statement.readonly() && !is_savepoint(&text);
-        if is_read {
-            if takes_lock && self.transaction.is_some() {
-                // Any write takes the lock that the rows' lock stands for.
-                self.connection.execute_batch("PRAGMA user_version = 1")?;
+        if statement.readonly() {
+            if let Some(transaction) = self.transaction.as_mut().filter(|_| takes_lock) {
+                open_transaction(&self.connection, transaction, "BEGIN IMMEDIATE")?;
             }
             return Ok(collect(&self.connection, statement, sql)?);
         }
@@ -170,7 +167,9 @@
             .map_err(RunError::Sql)?;
         let expanded = statement.expanded_sql().unwrap_or(text);
         if let Some(transaction) = &mut self.transaction {
+            open_transaction(&self.connection, transaction, "BEGIN IMMEDIATE")?;
             let outcome = collect(&self.connection, statement, sql)?;
+            transaction.has_written = true;
             transaction.writes.push(expanded);
             return Ok(outcome);
         }
@@ -186,6 +185,24 @@
         Ok(outcome)
     }
 
+    /// Runs SAVEPOINT or RELEASE, which go to the log with the writes around them.
+    fn run_savepoint(&mut self, text: &str) -> Result<Outcome, RunError> {
+        let is_writable = self.shared.instance().check_writable().is_ok();
+        let Some(transaction) = &mut self.transaction else {
+            let message = "savepoints can only be used in transactions";
+            return Err(RunError::Sql(SqlError::new("25P01", message)));
+        };
+        let begin = if is_writable {
+            "BEGIN IMMEDIATE"
+        } else {
+            "BEGIN"
+        };
+        open_transaction(&self.connection, transaction, begin)?;
+        self.connection.execute_batch(text)?;
+        transaction.writes.push(text.to_owned());
+        Ok(Outcome::done(first_word(text)))
+    }
+
     /// Commits and gives the commit its position, or rolls back when the instance is fenced.
     ///
     /// The check, the commit and the position are one step under the instance's lock, so that
@@ -220,6 +237,9 @@
 
     /// Opens the database file anew when the instance has built another one.
     fn refresh(&mut self) -> Result<(), SqlError> {
+        if self.transaction.as_ref().is_some_and(|open| open.is_begun) {
+            return Ok(());
+        }
         let (file_number, path) = self.shared.instance().file();
         if file_number != self.file_number {
             self.connection = open_file(&path)?;
@@ -248,6 +268,19 @@
     }
 }
 
+/// Opens the SQL library's transaction unless it is open.
+fn open_transaction(
+    connection: &Connection,
+    transaction: &mut Transaction,
+    begin: &str,
+) -> rusqlite::Result<()> {
+    if !transaction.is_begun {
+        connection.execute_batch(begin)?;
+        transaction.is_begun = true;
+    }
+    Ok(())
+}
+
 fn is_savepoint(sql: &str) -> bool {
     matches!(first_word(sql).as_str(), "SAVEPOINT" | "RELEASE")
 }
--- a/crates/jujubehold_standin/src/database/server.rs
+++ b/crates/jujubehold_standin/src/database/server.rs
@@ -55,12 +55,14 @@
 async fn serve(shared: Arc<Shared>, stream: TcpStream) {
     let mut conditions = shared.conditions.subscribe();
     tokio::select! {
+        // What came before the kill is not answered after it.
+        biased;
+        _ = conditions.wait_for(|conditions| conditions.is_down) => {}
         result = serve_connection(&shared, stream) => {
             if let Err(error) = result {
                 log::debug!(instance = shared.settings.name.as_str(); "connection ended: {error}");
             }
         }
-        _ = conditions.wait_for(|conditions| conditions.is_down) => {}
     }
 }
 
--- a/crates/jujubehold_standin/src/database/session.rs
+++ b/crates/jujubehold_standin/src/database/session.rs
@@ -116,7 +116,7 @@
             self.executor.begin(Transaction {
                 is_implicit: true,
                 ..Transaction::default()
-            })?;
+            });
         }
         for sql in statements {
             let outcome = self.run_statement(sql, &[]).await?;
@@ -188,7 +188,7 @@
                 self.executor.begin(Transaction {
                     is_read_only,
                     ..Transaction::default()
-                })?;
+                });
                 Ok(Outcome::done("BEGIN"))
             }
             StatementKind::Commit => Ok(Outcome::done(self.executor.commit()?)),
--- a/crates/jujubehold_standin/tests/database/sessions.rs
+++ b/crates/jujubehold_standin/tests/database/sessions.rs
@@ -134,6 +134,42 @@
     );
 }
 
+#[actix_rt::test]
+async fn a_transaction_that_read_before_another_one_committed_may_still_write() {
+    let database = primary("a").await;
+    let first = connect(database.address()).await;
+    let second = connect(database.address()).await;
+    first.batch_execute(TABLE).await.unwrap();
+    text(&first, "BEGIN").await;
+    assert_eq!(text(&first, "SELECT count(*) FROM shares").await, "0");
+    text(&second, "INSERT INTO shares (id) VALUES (1)").await;
+    text(&first, "INSERT INTO shares (id) VALUES (2)").await;
+    assert_eq!(text(&first, "SELECT count(*) FROM shares").await, "2");
+    text(&first, "COMMIT").await;
+    assert_eq!(database.status().received, 3);
+}
+
+#[actix_rt::test]
+async fn writers_in_transactions_take_turns() {
+    let database = primary("a").await;
+    let setup = connect(database.address()).await;
+    setup.batch_execute(TABLE).await.unwrap();
+    let writers = (0..6).map(|number| {
+        let address = database.address();
+        async move {
+            let client = connect(address).await;
+            for step in 0..5 {
+                text(&client, "BEGIN").await;
+                let id = number * 10 + step;
+                text(&client, &format!("INSERT INTO shares (id) VALUES ({id})")).await;
+                text(&client, "COMMIT").await;
+            }
+        }
+    });
+    futures_util::future::join_all(writers).await;
+    assert_eq!(text(&setup, "SELECT count(*) FROM shares").await, "30");
+}
+
 #[actix_rt::test]
 async fn connections_over_the_limit_are_refused() {
     let database = Database::start(DatabaseSettings {
