Classify statements by what they may leave behind

Calls of functions that are not known to be pure, EXPLAIN ANALYZE, session state that a pool can't carry and a commit hidden in a longer text were taken for reads or plain writes. Adds the messages of the extended protocol as far as statement names go.

--- a/crates/jujubehold_pg/src/lib.rs
+++ b/crates/jujubehold_pg/src/lib.rs
@@ -4,17 +4,27 @@
 //! question about them. Those that it must understand are decoded by pgwire's codecs. Nothing here
 //! decides where a statement goes. See docs/ARCHITECTURE.md.
 
+mod classifier;
 mod classify;
+mod extended;
 mod frame;
 mod frame_reader;
+mod pure_functions;
 mod reply;
+mod session_command;
 mod startup;
 
-pub use classify::{Classifier, classify};
+pub use classifier::Classifier;
+pub use classify::{classify, combine};
+pub use extended::{
+    ExtendedMessage, bind_to, close_complete, close_statement, describe_statement, flush, parse,
+    parse_complete, sync,
+};
 pub use frame::{Frame, FrameError, backend, frontend};
 pub use frame_reader::FrameReader;
 pub use reply::{
     ErrorFields, command_complete, error_response, notice_response, parameter_status,
     ready_for_query, row_description, text_row,
 };
+pub use session_command::SessionCommand;
 pub use startup::{FirstPacket, query, read_first_packet, startup_message, terminate};
--- /dev/null
+++ b/crates/jujubehold_pg/src/session_command.rs
@@ -0,0 +1,74 @@
+//! Commands that set or show a setting of the session.
+
+use smol_str::SmolStr;
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::tokenizer::{Token, Tokenizer};
+
+/// A command on one setting.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SessionCommand {
+    /// `SHOW name`.
+    Show(SmolStr),
+    /// `SET name = value`, or `SET name TO value`.
+    Set {
+        /// The setting, in lower case.
+        name: SmolStr,
+        /// The value, without quotes.
+        value: SmolStr,
+    },
+    /// `RESET name`.
+    Reset(SmolStr),
+}
+
+impl SessionCommand {
+    /// Reads a command; `None` when the text is none.
+    pub fn parse(sql: &str) -> Option<Self> {
+        let tokens = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize().ok()?;
+        let mut tokens = tokens
+            .into_iter()
+            .filter(|token| !matches!(token, Token::Whitespace(_) | Token::SemiColon))
+            .peekable();
+        let verb = word(tokens.next()?)?;
+        let mut name = word(tokens.next()?)?;
+        if verb == "set" && name == "session" && matches!(tokens.peek(), Some(Token::Word(_))) {
+            name = word(tokens.next()?)?;
+        }
+        while tokens.peek() == Some(&Token::Period) {
+            tokens.next();
+            name = format!("{name}.{}", word(tokens.next()?)?);
+        }
+        let name = SmolStr::from(name);
+        match verb.as_str() {
+            "show" => Some(Self::Show(name)),
+            "reset" => Some(Self::Reset(name)),
+            "set" => {
+                let equals = tokens.next()?;
+                let is_to =
+                    matches!(&equals, Token::Word(to) if to.value.eq_ignore_ascii_case("to"));
+                if equals != Token::Eq && !is_to {
+                    return None;
+                }
+                let value = tokens.map(value_text).collect::<String>();
+                Some(Self::Set {
+                    name,
+                    value: value.into(),
+                })
+            }
+            _ => None,
+        }
+    }
+}
+
+fn word(token: Token) -> Option<String> {
+    match token {
+        Token::Word(word) => Some(word.value.to_ascii_lowercase()),
+        _ => None,
+    }
+}
+
+fn value_text(token: Token) -> String {
+    match token {
+        Token::SingleQuotedString(text) => text,
+        other => other.to_string(),
+    }
+}
