--- a/crates/jujubehold_host/src/host.rs
+++ b/crates/jujubehold_host/src/host.rs
@@ -16,7 +16,7 @@
 use crate::pool::Pools;
 use crate::routing_table::RoutingTable;
 use crate::shared::Shared;
-use crate::traffic::{TrafficThreads, accept_callers};
+use crate::traffic::{AdmissionDesk, ConfirmDesk, RetryBudgets, TrafficThreads, accept_callers};
 
 /// A host that listens for callers.
 #[derive(Debug)]
@@ -60,6 +60,10 @@
             table,
             observations,
             pools: Pools::default(),
+            admission: AdmissionDesk::default(),
+            retries: RetryBudgets::default(),
+            confirms: ConfirmDesk::default(),
+            cancels: Arc::default(),
         });
         info!(host = shared.settings.host.as_str(), address:% = address; "listening");
         Ok(Self {
--- a/crates/jujubehold_host/src/lib.rs
+++ b/crates/jujubehold_host/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod error;
 pub mod host;
+pub mod metric_names;
 pub mod observation;
 pub mod platform;
 pub mod pool;
--- a/crates/jujubehold_host/src/pool/connection.rs
+++ b/crates/jujubehold_host/src/pool/connection.rs
@@ -3,12 +3,15 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use jujubehold_pg::{Frame, FrameError, FrameReader, backend, startup_message};
+use smol_str::SmolStr;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use super::prepared_names::PreparedNames;
+
 /// The name under which the proxy connects to upstreams.
 const UPSTREAM_USER: &str = "jujubehold";
 
@@ -17,6 +20,27 @@
 pub struct UpstreamConnection {
     reader: FrameReader<OwnedReadHalf>,
     writer: OwnedWriteHalf,
+    prepared: PreparedNames,
+    cancel_target: Option<CancelTarget>,
+    settings: SmolStr,
+}
+
+/// What a request to cancel a connection's statement needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CancelTarget {
+    /// The upstream.
+    pub address: SocketAddr,
+    /// The upstream's process number and secret, as it sent them.
+    pub key: Bytes,
+}
+
+/// How far a send had come when it failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendFailure {
+    /// Not a byte was handed over.
+    NotSent,
+    /// Some bytes were handed over.
+    Sent,
 }
 
 impl UpstreamConnection {
@@ -36,11 +60,18 @@
         let mut connection = Self {
             reader: FrameReader::new(read_half, BytesMut::new()),
             writer,
+            prepared: PreparedNames::default(),
+            cancel_target: None,
+            settings: SmolStr::default(),
         };
         loop {
             let frame = connection.receive().await?;
             match frame.tag() {
                 backend::READY_FOR_QUERY => return Ok(connection),
+                backend::BACKEND_KEY_DATA => {
+                    let key = frame.bytes().slice(5..);
+                    connection.cancel_target = Some(CancelTarget { address, key });
+                }
                 backend::ERROR_RESPONSE => {
                     let detail = String::from_utf8_lossy(frame.body()).into_owned();
                     return Err(FrameError::Malformed(detail));
@@ -54,10 +85,25 @@
     ///
     /// # Errors
     /// The connection failed.
-    pub async fn send(&mut self, bytes: &Bytes) -> Result<(), FrameError> {
+    pub async fn send(&mut self, bytes: &[u8]) -> Result<(), FrameError> {
         Ok(self.writer.write_all(bytes).await?)
     }
 
+    /// Sends bytes of whole messages, and says of a failure whether any byte was handed over.
+    ///
+    /// # Errors
+    /// The connection failed.
+    pub async fn hand_over(&mut self, mut bytes: &[u8]) -> Result<(), SendFailure> {
+        let mut failure = SendFailure::NotSent;
+        while bytes.has_remaining() {
+            match self.writer.write_buf(&mut bytes).await {
+                Ok(0) | Err(_) => return Err(failure),
+                Ok(_) => failure = SendFailure::Sent,
+            }
+        }
+        Ok(())
+    }
+
     /// The next message.
     ///
     /// # Errors
@@ -65,4 +111,31 @@
     pub async fn receive(&mut self) -> Result<Frame, FrameError> {
         self.reader.read().await?.ok_or(FrameError::Truncated)
     }
+
+    /// Whether an idle connection still stands: it is open and nothing came unasked.
+    pub fn is_healthy(&self) -> bool {
+        if !self.reader.is_empty() {
+            return false;
+        }
+        let mut byte = [0];
+        match self.reader.get_ref().try_read(&mut byte) {
+            Ok(_) => false,
+            Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// The statements that the connection has prepared.
+    pub fn prepared(&mut self) -> &mut PreparedNames {
+        &mut self.prepared
+    }
+
+    /// What a cancel request for this connection needs; `None` when the upstream gave no key.
+    pub fn cancel_target(&self) -> Option<&CancelTarget> {
+        self.cancel_target.as_ref()
+    }
+
+    /// The commands that brought the connection's settings about; empty for the upstream's own.
+    pub fn settings(&mut self) -> &mut SmolStr {
+        &mut self.settings
+    }
 }
--- a/crates/jujubehold_host/src/pool/mod.rs
+++ b/crates/jujubehold_host/src/pool/mod.rs
@@ -2,6 +2,8 @@
 
 mod connection;
 mod pools;
+mod prepared_names;
 
-pub use connection::UpstreamConnection;
-pub use pools::{PooledConnection, Pools};
+pub use connection::{CancelTarget, SendFailure, UpstreamConnection};
+pub use pools::{PoolError, PooledConnection, Pools};
+pub use prepared_names::PreparedNames;
--- a/crates/jujubehold_host/src/pool/pools.rs
+++ b/crates/jujubehold_host/src/pool/pools.rs
@@ -2,12 +2,31 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::ThreadId;
+use std::time::{Duration, Instant};
 
 use jujubehold_core::prelude::*;
 use jujubehold_pg::FrameError;
+use metrics::counter;
+use thiserror::Error;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::connection::UpstreamConnection;
+use crate::metric_names::UPSTREAM_OPENS;
+
+/// How long a connection may lie idle before it is closed.
+const IDLE_LIMIT: Duration = Duration::from_mins(5);
+
+/// Why no connection could be had.
+#[derive(Debug, Error)]
+pub enum PoolError {
+    /// All connections stayed in use.
+    #[error("no connection came free in time")]
+    Busy,
+    /// The upstream can't be reached or refuses a connection.
+    #[error("no connection could be opened: {0}")]
+    Open(#[from] FrameError),
+}
 
 /// Pools by service and instance.
 #[derive(Debug, Default)]
@@ -18,7 +37,15 @@
 #[derive(Debug)]
 struct Pool {
     permits: Arc<Semaphore>,
-    idle: Mutex<Vec<UpstreamConnection>>,
+    limit: Mutex<usize>,
+    idle: Mutex<Vec<IdleConnection>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: UpstreamConnection,
+    thread: ThreadId,
+    since: Instant,
 }
 
 /// A connection that one request holds; it is closed when dropped, and pooled by
@@ -31,10 +58,11 @@
 }
 
 impl Pools {
-    /// Takes a connection to `instance`, an idle one where there is one.
+    /// Takes a connection to `instance`, an idle one where there is one, and never more than
+    /// `quota` of them at once.
     ///
     /// # Errors
-    /// The instance can't be reached or refuses a connection.
+    /// None came free within `wait`, or the instance refuses a new one.
     ///
     /// # Panics
     /// Never: the semaphore is not closed.
@@ -43,22 +71,26 @@
         service: &ServiceId,
         name: &InstanceId,
         instance: &InstanceConfig,
-    ) -> Result<PooledConnection, FrameError> {
-        let pool = self.pool(service, name, instance.connections);
-        let permit = pool
-            .permits
-            .clone()
-            .acquire_owned()
-            .await
-            .expect("the semaphore is never closed");
-        let idle = pool
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .pop();
-        let connection = match idle {
-            Some(connection) => connection,
-            None => UpstreamConnection::open(instance.address, service).await?,
+        quota: usize,
+        wait: Duration,
+    ) -> Result<PooledConnection, PoolError> {
+        let pool = self.pool(service, name, quota);
+        let permit = match pool.permits.clone().try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => tokio::time::timeout(wait, pool.permits.clone().acquire_owned())
+                .await
+                .map_err(|_| PoolError::Busy)?
+                .expect("the semaphore is never closed"),
+        };
+        let connection = if let Some(connection) = pool.take_idle() {
+            connection
+        } else {
+            counter!(UPSTREAM_OPENS, "service" => service.to_string(),
+                    "instance" => name.to_string())
+            .increment(1);
+            tokio::time::timeout(wait, UpstreamConnection::open(instance.address, service))
+                .await
+                .map_err(|_| PoolError::Busy)??
         };
         Ok(PooledConnection {
             connection,
@@ -67,16 +99,67 @@
         })
     }
 
-    fn pool(&self, service: &ServiceId, instance: &InstanceId, connections: u32) -> Arc<Pool> {
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+    fn pool(&self, service: &ServiceId, instance: &InstanceId, quota: usize) -> Arc<Pool> {
+        let mut pools = lock(&self.pools);
         let key = (service.clone(), instance.clone());
         let new_pool = || {
             Arc::new(Pool {
-                permits: Arc::new(Semaphore::new(connections as usize)),
+                permits: Arc::new(Semaphore::new(quota)),
+                limit: Mutex::new(quota),
                 idle: Mutex::new(Vec::new()),
             })
         };
-        pools.entry(key).or_insert_with(new_pool).clone()
+        let pool = pools.entry(key).or_insert_with(new_pool).clone();
+        drop(pools);
+        pool.resize(quota);
+        pool
+    }
+
+    /// Closes the idle connections to an instance, as when it leaves.
+    pub fn close_idle(&self, service: &ServiceId, instance: &InstanceId) {
+        let pool = lock(&self.pools)
+            .get(&(service.clone(), instance.clone()))
+            .cloned();
+        if let Some(pool) = pool {
+            lock(&pool.idle).clear();
+        }
+    }
+
+    /// How many connections to an instance lie idle.
+    pub fn idle_count(&self, service: &ServiceId, instance: &InstanceId) -> usize {
+        lock(&self.pools)
+            .get(&(service.clone(), instance.clone()))
+            .map_or(0, |pool| lock(&pool.idle).len())
+    }
+}
+
+impl Pool {
+    // A lower quota is reached as connections come back.
+    fn resize(&self, quota: usize) {
+        let mut limit = lock(&self.limit);
+        if quota > *limit {
+            self.permits.add_permits(quota - *limit);
+            *limit = quota;
+        } else if quota < *limit {
+            *limit -= self.permits.forget_permits(*limit - quota);
+        }
+    }
+
+    // A connection that was last used on this thread is polled without waking another one.
+    fn take_idle(&self) -> Option<UpstreamConnection> {
+        let mut idle = lock(&self.idle);
+        idle.retain(|entry| entry.since.elapsed() < IDLE_LIMIT);
+        let thread = std::thread::current().id();
+        loop {
+            let index = idle
+                .iter()
+                .rposition(|entry| entry.thread == thread)
+                .or_else(|| idle.len().checked_sub(1))?;
+            let entry = idle.remove(index);
+            if entry.connection.is_healthy() {
+                return Some(entry.connection);
+            }
+        }
     }
 }
 
@@ -88,10 +171,14 @@
 
     /// Gives a clean connection back: outside of a transaction, with every answer read.
     pub fn put_back(self) {
-        self.pool
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(self.connection);
+        lock(&self.pool.idle).push(IdleConnection {
+            connection: self.connection,
+            thread: std::thread::current().id(),
+            since: Instant::now(),
+        });
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/pool/prepared_names.rs
@@ -0,0 +1,43 @@
+//! Which statements a connection has prepared.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use smol_str::SmolStr;
+
+/// How many statements a connection keeps; the oldest is closed to make room.
+const CAPACITY: usize = 256;
+
+/// The names of a connection's prepared statements, which are derived from their texts.
+#[derive(Debug, Default)]
+pub struct PreparedNames {
+    names: BTreeSet<SmolStr>,
+    order: VecDeque<SmolStr>,
+}
+
+impl PreparedNames {
+    /// Whether the connection has the statement.
+    pub fn contains(&self, name: &str) -> bool {
+        self.names.contains(name)
+    }
+
+    /// Adds a statement; returns the one that must be closed for it, if any.
+    pub fn add(&mut self, name: SmolStr) -> Option<SmolStr> {
+        if !self.names.insert(name.clone()) {
+            return None;
+        }
+        self.order.push_back(name);
+        if self.order.len() <= CAPACITY {
+            return None;
+        }
+        let oldest = self.order.pop_front()?;
+        self.names.remove(&oldest);
+        Some(oldest)
+    }
+
+    /// Forgets a statement that could not be prepared.
+    pub fn remove(&mut self, name: &str) {
+        if self.names.remove(name) {
+            self.order.retain(|kept| kept != name);
+        }
+    }
+}
--- a/crates/jujubehold_host/src/shared.rs
+++ b/crates/jujubehold_host/src/shared.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
+use jujubehold_core::prelude::*;
 use jujubehold_settings::HostSettings;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::observation::ObservationSender;
 use crate::pool::Pools;
-use crate::routing_table::RoutingTable;
+use crate::routing_table::{RoutingTable, ServiceRoute};
+use crate::traffic::{AdmissionDesk, CancelKeys, ConfirmDesk, RetryBudgets};
 
 /// The parts of one host that its threads share.
 #[derive(Debug)]
@@ -23,4 +25,19 @@
     pub observations: ObservationSender,
     /// The connections to upstreams that this host owns.
     pub pools: Pools,
+    /// The queues of requests.
+    pub admission: AdmissionDesk,
+    /// The shares of retries.
+    pub retries: RetryBudgets,
+    /// The questions that stand behind acknowledgements.
+    pub confirms: ConfirmDesk,
+    /// The keys to cancel statements with.
+    pub cancels: Arc<CancelKeys>,
+}
+
+impl Shared {
+    /// The latest route of a service.
+    pub fn route(&self, service: &ServiceId) -> Option<Arc<ServiceRoute>> {
+        self.table.borrow().services.get(service).cloned()
+    }
 }
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/acknowledge.rs
@@ -0,0 +1,111 @@
+//! Gathers what stands behind a commit until it may be acknowledged.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use jujubehold_core::acknowledgement::{AckDecision, CommitEvidence, ReplicaAnswer};
+use jujubehold_core::prelude::*;
+use tokio::sync::oneshot;
+
+use super::confirm_desk::ask;
+use crate::routing_table::ServiceRoute;
+use crate::shared::Shared;
+
+/// A commit that the primary answered.
+#[derive(Debug, Clone)]
+pub(crate) struct Commit {
+    /// The primary.
+    pub(crate) instance: InstanceId,
+    /// Its term.
+    pub(crate) term: Term,
+    /// The position.
+    pub(crate) position: Position,
+    /// When the primary's status was asked for.
+    pub(crate) asked_at: Monotonic,
+}
+
+/// Waits until `commit` may be acknowledged; the acknowledgement must follow at once.
+///
+/// # Errors
+/// Says why it can't be known whether the commit lasts.
+pub(crate) async fn acknowledge(
+    shared: &Arc<Shared>,
+    route: &ServiceRoute,
+    commit: Commit,
+    deadline: Monotonic,
+) -> Result<(), UnknownReason> {
+    let service = &route.config.service;
+    let mut evidence = CommitEvidence {
+        term: commit.term,
+        position: commit.position,
+        primary_asked_at: commit.asked_at,
+        replicas: known_answers(route, &commit.instance),
+    };
+    let mut asked = BTreeSet::new();
+    let mut answers = FuturesUnordered::new();
+    loop {
+        let now = shared.clock.now();
+        let decision = evidence.decide(&route.config, &shared.settings.authority, now);
+        match decision {
+            AckDecision::Acknowledge => return Ok(()),
+            AckDecision::Unknown(reason) => return Err(reason),
+            AckDecision::AskPrimary | AckDecision::AskReplicas => {}
+        }
+        if now >= deadline {
+            return Err(UnknownReason::NotConfirmed);
+        }
+        let is_lapsed = decision == AckDecision::AskPrimary;
+        for instance in route.config.instances.keys() {
+            let is_primary = *instance == commit.instance;
+            if is_primary != is_lapsed || !asked.insert(instance.clone()) {
+                continue;
+            }
+            let position = if is_primary { 0 } else { commit.position };
+            let reply = ask(shared, service, instance, commit.term, position);
+            answers.push(named_answer(instance.clone(), reply));
+        }
+        let next = tokio::time::timeout(deadline.saturating_sub(now), answers.next());
+        let Ok(Some((instance, answer))) = next.await else {
+            return Err(UnknownReason::NotConfirmed);
+        };
+        asked.remove(&instance);
+        let Some(answer) = answer else {
+            continue;
+        };
+        if instance != commit.instance {
+            evidence.replicas.insert(instance, answer);
+        } else if answer.status.is_primary_of(commit.term) {
+            evidence.primary_asked_at = answer.asked_at;
+        } else {
+            return Err(UnknownReason::AuthorityLost);
+        }
+    }
+}
+
+async fn named_answer(
+    instance: InstanceId,
+    reply: oneshot::Receiver<ReplicaAnswer>,
+) -> (InstanceId, Option<ReplicaAnswer>) {
+    (instance, reply.await.ok())
+}
+
+// What probes have told may stand for the term already.
+fn known_answers(
+    route: &ServiceRoute,
+    primary: &InstanceId,
+) -> BTreeMap<InstanceId, ReplicaAnswer> {
+    let samples = route.view.samples.iter();
+    samples
+        .filter(|(instance, _)| *instance != primary)
+        .filter(|(instance, _)| route.config.instances.contains_key(*instance))
+        .map(|(instance, sample)| {
+            let answer = ReplicaAnswer {
+                asked_at: sample.sent_at,
+                status: sample.status.clone(),
+            };
+            (instance.clone(), answer)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/answer.rs
@@ -0,0 +1,106 @@
+//! Takes an upstream's answer and puts it for the caller.
+
+use bytes::Bytes;
+use jujubehold_pg::{Frame, FrameError, backend};
+use smol_str::SmolStr;
+
+use super::answer_plan::{AnswerPlan, Passage};
+use super::caller_io::CallerIo;
+use super::lane::Lane;
+
+/// An answer is given to the caller in pieces of about this size, in bytes.
+const PIECE_BYTES: usize = 16 * 1024;
+/// How much of an answer is held back before rows go out ahead of its end, in bytes.
+const HELD_BYTES: usize = 256 * 1024;
+
+/// Whether an answer may go to the caller as it comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Giving {
+    /// It may go out piece by piece.
+    AtOnce,
+    /// Its end, which tells of success, waits for the acknowledgement.
+    HoldEnd,
+}
+
+/// How an answer ended; its `ReadyForQuery` is not put yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Answered {
+    /// The transaction status; `None` when the pipeline goes on.
+    pub(crate) status: Option<u8>,
+    /// The SQLSTATE of the first error.
+    pub(crate) sqlstate: Option<SmolStr>,
+    /// Whether the last statement dropped its transaction.
+    pub(crate) is_rolled_back: bool,
+}
+
+/// Why an answer has no end.
+#[derive(Debug)]
+pub(crate) enum AnswerError {
+    /// The upstream's connection broke or is out of step.
+    Upstream,
+    /// The caller can't be written to.
+    Caller(FrameError),
+}
+
+/// Puts the whole answer.
+pub(crate) async fn pass_answer(
+    lane: &mut Lane,
+    mut plan: AnswerPlan,
+    io: &mut CallerIo,
+    giving: Giving,
+) -> Result<Answered, AnswerError> {
+    let mut answered = Answered {
+        status: None,
+        sqlstate: None,
+        is_rolled_back: false,
+    };
+    let mut has_completed = false;
+    loop {
+        plan.give_own(&mut io.out);
+        if plan.is_done() {
+            break;
+        }
+        let frame = lane.receive().await.map_err(|_| AnswerError::Upstream)?;
+        match plan.take(&frame) {
+            Passage::Give => {}
+            Passage::Drop => continue,
+            Passage::Ready(status) => {
+                answered.status = Some(status);
+                continue;
+            }
+            Passage::OutOfStep => return Err(AnswerError::Upstream),
+        }
+        match frame.tag() {
+            backend::ERROR_RESPONSE if answered.sqlstate.is_none() => {
+                answered.sqlstate = Some(sqlstate(&frame));
+            }
+            backend::COMMAND_COMPLETE => {
+                has_completed = true;
+                answered.is_rolled_back = frame.first_text() == Some("ROLLBACK");
+            }
+            _ => {}
+        }
+        io.put(&frame);
+        let may_give = match giving {
+            Giving::AtOnce => io.out.len() >= PIECE_BYTES,
+            Giving::HoldEnd => io.out.len() >= HELD_BYTES && !has_completed,
+        };
+        if may_give {
+            io.flush().await.map_err(AnswerError::Caller)?;
+        }
+    }
+    for name in plan.failed_statements() {
+        lane.prepared().remove(name);
+    }
+    Ok(answered)
+}
+
+/// The SQLSTATE of an error.
+fn sqlstate(error: &Frame) -> SmolStr {
+    let body: Bytes = error.bytes().slice(5..);
+    body.split(|byte| *byte == 0)
+        .find_map(|field| field.strip_prefix(b"C"))
+        .and_then(|code| std::str::from_utf8(code).ok())
+        .unwrap_or_default()
+        .into()
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/answer_plan.rs
@@ -0,0 +1,144 @@
+//! Which messages of an upstream answer which messages of a caller.
+
+use std::collections::VecDeque;
+
+use bytes::BytesMut;
+use jujubehold_pg::{Frame, backend, close_complete, parse_complete};
+use smol_str::SmolStr;
+
+/// One message whose answer is due.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// The caller's Parse of a statement with this upstream name.
+    Parse(SmolStr),
+    /// A Parse that the caller did not send.
+    ParseUnasked(SmolStr),
+    /// A Close that the caller did not send.
+    CloseUnasked,
+    /// The caller's Parse of a statement that the connection has already.
+    GiveParseComplete,
+    /// The caller's Close of a statement, which stays prepared.
+    GiveCloseComplete,
+    /// A Bind.
+    Bind,
+    /// A Describe.
+    Describe,
+    /// An Execute.
+    Execute,
+    /// A Close of a portal.
+    Close,
+    /// A Sync or a simple query.
+    Ready,
+}
+
+/// What becomes of a message of the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Passage {
+    /// It goes to the caller.
+    Give,
+    /// It answers what the proxy asked, and is dropped.
+    Drop,
+    /// It is a `ReadyForQuery` with this status.
+    Ready(u8),
+    /// It answers nothing that was asked: the connection is out of step.
+    OutOfStep,
+}
+
+/// The answers that are due, in their order.
+#[derive(Debug)]
+pub(crate) struct AnswerPlan {
+    steps: VecDeque<Step>,
+    failed: Vec<SmolStr>,
+}
+
+impl AnswerPlan {
+    /// A plan of these steps.
+    pub(crate) fn new(steps: Vec<Step>) -> Self {
+        Self {
+            steps: steps.into(),
+            failed: Vec::new(),
+        }
+    }
+
+    /// Gives the answers that the proxy makes itself and whose turn it is.
+    pub(crate) fn give_own(&mut self, out: &mut BytesMut) {
+        while let Some(step) = self.steps.front() {
+            match step {
+                Step::GiveParseComplete => parse_complete(out),
+                Step::GiveCloseComplete => close_complete(out),
+                _ => return,
+            }
+            self.steps.pop_front();
+        }
+    }
+
+    /// Whether every answer has come.
+    pub(crate) fn is_done(&self) -> bool {
+        self.steps.is_empty()
+    }
+
+    /// Statements that were not prepared after all.
+    pub(crate) fn failed_statements(&self) -> &[SmolStr] {
+        &self.failed
+    }
+
+    /// Takes the next message of the upstream.
+    pub(crate) fn take(&mut self, frame: &Frame) -> Passage {
+        match frame.tag() {
+            backend::NOTICE_RESPONSE | backend::PARAMETER_STATUS => return Passage::Give,
+            backend::NOTIFICATION_RESPONSE => return Passage::Drop,
+            backend::ERROR_RESPONSE => {
+                self.skip_to_ready();
+                return Passage::Give;
+            }
+            _ => {}
+        }
+        let Some(step) = self.steps.front() else {
+            return Passage::OutOfStep;
+        };
+        let (is_last, passage) = match (step, frame.tag()) {
+            (Step::Parse(_), backend::PARSE_COMPLETE)
+            | (Step::Bind, backend::BIND_COMPLETE)
+            | (Step::Close, backend::CLOSE_COMPLETE)
+            | (Step::Describe, backend::ROW_DESCRIPTION | backend::NO_DATA)
+            | (
+                Step::Execute,
+                backend::COMMAND_COMPLETE
+                | backend::EMPTY_QUERY_RESPONSE
+                | backend::PORTAL_SUSPENDED,
+            ) => (true, Passage::Give),
+            (Step::ParseUnasked(_), backend::PARSE_COMPLETE)
+            | (Step::CloseUnasked, backend::CLOSE_COMPLETE) => (true, Passage::Drop),
+            (Step::Ready, backend::READY_FOR_QUERY) => {
+                let status = frame.body().first().copied().unwrap_or(b'E');
+                (true, Passage::Ready(status))
+            }
+            (Step::Describe, backend::PARAMETER_DESCRIPTION)
+            | (Step::Execute, backend::DATA_ROW)
+            | (
+                Step::Ready,
+                backend::ROW_DESCRIPTION
+                | backend::DATA_ROW
+                | backend::COMMAND_COMPLETE
+                | backend::EMPTY_QUERY_RESPONSE,
+            ) => (false, Passage::Give),
+            _ => return Passage::OutOfStep,
+        };
+        if is_last {
+            self.steps.pop_front();
+        }
+        passage
+    }
+
+    // After an error the upstream passes over everything up to the Sync.
+    fn skip_to_ready(&mut self) {
+        while let Some(step) = self.steps.front() {
+            match step {
+                Step::Ready => return,
+                Step::Parse(name) | Step::ParseUnasked(name) => self.failed.push(name.clone()),
+                _ => {}
+            }
+            self.steps.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/caller_io.rs
@@ -0,0 +1,62 @@
+//! The caller's socket.
+
+use bytes::BytesMut;
+use jujubehold_pg::{Frame, FrameError, FrameReader};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+/// How much capacity an idle caller's output keeps, in bytes.
+const KEPT_BYTES: usize = 4096;
+
+/// Reads a caller's messages and writes its answers, each with as few calls as it can.
+#[derive(Debug)]
+pub(crate) struct CallerIo {
+    reader: FrameReader<OwnedReadHalf>,
+    writer: OwnedWriteHalf,
+    /// What goes to the caller at the next flush.
+    pub(crate) out: BytesMut,
+    /// Whether any byte of the present answer may have reached the caller.
+    pub(crate) has_given: bool,
+}
+
+impl CallerIo {
+    /// A socket from which `buffered` was read already.
+    pub(crate) fn new(reader: OwnedReadHalf, writer: OwnedWriteHalf, buffered: BytesMut) -> Self {
+        Self {
+            reader: FrameReader::new(reader, buffered),
+            writer,
+            out: BytesMut::new(),
+            has_given: false,
+        }
+    }
+
+    /// The caller's next message; `None` when it has left.
+    pub(crate) async fn read(&mut self) -> Result<Option<Frame>, FrameError> {
+        self.reader.read().await
+    }
+
+    /// Adds a message to what goes to the caller.
+    pub(crate) fn put(&mut self, frame: &Frame) {
+        self.out.extend_from_slice(frame.bytes());
+    }
+
+    /// Gives the caller what was put.
+    pub(crate) async fn flush(&mut self) -> Result<(), FrameError> {
+        if self.out.is_empty() {
+            return Ok(());
+        }
+        self.has_given = true;
+        self.writer.write_all(&self.out).await?;
+        self.clear();
+        Ok(())
+    }
+
+    /// Drops what was put and not given.
+    pub(crate) fn clear(&mut self) {
+        if self.out.capacity() > KEPT_BYTES {
+            self.out = BytesMut::new();
+        } else {
+            self.out.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/confirm_desk.rs
@@ -0,0 +1,164 @@
+//! Questions to instances that stand behind acknowledgements.
+//!
+//! The questions of all sessions to one instance go over one connection, one at a time, each for
+//! the highest position that is waited for; see docs/notes/write-path.md.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use jujubehold_core::acknowledgement::ReplicaAnswer;
+use jujubehold_core::prelude::*;
+use jujubehold_pg::query;
+use tokio::sync::{mpsc, oneshot};
+
+use super::lane::Lane;
+use super::status_answer::read_status;
+use crate::observation::Observation;
+use crate::shared::Shared;
+
+/// How long an instance is asked to wait for a position before it answers all the same.
+const WAIT: Duration = Duration::from_millis(100);
+/// How long an answer may take beyond that.
+const ANSWER_LIMIT: Duration = Duration::from_millis(300);
+/// How long a connection is kept for the next question.
+const KEEP: Duration = Duration::from_secs(1);
+/// The pause after a failure.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// The queues of questions, by service and instance.
+#[derive(Debug, Default)]
+pub struct ConfirmDesk {
+    queues: Mutex<BTreeMap<(ServiceId, InstanceId), mpsc::UnboundedSender<Question>>>,
+}
+
+#[derive(Debug)]
+struct Question {
+    term: Term,
+    position: Position,
+    reply: oneshot::Sender<ReplicaAnswer>,
+}
+
+/// Asks `instance` for its status once it has received `position` of `term`.
+///
+/// The reply is dropped when the instance gives no answer.
+pub(crate) fn ask(
+    shared: &Arc<Shared>,
+    service: &ServiceId,
+    instance: &InstanceId,
+    term: Term,
+    position: Position,
+) -> oneshot::Receiver<ReplicaAnswer> {
+    let (reply, receiver) = oneshot::channel();
+    let mut question = Question {
+        term,
+        position,
+        reply,
+    };
+    let key = (service.clone(), instance.clone());
+    let mut queues = shared
+        .confirms
+        .queues
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    if let Some(queue) = queues.get(&key) {
+        match queue.send(question) {
+            Ok(()) => return receiver,
+            Err(rejected) => question = rejected.0,
+        }
+    }
+    let (queue, questions) = mpsc::unbounded_channel();
+    // The receiver is at hand, so the queue takes the question.
+    let _ = queue.send(question);
+    queues.insert(key.clone(), queue);
+    let (service, instance) = key;
+    actix_rt::spawn(answer_questions(
+        shared.clone(),
+        service,
+        instance,
+        questions,
+    ));
+    receiver
+}
+
+async fn answer_questions(
+    shared: Arc<Shared>,
+    service: ServiceId,
+    instance: InstanceId,
+    mut questions: mpsc::UnboundedReceiver<Question>,
+) {
+    let mut lane = None;
+    loop {
+        let first = match tokio::time::timeout(KEEP, questions.recv()).await {
+            Ok(Some(question)) => question,
+            Ok(None) => return,
+            Err(_) => {
+                lane.take()
+                    .into_iter()
+                    .for_each(|lane: Lane| lane.finish(true));
+                match questions.recv().await {
+                    Some(question) => question,
+                    None => return,
+                }
+            }
+        };
+        let mut batch = vec![first];
+        while let Ok(question) = questions.try_recv() {
+            batch.push(question);
+        }
+        let taken = lane.take();
+        let limit = WAIT + ANSWER_LIMIT;
+        let answered =
+            tokio::time::timeout(limit, ask_once(&shared, &service, &instance, taken, &batch));
+        if let Ok(Some((open, answer))) = answered.await {
+            lane = Some(open);
+            for question in batch {
+                // A session that has ended needs no answer.
+                let _ = question.reply.send(answer.clone());
+            }
+        } else {
+            drop(batch);
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+async fn ask_once(
+    shared: &Shared,
+    service: &ServiceId,
+    instance: &InstanceId,
+    lane: Option<Lane>,
+    batch: &[Question],
+) -> Option<(Lane, ReplicaAnswer)> {
+    let mut lane = if let Some(lane) = lane {
+        lane
+    } else {
+        let route = shared.route(service)?;
+        let opened = Lane::open(shared, &route, instance, ANSWER_LIMIT);
+        opened.await.ok()?
+    };
+    let (term, position) = batch
+        .iter()
+        .map(|question| (question.term, question.position))
+        .max()?;
+    let sql = if position == 0 {
+        "SELECT group_status()".to_owned()
+    } else {
+        format!(
+            "SELECT group_wait({term}, {position}, {})",
+            WAIT.as_millis()
+        )
+    };
+    let asked_at = shared.clock.now();
+    lane.send(query(&sql).bytes()).await.ok()?;
+    let status = read_status(&mut lane).await.ok()??;
+    if status.fence_term > term || status.term > term {
+        // The control thread ends only with the host.
+        let _ = shared.observations.send(Observation::Status {
+            service: service.clone(),
+            sent_at: asked_at,
+            status: status.clone(),
+        });
+    }
+    Some((lane, ReplicaAnswer { asked_at, status }))
+}
--- a/crates/jujubehold_host/src/traffic/listener.rs
+++ b/crates/jujubehold_host/src/traffic/listener.rs
@@ -7,7 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::shared::Shared;
-use crate::traffic::caller::serve_caller;
+use crate::traffic::session_start::serve_caller;
 
 /// The threads that carry traffic.
 #[derive(Debug)]
@@ -59,11 +59,14 @@
             }
         };
         let shared = shared.clone();
-        threads.next().spawn(async move {
-            match TcpStream::from_std(stream) {
-                Ok(stream) => serve_caller(stream, shared).await,
-                Err(error) => warn!("a caller was not accepted: {error}"),
-            }
+        // The session's future stays on the thread that it is made on.
+        threads.next().spawn_fn(move || {
+            actix_rt::spawn(async move {
+                match TcpStream::from_std(stream) {
+                    Ok(stream) => serve_caller(stream, shared).await,
+                    Err(error) => warn!("a caller was not accepted: {error}"),
+                }
+            });
         });
     }
 }
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/session_command.rs
@@ -0,0 +1,117 @@
+//! Answers commands on the session's settings in place of an upstream.
+
+use std::rc::Rc;
+
+use bytes::{BufMut, BytesMut};
+use jujubehold_core::prelude::*;
+use jujubehold_pg::{
+    backend, close_complete, command_complete, parse_complete, ready_for_query, row_description,
+    text_row,
+};
+
+use super::prepared::Prepared;
+use super::session::{Session, UnitError, refusal};
+use super::session_settings::{CommandReply, SESSION_SETTING};
+use super::unit::{ExtendedItem, StatementRef, Unit};
+
+impl Session {
+    /// Answers a unit that holds nothing but session commands.
+    pub(crate) async fn run_session_unit(&mut self, unit: &Unit) -> Result<(), UnitError> {
+        let mut bound = None;
+        if let Some(text) = unit.text() {
+            let reply = self.command(text)?;
+            if let CommandReply::Shown { name, .. } = &reply {
+                self.io.put(&row_description(&[name]));
+            }
+            self.put_reply(&reply);
+        }
+        for item in unit.items() {
+            self.run_session_item(item, &mut bound)?;
+        }
+        if !unit.ends_with_flush {
+            let status = self.pinned.as_ref().map_or(b'I', |pinned| pinned.status);
+            self.io.put(&ready_for_query(status));
+        }
+        self.io.flush().await.map_err(UnitError::Caller)
+    }
+
+    fn run_session_item(
+        &mut self,
+        item: &ExtendedItem,
+        bound: &mut Option<Rc<Prepared>>,
+    ) -> Result<(), UnitError> {
+        match item {
+            ExtendedItem::Parse(prepared) if prepared.class == StatementClass::Session => {
+                parse_complete(&mut self.io.out);
+            }
+            ExtendedItem::Bind {
+                statement: StatementRef::Known(prepared),
+                ..
+            } if prepared.class == StatementClass::Session => {
+                *bound = Some(prepared.clone());
+                put_empty(&mut self.io.out, backend::BIND_COMPLETE);
+            }
+            ExtendedItem::DescribeStatement(StatementRef::Known(prepared))
+                if prepared.class == StatementClass::Session =>
+            {
+                self.io.out.put_u8(backend::PARAMETER_DESCRIPTION);
+                self.io.out.put_u32(6);
+                self.io.out.put_u16(0);
+                self.put_description(prepared);
+            }
+            ExtendedItem::DescribePortal(_) => {
+                let prepared = bound.clone().ok_or(RefusalReason::ProtocolViolation)?;
+                self.put_description(&prepared);
+            }
+            ExtendedItem::Execute(_) => {
+                let prepared = bound.clone().ok_or(RefusalReason::ProtocolViolation)?;
+                let reply = self.command(prepared.text())?;
+                self.put_reply(&reply);
+            }
+            ExtendedItem::CloseStatement | ExtendedItem::ClosePortal(_) => {
+                close_complete(&mut self.io.out);
+            }
+            ExtendedItem::Sync | ExtendedItem::Flush => {}
+            ExtendedItem::Parse(_)
+            | ExtendedItem::Bind { .. }
+            | ExtendedItem::DescribeStatement(_) => {
+                return Err(RefusalReason::UnsupportedSessionState.into());
+            }
+        }
+        Ok(())
+    }
+
+    fn command(&mut self, text: &str) -> Result<CommandReply, UnitError> {
+        self.run_command(text).map_err(|refused| UnitError::Hinted {
+            refusal: refusal(refused.reason),
+            hint: refused.hint,
+        })
+    }
+
+    fn put_description(&mut self, prepared: &Prepared) {
+        let text = prepared.text().trim_start();
+        if text
+            .get(..4)
+            .is_some_and(|verb| verb.eq_ignore_ascii_case("show"))
+        {
+            self.io.put(&row_description(&[SESSION_SETTING]));
+        } else {
+            put_empty(&mut self.io.out, backend::NO_DATA);
+        }
+    }
+
+    fn put_reply(&mut self, reply: &CommandReply) {
+        match reply {
+            CommandReply::Shown { value, .. } => {
+                self.io.put(&text_row(&[Some(value)]));
+                self.io.put(&command_complete("SHOW"));
+            }
+            CommandReply::Done(tag) => self.io.put(&command_complete(tag)),
+        }
+    }
+}
+
+fn put_empty(out: &mut BytesMut, tag: u8) {
+    out.put_u8(tag);
+    out.put_u32(4);
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/session_settings.rs
@@ -0,0 +1,212 @@
+//! Settings of a caller's session: the proxy's own, and those that go along to each connection.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use jujubehold_core::prelude::*;
+use jujubehold_core::session_floor::FloorKnowledge;
+use jujubehold_core::session_token::verify_token;
+use jujubehold_pg::SessionCommand;
+use smol_str::SmolStr;
+
+use super::session::Session;
+use crate::shared::Shared;
+
+/// The setting that carries the session's floor.
+pub(crate) const SESSION_SETTING: &str = "jujubehold.session";
+
+/// The most settings that a session may carry along.
+const MAX_SETTINGS: usize = 32;
+
+/// Settings that change whose rights a statement has, or how its text is read.
+const REFUSED: &[&str] = &[
+    "role",
+    "session_authorization",
+    "session",
+    "standard_conforming_strings",
+];
+
+/// Settings whose only possible value the proxy has already told the caller, or which only
+/// describe the caller.
+const IGNORED: &[&str] = &["application_name", "client_encoding", "names"];
+
+/// What a session brings along at its start.
+#[derive(Debug, Default)]
+pub(crate) struct StartupSettings {
+    /// The floor of its token, if it brought one.
+    pub(crate) floor: Option<Floor>,
+    /// Settings for each connection, as SQL values.
+    pub(crate) carried: CarriedSettings,
+}
+
+/// Settings that are brought about on each connection that the session uses.
+#[derive(Debug, Default)]
+pub(crate) struct CarriedSettings {
+    values: BTreeMap<SmolStr, SmolStr>,
+    commands: SmolStr,
+}
+
+/// What a session command answers.
+#[derive(Debug)]
+pub(crate) enum CommandReply {
+    /// `SHOW` with the value.
+    Shown {
+        /// The setting's name, which is the column's.
+        name: SmolStr,
+        /// Its value.
+        value: String,
+    },
+    /// The command's tag.
+    Done(&'static str),
+}
+
+/// Why a session command is refused, and what to do.
+#[derive(Debug)]
+pub(crate) struct CommandRefusal {
+    pub(crate) reason: RefusalReason,
+    pub(crate) hint: &'static str,
+}
+
+impl StartupSettings {
+    /// Takes a startup parameter.
+    pub(crate) fn take(
+        &mut self,
+        shared: &Shared,
+        service: &ServiceId,
+        name: &str,
+        value: &str,
+    ) -> Result<(), RefusalReason> {
+        let name = name.to_ascii_lowercase();
+        if name == SESSION_SETTING {
+            self.floor = read_token(shared, service, value)?;
+            return Ok(());
+        }
+        let quoted = format!("'{}'", value.replace('\'', "''"));
+        self.carried
+            .set(&name, &quoted)
+            .map_err(|refusal| refusal.reason)
+    }
+}
+
+impl CarriedSettings {
+    /// The commands that bring the settings about; empty when there are none.
+    pub(crate) fn commands(&self) -> &SmolStr {
+        &self.commands
+    }
+
+    fn set(&mut self, name: &str, sql_value: &str) -> Result<(), CommandRefusal> {
+        if IGNORED.contains(&name) {
+            return Ok(());
+        }
+        let is_name = name
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'.');
+        let is_refused = REFUSED.contains(&name)
+            || name.starts_with("transaction")
+            || name.starts_with("jujubehold.")
+            || !is_name
+            || sql_value.is_empty()
+            || sql_value.contains('\\');
+        if is_refused || self.values.len() >= MAX_SETTINGS {
+            return Err(CommandRefusal {
+                reason: RefusalReason::UnsupportedSessionState,
+                hint: "Set it for the user or the database in the upstream.",
+            });
+        }
+        self.values.insert(name.into(), sql_value.into());
+        self.write_commands();
+        Ok(())
+    }
+
+    fn reset(&mut self, name: &str) {
+        if name == "all" {
+            self.values.clear();
+        } else {
+            self.values.remove(name);
+        }
+        self.write_commands();
+    }
+
+    fn write_commands(&mut self) {
+        let mut commands = String::new();
+        for (name, value) in &self.values {
+            let _ = write!(commands, "SET {name} = {value};");
+        }
+        self.commands = commands.into();
+    }
+}
+
+impl Session {
+    /// Runs a session command.
+    pub(crate) fn run_command(&mut self, sql: &str) -> Result<CommandReply, CommandRefusal> {
+        let Some(command) = SessionCommand::parse(sql) else {
+            return Err(CommandRefusal {
+                reason: RefusalReason::UnsupportedSessionState,
+                hint: "Use SET name = value, SHOW name or RESET name.",
+            });
+        };
+        match command {
+            SessionCommand::Show(name) if name == SESSION_SETTING => Ok(CommandReply::Shown {
+                name,
+                value: self.token(),
+            }),
+            SessionCommand::Show(_) => Err(CommandRefusal {
+                reason: RefusalReason::UnsupportedSessionState,
+                hint: "There is no such setting.",
+            }),
+            SessionCommand::Set { name, value, .. } if name == SESSION_SETTING => {
+                self.take_token(&value).map_err(|reason| CommandRefusal {
+                    reason,
+                    hint: "Use the token that was given out for this service.",
+                })?;
+                Ok(CommandReply::Done("SET"))
+            }
+            SessionCommand::Reset(name) if name == SESSION_SETTING => {
+                self.floor = FloorKnowledge::Unknown;
+                Ok(CommandReply::Done("RESET"))
+            }
+            SessionCommand::Set { .. } | SessionCommand::Reset(_) if self.pinned.is_some() => {
+                Err(CommandRefusal {
+                    reason: RefusalReason::UnsupportedSessionState,
+                    hint: "Use SET LOCAL within a transaction, or SET before it.",
+                })
+            }
+            SessionCommand::Set {
+                name, sql_value, ..
+            } => {
+                self.carried.set(&name, &sql_value)?;
+                Ok(CommandReply::Done("SET"))
+            }
+            SessionCommand::Reset(name) => {
+                self.carried.reset(&name);
+                Ok(CommandReply::Done("RESET"))
+            }
+        }
+    }
+
+    // A token never lowers the floor of what this session wrote itself.
+    fn take_token(&mut self, token: &str) -> Result<(), RefusalReason> {
+        let Some(floor) = read_token(&self.shared, &self.service, token)? else {
+            if !matches!(self.floor, FloorKnowledge::Floor(_)) {
+                self.floor = FloorKnowledge::NoWrites;
+            }
+            return Ok(());
+        };
+        self.raise_floor(floor.term, floor.position);
+        Ok(())
+    }
+}
+
+// An empty token says that the session has written nothing yet.
+fn read_token(
+    shared: &Shared,
+    service: &ServiceId,
+    token: &str,
+) -> Result<Option<Floor>, RefusalReason> {
+    if token.is_empty() {
+        return Ok(None);
+    }
+    verify_token(shared.settings.token_key.as_bytes(), service, token)
+        .map(Some)
+        .map_err(|_| RefusalReason::TokenInvalid)
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/status_answer.rs
@@ -0,0 +1,30 @@
+//! The answer to a status query.
+
+use jujubehold_core::prelude::*;
+use jujubehold_pg::{Frame, FrameError, backend};
+
+use super::lane::Lane;
+
+/// The query that every instance answers with its status.
+pub(crate) const STATUS_QUERY: &str = "SELECT group_status()";
+
+/// Where the text of a row's one column starts: after the column count and the text's length.
+const TEXT_START: usize = 6;
+
+/// Reads the answer to a status query to its end; `None` when it holds no status.
+pub(crate) async fn read_status(lane: &mut Lane) -> Result<Option<InstanceStatus>, FrameError> {
+    let mut status = None;
+    loop {
+        let frame = lane.receive().await?;
+        match frame.tag() {
+            backend::DATA_ROW => status = status_of_row(&frame),
+            backend::READY_FOR_QUERY => return Ok(status),
+            _ => {}
+        }
+    }
+}
+
+fn status_of_row(row: &Frame) -> Option<InstanceStatus> {
+    let text = row.body().get(TEXT_START..)?;
+    InstanceStatus::parse(std::str::from_utf8(text).ok()?)
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/unit.rs
@@ -0,0 +1,229 @@
+//! What a caller sends up to the point where it waits for an answer.
+
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use jujubehold_core::prelude::*;
+use jujubehold_pg::{
+    Frame, bind_to, close_statement, combine, describe_statement, flush, parse, sync,
+};
+use smol_str::SmolStr;
+
+use super::answer_plan::{AnswerPlan, Step};
+use super::lane::Lane;
+use super::prepared::Prepared;
+
+/// One simple query, or messages of the extended protocol up to a Sync or a Flush.
+#[derive(Debug)]
+pub(crate) struct Unit {
+    /// What it does.
+    pub(crate) class: StatementClass,
+    /// Whether it holds one statement at the most, so that an error says that nothing ran.
+    pub(crate) is_single: bool,
+    /// Whether the caller goes on with the same pipeline.
+    pub(crate) ends_with_flush: bool,
+    /// When it was read whole.
+    pub(crate) arrived_at: Monotonic,
+    /// When its answer is due.
+    pub(crate) deadline: Monotonic,
+    messages: Messages,
+}
+
+#[derive(Debug)]
+enum Messages {
+    Simple(Frame),
+    Extended(Vec<ExtendedItem>),
+}
+
+/// One message of the extended protocol, with the caller's statement names resolved.
+#[derive(Debug)]
+pub(crate) enum ExtendedItem {
+    Parse(Rc<Prepared>),
+    Bind {
+        statement: StatementRef,
+        portal: SmolStr,
+        rest: bytes::Bytes,
+    },
+    DescribeStatement(StatementRef),
+    DescribePortal(Frame),
+    Execute(Frame),
+    CloseStatement,
+    ClosePortal(Frame),
+    Sync,
+    Flush,
+}
+
+/// A statement, or the name of one that the caller never prepared.
+#[derive(Debug)]
+pub(crate) enum StatementRef {
+    Known(Rc<Prepared>),
+    Unknown(SmolStr),
+}
+
+impl Unit {
+    /// A simple query.
+    pub(crate) fn simple(frame: Frame, class: StatementClass, is_single: bool) -> Self {
+        Self {
+            class,
+            is_single,
+            ends_with_flush: false,
+            arrived_at: Monotonic::ZERO,
+            deadline: Monotonic::ZERO,
+            messages: Messages::Simple(frame),
+        }
+    }
+
+    /// Messages that end with a Sync or a Flush.
+    pub(crate) fn extended(items: Vec<ExtendedItem>) -> Self {
+        let classes: Vec<_> = items.iter().filter_map(ExtendedItem::run_class).collect();
+        Self {
+            is_single: classes.len() <= 1,
+            class: combine(classes),
+            ends_with_flush: matches!(items.last(), Some(ExtendedItem::Flush)),
+            arrived_at: Monotonic::ZERO,
+            deadline: Monotonic::ZERO,
+            messages: Messages::Extended(items),
+        }
+    }
+
+    /// Whether any of it is a command on the session's settings, which no upstream sees.
+    pub(crate) fn has_session_command(&self) -> bool {
+        self.class == StatementClass::Session
+            || self
+                .items()
+                .iter()
+                .filter_map(ExtendedItem::statement)
+                .any(|prepared| prepared.class == StatementClass::Session)
+    }
+
+    /// The text of a simple query.
+    pub(crate) fn text(&self) -> Option<&str> {
+        match &self.messages {
+            Messages::Simple(frame) => frame.first_text(),
+            Messages::Extended(_) => None,
+        }
+    }
+
+    /// The messages of the extended protocol; none for a simple query.
+    pub(crate) fn items(&self) -> &[ExtendedItem] {
+        match &self.messages {
+            Messages::Simple(_) => &[],
+            Messages::Extended(items) => items,
+        }
+    }
+
+    /// Writes the messages as `lane`'s connection needs them, and says what answers they bring.
+    pub(crate) fn write_for(&self, lane: &mut Lane, out: &mut BytesMut) -> AnswerPlan {
+        let items = match &self.messages {
+            Messages::Simple(frame) => {
+                out.extend_from_slice(frame.bytes());
+                return AnswerPlan::new(vec![Step::Ready]);
+            }
+            Messages::Extended(items) => items,
+        };
+        let mut steps = Vec::with_capacity(items.len() + 1);
+        for item in items {
+            item.write_for(lane, out, &mut steps);
+        }
+        AnswerPlan::new(steps)
+    }
+}
+
+impl ExtendedItem {
+    fn run_class(&self) -> Option<StatementClass> {
+        match self {
+            Self::Bind {
+                statement: StatementRef::Known(prepared),
+                ..
+            } => Some(prepared.class),
+            _ => None,
+        }
+    }
+
+    /// The statement that the message is about, if the caller prepared it.
+    pub(crate) fn statement(&self) -> Option<&Rc<Prepared>> {
+        match self {
+            Self::Parse(prepared)
+            | Self::Bind {
+                statement: StatementRef::Known(prepared),
+                ..
+            }
+            | Self::DescribeStatement(StatementRef::Known(prepared)) => Some(prepared),
+            _ => None,
+        }
+    }
+
+    fn write_for(&self, lane: &mut Lane, out: &mut BytesMut, steps: &mut Vec<Step>) {
+        match self {
+            Self::Parse(prepared) => {
+                if lane.prepared().contains(&prepared.upstream_name) {
+                    steps.push(Step::GiveParseComplete);
+                } else {
+                    prepare(prepared, lane, out, steps);
+                    steps.push(Step::Parse(prepared.upstream_name.clone()));
+                }
+            }
+            Self::Bind {
+                statement,
+                portal,
+                rest,
+            } => {
+                let name = statement.prepare_on(lane, out, steps);
+                bind_to(out, portal, &name, rest);
+                steps.push(Step::Bind);
+            }
+            Self::DescribeStatement(statement) => {
+                let name = statement.prepare_on(lane, out, steps);
+                describe_statement(out, &name);
+                steps.push(Step::Describe);
+            }
+            Self::DescribePortal(frame) => {
+                out.extend_from_slice(frame.bytes());
+                steps.push(Step::Describe);
+            }
+            Self::Execute(frame) => {
+                out.extend_from_slice(frame.bytes());
+                steps.push(Step::Execute);
+            }
+            Self::CloseStatement => steps.push(Step::GiveCloseComplete),
+            Self::ClosePortal(frame) => {
+                out.extend_from_slice(frame.bytes());
+                steps.push(Step::Close);
+            }
+            Self::Sync => {
+                sync(out);
+                steps.push(Step::Ready);
+            }
+            Self::Flush => flush(out),
+        }
+    }
+}
+
+impl StatementRef {
+    // The name on the connection, which has the statement prepared from here on.
+    fn prepare_on(&self, lane: &mut Lane, out: &mut BytesMut, steps: &mut Vec<Step>) -> SmolStr {
+        match self {
+            Self::Known(prepared) => {
+                if !lane.prepared().contains(&prepared.upstream_name) {
+                    prepare(prepared, lane, out, steps);
+                    steps.push(Step::ParseUnasked(prepared.upstream_name.clone()));
+                }
+                prepared.upstream_name.clone()
+            }
+            // The upstream's own error names the statement as the caller does.
+            Self::Unknown(name) => name.clone(),
+        }
+    }
+}
+
+fn prepare(prepared: &Prepared, lane: &mut Lane, out: &mut BytesMut, steps: &mut Vec<Step>) {
+    if lane.may_hold_unknown_statements() {
+        close_statement(out, &prepared.upstream_name);
+        steps.push(Step::CloseUnasked);
+    }
+    if let Some(oldest) = lane.prepared().add(prepared.upstream_name.clone()) {
+        close_statement(out, &oldest);
+        steps.push(Step::CloseUnasked);
+    }
+    parse(out, &prepared.upstream_name, &prepared.text_and_types);
+}
--- a/crates/jujubehold_host/src/traffic/upstream_error.rs
+++ b/crates/jujubehold_host/src/traffic/upstream_error.rs
@@ -7,9 +7,14 @@
 
 /// The error that tells a caller that its request was not run, and when to come back.
 pub(crate) fn refusal_error(refusal: &Refusal) -> Frame {
+    refusal_with_hint(refusal, "The request did not run.")
+}
+
+/// The same with a hint of its own.
+pub(crate) fn refusal_with_hint(refusal: &Refusal, hint: &str) -> Frame {
     let name = refusal.reason.as_str();
     let mut detail = format!("verdict=not_run reason={name}");
-    let mut hint = "The request did not run.".to_owned();
+    let mut hint = hint.to_owned();
     if let Some(wait) = refusal.retry_after {
         let wait_ms = wait.as_millis();
         let _ = write!(detail, " retry_after_ms={wait_ms}");
@@ -26,9 +31,18 @@
 
 /// The error that tells a caller that its request may have run.
 pub(crate) fn unknown_error(reason: UnknownReason) -> Frame {
+    unknown_with_severity(reason, "ERROR")
+}
+
+/// The error that ends a session in which a request may have run, or half an answer was given.
+pub(crate) fn fatal_error(reason: UnknownReason) -> Frame {
+    unknown_with_severity(reason, "FATAL")
+}
+
+fn unknown_with_severity(reason: UnknownReason, severity: &str) -> Frame {
     let name = reason.as_str();
     error_response(ErrorFields {
-        severity: "ERROR".into(),
+        severity: severity.into(),
         sqlstate: reason.sqlstate().into(),
         message: format!("it is not known whether the request ran: {name}"),
         detail: format!("verdict=unknown reason={name}"),
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/write_path.rs
@@ -0,0 +1,243 @@
+//! Writes outside of a transaction, and the acknowledgement of commits.
+//!
+//! The status that is asked for right after the write tells the commit's position; the answer
+//! waits until [`acknowledge`] lets it go. See docs/notes/write-path.md.
+
+use bytes::BytesMut;
+use jujubehold_core::prelude::*;
+use jujubehold_core::route::route_write;
+use jujubehold_core::session_floor::FloorKnowledge;
+use jujubehold_pg::{parameter_status, query, ready_for_query};
+use metrics::{counter, histogram};
+
+use super::acknowledge::{Commit, acknowledge};
+use super::answer::{AnswerError, Answered, Giving, pass_answer};
+use super::lane::{Lane, LaneError};
+use super::read_path::READ_ONLY_SQLSTATE;
+use super::session::{Session, UnitError};
+use super::session_settings::SESSION_SETTING;
+use super::status_answer::{STATUS_QUERY, read_status};
+use super::transaction::Pinned;
+use super::unit::Unit;
+use crate::metric_names::{CONFIRM_SECONDS, WRITES};
+use crate::pool::SendFailure;
+use crate::routing_table::ServiceRoute;
+
+/// How old the last status of a replica may be for it to count as able to confirm.
+const CONFIRMING_AGE: std::time::Duration = std::time::Duration::from_secs(3);
+
+/// What became of one attempt at a write.
+enum Tried {
+    /// The caller has its answer.
+    Done,
+    /// It surely did not run; another attempt may do.
+    Again(RetryReason),
+}
+
+impl Session {
+    /// Runs a write on the primary and acknowledges it.
+    pub(crate) async fn run_write(
+        &mut self,
+        unit: &Unit,
+        route: &ServiceRoute,
+    ) -> Result<(), UnitError> {
+        let first = self.try_write(unit, route).await?;
+        let Tried::Again(reason) = first else {
+            return Ok(());
+        };
+        // The route may have changed with what the first attempt showed.
+        let latest = self.shared.route(&self.service);
+        let latest = latest.ok_or(RefusalReason::UnknownService)?;
+        let is_same = latest.view.primary == route.view.primary;
+        if reason == RetryReason::NotPrimary && is_same {
+            return Err(RefusalReason::NoPrimary.into());
+        }
+        if !self.shared.retries.try_retry(&self.service, reason) {
+            return Err(RefusalReason::RetryBudgetSpent.into());
+        }
+        match self.try_write(unit, &latest).await? {
+            Tried::Done => Ok(()),
+            Tried::Again(RetryReason::NotPrimary) => Err(RefusalReason::NoPrimary.into()),
+            Tried::Again(_) => Err(RefusalReason::UpstreamUnreachable.into()),
+        }
+    }
+
+    async fn try_write(&mut self, unit: &Unit, route: &ServiceRoute) -> Result<Tried, UnitError> {
+        let instance = route_write(&route.config, &route.view)?;
+        self.check_before_write(route)?;
+        let wait = unit.deadline.saturating_sub(self.shared.clock.now());
+        let mut lane = match Lane::open(&self.shared, route, &instance, wait).await {
+            Ok(lane) => lane,
+            Err(LaneError::Retry(reason)) => {
+                self.report_unreachable(&instance);
+                return Ok(Tried::Again(reason));
+            }
+            Err(LaneError::Busy) => return Err(RefusalReason::DeadlineTooShort.into()),
+        };
+        let mut bytes = BytesMut::new();
+        if self.write_settings(&mut lane, &mut bytes) {
+            if lane.send(&bytes).await.is_err() {
+                return Ok(Tried::Again(RetryReason::BrokenBeforeSend));
+            }
+            if !self.read_settings_answer(&mut lane).await? {
+                return Err(RefusalReason::UnsupportedSessionState.into());
+            }
+            bytes.clear();
+        }
+        let plan = unit.write_for(&mut lane, &mut bytes);
+        bytes.extend_from_slice(query(STATUS_QUERY).bytes());
+        self.key.running.start(lane.cancel_target());
+        let asked_at = self.shared.clock.now();
+        match lane.send(&bytes).await {
+            Ok(()) => {}
+            Err(SendFailure::NotSent) => {
+                self.report_unreachable(&instance);
+                return Ok(Tried::Again(RetryReason::BrokenBeforeSend));
+            }
+            Err(SendFailure::Sent) => {
+                self.report_unreachable(&instance);
+                return Err(UnitError::Unknown(UnknownReason::ConnectionLost));
+            }
+        }
+        let passed = pass_answer(&mut lane, plan, &mut self.io, Giving::HoldEnd).await;
+        let answered = self.check_passed(passed, &instance)?;
+        if answered.status != Some(b'I') {
+            // The text opened a transaction; its status query ran within.
+            return self.pin_after(lane, instance, answered).await;
+        }
+        let is_refused = answered.sqlstate.as_deref() == Some(READ_ONLY_SQLSTATE);
+        if is_refused && unit.is_single && !self.io.has_given {
+            if let Ok(Some(status)) = read_status(&mut lane).await {
+                self.report_status(route, asked_at, &status);
+            }
+            self.io.clear();
+            self.finish_lane(lane);
+            return Ok(Tried::Again(RetryReason::NotPrimary));
+        }
+        let status = read_status(&mut lane).await;
+        if answered.sqlstate.is_some() && unit.is_single {
+            // The upstream's own error says that nothing ran.
+            self.finish_lane(lane);
+            self.io.put(&ready_for_query(b'I'));
+            self.io.flush().await.map_err(UnitError::Caller)?;
+            return Ok(Tried::Done);
+        }
+        let Ok(Some(status)) = status else {
+            self.report_unreachable(&instance);
+            return Err(UnitError::Unknown(UnknownReason::ConnectionLost));
+        };
+        self.finish_lane(lane);
+        self.report_status(route, asked_at, &status);
+        self.acknowledge_commit(unit, route, instance, asked_at, &status)
+            .await?;
+        Ok(Tried::Done)
+    }
+
+    /// Gives the caller the end of a commit's answer, once that may be.
+    pub(crate) async fn acknowledge_commit(
+        &mut self,
+        unit: &Unit,
+        route: &ServiceRoute,
+        instance: InstanceId,
+        asked_at: Monotonic,
+        status: &InstanceStatus,
+    ) -> Result<(), UnitError> {
+        if !status.is_primary_of(status.term) {
+            return Err(UnitError::Unknown(UnknownReason::AuthorityLost));
+        }
+        let commit = Commit {
+            instance,
+            term: status.term,
+            position: status.last_commit,
+            asked_at,
+        };
+        let (term, position) = (commit.term, commit.position);
+        let token = self.token_raised_to(term, position);
+        let started_at = self.shared.clock.now();
+        let acknowledged = acknowledge(&self.shared, route, commit, unit.deadline).await;
+        acknowledged.map_err(UnitError::Unknown)?;
+        self.raise_floor(term, position);
+        // Nothing waits between the decision and the write to the caller's socket.
+        self.io.put(&parameter_status(SESSION_SETTING, &token));
+        self.io.put(&ready_for_query(b'I'));
+        self.io.flush().await.map_err(UnitError::Caller)?;
+        let confirm_time = self.shared.clock.now().saturating_sub(started_at);
+        histogram!(CONFIRM_SECONDS, "service" => self.service.to_string())
+            .record(confirm_time.as_secs_f64());
+        counter!(WRITES, "service" => self.service.to_string()).increment(1);
+        Ok(())
+    }
+
+    /// Turns a broken answer into what the caller is told.
+    pub(crate) fn check_passed(
+        &mut self,
+        passed: Result<Answered, AnswerError>,
+        instance: &InstanceId,
+    ) -> Result<Answered, UnitError> {
+        match passed {
+            Ok(answered) => Ok(answered),
+            Err(AnswerError::Caller(error)) => Err(UnitError::Caller(error)),
+            Err(AnswerError::Upstream) => {
+                self.report_unreachable(instance);
+                Err(UnitError::Unknown(UnknownReason::ConnectionLost))
+            }
+        }
+    }
+
+    // What is known to fail is refused before anything is sent.
+    fn check_before_write(&self, route: &ServiceRoute) -> Result<(), UnitError> {
+        let view = &route.view;
+        if let FloorKnowledge::Floor(floor) = &self.floor {
+            let sample = view
+                .primary
+                .as_ref()
+                .and_then(|name| view.samples.get(name));
+            let is_cut = sample.is_some_and(|sample| {
+                sample.status.is_primary_of(view.term)
+                    && floor.check(&sample.status) == FloorCheck::Cut
+            });
+            if is_cut {
+                return Err(RefusalReason::FloorLost.into());
+            }
+            if floor.term > view.term {
+                return Err(RefusalReason::NoPrimary.into());
+            }
+        }
+        let now = self.shared.clock.now();
+        let able = view
+            .samples
+            .iter()
+            .filter(|(name, _)| route.config.instances.contains_key(*name))
+            .filter(|(name, _)| view.primary.as_ref() != Some(*name))
+            .filter(|(_, sample)| now.saturating_sub(sample.sent_at) < CONFIRMING_AGE)
+            .filter(|(_, sample)| sample.status.proves(view.term))
+            .count();
+        let needed = route.config.confirming_replicas();
+        if able < needed.max(route.config.proving_replicas()) {
+            return Err(RefusalReason::NoConfirmingReplica.into());
+        }
+        Ok(())
+    }
+
+    async fn pin_after(
+        &mut self,
+        mut lane: Lane,
+        instance: InstanceId,
+        answered: Answered,
+    ) -> Result<Tried, UnitError> {
+        if read_status(&mut lane).await.is_err() {
+            return Err(UnitError::Unknown(UnknownReason::ConnectionLost));
+        }
+        let status = answered.status.unwrap_or(b'E');
+        self.io.put(&ready_for_query(status));
+        self.pinned = Some(Pinned {
+            lane,
+            instance,
+            is_primary: true,
+            is_in_pipeline: false,
+            status,
+        });
+        self.io.flush().await.map_err(UnitError::Caller)?;
+        Ok(Tried::Done)
+    }
+}
--- a/crates/jujubehold_pg/src/session_command.rs
+++ b/crates/jujubehold_pg/src/session_command.rs
@@ -15,6 +15,8 @@
         name: SmolStr,
         /// The value, without quotes.
         value: SmolStr,
+        /// The value as it is written in SQL; empty when it is more than names, texts and numbers.
+        sql_value: SmolStr,
     },
     /// `RESET name`.
     Reset(SmolStr),
@@ -48,10 +50,18 @@
                 if equals != Token::Eq && !is_to {
                     return None;
                 }
-                let value = tokens.map(value_text).collect::<String>();
+                let tokens: Vec<_> = tokens.collect();
+                let is_plain = tokens.iter().all(is_plain_value);
+                let sql_value = tokens.iter().map(ToString::to_string).collect::<String>();
+                let value = tokens.into_iter().map(value_text).collect::<String>();
                 Some(Self::Set {
                     name,
                     value: value.into(),
+                    sql_value: if is_plain {
+                        sql_value.into()
+                    } else {
+                        SmolStr::default()
+                    },
                 })
             }
             _ => None,
@@ -66,6 +76,17 @@
     }
 }
 
+fn is_plain_value(token: &Token) -> bool {
+    matches!(
+        token,
+        Token::Word(_)
+            | Token::SingleQuotedString(_)
+            | Token::Number(..)
+            | Token::Comma
+            | Token::Minus
+    )
+}
+
 fn value_text(token: Token) -> String {
     match token {
         Token::SingleQuotedString(text) => text,
--- a/crates/jujubehold_pg/tests/classify.rs
+++ b/crates/jujubehold_pg/tests/classify.rs
@@ -83,6 +83,7 @@
         Some(SessionCommand::Set {
             name: "jujubehold.session".into(),
             value: "a.b".into(),
+            sql_value: "'a.b'".into(),
         })
     );
     let show = SessionCommand::parse("show jujubehold.session");
