--- a/crates/jujubehold_pg/src/lib.rs
+++ b/crates/jujubehold_pg/src/lib.rs
@@ -11,6 +11,11 @@
 mod frame_reader;
 mod pure_functions;
 mod reply;
+mod scram_client;
+mod scram_error;
+mod scram_frames;
+mod scram_server;
+mod scram_verifier;
 mod session_command;
 mod startup;
 
@@ -26,5 +31,13 @@
     ErrorFields, command_complete, error_response, notice_response, parameter_status,
     ready_for_query, row_description, text_row,
 };
+pub use scram_client::ScramClient;
+pub use scram_error::ScramError;
+pub use scram_frames::{
+    authentication_ok, sasl_continue, sasl_final, sasl_initial_response, sasl_mechanisms,
+    sasl_response,
+};
+pub use scram_server::{SCRAM_SHA_256, ScramServer};
+pub use scram_verifier::ScramVerifier;
 pub use session_command::SessionCommand;
 pub use startup::{FirstPacket, query, read_first_packet, startup_message, terminate};
