Prove reads, writes, transactions and sessions against stand-ins

A statement that can't run is now refused when it is prepared. The stand-in learns RESET, which pooled settings need.

--- a/crates/jujubehold_host/src/host.rs
+++ b/crates/jujubehold_host/src/host.rs
@@ -13,10 +13,9 @@
 use crate::clock::Clock;
 use crate::control::Control;
 use crate::error::HostError;
-use crate::pool::Pools;
 use crate::routing_table::RoutingTable;
 use crate::shared::Shared;
-use crate::traffic::{AdmissionDesk, ConfirmDesk, RetryBudgets, TrafficThreads, accept_callers};
+use crate::traffic::{TrafficThreads, accept_callers};
 
 /// A host that listens for callers.
 #[derive(Debug)]
@@ -54,17 +53,7 @@
         let control_state = Control::new(&settings, clock, table_sender, observation_receiver);
         control.spawn(control_state.run());
         let threads = TrafficThreads::start(settings.traffic_threads);
-        let shared = Arc::new(Shared {
-            settings,
-            clock,
-            table,
-            observations,
-            pools: Pools::default(),
-            admission: AdmissionDesk::default(),
-            retries: RetryBudgets::default(),
-            confirms: ConfirmDesk::default(),
-            cancels: Arc::default(),
-        });
+        let shared = Arc::new(Shared::new(settings, clock, table, observations));
         info!(host = shared.settings.host.as_str(), address:% = address; "listening");
         Ok(Self {
             listener,
--- a/crates/jujubehold_host/src/shared.rs
+++ b/crates/jujubehold_host/src/shared.rs
@@ -36,6 +36,26 @@
 }
 
 impl Shared {
+    /// The parts of a host that has no callers yet.
+    pub fn new(
+        settings: HostSettings,
+        clock: Clock,
+        table: watch::Receiver<Arc<RoutingTable>>,
+        observations: ObservationSender,
+    ) -> Self {
+        Self {
+            settings,
+            clock,
+            table,
+            observations,
+            pools: Pools::default(),
+            admission: AdmissionDesk::default(),
+            retries: RetryBudgets::default(),
+            confirms: ConfirmDesk::default(),
+            cancels: Arc::default(),
+        }
+    }
+
     /// The latest route of a service.
     pub fn route(&self, service: &ServiceId) -> Option<Arc<ServiceRoute>> {
         self.table.borrow().services.get(service).cloned()
--- a/crates/jujubehold_host/src/traffic/unit.rs
+++ b/crates/jujubehold_host/src/traffic/unit.rs
@@ -76,9 +76,17 @@
     /// Messages that end with a Sync or a Flush.
     pub(crate) fn extended(items: Vec<ExtendedItem>) -> Self {
         let classes: Vec<_> = items.iter().filter_map(ExtendedItem::run_class).collect();
+        let mut statements = items.iter().filter_map(ExtendedItem::statement);
+        // One that can't run is told of when it is prepared.
+        let is_unsupported =
+            statements.any(|prepared| prepared.class == StatementClass::Unsupported);
         Self {
             is_single: classes.len() <= 1,
-            class: combine(classes),
+            class: if is_unsupported {
+                StatementClass::Unsupported
+            } else {
+                combine(classes)
+            },
             ends_with_flush: matches!(items.last(), Some(ExtendedItem::Flush)),
             arrived_at: Monotonic::ZERO,
             deadline: Monotonic::ZERO,
--- /dev/null
+++ b/crates/jujubehold_host/tests/traffic/malformed.rs
@@ -0,0 +1,84 @@
+//! Malformed, oversized and truncated messages end their own session and no other.
+
+use std::time::Duration;
+
+use jujubehold_core::prelude::*;
+use jujubehold_pg::{query, startup_message};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::support::{Bench, HANG, text};
+
+async fn start_session(bench: &Bench) -> TcpStream {
+    let mut stream = TcpStream::connect(bench.address).await.unwrap();
+    let parameters = [("user", "clerk"), ("database", "ledger")]
+        .map(|(name, value)| (name.to_owned(), value.to_owned()));
+    stream
+        .write_all(&startup_message(parameters.into()))
+        .await
+        .unwrap();
+    let mut bytes = [0; 1024];
+    let mut count = 0;
+    while count < 6 || bytes[count - 6] != b'Z' {
+        count += stream.read(&mut bytes[count..]).await.unwrap();
+    }
+    stream
+}
+
+async fn is_closed(mut stream: TcpStream) -> bool {
+    let mut rest = Vec::new();
+    let read = stream.read_to_end(&mut rest);
+    // A reset ends it as well.
+    tokio::time::timeout(HANG, read).await.is_ok()
+}
+
+#[actix_rt::test]
+async fn bad_messages_end_their_session() {
+    let mut bench = Bench::start(ServiceConfig::default()).await;
+    bench.create_counter().await;
+    let bad: [&[u8]; 5] = [
+        // An impossible length.
+        b"Q\0\0\0\x01",
+        // Over the limit.
+        b"Q\x7f\xff\xff\xff",
+        // An unknown tag.
+        b"?\0\0\0\x04",
+        // A Parse without the end of its name.
+        b"P\0\0\0\x06ab",
+        // A function call.
+        b"F\0\0\0\x04",
+    ];
+    for bytes in bad {
+        let mut stream = start_session(&bench).await;
+        stream.write_all(bytes).await.unwrap();
+        assert!(is_closed(stream).await, "{bytes:?}");
+    }
+    let client = bench.connect().await;
+    assert_eq!(text(&client, "SELECT n FROM counter").await, "0");
+}
+
+#[actix_rt::test]
+async fn half_a_message_runs_nothing() {
+    let mut bench = Bench::start(ServiceConfig::default()).await;
+    bench.create_counter().await;
+    let mut stream = start_session(&bench).await;
+    let update = query("UPDATE counter SET n = 1");
+    let half = &update.bytes()[..update.bytes().len() - 4];
+    stream.write_all(half).await.unwrap();
+    stream.shutdown().await.unwrap();
+    assert!(is_closed(stream).await);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let client = bench.connect().await;
+    assert_eq!(text(&client, "SELECT n FROM counter").await, "0");
+}
+
+#[actix_rt::test]
+async fn garbage_for_a_start_is_closed() {
+    let bench = Bench::start(ServiceConfig::default()).await;
+    for bytes in [&b"GET / HTTP/1.0\r\n\r\n"[..], &[0, 0, 0, 9, 0, 3, 0, 0, 1]] {
+        let mut stream = TcpStream::connect(bench.address).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        stream.shutdown().await.unwrap();
+        assert!(is_closed(stream).await);
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_host/tests/traffic/session_state.rs
@@ -0,0 +1,77 @@
+//! Session state that a pool can't carry is refused; what it can carry goes along.
+
+use jujubehold_core::prelude::*;
+
+use crate::support::{Bench, run, text, try_run};
+
+#[actix_rt::test]
+async fn session_state_is_refused_with_a_hint() {
+    let mut bench = Bench::start(ServiceConfig::default()).await;
+    bench.create_counter().await;
+    let client = bench.connect().await;
+    for sql in [
+        "CREATE TEMP TABLE t (a int)",
+        "LISTEN a",
+        "NOTIFY a",
+        "COPY counter TO STDOUT",
+        "SELECT pg_advisory_lock(1)",
+        "DECLARE c CURSOR WITH HOLD FOR SELECT 1",
+        "PREPARE p AS SELECT 1",
+        "EXECUTE p",
+        "COMMIT AND CHAIN",
+        "SET role = admin",
+    ] {
+        let (sqlstate, detail) = try_run(&client, sql).await.unwrap_err();
+        assert_eq!(sqlstate, "0A000", "{sql}");
+        assert!(detail.contains("verdict=not_run"), "{sql}: {detail}");
+    }
+    assert_eq!(text(&client, "SELECT n FROM counter").await, "0");
+}
+
+#[actix_rt::test]
+async fn a_setting_goes_along_with_its_session_and_no_other() {
+    let mut bench = Bench::start(ServiceConfig::default()).await;
+    bench.create_counter().await;
+    let first = bench.connect().await;
+    let second = bench.connect().await;
+    run(&first, "SET search_path = 'mine'").await;
+    for _ in 0..3 {
+        assert_eq!(text(&first, "SHOW search_path").await, "mine");
+        assert_ne!(text(&second, "SHOW search_path").await, "mine");
+    }
+    run(&first, "RESET search_path").await;
+    assert_ne!(text(&first, "SHOW search_path").await, "mine");
+}
+
+#[actix_rt::test]
+async fn a_forged_token_is_refused() {
+    let mut bench = Bench::start(ServiceConfig::default()).await;
+    bench.create_counter().await;
+    let client = bench.connect().await;
+    run(&client, "UPDATE counter SET n = 1").await;
+    let token = text(&client, "SHOW jujubehold.session").await;
+    let forged = format!("{}x", &token[..token.len() - 1]);
+    let sql = format!("SET jujubehold.session = '{forged}'");
+    let (sqlstate, detail) = try_run(&client, &sql).await.unwrap_err();
+    assert_eq!(sqlstate, "22023");
+    assert!(detail.contains("token_invalid"), "{detail}");
+    assert_eq!(text(&client, "SELECT n FROM counter").await, "1");
+}
+
+#[actix_rt::test]
+async fn an_unknown_service_is_told() {
+    let bench = Bench::start(ServiceConfig::default()).await;
+    let mut config = tokio_postgres::Config::new();
+    config
+        .host("127.0.0.1")
+        .port(bench.address.port())
+        .user("clerk")
+        .dbname("nowhere");
+    let (client, connection) = config.connect(tokio_postgres::NoTls).await.unwrap();
+    actix_rt::spawn(async move {
+        // The client's end ends it.
+        let _ = connection.await;
+    });
+    let (sqlstate, _) = try_run(&client, "SELECT 1").await.unwrap_err();
+    assert_eq!(sqlstate, "3D000");
+}
--- a/crates/jujubehold_standin/src/database/session.rs
+++ b/crates/jujubehold_standin/src/database/session.rs
@@ -261,6 +261,14 @@
 
     fn set(&mut self, sql: &str) {
         let text = sql.trim().trim_end_matches(';');
+        let lower = text.to_ascii_lowercase();
+        if let Some(name) = lower.strip_prefix("reset") {
+            match name.trim() {
+                "all" => self.settings.clear(),
+                name => drop(self.settings.remove(name)),
+            }
+            return;
+        }
         let Some(rest) = text
             .get(3..)
             .filter(|_| text.to_ascii_lowercase().starts_with("set"))
