--- a/crates/jujubehold_host/src/pool/connection.rs
+++ b/crates/jujubehold_host/src/pool/connection.rs
@@ -15,6 +15,9 @@
 /// The name under which the proxy connects to upstreams.
 const UPSTREAM_USER: &str = "jujubehold";
 
+/// How many statements of other hosts a connection keeps before it is closed.
+const MAX_FOREIGN_STATEMENTS: usize = 512;
+
 /// A connection that an upstream has accepted.
 #[derive(Debug)]
 pub struct UpstreamConnection {
@@ -23,6 +26,7 @@
     prepared: PreparedNames,
     cancel_target: Option<CancelTarget>,
     settings: SmolStr,
+    foreign_statements: usize,
 }
 
 /// What a request to cancel a connection's statement needs.
@@ -63,6 +67,7 @@
             prepared: PreparedNames::default(),
             cancel_target: None,
             settings: SmolStr::default(),
+            foreign_statements: 0,
         };
         loop {
             let frame = connection.receive().await?;
@@ -138,4 +143,15 @@
     pub fn settings(&mut self) -> &mut SmolStr {
         &mut self.settings
     }
+
+    /// Whether another host prepared statements that this one keeps no list of.
+    pub fn has_foreign_statements(&self) -> bool {
+        self.foreign_statements > 0
+    }
+
+    /// Notes that another host prepared `count` statements; whether there is room for more.
+    pub fn add_foreign_statements(&mut self, count: usize) -> bool {
+        self.foreign_statements += count;
+        self.foreign_statements < MAX_FOREIGN_STATEMENTS
+    }
 }
--- a/crates/jujubehold_host/src/pool/prepared_names.rs
+++ b/crates/jujubehold_host/src/pool/prepared_names.rs
@@ -20,6 +20,11 @@
         self.names.contains(name)
     }
 
+    /// Whether a further statement makes another one go.
+    pub fn is_full(&self) -> bool {
+        self.order.len() >= CAPACITY
+    }
+
     /// Adds a statement; returns the one that must be closed for it, if any.
     pub fn add(&mut self, name: SmolStr) -> Option<SmolStr> {
         if !self.names.insert(name.clone()) {
--- a/crates/jujubehold_host/src/traffic/caller_io.rs
+++ b/crates/jujubehold_host/src/traffic/caller_io.rs
@@ -1,9 +1,11 @@
 //! The caller's socket.
 
 use bytes::BytesMut;
+use jujubehold_core::prelude::*;
 use jujubehold_pg::{Frame, FrameError, FrameReader};
 use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+use crate::security::{CallerReadHalf, CallerWriteHalf, LoginError, log_in};
 
 /// How much capacity an idle caller's output keeps, in bytes.
 const KEPT_BYTES: usize = 4096;
@@ -11,8 +13,8 @@
 /// Reads a caller's messages and writes its answers, each with as few calls as it can.
 #[derive(Debug)]
 pub(crate) struct CallerIo {
-    reader: FrameReader<OwnedReadHalf>,
-    writer: OwnedWriteHalf,
+    reader: FrameReader<CallerReadHalf>,
+    writer: CallerWriteHalf,
     /// What goes to the caller at the next flush.
     pub(crate) out: BytesMut,
     /// Whether any byte of the present answer may have reached the caller.
@@ -20,10 +22,10 @@
 }
 
 impl CallerIo {
-    /// A socket from which `buffered` was read already.
-    pub(crate) fn new(reader: OwnedReadHalf, writer: OwnedWriteHalf, buffered: BytesMut) -> Self {
+    /// A socket by its two halves.
+    pub(crate) fn new(reader: FrameReader<CallerReadHalf>, writer: CallerWriteHalf) -> Self {
         Self {
-            reader: FrameReader::new(reader, buffered),
+            reader,
             writer,
             out: BytesMut::new(),
             has_given: false,
@@ -35,6 +37,16 @@
         self.reader.read().await
     }
 
+    /// Lets the caller prove who it is.
+    pub(crate) async fn log_in(
+        &mut self,
+        config: &ServiceConfig,
+        user: &str,
+        secret: &[u8],
+    ) -> Result<(), LoginError> {
+        log_in(&mut self.reader, &mut self.writer, config, user, secret).await
+    }
+
     /// Adds a message to what goes to the caller.
     pub(crate) fn put(&mut self, frame: &Frame) {
         self.out.extend_from_slice(frame.bytes());
@@ -47,6 +59,7 @@
         }
         self.has_given = true;
         self.writer.write_all(&self.out).await?;
+        self.writer.flush().await?;
         self.clear();
         Ok(())
     }
--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -12,6 +12,7 @@
 use jujubehold_pg::{Classifier, ExtendedMessage, Frame, FrameError, frontend, ready_for_query};
 use metrics::{counter, gauge, histogram};
 use smol_str::SmolStr;
+use tokio::sync::watch;
 
 use super::caller_io::CallerIo;
 use super::cancel::SessionKeyData;
@@ -21,6 +22,7 @@
 use super::transaction::Pinned;
 use super::unit::{ExtendedItem, StatementRef, Unit};
 use super::upstream_error::{fatal_error, refusal_error, refusal_with_hint, unknown_error};
+use crate::drain_phase::DrainPhase;
 use crate::metric_names::{REFUSALS, SESSIONS, STATEMENT_SECONDS, UNKNOWNS};
 use crate::routing_table::ServiceRoute;
 use crate::shared::Shared;
@@ -49,6 +51,7 @@
     pub(crate) floor: FloorKnowledge,
     pub(crate) carried: CarriedSettings,
     pub(crate) pinned: Option<Pinned>,
+    phase: watch::Receiver<DrainPhase>,
     statements: BTreeMap<SmolStr, Rc<Prepared>>,
     pipeline: Vec<ExtendedItem>,
     pipeline_bytes: usize,
@@ -104,6 +107,7 @@
     ) -> Self {
         gauge!(SESSIONS).increment(1);
         let key = shared.cancels.add_session();
+        let phase = shared.phase.clone();
         let floor = startup
             .floor
             .map_or(FloorKnowledge::Unknown, FloorKnowledge::Floor);
@@ -116,6 +120,7 @@
             floor,
             carried: startup.carried,
             pinned: None,
+            phase,
             statements: BTreeMap::new(),
             pipeline: Vec::new(),
             pipeline_bytes: 0,
@@ -124,12 +129,29 @@
 
     /// Serves the caller until it leaves.
     pub(crate) async fn serve(&mut self) -> Result<(), FrameError> {
-        while let Some(frame) = self.io.read().await? {
+        while let Some(frame) = self.next_frame().await? {
             self.take(frame).await?;
         }
         Ok(())
     }
 
+    /// The caller's next message; `None` when it left, or was told that the host shuts down, which
+    /// it is only between transactions.
+    async fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
+        if self.pinned.is_some() || !self.pipeline.is_empty() {
+            return self.io.read().await;
+        }
+        let phase = &mut self.phase;
+        tokio::select! {
+            biased;
+            frame = self.io.read() => return frame,
+            _ = phase.wait_for(|phase| *phase == DrainPhase::Finishing) => {}
+        }
+        self.put_refusal(&refusal(RefusalReason::ShuttingDown));
+        self.io.flush().await?;
+        Ok(None)
+    }
+
     async fn take(&mut self, frame: Frame) -> Result<(), FrameError> {
         match frame.tag() {
             frontend::TERMINATE => Err(FrameError::Truncated),
--- a/crates/jujubehold_host/src/traffic/session_start.rs
+++ b/crates/jujubehold_host/src/traffic/session_start.rs
@@ -2,11 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
 use jujubehold_core::prelude::*;
 use jujubehold_pg::{
-    ErrorFields, FirstPacket, FrameError, backend, error_response, parameter_status,
+    ErrorFields, FirstPacket, FrameError, FrameReader, backend, error_response, parameter_status,
     read_first_packet, ready_for_query,
 };
 use log::debug;
@@ -17,10 +18,13 @@
 use super::caller_io::CallerIo;
 use super::session::Session;
 use super::session_settings::{SESSION_SETTING, StartupSettings};
+use crate::drain_phase::DrainPhase;
+use crate::routing_table::ServiceRoute;
+use crate::security::CallerStream;
 use crate::shared::Shared;
 
-/// The authentication message that says that nothing more is asked.
-const AUTHENTICATION_OK: &[u8] = &[backend::AUTHENTICATION, 0, 0, 0, 8, 0, 0, 0, 0];
+/// How long a caller waits for a service that is not known yet.
+const SERVICE_WAIT: Duration = Duration::from_secs(1);
 
 /// Serves one caller until it leaves.
 pub async fn serve_caller(stream: TcpStream, shared: Arc<Shared>) {
@@ -29,13 +33,15 @@
     }
 }
 
-async fn try_serve(mut stream: TcpStream, shared: Arc<Shared>) -> Result<(), FrameError> {
+async fn try_serve(stream: TcpStream, shared: Arc<Shared>) -> Result<(), FrameError> {
     stream.set_nodelay(true)?;
     let mut buffer = BytesMut::new();
+    let mut stream = CallerStream::Plain(stream);
     let parameters = loop {
         match read_first_packet(&mut stream, &mut buffer).await? {
             FirstPacket::Startup(parameters) => break parameters,
-            FirstPacket::Ssl | FirstPacket::Gss => stream.write_all(b"N").await?,
+            FirstPacket::Ssl => stream = answer_ssl(stream, &buffer, &shared).await?,
+            FirstPacket::Gss => stream.write_all(b"N").await?,
             FirstPacket::Cancel {
                 process_id,
                 secret_key,
@@ -50,11 +56,8 @@
         .get("database")
         .map_or(user.clone(), SmolStr::from);
     let (read_half, writer) = stream.into_split();
-    let mut io = CallerIo::new(read_half, writer, buffer);
-    if shared.table.borrow().is_leaving {
-        return end_start(&mut io, RefusalReason::ShuttingDown).await;
-    }
-    let startup = match read_startup(&shared, &service, &parameters) {
+    let mut io = CallerIo::new(FrameReader::new(read_half, buffer), writer);
+    let startup = match start_session(&mut io, &shared, &service, &user, &parameters).await {
         Ok(startup) => startup,
         Err(reason) => return end_start(&mut io, reason).await,
     };
@@ -63,6 +66,56 @@
     session.serve().await
 }
 
+// Bytes that came with the request in the clear must not count as sent by TLS.
+async fn answer_ssl(
+    stream: CallerStream,
+    buffered: &BytesMut,
+    shared: &Shared,
+) -> Result<CallerStream, FrameError> {
+    match (stream, &shared.tls) {
+        (CallerStream::Plain(mut stream), Some(tls)) if buffered.is_empty() => {
+            stream.write_all(b"S").await?;
+            Ok(tls.accept(stream).await?)
+        }
+        (CallerStream::Plain(mut stream), None) => {
+            stream.write_all(b"N").await?;
+            Ok(CallerStream::Plain(stream))
+        }
+        (CallerStream::Plain(_), Some(_)) | (CallerStream::Tls(_), _) => Err(
+            FrameError::Malformed("a request for TLS came out of turn".to_owned()),
+        ),
+    }
+}
+
+async fn start_session(
+    io: &mut CallerIo,
+    shared: &Shared,
+    service: &ServiceId,
+    user: &str,
+    parameters: &BTreeMap<String, String>,
+) -> Result<StartupSettings, RefusalReason> {
+    // A host that only has told others that it leaves still takes callers.
+    if *shared.phase.borrow() == DrainPhase::Finishing {
+        return Err(RefusalReason::ShuttingDown);
+    }
+    let route = wait_for_route(shared, service).await;
+    let route = route.ok_or(RefusalReason::UnknownService)?;
+    let secret = shared.settings.token_key.as_bytes();
+    io.log_in(&route.config, user, secret)
+        .await
+        .map_err(|_| RefusalReason::AuthenticationFailed)?;
+    read_startup(shared, service, parameters)
+}
+
+// A host that has just started learns its services within this time.
+async fn wait_for_route(shared: &Shared, service: &ServiceId) -> Option<Arc<ServiceRoute>> {
+    let mut table = shared.table.clone();
+    let known = table.wait_for(|table| table.services.contains_key(service));
+    // A service that does not come about is told as unknown.
+    let _ = tokio::time::timeout(SERVICE_WAIT, known).await;
+    shared.route(service)
+}
+
 fn read_startup(
     shared: &Shared,
     service: &ServiceId,
@@ -97,7 +150,6 @@
 async fn greet(session: &mut Session) -> Result<(), FrameError> {
     let token = session.token();
     let io = &mut session.io;
-    io.out.extend_from_slice(AUTHENTICATION_OK);
     for (name, value) in [
         ("server_version", "15.0"),
         ("server_encoding", "UTF8"),
--- a/crates/jujubehold_host/tests/traffic/support.rs
+++ b/crates/jujubehold_host/tests/traffic/support.rs
@@ -9,6 +9,7 @@
 
 use jujubehold_core::prelude::*;
 use jujubehold_host::clock::Clock;
+use jujubehold_host::drain_phase::DrainPhase;
 use jujubehold_host::observation::{Observation, ObservationReceiver};
 use jujubehold_host::routing_table::{RoutingTable, ServiceRoute};
 use jujubehold_host::shared::Shared;
@@ -42,6 +43,7 @@
     table: watch::Sender<Arc<RoutingTable>>,
     observations: ObservationReceiver,
     is_stopped: bool,
+    _phase: watch::Sender<DrainPhase>,
 }
 
 impl Bench {
@@ -83,12 +85,14 @@
             ..HostSettings::default()
         };
         let (table, table_receiver) = watch::channel(Arc::new(RoutingTable::default()));
+        let (phase, phase_receiver) = watch::channel(DrainPhase::Serving);
         let (observation_sender, observations) = mpsc::unbounded_channel();
         let shared = Arc::new(Shared::new(
             settings,
             Clock::start(),
             table_receiver,
             observation_sender,
+            phase_receiver,
         ));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a bound listener");
@@ -110,6 +114,7 @@
             table,
             observations,
             is_stopped: false,
+            _phase: phase,
         }));
         control.borrow_mut().probe();
         actix_rt::spawn(keep_probing(control.clone()));
