--- a/crates/jujubehold_host/src/host.rs
+++ b/crates/jujubehold_host/src/host.rs
@@ -20,7 +20,6 @@
 use crate::metrics_page;
 use crate::peer::{PeerConnector, serve_peers};
 use crate::peer_sockets::PeerSockets;
-use crate::pool::Pools;
 use crate::routing_table::RoutingTable;
 use crate::shared::Shared;
 use crate::traffic::{TrafficThreads, accept_callers};
@@ -74,7 +73,7 @@
         let parts = ControlParts {
             clock,
             peer_address,
-            connector: connector.clone(),
+            connector,
             socket: peer_sockets.datagrams,
             table: table_sender,
             observations: observation_receiver,
@@ -86,16 +85,8 @@
             .handle()
             .spawn_fn(move || spawn_control(&control_settings, parts));
         let threads = TrafficThreads::start(settings.traffic_threads);
-        let shared = Arc::new(Shared {
-            settings,
-            clock,
-            table,
-            observations,
-            pools: Pools::default(),
-            connector,
-            activity: Arc::default(),
-            phase: phase_receiver,
-        });
+        let shared = Shared::new(settings, clock, table, observations, phase_receiver);
+        let shared = Arc::new(shared.with_tls()?);
         let peers = HostThread::start();
         let (peer_events, peer_shared) = (events_sender.clone(), Arc::clone(&shared));
         peers
--- a/crates/jujubehold_host/tests/control_many_hosts.rs
+++ b/crates/jujubehold_host/tests/control_many_hosts.rs
@@ -61,6 +61,34 @@
     assert_eq!(primaries.count(), 1);
 }
 
+#[actix_rt::test]
+async fn every_host_serves_also_those_that_neither_own_nor_watch() {
+    let installation = Installation::start().await;
+    let hosts = hosts(&installation, 3).await;
+    let table = "CREATE TABLE IF NOT EXISTS issues (host TEXT)";
+    for host in &hosts {
+        let caller = host.connect().await;
+        let insert = format!("INSERT INTO issues (host) VALUES ('{}')", host.name);
+        for sql in [table, insert.as_str(), "SELECT host FROM issues"] {
+            let answer = caller.simple_query(sql).await;
+            assert!(answer.is_ok(), "{} {sql}: {answer:?}", host.name);
+        }
+    }
+    // Also after a failover.
+    installation.instances[0].kill();
+    wait_until("all agree", || agree_on_new_primary(&hosts)).await;
+    for host in &hosts {
+        let caller = host.connect().await;
+        let writing = async {
+            while caller.simple_query("DELETE FROM issues").await.is_err() {
+                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            }
+        };
+        let limited = tokio::time::timeout(control::HANG_LIMIT, writing).await;
+        assert!(limited.is_ok(), "{} does not write", host.name);
+    }
+}
+
 #[actix_rt::test]
 async fn hosts_fail_over_together_while_the_platform_is_out() {
     let installation = Installation::start().await;
--- a/crates/jujubehold_host/tests/control_shutdown.rs
+++ b/crates/jujubehold_host/tests/control_shutdown.rs
@@ -13,7 +13,7 @@
 async fn started() -> (Installation, RunningHost) {
     let installation = Installation::start().await;
     let host = RunningHost::start(installation.settings("host-1", "delta")).await;
-    wait_until("the primary is known", || host.primary().is_some()).await;
+    wait_until("the group is known", || host.is_ready()).await;
     (installation, host)
 }
 
@@ -110,7 +110,7 @@
         ..installation.settings("host-1", "delta")
     };
     let mut host = RunningHost::start(settings).await;
-    wait_until("the primary is known", || host.primary().is_some()).await;
+    wait_until("the group is known", || host.is_ready()).await;
     let caller = host.connect().await;
     caller.simple_query("BEGIN").await.expect("it begins");
     host.ask_to_leave();
--- a/crates/jujubehold_host/tests/support/control.rs
+++ b/crates/jujubehold_host/tests/support/control.rs
@@ -207,6 +207,14 @@
         Some((route.view.primary.clone()?, route.view.term))
     }
 
+    /// Whether the host knows the primary and has a word of every instance.
+    pub(crate) fn is_ready(&self) -> bool {
+        let route = self.route();
+        route.is_some_and(|route| {
+            route.view.primary.is_some() && route.view.samples.len() == route.config.instances.len()
+        })
+    }
+
     /// The generation in force.
     pub(crate) fn generation(&self) -> Generation {
         self.route().map_or(0, |route| route.config.generation)
