--- a/crates/jujubehold_core/src/failover.rs
+++ b/crates/jujubehold_core/src/failover.rs
@@ -4,12 +4,14 @@
 //! may be lost, doubled or late: the fences of a majority decide who owns a term, so none of this
 //! can make two primaries acknowledge. See docs/notes/failover.md.
 
+mod answers;
 mod attempt;
 mod change;
 mod phases;
 mod probing;
-mod run;
 mod settings;
+mod start;
+mod steps;
 mod suspicion;
 
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/jujubehold_core/src/failover/start.rs
@@ -0,0 +1,119 @@
+//! When an attempt starts.
+
+use std::collections::BTreeMap;
+
+use crate::failover::Failover;
+use crate::failover::attempt::{Attempt, Step};
+use crate::failover::phases::Phases;
+use crate::failover::suspicion::QuorumRule;
+use crate::failover_action::FailoverAction;
+use crate::ids::{HostId, InstanceId, Monotonic};
+
+impl Failover {
+    /// Does what the time asks for.
+    pub(super) fn advance(&mut self, now: Monotonic, actions: &mut Vec<FailoverAction>) {
+        let lifetime = self.settings.suspicion_lifetime;
+        self.suspicion.expire(now, lifetime);
+        if !self.is_watching() {
+            // An order may be given to any host; it watches the group for as long as it acts.
+            self.start_ordered(now, actions);
+            self.advance_attempt(now, actions);
+            return;
+        }
+        let is_suspected = self.suspicion.is_suspected(&self.settings, now);
+        if is_suspected && self.may_share(now, self.suspicion_shared_at) {
+            self.suspicion_shared_at = Some(now);
+            let term = self.view.term;
+            actions.push(FailoverAction::ShareSuspicion { term });
+        }
+        if is_suspected {
+            self.start_failover(now, actions);
+        } else {
+            self.start_ordered(now, actions);
+        }
+        self.advance_attempt(now, actions);
+        self.probe(now, actions);
+    }
+
+    /// This host's place among the watchers that `counts` takes.
+    pub(super) fn rank(&self, counts: impl Fn(&HostId) -> bool) -> usize {
+        self.watchers
+            .iter()
+            .take_while(|watcher| watcher.host != self.host)
+            .filter(|watcher| counts(&watcher.host))
+            .count()
+    }
+
+    fn start_failover(&mut self, now: Monotonic, actions: &mut Vec<FailoverAction>) {
+        if self.attempt.is_some() || now < self.hold_until {
+            return;
+        }
+        // Fencing a minority would take replicas away from a primary that may be serving.
+        let majority = self.config.majority();
+        if self.reachable(now, |_| true) < majority {
+            return;
+        }
+        let primary = self.view.primary.clone();
+        let reached_others = self.reachable(now, |instance| Some(instance) != primary.as_ref());
+        let rule = QuorumRule {
+            own_host: &self.host,
+            own_domain: &self.domain,
+            watchers: &self.watchers,
+            config: &self.config,
+            reaches_majority_without_primary: reached_others >= majority,
+        };
+        let term = self.view.term;
+        let Some(since) = self
+            .suspicion
+            .quorum_since(now, &self.settings, &rule, term)
+        else {
+            return;
+        };
+        let suspecting: Vec<_> = self.suspicion.suspecting(term).collect();
+        let rank = u32::try_from(self.rank(|host| suspecting.contains(&host))).unwrap_or(u32::MAX);
+        if now < since + self.settings.rank_delay.saturating_mul(rank) {
+            return;
+        }
+        let detect = now.saturating_sub(self.suspicion.last_alive());
+        self.start(now, None, detect, actions);
+    }
+
+    fn start_ordered(&mut self, now: Monotonic, actions: &mut Vec<FailoverAction>) {
+        if self.attempt.is_some() || now < self.hold_until {
+            return;
+        }
+        if let Some(instance) = self.wanted_change(now) {
+            self.start(now, Some(instance), Monotonic::ZERO, actions);
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Monotonic,
+        ordered: Option<InstanceId>,
+        detect: Monotonic,
+        actions: &mut Vec<FailoverAction>,
+    ) {
+        let term = self.highest_term.max(self.view.term) + 1;
+        let nonce = self.next_nonce();
+        self.highest_term = term;
+        self.attempt = Some(Attempt {
+            term,
+            nonce,
+            ordered,
+            old_primary: self.view.primary.clone(),
+            step: Step::Record,
+            started_at: now,
+            step_at: now,
+            sent_at: now,
+            granted: BTreeMap::new(),
+            majority_at: None,
+            choice: None,
+            phases: Phases {
+                detect,
+                ..Phases::default()
+            },
+        });
+        actions.push(FailoverAction::Record { term, nonce });
+    }
+}
--- a/crates/jujubehold_core/tests/exploration.rs
+++ b/crates/jujubehold_core/tests/exploration.rs
@@ -4,12 +4,16 @@
 
 #[path = "exploration/callers.rs"]
 mod callers;
+#[path = "exploration/faults.rs"]
+mod faults;
 #[path = "exploration/instance.rs"]
 mod instance;
 #[path = "exploration/interleaving.rs"]
 mod interleaving;
 #[path = "exploration/message.rs"]
 mod message;
+#[path = "exploration/network.rs"]
+mod network;
 #[path = "exploration/random.rs"]
 mod random;
 mod support;
