--- a/crates/jujubehold_core/src/replay.rs
+++ b/crates/jujubehold_core/src/replay.rs
@@ -18,6 +18,7 @@
 mod host_lines;
 mod lease_lines;
 mod line;
+mod record;
 mod request_lines;
 mod runner;
 
@@ -25,6 +26,8 @@
 
 use crate::value_type;
 
+pub use record::{action_line, event_line, group_line, watchers_line};
+
 use line::TraceLine;
 use runner::Runner;
 
--- a/crates/jujubehold_core/src/replay/failover_lines.rs
+++ b/crates/jujubehold_core/src/replay/failover_lines.rs
@@ -1,9 +1,9 @@
 //! The events and actions of a failover as text.
 
-use crate::failover_action::FailoverAction;
 use crate::failover_event::{FailoverEvent, RecordOutcome};
 use crate::replay::TraceFault;
 use crate::replay::line::TraceLine;
+use crate::replay::record::action_text;
 use crate::replay::runner::{Outcomes, Runner};
 
 impl Runner {
@@ -82,35 +82,3 @@
     };
     Ok(event)
 }
-
-// Probes are left out: they follow from the time alone, and a trace would be full of them.
-fn action_text(action: &FailoverAction) -> Option<String> {
-    let text = match action {
-        FailoverAction::Probe { .. } => return None,
-        FailoverAction::ShareSuspicion { term } => format!("share_suspicion term={term}"),
-        FailoverAction::ShareLiveness { term } => format!("share_liveness term={term}"),
-        FailoverAction::Record { term, nonce } => format!("record term={term} nonce={nonce}"),
-        FailoverAction::Fence {
-            instance,
-            term,
-            nonce,
-        } => format!("fence {instance} term={term} nonce={nonce}"),
-        FailoverAction::CatchUp {
-            instance,
-            from,
-            position,
-        } => format!("catch_up {instance} from={from} position={position}"),
-        FailoverAction::Promote {
-            instance,
-            term,
-            nonce,
-        } => format!("promote {instance} term={term} nonce={nonce}"),
-        FailoverAction::Follow {
-            instance,
-            primary,
-            term,
-        } => format!("follow {instance} primary={primary} term={term}"),
-        FailoverAction::Announce { term, primary } => format!("announce {primary} term={term}"),
-    };
-    Some(text)
-}
--- a/crates/jujubehold_core/src/replay/line.rs
+++ b/crates/jujubehold_core/src/replay/line.rs
@@ -71,7 +71,7 @@
 
     pub(super) fn duration_or(&self, key: &str, default: Duration) -> Result<Duration, TraceFault> {
         match self.pair(key) {
-            Some(value) => Ok(Duration::from_millis(parse(value)?)),
+            Some(value) => parse_ms(value),
             None => Ok(default),
         }
     }
@@ -122,3 +122,14 @@
     text.parse()
         .map_err(|_| TraceFault::Malformed(text.to_owned()))
 }
+
+// Milliseconds with up to six digits after the point, so that no float rounds a time.
+fn parse_ms(text: &str) -> Result<Duration, TraceFault> {
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
+    let is_too_fine = fraction.len() > 6;
+    if is_too_fine {
+        return Err(TraceFault::Malformed(text.to_owned()));
+    }
+    let below_ms: u64 = parse(&format!("{fraction:0<6}"))?;
+    Ok(Duration::from_millis(parse(whole)?) + Duration::from_nanos(below_ms))
+}
--- a/crates/jujubehold_core/tests/exploration.rs
+++ b/crates/jujubehold_core/tests/exploration.rs
@@ -23,6 +23,7 @@
 use std::collections::BTreeSet;
 
 use jujubehold_core::prelude::*;
+use jujubehold_core::replay::replay;
 
 use callers::Counts;
 use world::{Planted, World};
@@ -152,3 +153,21 @@
         assert_eq!(world.callers.counts.promotions, 0, "seed {seed}");
     }
 }
+
+#[test]
+fn a_recorded_trace_brings_the_same_actions_again() {
+    let mut stated = 0;
+    for seed in 0..3 {
+        let mut world = World::new(seed, Planted::Nothing, Confirm::Replica, CALM_FROM);
+        world.run(END);
+        let replay = replay(&world.trace.join("\n")).expect("it was recorded");
+        stated += replay.stated;
+        assert!(
+            replay.is_as_stated(),
+            "seed {seed}: {:#?}",
+            replay.differences
+        );
+    }
+    println!("{stated} actions recorded");
+    assert!(stated > 30);
+}
--- a/crates/jujubehold_core/tests/exploration/world.rs
+++ b/crates/jujubehold_core/tests/exploration/world.rs
@@ -8,6 +8,7 @@
 use jujubehold_core::failover_event::FailoverEvent;
 use jujubehold_core::ownership::Watcher;
 use jujubehold_core::prelude::*;
+use jujubehold_core::replay::{action_line, event_line, group_line, watchers_line};
 
 use crate::callers::Callers;
 use crate::instance::Instance;
@@ -53,6 +54,8 @@
     /// When each term's primary was promoted.
     pub(crate) promoted_at: BTreeMap<Term, At>,
     pub(crate) faults: Vec<String>,
+    /// What the first host took in and did, as a trace.
+    pub(crate) trace: Vec<String>,
     pub(crate) queue: BTreeMap<(At, u64), Event>,
     pub(crate) next_number: u64,
     pub(crate) answered: BTreeSet<u64>,
@@ -91,6 +94,10 @@
                 asleep_until: 0,
             }
         });
+        let trace = vec![
+            group_line(&config, &watchers[0].host, &watchers[0].domain, seed),
+            watchers_line(&watchers),
+        ];
         let mut instances = BTreeMap::new();
         for (name, leader) in [("a", None), ("b", Some("a")), ("c", Some("a"))] {
             let mut instance = Instance::new(name, leader);
@@ -107,6 +114,7 @@
             callers: Callers::default(),
             promoted_at: BTreeMap::from([(1, 0)]),
             faults: Vec::new(),
+            trace,
             queue: BTreeMap::new(),
             next_number: 0,
             answered: BTreeSet::new(),
@@ -223,7 +231,13 @@
 
     pub(crate) fn feed(&mut self, host: usize, event: FailoverEvent) {
         let clock = self.clock(host);
-        for action in self.hosts[host].failover.on_event(clock, event) {
+        let line = event_line(clock, &event);
+        let actions = self.hosts[host].failover.on_event(clock, event);
+        if host == 0 {
+            self.trace.push(line);
+            self.trace.extend(actions.iter().filter_map(action_line));
+        }
+        for action in actions {
             self.act(host, action);
         }
     }
