--- a/crates/jujubehold_core/src/outcome.rs
+++ b/crates/jujubehold_core/src/outcome.rs
@@ -57,30 +57,33 @@
 }
 
 /// Decides whether a request may be sent.
+///
+/// A named request writes a unique record in its own transaction, so of two attempts only one can
+/// commit. That makes sending it safe although an earlier attempt elsewhere may be under way.
 pub fn decide_rerun(history: &RequestHistory) -> RerunDecision {
+    if history.has_request_id && history.lookup == Some(OutcomeLookup::Found) {
+        return RerunDecision::AlreadyRan;
+    }
     match history.progress {
-        AttemptProgress::Answered => return RerunDecision::AlreadyRan,
+        AttemptProgress::Answered => RerunDecision::AlreadyRan,
         AttemptProgress::NotSent | AttemptProgress::Refused | AttemptProgress::RolledBack => {
-            // This host's attempts did not run, but one that a named request made elsewhere may
-            // have.
-            if !history.has_request_id {
-                return RerunDecision::MayRun;
-            }
-        }
-        AttemptProgress::Sent => {
-            if history.is_idempotent {
-                return RerunDecision::MayRun;
-            }
-            if !history.has_request_id {
-                return RerunDecision::StillUnknown;
-            }
+            RerunDecision::MayRun
         }
+        AttemptProgress::Sent => decide_after_sent(history),
+    }
+}
+
+fn decide_after_sent(history: &RequestHistory) -> RerunDecision {
+    if history.is_idempotent {
+        return RerunDecision::MayRun;
+    }
+    if !history.has_request_id {
+        return RerunDecision::StillUnknown;
     }
     match history.lookup {
         Some(OutcomeLookup::Found) => RerunDecision::AlreadyRan,
-        // An earlier attempt may still be under way. It can't run beside this one, because both
-        // write the same unique record in their transactions and only one of them can commit.
         Some(OutcomeLookup::Absent) => RerunDecision::MayRun,
+        // A primary that can't be asked can't run it either; the caller is told at once.
         Some(OutcomeLookup::Unavailable) | None => RerunDecision::StillUnknown,
     }
 }
