--- a/crates/jujubehold_host/src/host.rs
+++ b/crates/jujubehold_host/src/host.rs
@@ -20,7 +20,6 @@
 use crate::metrics_page;
 use crate::peer::serve_peers;
 use crate::peer_sockets::PeerSockets;
-use crate::pool::Pools;
 use crate::routing_table::RoutingTable;
 use crate::shared::Shared;
 use crate::traffic::{TrafficThreads, accept_callers};
@@ -82,15 +81,8 @@
         let control_settings = settings.clone();
         control.spawn_fn(move || spawn_control(&control_settings, parts));
         let threads = TrafficThreads::start(settings.traffic_threads);
-        let shared = Arc::new(Shared {
-            settings,
-            clock,
-            table,
-            observations,
-            pools: Pools::default(),
-            activity: Arc::default(),
-            phase: phase_receiver,
-        });
+        let shared = Shared::new(settings, clock, table, observations, phase_receiver);
+        let shared = Arc::new(shared.with_tls()?);
         let peers = Arbiter::new();
         let (peer_events, peer_shared) = (events_sender.clone(), Arc::clone(&shared));
         peers.spawn_fn(move || spawn_peers(peer_sockets.calls, peer_events, peer_shared));
--- a/crates/jujubehold_host/src/lib.rs
+++ b/crates/jujubehold_host/src/lib.rs
@@ -7,9 +7,10 @@
 pub mod activity;
 pub mod clock;
 pub mod control;
-mod drain_phase;
+pub mod drain_phase;
 pub mod error;
 pub mod host;
+pub mod metric_names;
 pub mod metrics_page;
 pub mod observation;
 pub mod peer;
--- a/crates/jujubehold_host/src/shared.rs
+++ b/crates/jujubehold_host/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use jujubehold_core::prelude::*;
 use jujubehold_settings::HostSettings;
 use tokio::sync::watch;
 
@@ -10,7 +11,9 @@
 use crate::drain_phase::DrainPhase;
 use crate::observation::ObservationSender;
 use crate::pool::Pools;
-use crate::routing_table::RoutingTable;
+use crate::routing_table::{RoutingTable, ServiceRoute};
+use crate::security::{CallerTls, SecurityError};
+use crate::traffic::{AdmissionDesk, CancelKeys, ConfirmDesk, RetryBudgets};
 
 /// The parts of one host that its threads share.
 #[derive(Debug)]
@@ -25,8 +28,72 @@
     pub observations: ObservationSender,
     /// The connections to upstreams that this host owns.
     pub pools: Pools,
+    /// The queues of requests.
+    pub admission: AdmissionDesk,
+    /// The shares of retries.
+    pub retries: RetryBudgets,
+    /// The questions that stand behind acknowledgements.
+    pub confirms: ConfirmDesk,
+    /// The keys to cancel statements with.
+    pub cancels: Arc<CancelKeys>,
     /// What is in flight, which a shutdown waits for.
     pub activity: Arc<Activity>,
     /// How far the host's leaving has come.
     pub phase: watch::Receiver<DrainPhase>,
+    /// The host's identity towards callers; `None` serves them in the clear.
+    pub tls: Option<CallerTls>,
+}
+
+impl Shared {
+    /// The parts of a host that has no callers yet.
+    pub fn new(
+        settings: HostSettings,
+        clock: Clock,
+        table: watch::Receiver<Arc<RoutingTable>>,
+        observations: ObservationSender,
+        phase: watch::Receiver<DrainPhase>,
+    ) -> Self {
+        Self {
+            settings,
+            clock,
+            table,
+            observations,
+            pools: Pools::default(),
+            admission: AdmissionDesk::default(),
+            retries: RetryBudgets::default(),
+            confirms: ConfirmDesk::default(),
+            cancels: Arc::default(),
+            activity: Arc::default(),
+            phase,
+            tls: None,
+        }
+    }
+
+    /// The same with the identity that the settings name.
+    ///
+    /// # Errors
+    /// The identity can't be read.
+    pub fn with_tls(self) -> Result<Self, SecurityError> {
+        let tls = self
+            .settings
+            .tls
+            .as_ref()
+            .map(CallerTls::load)
+            .transpose()?;
+        Ok(Self { tls, ..self })
+    }
+
+    /// How many connections to an instance this host may hold when it is one of its owners.
+    ///
+    /// There is one share more than there are owners, so that a change of owner stays within the
+    /// instance's limit.
+    pub fn quota(&self, instance: &InstanceConfig) -> usize {
+        let share_count = self.settings.owners_per_instance + 1;
+        (instance.connections as usize / share_count).max(1)
+    }
+
+    /// The latest route of a service.
+    pub fn route(&self, service: &ServiceId) -> Option<Arc<ServiceRoute>> {
+        self.table.borrow().services.get(service).cloned()
+    }
 }
