--- a/crates/jujubehold_core/tests/exploration.rs
+++ b/crates/jujubehold_core/tests/exploration.rs
@@ -171,3 +171,25 @@
     println!("{stated} actions recorded");
     assert!(stated > 30);
 }
+
+/// Loses the primary with writes that it acknowledged without confirmation.
+fn cut_floors(planted: Planted) -> (Vec<String>, Counts) {
+    let mut world = World::new(1, planted, Confirm::None, 0);
+    world.run(4000);
+    world.is_replication_stopped = true;
+    world.run(4500);
+    let primary = world.instances.get_mut("a").expect("it is listed");
+    primary.is_down = true;
+    world.is_replication_stopped = false;
+    world.run(9000);
+    (world.callers.violations, world.callers.counts)
+}
+
+#[test]
+fn a_floor_that_a_failover_cut_is_told_and_never_silently_satisfied() {
+    let (violations, counts) = cut_floors(Planted::Nothing);
+    assert!(violations.is_empty(), "{violations:#?}");
+    assert!(counts.floors_cut > 0, "{counts:?}");
+    let (violations, _) = cut_floors(Planted::FloorCheckIgnored);
+    assert!(!violations.is_empty());
+}
--- a/crates/jujubehold_core/tests/exploration/faults.rs
+++ b/crates/jujubehold_core/tests/exploration/faults.rs
@@ -49,7 +49,7 @@
                 continue;
             };
             let domain = |name| &self.config.instances[name].domain;
-            let is_slow = self.random.percent(30);
+            let is_slow = self.random.percent(30) || self.is_replication_stopped;
             if is_slow || !self.is_running(&leader) || self.is_cut(domain(&name), domain(&leader)) {
                 continue;
             }
--- a/crates/jujubehold_core/tests/exploration/world.rs
+++ b/crates/jujubehold_core/tests/exploration/world.rs
@@ -54,6 +54,7 @@
     /// When each term's primary was promoted.
     pub(crate) promoted_at: BTreeMap<Term, At>,
     pub(crate) faults: Vec<String>,
+    pub(crate) is_replication_stopped: bool,
     /// What the first host took in and did, as a trace.
     pub(crate) trace: Vec<String>,
     pub(crate) queue: BTreeMap<(At, u64), Event>,
@@ -114,6 +115,7 @@
             callers: Callers::default(),
             promoted_at: BTreeMap::from([(1, 0)]),
             faults: Vec::new(),
+            is_replication_stopped: false,
             trace,
             queue: BTreeMap::new(),
             next_number: 0,
