Let hosts that do not watch a group write to it

A host refused every write with no_confirming_replica when it had no fresh sample of the replicas. Only watchers probe, so with three hosts in a domain the third could never write. Such a host now asks the replicas first, for at most 500 ms, and refuses only if too few stand for the term; confirmations tell the control thread of an instance that it has not heard of for 500 ms.

Ruled out: probes from every host (the cost would grow with the fleet).

--- a/crates/jujubehold_host/src/traffic/confirm_desk.rs
+++ b/crates/jujubehold_host/src/traffic/confirm_desk.rs
@@ -23,6 +23,8 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(300);
 /// How long a connection is kept for the next question.
 const KEEP: Duration = Duration::from_secs(1);
+/// How old the control thread's last word of an instance may be before it is told a new one.
+const REPORT_AGE: Duration = Duration::from_millis(500);
 /// The pause after a failure.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -123,6 +125,16 @@
     }
 }
 
+/// Whether the control thread has had no word of an instance for a while.
+fn is_news(shared: &Shared, service: &ServiceId, instance: &InstanceId) -> bool {
+    let route = shared.route(service);
+    let sample = route
+        .as_ref()
+        .and_then(|route| route.view.samples.get(instance));
+    let now = shared.clock.now();
+    sample.is_none_or(|sample| now.saturating_sub(sample.sent_at) >= REPORT_AGE)
+}
+
 async fn ask_once(
     shared: &Shared,
     service: &ServiceId,
@@ -152,7 +164,7 @@
     let asked_at = shared.clock.now();
     lane.send(query(&sql).bytes()).await.ok()?;
     let status = read_status(&mut lane).await.ok()??;
-    if status.fence_term > term || status.term > term {
+    if status.fence_term > term || status.term > term || is_news(shared, service, instance) {
         // The control thread ends only with the host.
         let _ = shared.observations.send(Observation::Status {
             service: service.clone(),
--- a/crates/jujubehold_host/src/traffic/write_path.rs
+++ b/crates/jujubehold_host/src/traffic/write_path.rs
@@ -4,6 +4,8 @@
 //! waits until [`acknowledge`] lets it go. See docs/notes/write-path.md.
 
 use bytes::BytesMut;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use jujubehold_core::prelude::*;
 use jujubehold_core::route::route_write;
 use jujubehold_core::session_floor::FloorKnowledge;
@@ -12,6 +14,7 @@
 
 use super::acknowledge::{Commit, acknowledge};
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
+use super::confirm_desk::ask;
 use super::lane::{Lane, LaneError};
 use super::read_path::READ_ONLY_SQLSTATE;
 use super::session::{Session, UnitError};
@@ -26,6 +29,9 @@
 /// How old the last status of a replica may be for it to count as able to confirm.
 const CONFIRMING_AGE: std::time::Duration = std::time::Duration::from_secs(3);
 
+/// How long a write waits for replicas that this host knows nothing of.
+const ASK_LIMIT: std::time::Duration = std::time::Duration::from_millis(500);
+
 /// What became of one attempt at a write.
 enum Tried {
     /// The caller has its answer.
@@ -65,6 +71,7 @@
     async fn try_write(&mut self, unit: &Unit, route: &ServiceRoute) -> Result<Tried, UnitError> {
         let instance = route_write(&route.config, &route.view)?;
         self.check_before_write(route)?;
+        self.check_confirming(route).await?;
         let wait = unit.deadline.saturating_sub(self.shared.clock.now());
         let mut lane = match Lane::open(&self.shared, route, &instance, wait).await {
             Ok(lane) => lane,
@@ -203,20 +210,57 @@
                 return Err(RefusalReason::NoPrimary.into());
             }
         }
+        Ok(())
+    }
+
+    /// Refuses a write that no replica could confirm, before anything is sent.
+    ///
+    /// A host that does not watch the group has no fresh word of its replicas unless traffic
+    /// brought one, so it asks them first.
+    async fn check_confirming(&self, route: &ServiceRoute) -> Result<(), UnitError> {
+        let needed = route.config.confirming_replicas();
+        let needed = needed.max(route.config.proving_replicas());
+        if self.able_to_confirm(route) >= needed {
+            return Ok(());
+        }
+        let replicas = route
+            .config
+            .instances
+            .keys()
+            .filter(|name| route.view.primary.as_ref() != Some(*name));
+        let mut answers: FuturesUnordered<_> = replicas
+            .map(|name| ask(&self.shared, &self.service, name, route.view.term, 0))
+            .collect();
+        let asking = async {
+            let mut able = 0;
+            while able < needed
+                && let Some(answer) = answers.next().await
+            {
+                let Ok(answer) = answer else {
+                    continue;
+                };
+                able += usize::from(answer.status.proves(route.view.term));
+                self.report_status(route, answer.asked_at, &answer.status);
+            }
+            able
+        };
+        match tokio::time::timeout(ASK_LIMIT, asking).await {
+            Ok(able) if able >= needed => Ok(()),
+            Ok(_) | Err(_) => Err(RefusalReason::NoConfirmingReplica.into()),
+        }
+    }
+
+    /// How many replicas stood for the term of late.
+    fn able_to_confirm(&self, route: &ServiceRoute) -> usize {
+        let view = &route.view;
         let now = self.shared.clock.now();
-        let able = view
-            .samples
+        view.samples
             .iter()
             .filter(|(name, _)| route.config.instances.contains_key(*name))
             .filter(|(name, _)| view.primary.as_ref() != Some(*name))
             .filter(|(_, sample)| now.saturating_sub(sample.sent_at) < CONFIRMING_AGE)
             .filter(|(_, sample)| sample.status.proves(view.term))
-            .count();
-        let needed = route.config.confirming_replicas();
-        if able < needed.max(route.config.proving_replicas()) {
-            return Err(RefusalReason::NoConfirmingReplica.into());
-        }
-        Ok(())
+            .count()
     }
 
     async fn pin_after(
--- a/crates/jujubehold_host/tests/traffic/writes.rs
+++ b/crates/jujubehold_host/tests/traffic/writes.rs
@@ -34,6 +34,9 @@
         view.samples.remove("b");
         view.samples.remove("c");
     });
+    // A host without a word of the replicas asks them, so they must be gone in fact.
+    bench.databases[1].kill();
+    bench.databases[2].kill();
     let client = bench.connect().await;
     let (sqlstate, detail) = try_run(&client, "UPDATE counter SET n = 1")
         .await
@@ -44,6 +47,8 @@
         "{detail}"
     );
     assert!(detail.contains("retry_after_ms="), "{detail}");
+    bench.databases[1].revive();
+    bench.databases[2].revive();
     bench.probe();
     assert_eq!(text(&client, "SELECT n FROM counter").await, "0");
 }
