Count each caller's waiting requests as they come, and expire them when due

A tick at the very time of the next expiry refused nothing, so a host that slept until then would have been woken again at once. An offer and its release with 40 waiting took 5.2 to 7.9 us before and 3.8 us after, on a shared machine.

--- a/crates/jujubehold_core/src/admission.rs
+++ b/crates/jujubehold_core/src/admission.rs
@@ -90,6 +90,7 @@
     running: BTreeMap<Ticket, Running>,
     waiting: BTreeMap<RequestClass, CallerQueues>,
     waiting_count: usize,
+    waiting_by_caller: BTreeMap<CallerKey, usize>,
     class_shares: FairShare<RequestClass>,
     caller_shares: BTreeMap<RequestClass, FairShare<CallerKey>>,
 }
@@ -103,6 +104,7 @@
             running: BTreeMap::new(),
             waiting: BTreeMap::new(),
             waiting_count: 0,
+            waiting_by_caller: BTreeMap::new(),
             class_shares: FairShare::default(),
             caller_shares: BTreeMap::new(),
         }
@@ -145,6 +147,10 @@
                 return Offered::of(Err(self.refuse(reason, wait)));
             }
         }
+        *self
+            .waiting_by_caller
+            .entry(request.caller.clone())
+            .or_default() += 1;
         let last_start = request.deadline.saturating_sub(service_time);
         let expires_at = last_start.min(now + self.settings.max_wait);
         self.waiting
@@ -211,7 +217,7 @@
         let overdue: Vec<_> = self
             .queues()
             .flat_map(|(class, _, queue)| queue.iter().map(move |waiting| (class, waiting)))
-            .filter(|(_, waiting)| waiting.expires_at < now)
+            .filter(|(_, waiting)| waiting.expires_at <= now)
             .map(|(class, waiting)| RefusedTicket {
                 ticket: waiting.ticket,
                 refusal: self.refuse(
@@ -221,7 +227,7 @@
             })
             .collect();
         if !overdue.is_empty() {
-            self.retain_waiting(|waiting| waiting.expires_at >= now);
+            self.retain_waiting(|waiting| waiting.expires_at > now);
         }
         overdue
     }
@@ -242,6 +248,12 @@
         let queue = callers.get_mut(caller)?;
         let waiting = queue.pop_front()?;
         self.waiting_count -= 1;
+        if let Some(count) = self.waiting_by_caller.get_mut(caller) {
+            *count -= 1;
+            if *count == 0 {
+                self.waiting_by_caller.remove(caller);
+            }
+        }
         if queue.is_empty() {
             callers.remove(caller);
         }
@@ -276,17 +288,17 @@
     // caller, and no longer than until all that waits is done.
     fn expected_wait(&self, request: &AdmissionRequest) -> Duration {
         let own = self.waiting_of(&request.caller);
-        let ahead = self
-            .callers_waiting()
-            .into_iter()
+        let ahead: usize = self
+            .waiting_by_caller
+            .iter()
             .map(|(caller, count)| {
                 if *caller == request.caller {
-                    count
+                    *count
                 } else {
-                    count.min(own + 1)
+                    (*count).min(own + 1)
                 }
             })
-            .sum::<usize>();
+            .sum();
         self.time_for(ahead + 1)
     }
 
@@ -313,10 +325,10 @@
     fn displace(&mut self, caller: &CallerKey, wait: Duration) -> Option<RefusedTicket> {
         let own = self.waiting_of(caller);
         let (heaviest, count) = self
-            .callers_waiting()
-            .into_iter()
-            .max_by_key(|(_, count)| *count)?;
-        if count <= own + 1 {
+            .waiting_by_caller
+            .iter()
+            .max_by_key(|(_, count)| **count)?;
+        if *count <= own + 1 {
             return None;
         }
         let heaviest = heaviest.clone();
@@ -334,9 +346,8 @@
     }
 
     fn full_reason(&self, caller: &CallerKey) -> RefusalReason {
-        let callers = self.callers_waiting();
-        let is_over_share =
-            callers.len() > 1 && self.waiting_of(caller) * callers.len() > self.settings.queue;
+        let callers = self.waiting_by_caller.len();
+        let is_over_share = callers > 1 && self.waiting_of(caller) * callers > self.settings.queue;
         if is_over_share {
             RefusalReason::CallerOverShare
         } else {
@@ -349,19 +360,7 @@
     }
 
     fn waiting_of(&self, caller: &CallerKey) -> usize {
-        self.waiting
-            .values()
-            .filter_map(|callers| callers.get(caller))
-            .map(VecDeque::len)
-            .sum()
-    }
-
-    fn callers_waiting(&self) -> BTreeMap<&CallerKey, usize> {
-        let mut counts = BTreeMap::new();
-        for (_, caller, queue) in self.queues() {
-            *counts.entry(caller).or_default() += queue.len();
-        }
-        counts
+        self.waiting_by_caller.get(caller).copied().unwrap_or(0)
     }
 
     fn queues(&self) -> impl Iterator<Item = (RequestClass, &CallerKey, &VecDeque<Waiting>)> {
@@ -380,7 +379,12 @@
             callers.retain(|_, queue| !queue.is_empty());
         }
         self.waiting.retain(|_, callers| !callers.is_empty());
-        self.waiting_count = self.queues().map(|(_, _, queue)| queue.len()).sum();
+        let mut counts = BTreeMap::new();
+        for (_, caller, queue) in self.queues() {
+            *counts.entry(caller.clone()).or_default() += queue.len();
+        }
+        self.waiting_count = counts.values().sum();
+        self.waiting_by_caller = counts;
     }
 }
 
