--- a/crates/jujubehold_core/tests/exploration.rs
+++ b/crates/jujubehold_core/tests/exploration.rs
@@ -22,6 +22,7 @@
 
 use std::collections::BTreeSet;
 
+use jujubehold_core::failover_event::FailoverEvent;
 use jujubehold_core::prelude::*;
 use jujubehold_core::replay::replay;
 
@@ -120,31 +121,49 @@
     assert!(found.is_some());
 }
 
-/// The time without acknowledged writes when a primary is lost, in milliseconds of the model.
-fn failover_gap(seed: u64) -> u64 {
+/// The time from `change` to the first write that the next primary acknowledged, in milliseconds of
+/// the model.
+fn gap_after(seed: u64, change: impl Fn(&mut World)) -> u64 {
     let mut world = World::new(seed, Planted::Nothing, Confirm::Replica, 0);
     world.run(4000 + 37 * seed);
-    let primary = world.instances.get_mut("a").expect("it is listed");
-    primary.is_down = true;
-    let lost_at = world.now;
+    change(&mut world);
+    let changed_at = world.now;
     while !world.callers.has_acknowledged_past(1) {
         assert!(
-            world.now < lost_at + 20_000,
+            world.now < changed_at + 20_000,
             "seed {seed}: no write after 20 s"
         );
         world.run(world.now + 10);
     }
-    world.now - lost_at
+    world.now - changed_at
+}
+
+fn gaps_after(change: impl Fn(&mut World)) -> Vec<u64> {
+    let mut gaps: Vec<_> = (0..20).map(|seed| gap_after(seed, &change)).collect();
+    gaps.sort_unstable();
+    gaps
 }
 
 #[test]
 fn a_lost_primary_is_replaced_within_the_targets_seven_seconds() {
-    let mut gaps: Vec<_> = (0..20).map(failover_gap).collect();
-    gaps.sort_unstable();
+    let gaps = gaps_after(|world| {
+        let primary = world.instances.get_mut("a").expect("it is listed");
+        primary.is_down = true;
+    });
     println!("failover gaps of the model in ms: {gaps:?}");
     assert!(gaps.last().is_some_and(|longest| *longest < 7000));
 }
 
+#[test]
+fn an_ordered_change_takes_less_than_a_failover() {
+    let gaps = gaps_after(|world| {
+        let instance = "b".into();
+        world.feed(0, FailoverEvent::ChangeOrdered { instance });
+    });
+    println!("ordered changes of the model in ms: {gaps:?}");
+    assert!(gaps.last().is_some_and(|longest| *longest < 2000));
+}
+
 #[test]
 fn delay_and_loss_alone_replace_no_primary() {
     for seed in 0..4 {
