Give lent connections back, and close those of no more use

A forwarded lane sent its close and dropped the stream at once, which reset it before the owner read the close, so the owner closed every connection that it had lent. The lane now waits until the owner ends the stream; seen by the two new tests, which waited in vain for the idle connection before.

Idle connections to instances that another host owns now, or that leave, are closed within 500 ms; a host that is finishing lends nothing more, and the entry host asks the next owner.

--- a/crates/jujubehold_host/src/host.rs
+++ b/crates/jujubehold_host/src/host.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use jujubehold_core::drain::{Drain, DrainAction, DrainEvent, DrainSettings};
+use jujubehold_core::prelude::*;
 use jujubehold_settings::HostSettings;
 use log::{info, warn};
 use tokio::net::TcpListener;
@@ -20,6 +21,7 @@
 use crate::metrics_page;
 use crate::peer::{PeerConnector, serve_peers};
 use crate::peer_sockets::PeerSockets;
+use crate::pool_keeper::keep_pools;
 use crate::routing_table::RoutingTable;
 use crate::shared::Shared;
 use crate::traffic::{TrafficThreads, accept_callers};
@@ -133,6 +135,12 @@
         self.shared.table.clone()
     }
 
+    /// How many connections to an instance lie idle, at any time later on.
+    pub fn idle_counter(&self) -> impl Fn(&ServiceId, &InstanceId) -> usize + use<> {
+        let shared = Arc::clone(&self.shared);
+        move |service, instance| shared.pools.idle_count(service, instance)
+    }
+
     /// What is in flight.
     pub fn activity(&self) -> Arc<Activity> {
         Arc::clone(&self.shared.activity)
@@ -224,6 +232,7 @@
 fn spawn_peers(calls: std::net::TcpListener, events: ControlSender, shared: Arc<Shared>) {
     match TcpListener::from_std(calls) {
         Ok(listener) => {
+            actix_rt::spawn(keep_pools(Arc::clone(&shared)));
             actix_rt::spawn(serve_peers(listener, events, shared));
         }
         Err(error) => warn!("other hosts are not served: {error}"),
--- a/crates/jujubehold_host/src/lib.rs
+++ b/crates/jujubehold_host/src/lib.rs
@@ -18,6 +18,7 @@
 mod peer_sockets;
 pub mod platform;
 pub mod pool;
+mod pool_keeper;
 pub mod routing_table;
 pub mod security;
 pub mod shared;
--- a/crates/jujubehold_host/src/peer/forward_server.rs
+++ b/crates/jujubehold_host/src/peer/forward_server.rs
@@ -17,6 +17,7 @@
 use tonic::{Status, Streaming};
 
 use crate::activity::Activity;
+use crate::drain_phase::DrainPhase;
 use crate::pool::{PoolError, PooledConnection};
 use crate::shared::Shared;
 
@@ -86,6 +87,10 @@
     let Some(route) = route else {
         return Err(RefusalReason::UnknownService);
     };
+    // Nothing was sent yet, so the entry host asks the next owner.
+    if *shared.phase.borrow() == DrainPhase::Finishing {
+        return Err(RefusalReason::ShuttingDown);
+    }
     let Some(config) = route.config.instances.get(&instance) else {
         return Err(RefusalReason::UnknownService);
     };
--- a/crates/jujubehold_host/src/peer/forwarded_lane.rs
+++ b/crates/jujubehold_host/src/peer/forwarded_lane.rs
@@ -209,10 +209,16 @@
     }
 
     /// Gives a clean connection back: outside of a transaction, with every answer read.
-    pub async fn finish(self) {
+    ///
+    /// It returns once the owner has taken it: a stream that is dropped before is reset, and the
+    /// owner then closes the connection.
+    pub async fn finish(mut self) {
         let close = peer::ForwardClose { is_clean: true };
         // An owner that is gone has closed the connection.
         let _ = self.requests.send(request(RequestKind::Close(close))).await;
+        let ending = async { while self.next_answer().await.is_ok() {} };
+        // A slow owner closes the connection instead.
+        let _ = tokio::time::timeout(NETWORK_ALLOWANCE, ending).await;
     }
 
     async fn next_answer(&mut self) -> Result<ResponseKind, ForwardError> {
--- a/crates/jujubehold_host/src/pool/pools.rs
+++ b/crates/jujubehold_host/src/pool/pools.rs
@@ -125,6 +125,18 @@
         }
     }
 
+    /// Closes the idle connections to every instance that `is_unwanted` names.
+    pub fn close_idle_where(&self, is_unwanted: impl Fn(&ServiceId, &InstanceId) -> bool) {
+        let unwanted: Vec<_> = lock(&self.pools)
+            .iter()
+            .filter(|((service, instance), _)| is_unwanted(service, instance))
+            .map(|(_, pool)| Arc::clone(pool))
+            .collect();
+        for pool in unwanted {
+            lock(&pool.idle).clear();
+        }
+    }
+
     /// How many connections to an instance lie idle.
     pub fn idle_count(&self, service: &ServiceId, instance: &InstanceId) -> usize {
         lock(&self.pools)
--- /dev/null
+++ b/crates/jujubehold_host/src/pool_keeper.rs
@@ -0,0 +1,41 @@
+//! Closes idle connections that this host has no more use for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujubehold_core::prelude::*;
+
+use crate::routing_table::RoutingTable;
+use crate::shared::Shared;
+
+/// How often the pools are looked at when the routing table changed.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Closes idle connections to instances that other hosts own now, that are leaving or that are no
+/// longer configured, until its future is dropped.
+///
+/// Connections in use are closed by their own requests' ends; so nothing in flight is cut, and the
+/// new owner's share is free within moments. See docs/notes/ownership-and-forwarding.md.
+pub(crate) async fn keep_pools(shared: Arc<Shared>) {
+    let mut table = shared.table.clone();
+    while table.changed().await.is_ok() {
+        let latest = Arc::clone(&table.borrow_and_update());
+        shared
+            .pools
+            .close_idle_where(|service, instance| !is_wanted(&latest, service, instance));
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+fn is_wanted(table: &RoutingTable, service: &ServiceId, instance: &InstanceId) -> bool {
+    let Some(route) = table.services.get(service) else {
+        return false;
+    };
+    let Some(config) = route.config.instances.get(instance) else {
+        return false;
+    };
+    // A leaving primary still has the replicas' questions until another one is in place.
+    let has_work =
+        config.state == InstanceState::Active || route.view.primary.as_ref() == Some(instance);
+    has_work && route.is_owned_here(instance)
+}
--- a/crates/jujubehold_host/tests/control_forwarding.rs
+++ b/crates/jujubehold_host/tests/control_forwarding.rs
@@ -157,3 +157,75 @@
     let is_closed = || installation.instances[0].connection_count() <= 3;
     wait_until("only probes and replicas are connected", is_closed).await;
 }
+
+#[actix_rt::test]
+async fn idle_connections_to_a_leaving_instance_are_closed() {
+    let (installation, host) = started().await;
+    let target = ForwardTarget {
+        instance: "b".into(),
+        ..target()
+    };
+    let connector = PeerConnector::default();
+    let lane = ForwardedLane::open_at(&connector, &host.target(), &target).await;
+    let mut lane = lane.expect("it opens");
+    tags_of(&mut lane, "SELECT 1").await;
+    lane.finish().await;
+    wait_until("the host is ready", || host.is_ready()).await;
+    wait_until("the connection is back", || host.idle_count("b") == 1).await;
+    let mut config = installation.config(2);
+    if let Some(instance) = config.instances.get_mut("b") {
+        instance.state = jujubehold_core::prelude::InstanceState::Leaving;
+    }
+    installation.submit(&config).await;
+    wait_until("the idle connection is closed", || {
+        host.idle_count("b") == 0
+    })
+    .await;
+    // Nothing new goes there.
+    let refused = ForwardedLane::open_at(&connector, &host.target(), &target).await;
+    assert!(matches!(refused, Err(ForwardError::Refused { reason, .. }) if reason == "leaving"));
+}
+
+#[actix_rt::test]
+async fn idle_connections_are_closed_when_another_host_owns_the_instance() {
+    let (installation, first) = started().await;
+    let connector = PeerConnector::default();
+    let lane = ForwardedLane::open_at(&connector, &first.target(), &target()).await;
+    let mut lane = lane.expect("it opens");
+    tags_of(&mut lane, "SELECT 1").await;
+    lane.finish().await;
+    wait_until("the host is ready", || first.is_ready()).await;
+    wait_until("the connection is back", || first.idle_count("a") == 1).await;
+    let mut others: Vec<RunningHost> = Vec::new();
+    // More hosts come until the first one owns the instance no more.
+    let is_owner = || {
+        let route = first.route();
+        route.is_some_and(|route| route.is_owned_here(&"a".into()))
+    };
+    for number in 2..20 {
+        let settings = jujubehold_settings::HostSettings {
+            peer_seeds: vec![first.seed()],
+            ..installation.settings(&format!("host-{number}"), "delta")
+        };
+        let other = RunningHost::start(settings).await;
+        wait_until("the other has the group", || {
+            other.is_ready() || other.route().is_some()
+        })
+        .await;
+        wait_until("the first knows it", || {
+            first
+                .route()
+                .is_some_and(|route| route.owners["a"].len() == 2)
+        })
+        .await;
+        others.push(other);
+        if !is_owner() {
+            break;
+        }
+    }
+    wait_until("others own the instance", || !is_owner()).await;
+    wait_until("the idle connection is closed", || {
+        first.idle_count("a") == 0
+    })
+    .await;
+}
--- a/crates/jujubehold_host/tests/support/control.rs
+++ b/crates/jujubehold_host/tests/support/control.rs
@@ -132,6 +132,9 @@
     }
 }
 
+/// Counts idle connections to an instance.
+type IdleCounter = Box<dyn Fn(&ServiceId, &InstanceId) -> usize>;
+
 /// A host that runs until it is told to stop.
 pub(crate) struct RunningHost {
     /// Its name.
@@ -146,6 +149,7 @@
     pub(crate) metrics_address: Option<SocketAddr>,
     /// Its routing tables.
     pub(crate) tables: watch::Receiver<Arc<RoutingTable>>,
+    idle: IdleCounter,
     stop: Option<oneshot::Sender<()>>,
     ended: Option<tokio::task::JoinHandle<()>>,
 }
@@ -165,6 +169,7 @@
             peer_address: host.peer_address(),
             metrics_address: host.metrics_address(),
             tables: host.tables(),
+            idle: Box::new(host.idle_counter()),
             stop: Some(stop),
             ended: Some(actix_rt::spawn(host.serve(async {
                 let _ = stopped.await;
@@ -215,6 +220,11 @@
         })
     }
 
+    /// How many connections to an instance lie idle.
+    pub(crate) fn idle_count(&self, instance: &str) -> usize {
+        (self.idle)(&SERVICE.into(), &instance.into())
+    }
+
     /// The generation in force.
     pub(crate) fn generation(&self) -> Generation {
         self.route().map_or(0, |route| route.config.generation)
