--- a/crates/jujubehold/tests/docs.rs
+++ b/crates/jujubehold/tests/docs.rs
@@ -69,6 +69,52 @@
     }
 }
 
+/// The texts of every Rust file below `directory`.
+fn sources(directory: &Path) -> Vec<String> {
+    let entries = std::fs::read_dir(directory).expect("the directory is there");
+    let mut texts = Vec::new();
+    for entry in entries {
+        let path = entry.expect("it can be read").path();
+        if path.is_dir() {
+            texts.extend(sources(&path));
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            texts.push(std::fs::read_to_string(&path).expect("the file can be read"));
+        }
+    }
+    texts
+}
+
+/// Every text that stands between `start` and a quotation mark in the host's code.
+fn quoted_after(start: &str) -> Vec<String> {
+    let texts = sources(&root().join("crates/jujubehold_host/src"));
+    let mut found = Vec::new();
+    for text in &texts {
+        let rests = text.split(start).skip(1);
+        found.extend(rests.filter_map(|rest| rest.split('"').next().map(str::to_owned)));
+    }
+    found
+}
+
+#[test]
+fn every_metric_is_told() {
+    let operations = page("docs/OPERATIONS.md");
+    let names = quoted_after("\"jujubehold_");
+    assert!(names.len() > 10, "{names:?}");
+    for name in names {
+        let row = format!("| `jujubehold_{name}` |");
+        assert!(operations.contains(&row), "{row} is not told");
+    }
+}
+
+#[test]
+fn every_reason_that_is_no_enum_is_told() {
+    let operations = page("docs/OPERATIONS.md");
+    for reason in quoted_after("\"reason\" => \"") {
+        let row = format!("| `{reason}` |");
+        assert!(operations.contains(&row), "{row} is not told");
+    }
+}
+
 #[test]
 fn every_command_and_exit_code_has_a_row() {
     let operations = page("docs/OPERATIONS.md");
