Submit through the host's platform client

The command line had a client of its own, which did the same calls and told only one more case: a write that never left. After a read that worked this is so rare that it may be told as unknown; the duplicate goes. The store's tests are unchanged but for how the store is made.

--- a/crates/jujubehold/src/commands/mod.rs
+++ b/crates/jujubehold/src/commands/mod.rs
@@ -1,12 +1,9 @@
 //! The subcommands, one module each.
 
-use std::time::Duration;
-
 use getopts::Matches;
 
 use crate::cli_error::CliError;
 use crate::config_store::ConfigStore;
-use crate::kv_calls::KvCalls;
 use crate::options::CommandHelp;
 
 pub(crate) mod check;
@@ -23,15 +20,11 @@
 pub(crate) mod status;
 pub(crate) mod submit;
 
-/// The longest time of one call to the platform's service.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// The store that the options of a command name.
 fn store(help: &CommandHelp, matches: &Matches) -> Result<ConfigStore, CliError> {
     let timeout = help.timeout(matches)?;
-    let addresses = help.addresses(matches, "platform")?;
     Ok(ConfigStore::new(
-        KvCalls::new(addresses, timeout.min(CALL_TIMEOUT)),
+        help.addresses(matches, "platform")?,
         timeout,
     ))
 }
--- a/crates/jujubehold/src/config_store.rs
+++ b/crates/jujubehold/src/config_store.rs
@@ -4,17 +4,20 @@
 //! comment with a random name of the change and the name of the one before, so that a lost answer
 //! can be told apart from a lost write by reading back. See docs/notes/submit.md.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use jujubehold_core::prelude::*;
+use jujubehold_host::platform::{KvClient, KvError};
 
 use crate::config_record::{
     ConfigRecord, NO_CHANGE, PREFIX, format_record, parse_record, service_key,
 };
-use crate::kv_calls::{KvCallError, KvCalls};
 use crate::service_diff::service_differences;
 use crate::store_error::StoreError;
 
+/// The longest time of one call.
+const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// What became of a submission.
@@ -29,14 +32,20 @@
 /// Reads and changes services' configuration.
 #[derive(Debug)]
 pub struct ConfigStore {
-    kv: KvCalls,
+    addresses: Vec<SocketAddr>,
     timeout: Duration,
 }
 
 impl ConfigStore {
-    /// A store behind `kv`, each of whose tasks takes `timeout` at most.
-    pub fn new(kv: KvCalls, timeout: Duration) -> Self {
-        Self { kv, timeout }
+    /// A store behind the platform's service at any of `addresses`, of which there must be one.
+    /// Each of its tasks takes about `timeout` at most.
+    pub fn new(addresses: Vec<SocketAddr>, timeout: Duration) -> Self {
+        Self { addresses, timeout }
+    }
+
+    /// A client that connects at its first call.
+    fn client(&self) -> KvClient {
+        KvClient::with_addresses(&self.addresses, self.timeout.min(MAX_CALL_TIMEOUT))
     }
 
     /// Reads one service; a service that is not there has generation 0.
@@ -44,8 +53,8 @@
     /// # Errors
     /// The platform's service can't be reached, or the record holds faults.
     pub async fn read(&self, service: &ServiceId) -> Result<ConfigRecord, StoreError> {
-        let value = self.kv.read(&service_key(service)).await;
-        match value.map_err(|error| StoreError::Unavailable(error.to_string()))? {
+        let value = self.client().get(&service_key(service)).await;
+        match value.map_err(unavailable)? {
             Some(value) => Ok(parse_record(&value)?),
             None => Ok(ConfigRecord::absent(service)),
         }
@@ -56,8 +65,7 @@
     /// # Errors
     /// The platform's service can't be reached, or a record holds faults.
     pub async fn read_all(&self) -> Result<Vec<ConfigRecord>, StoreError> {
-        let values = self.kv.read_prefix(PREFIX).await;
-        let values = values.map_err(|error| StoreError::Unavailable(error.to_string()))?;
+        let (values, _) = self.client().list(PREFIX).await.map_err(unavailable)?;
         Ok(values.iter().map(parse_record).collect::<Result<_, _>>()?)
     }
 
@@ -123,30 +131,27 @@
         let value = format_record(&next, change, &current.change);
         let key = service_key(&config.service);
         let deadline = Instant::now() + self.timeout;
+        let mut client = self.client();
         let mut may_have_written = false;
         loop {
-            let answer = self
-                .kv
-                .compare_and_swap(&key, current.mod_revision, &value)
-                .await;
-            let failure = match answer {
+            let value = value.clone().into_bytes();
+            let failure = match client.put_if(&key, current.mod_revision, value).await {
                 Ok(true) => return Ok(Submitted::Written(next.generation)),
                 // The same change may have been written by a call whose answer was lost.
                 Ok(false) => match self.read(&config.service).await {
                     Ok(found) => return settle(config, expected, change, may_have_written, &found),
                     Err(error) => error.to_string(),
                 },
-                Err(KvCallError::Refused(detail)) if !may_have_written => {
-                    return Err(StoreError::Unavailable(detail));
-                }
-                Err(KvCallError::NotSent(detail)) => detail,
                 Err(error) => {
                     may_have_written = true;
                     error.to_string()
                 }
             };
             if Instant::now() >= deadline {
-                return Err(give_up(config, may_have_written, failure));
+                return Err(StoreError::Unknown {
+                    service: config.service.clone(),
+                    detail: failure,
+                });
             }
             actix_rt::time::sleep(RETRY_PAUSE).await;
         }
@@ -196,13 +201,9 @@
     })
 }
 
-fn give_up(config: &ServiceConfig, may_have_written: bool, detail: String) -> StoreError {
-    if !may_have_written {
-        return StoreError::Unavailable(detail);
-    }
-    StoreError::Unknown {
-        service: config.service.clone(),
-        detail,
+fn unavailable(error: KvError) -> StoreError {
+    match error {
+        KvError::Unavailable(detail) => StoreError::Unavailable(detail),
     }
 }
 
--- a/crates/jujubehold/src/lib.rs
+++ b/crates/jujubehold/src/lib.rs
@@ -12,7 +12,6 @@
 mod config_store;
 mod exit_status;
 mod json_log;
-mod kv_calls;
 mod options;
 mod service_diff;
 mod store_error;
@@ -24,7 +23,6 @@
 pub use config_record::ConfigRecord;
 pub use config_store::{ConfigStore, Submitted};
 pub use exit_status::ExitStatus;
-pub use kv_calls::{KvCallError, KvCalls};
 pub use service_diff::service_differences;
 pub use store_error::StoreError;
 
--- a/crates/jujubehold/tests/submit.rs
+++ b/crates/jujubehold/tests/submit.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use jujubehold::{ConfigStore, ExitStatus, KvCalls, StoreError, Submitted};
+use jujubehold::{ConfigStore, ExitStatus, StoreError, Submitted};
 use jujubehold_core::prelude::*;
 use jujubehold_settings::parse_service;
 use jujubehold_standin::platform::{CallKind, Outage, Platform, PlatformSettings};
@@ -21,11 +21,7 @@
 }
 
 fn store(platform: &Platform, timeout: Duration) -> ConfigStore {
-    let calls = KvCalls::new(
-        vec![platform.address()],
-        Duration::from_secs(5).min(timeout),
-    );
-    ConfigStore::new(calls, timeout)
+    ConfigStore::new(vec![platform.address()], timeout)
 }
 
 /// A store whose time limit is only there to detect a hang.
@@ -113,7 +109,7 @@
 async fn a_service_that_falls_silent_at_the_change_leaves_the_outcome_unknown() {
     let address = silent_after_change::start().await;
     let timeout = Duration::from_millis(300);
-    let store = ConfigStore::new(KvCalls::new(vec![address], timeout), timeout);
+    let store = ConfigStore::new(vec![address], timeout);
     let outcome = store.submit(&shares(0, 1000), 0, "first").await;
     let error = outcome.expect_err("no answer came");
     assert_eq!(error.status(), ExitStatus::OutcomeUnknown);
