--- a/crates/jujubehold_host/src/traffic/listener.rs
+++ b/crates/jujubehold_host/src/traffic/listener.rs
@@ -9,7 +9,7 @@
 use crate::activity::Activity;
 use crate::drain_phase::DrainPhase;
 use crate::shared::Shared;
-use crate::traffic::caller::serve_caller;
+use crate::traffic::session_start::serve_caller;
 
 /// The threads that carry traffic.
 #[derive(Debug)]
@@ -67,11 +67,14 @@
 fn hand_over(stream: std::net::TcpStream, shared: &Arc<Shared>, threads: &mut TrafficThreads) {
     let session = Activity::begin_session(&shared.activity);
     let shared = shared.clone();
-    threads.next().spawn(async move {
-        match TcpStream::from_std(stream) {
-            Ok(stream) => serve_caller(stream, shared).await,
-            Err(error) => warn!("a caller was not accepted: {error}"),
-        }
-        drop(session);
+    // The session's future stays on the thread that it is made on.
+    threads.next().spawn_fn(move || {
+        actix_rt::spawn(async move {
+            match TcpStream::from_std(stream) {
+                Ok(stream) => serve_caller(stream, shared).await,
+                Err(error) => warn!("a caller was not accepted: {error}"),
+            }
+            drop(session);
+        });
     });
 }
--- a/crates/jujubehold_standin/src/database/session.rs
+++ b/crates/jujubehold_standin/src/database/session.rs
@@ -116,7 +116,7 @@
             self.executor.begin(Transaction {
                 is_implicit: true,
                 ..Transaction::default()
-            })?;
+            });
         }
         for sql in statements {
             let outcome = self.run_statement(sql, &[]).await?;
@@ -188,7 +188,7 @@
                 self.executor.begin(Transaction {
                     is_read_only,
                     ..Transaction::default()
-                })?;
+                });
                 Ok(Outcome::done("BEGIN"))
             }
             StatementKind::Commit => Ok(Outcome::done(self.executor.commit()?)),
@@ -261,6 +261,14 @@
 
     fn set(&mut self, sql: &str) {
         let text = sql.trim().trim_end_matches(';');
+        let lower = text.to_ascii_lowercase();
+        if let Some(name) = lower.strip_prefix("reset") {
+            match name.trim() {
+                "all" => self.settings.clear(),
+                name => drop(self.settings.remove(name)),
+            }
+            return;
+        }
         let Some(rest) = text
             .get(3..)
             .filter(|_| text.to_ascii_lowercase().starts_with("set"))
