Talk by mutual TLS between hosts, and refuse the clear off loopback

With [tls] set, hosts call each other and lend connections by TLS only. A host that others than its own machine can reach does not start without TLS unless allow_cleartext is set, also when settings are made by hand, and takes callers by TLS only. ForwardedLane takes the identity as a parameter; its tests pass none.

Tests run whole hosts: a table is made through a borrowed connection by TLS, wrong passwords and unknown users get 28P01, and a host without a certificate is refused.

--- a/crates/jujubehold/src/commands/host.rs
+++ b/crates/jujubehold/src/commands/host.rs
@@ -12,7 +12,8 @@
 
 const HELP: CommandHelp = CommandHelp {
     usage: "host --settings FILE",
-    about: "Runs an entry host until SIGTERM or SIGINT. Logs go to standard error as JSON lines.",
+    about: "Runs an entry host until SIGTERM or SIGINT, at which it stops accepting, lets what \
+            runs end\nwithin drain_timeout_ms, and exits. Logs go to standard error as JSON lines.",
     exits: &[
         ExitStatus::Ok,
         ExitStatus::Failed,
--- a/crates/jujubehold/src/json_log.rs
+++ b/crates/jujubehold/src/json_log.rs
@@ -51,7 +51,13 @@
         } else {
             json!(value.to_string())
         };
-        self.0.entry(key.as_str()).or_insert(value);
+        // A pair must not hide what every line has, nor be lost.
+        let name = if self.0.contains_key(key.as_str()) {
+            format!("field_{key}")
+        } else {
+            key.to_string()
+        };
+        self.0.insert(name, value);
         Ok(())
     }
 }
--- a/crates/jujubehold_host/src/control/control_loop.rs
+++ b/crates/jujubehold_host/src/control/control_loop.rs
@@ -27,6 +27,7 @@
 use crate::peer::PeerClients;
 use crate::platform::KvClient;
 use crate::routing_table::{RoutingTable, ServiceRoute};
+use crate::security::PeerTls;
 
 /// How long a call of the platform's service may take.
 const PLATFORM_CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -101,6 +102,8 @@
     pub events_sender: ControlSender,
     /// How events are taken.
     pub events: ControlReceiver,
+    /// The host's identity towards other hosts; `None` calls them in the clear.
+    pub tls: Option<PeerTls>,
 }
 
 impl Control {
@@ -147,7 +150,7 @@
                 FIRST_WATCH_SPREAD
             },
             runner,
-            peers: PeerClients::default(),
+            peers: PeerClients::new(parts.tls),
             socket: Rc::new(UdpSocket::from_std(parts.socket)?),
             kv,
             platform_watch: None,
--- a/crates/jujubehold_host/src/error.rs
+++ b/crates/jujubehold_host/src/error.rs
@@ -17,6 +17,12 @@
         /// The system's error.
         source: std::io::Error,
     },
+    /// The host would listen off loopback without TLS, which the settings don't allow.
+    #[error("{address} is not on loopback, and there is no TLS; set [tls] or allow_cleartext")]
+    Exposed {
+        /// The address.
+        address: SocketAddr,
+    },
     /// The host's identity can't be read.
     #[error(transparent)]
     Security(#[from] SecurityError),
--- a/crates/jujubehold_host/src/host.rs
+++ b/crates/jujubehold_host/src/host.rs
@@ -60,6 +60,7 @@
         if settings.metrics_address.is_some() {
             metrics_page::install();
         }
+        check_exposure(&settings)?;
         let listener = listen(settings.caller_address).await?;
         let peer_sockets = PeerSockets::open(settings.peer_address)?;
         let peer_address = peer_sockets.address;
@@ -68,6 +69,8 @@
         let (observations, observation_receiver) = mpsc::unbounded_channel();
         let (events_sender, events) = mpsc::unbounded_channel();
         let (phase, phase_receiver) = watch::channel(DrainPhase::Serving);
+        let shared = Shared::new(settings, clock, table, observations, phase_receiver);
+        let shared = Arc::new(shared.with_tls()?);
         let control = Arbiter::new();
         let parts = ControlParts {
             clock,
@@ -77,12 +80,11 @@
             observations: observation_receiver,
             events_sender: events_sender.clone(),
             events,
+            tls: shared.peer_tls.clone(),
         };
-        let control_settings = settings.clone();
+        let control_settings = shared.settings.clone();
         control.spawn_fn(move || spawn_control(&control_settings, parts));
-        let threads = TrafficThreads::start(settings.traffic_threads);
-        let shared = Shared::new(settings, clock, table, observations, phase_receiver);
-        let shared = Arc::new(shared.with_tls()?);
+        let threads = TrafficThreads::start(shared.settings.traffic_threads);
         let peers = Arbiter::new();
         let (peer_events, peer_shared) = (events_sender.clone(), Arc::clone(&shared));
         peers.spawn_fn(move || spawn_peers(peer_sockets.calls, peer_events, peer_shared));
@@ -202,6 +204,19 @@
     }
 }
 
+/// Refuses to listen in the clear where others than this machine's can reach the host.
+fn check_exposure(settings: &HostSettings) -> Result<(), HostError> {
+    if settings.tls.is_some() || settings.is_cleartext_allowed {
+        return Ok(());
+    }
+    for address in [settings.caller_address, settings.peer_address] {
+        if !address.ip().is_loopback() {
+            return Err(HostError::Exposed { address });
+        }
+    }
+    Ok(())
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, HostError> {
     TcpListener::bind(address)
         .await
--- a/crates/jujubehold_host/src/peer/forwarded_lane.rs
+++ b/crates/jujubehold_host/src/peer/forwarded_lane.rs
@@ -21,6 +21,7 @@
 
 use super::peer_clients::{MAX_MESSAGE_BYTES, channel_to};
 use crate::routing_table::Owner;
+use crate::security::PeerTls;
 
 /// How many messages may wait for a slow owner; more of them hold the caller back.
 const WAITING_REQUESTS: usize = 16;
@@ -78,16 +79,20 @@
 }
 
 impl ForwardedLane {
-    /// Borrows a connection from the first of `owners` that lends one.
+    /// Borrows a connection from the first of `owners` that lends one, by `tls` or in the clear.
     ///
     /// Nothing has been sent when an owner refuses or can't be reached, so the next one is asked.
     ///
     /// # Errors
     /// None of them lends one.
-    pub async fn open(owners: &[Owner], target: &ForwardTarget) -> Result<Self, ForwardError> {
+    pub async fn open(
+        owners: &[Owner],
+        target: &ForwardTarget,
+        tls: Option<&PeerTls>,
+    ) -> Result<Self, ForwardError> {
         let mut failure = ForwardError::Unreachable("the instance has no owner".to_owned());
         for owner in owners.iter().filter(|owner| !owner.is_local) {
-            match Self::open_at(owner.peer_address, target).await {
+            match Self::open_at(owner.peer_address, target, tls).await {
                 Ok(lane) => return Ok(lane),
                 Err(error) => {
                     counter!("jujubehold_retries_total", "reason" => "next_owner").increment(1);
@@ -98,22 +103,27 @@
         Err(failure)
     }
 
-    /// Borrows a connection from the host at `address`.
+    /// Borrows a connection from the host at `address`, by `tls` or in the clear.
     ///
     /// # Errors
     /// The host refuses or can't be reached; nothing was sent.
     pub async fn open_at(
         address: SocketAddr,
         target: &ForwardTarget,
+        tls: Option<&PeerTls>,
     ) -> Result<Self, ForwardError> {
         let limit = target.wait + NETWORK_ALLOWANCE;
-        match tokio::time::timeout(limit, Self::try_open(address, target)).await {
+        match tokio::time::timeout(limit, Self::try_open(address, target, tls)).await {
             Ok(outcome) => outcome,
             Err(_) => Err(ForwardError::Unreachable("no answer in time".to_owned())),
         }
     }
 
-    async fn try_open(address: SocketAddr, target: &ForwardTarget) -> Result<Self, ForwardError> {
+    async fn try_open(
+        address: SocketAddr,
+        target: &ForwardTarget,
+        tls: Option<&PeerTls>,
+    ) -> Result<Self, ForwardError> {
         let (requests, receiver) = mpsc::channel(WAITING_REQUESTS);
         let open = peer::ForwardOpen {
             request_id: target.request_id.to_string(),
@@ -123,7 +133,7 @@
             wait_ms: u32::try_from(target.wait.as_millis()).unwrap_or(u32::MAX),
         };
         let mut lane = Self {
-            responses: start_stream(address, &requests, receiver, open).await?,
+            responses: start_stream(address, tls, &requests, receiver, open).await?,
             requests,
             sent: 0,
             received: 0,
@@ -213,6 +223,7 @@
 
 async fn start_stream(
     address: SocketAddr,
+    tls: Option<&PeerTls>,
     requests: &mpsc::Sender<peer::ForwardRequest>,
     receiver: mpsc::Receiver<peer::ForwardRequest>,
     open: peer::ForwardOpen,
@@ -221,7 +232,7 @@
     let _ = requests.try_send(request(RequestKind::Open(open)));
     let channel = CHANNELS.with_borrow_mut(|channels| {
         let channel = channels.entry(address);
-        channel.or_insert_with(|| channel_to(address)).clone()
+        channel.or_insert_with(|| channel_to(address, tls)).clone()
     });
     let mut client = PeerClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let response = client
--- a/crates/jujubehold_host/src/peer/peer_clients.rs
+++ b/crates/jujubehold_host/src/peer/peer_clients.rs
@@ -11,6 +11,8 @@
 use prost::Message;
 use tonic::transport::{Channel, Endpoint};
 
+use crate::security::PeerTls;
+
 /// How long a call of another host may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// How many channels to other hosts are kept.
@@ -19,12 +21,21 @@
 pub(crate) const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
 
 /// Channels to other hosts, opened when first used.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PeerClients {
+    tls: Option<PeerTls>,
     channels: BTreeMap<SocketAddr, Channel>,
 }
 
 impl PeerClients {
+    /// Calls by `tls`, or in the clear without it.
+    pub(crate) fn new(tls: Option<PeerTls>) -> Self {
+        Self {
+            tls,
+            channels: BTreeMap::new(),
+        }
+    }
+
     /// Sends a notification; a lost one is made up for by the next exchange.
     pub(crate) fn notify(&mut self, to: SocketAddr, request: peer::NotifyRequest) {
         let mut client = self.client(to);
@@ -60,7 +71,9 @@
         if self.channels.len() >= MAX_CHANNELS && !self.channels.contains_key(&to) {
             self.channels.clear();
         }
-        let channel = self.channels.entry(to).or_insert_with(|| channel_to(to));
+        let tls = self.tls.as_ref();
+        let channel = self.channels.entry(to);
+        let channel = channel.or_insert_with(|| channel_to(to, tls));
         PeerClient::new(channel.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES)
     }
 }
@@ -68,13 +81,19 @@
 /// A channel to the host at `address`, which connects at its first call.
 ///
 /// # Panics
-/// Never: an address and a port always make a good URI.
-pub(crate) fn channel_to(address: SocketAddr) -> Channel {
-    Endpoint::from_shared(format!("http://{address}"))
+/// Never: an address and a port always make a good URI, and the identity was read before.
+pub(crate) fn channel_to(address: SocketAddr, tls: Option<&PeerTls>) -> Channel {
+    let scheme = if tls.is_some() { "https" } else { "http" };
+    let mut endpoint = Endpoint::from_shared(format!("{scheme}://{address}"))
         .expect("an address is a good URI")
         .connect_timeout(CALL_TIMEOUT)
-        .tcp_nodelay(true)
-        .connect_lazy()
+        .tcp_nodelay(true);
+    if let Some(tls) = tls {
+        endpoint = endpoint
+            .tls_config(tls.client_config())
+            .expect("an identity that was read is good");
+    }
+    endpoint.connect_lazy()
 }
 
 /// Counts a message to another host.
--- a/crates/jujubehold_host/src/peer/peer_server.rs
+++ b/crates/jujubehold_host/src/peer/peer_server.rs
@@ -25,10 +25,17 @@
 
 /// Serves other hosts on `listener` until its future is dropped.
 pub(crate) async fn serve_peers(listener: TcpListener, events: ControlSender, shared: Arc<Shared>) {
+    let mut builder = Server::builder();
+    if let Some(tls) = &shared.peer_tls {
+        builder = match builder.tls_config(tls.server_config()) {
+            Ok(builder) => builder,
+            Err(error) => return warn!("other hosts are not served: {error}"),
+        };
+    }
     let service = PeerServer::new(PeerService { events, shared })
         .max_decoding_message_size(MAX_MESSAGE_BYTES);
     let incoming = TcpListenerStream::new(listener);
-    let server = Server::builder().serve_with_incoming(service, incoming);
+    let server = builder.serve_with_incoming(service, incoming);
     if let Err(error) = server.await {
         warn!("other hosts are not served any more: {error}");
     }
--- a/crates/jujubehold_host/src/shared.rs
+++ b/crates/jujubehold_host/src/shared.rs
@@ -12,7 +12,7 @@
 use crate::observation::ObservationSender;
 use crate::pool::Pools;
 use crate::routing_table::{RoutingTable, ServiceRoute};
-use crate::security::{CallerTls, SecurityError};
+use crate::security::{CallerTls, PeerTls, SecurityError};
 use crate::traffic::{AdmissionDesk, CancelKeys, ConfirmDesk, RetryBudgets};
 
 /// The parts of one host that its threads share.
@@ -42,6 +42,8 @@
     pub phase: watch::Receiver<DrainPhase>,
     /// The host's identity towards callers; `None` serves them in the clear.
     pub tls: Option<CallerTls>,
+    /// The host's identity towards other hosts; `None` talks with them in the clear.
+    pub peer_tls: Option<PeerTls>,
 }
 
 impl Shared {
@@ -66,6 +68,7 @@
             activity: Arc::default(),
             phase,
             tls: None,
+            peer_tls: None,
         }
     }
 
@@ -74,13 +77,21 @@
     /// # Errors
     /// The identity can't be read.
     pub fn with_tls(self) -> Result<Self, SecurityError> {
-        let tls = self
-            .settings
-            .tls
-            .as_ref()
-            .map(CallerTls::load)
-            .transpose()?;
-        Ok(Self { tls, ..self })
+        let files = self.settings.tls.as_ref();
+        let tls = files.map(CallerTls::load).transpose()?;
+        let peer_tls = files.map(PeerTls::load).transpose()?;
+        Ok(Self {
+            tls,
+            peer_tls,
+            ..self
+        })
+    }
+
+    /// Whether a caller must talk by TLS: where others than this machine's can reach the host, and
+    /// the settings don't allow them the clear.
+    pub fn is_tls_required(&self) -> bool {
+        let is_exposed = !self.settings.caller_address.ip().is_loopback();
+        self.tls.is_some() && is_exposed && !self.settings.is_cleartext_allowed
     }
 
     /// How many connections to an instance this host may hold when it is one of its owners.
--- a/crates/jujubehold_host/src/traffic/lane.rs
+++ b/crates/jujubehold_host/src/traffic/lane.rs
@@ -57,7 +57,7 @@
         };
         let service = &route.config.service;
         if !route.is_owned_here(instance) {
-            return Self::open_forwarded(route, instance, wait).await;
+            return Self::open_forwarded(shared, route, instance, wait).await;
         }
         let quota = shared.quota(config);
         match shared
@@ -72,6 +72,7 @@
     }
 
     async fn open_forwarded(
+        shared: &Shared,
         route: &ServiceRoute,
         instance: &InstanceId,
         wait: Duration,
@@ -84,7 +85,7 @@
             wait: wait.min(FORWARD_WAIT),
         };
         let owners = route.owners.get(instance).map_or(&[][..], Vec::as_slice);
-        match ForwardedLane::open(owners, &target).await {
+        match ForwardedLane::open(owners, &target, shared.peer_tls.as_ref()).await {
             Ok(lane) => Ok(Self::Forwarded(Forwarded {
                 lane,
                 prepared: PreparedNames::default(),
--- a/crates/jujubehold_host/src/traffic/session_start.rs
+++ b/crates/jujubehold_host/src/traffic/session_start.rs
@@ -55,8 +55,12 @@
     let service = parameters
         .get("database")
         .map_or(user.clone(), SmolStr::from);
+    let is_too_clear = shared.is_tls_required() && !stream.is_tls();
     let (read_half, writer) = stream.into_split();
     let mut io = CallerIo::new(FrameReader::new(read_half, buffer), writer);
+    if is_too_clear {
+        return end_start(&mut io, RefusalReason::AuthenticationFailed).await;
+    }
     let startup = match start_session(&mut io, &shared, &service, &user, &parameters).await {
         Ok(startup) => startup,
         Err(reason) => return end_start(&mut io, reason).await,
--- a/crates/jujubehold_host/tests/control_forwarding.rs
+++ b/crates/jujubehold_host/tests/control_forwarding.rs
@@ -45,7 +45,7 @@
 #[actix_rt::test]
 async fn a_borrowed_connection_carries_a_whole_transaction() {
     let (installation, host) = started().await;
-    let mut lane = ForwardedLane::open_at(host.peer_address, &target())
+    let mut lane = ForwardedLane::open_at(host.peer_address, &target(), None)
         .await
         .expect("it opens");
     for sql in [
@@ -60,7 +60,7 @@
     lane.finish().await;
     // The same connection is lent again.
     let before = installation.instances[0].connection_count();
-    let mut lane = ForwardedLane::open_at(host.peer_address, &target())
+    let mut lane = ForwardedLane::open_at(host.peer_address, &target(), None)
         .await
         .expect("it opens");
     let tags = tags_of(&mut lane, "SELECT id FROM casks").await;
@@ -71,7 +71,7 @@
 #[actix_rt::test]
 async fn a_lane_that_is_dropped_in_a_transaction_rolls_it_back() {
     let (installation, host) = started().await;
-    let mut lane = ForwardedLane::open_at(host.peer_address, &target())
+    let mut lane = ForwardedLane::open_at(host.peer_address, &target(), None)
         .await
         .expect("it opens");
     tags_of(&mut lane, "CREATE TABLE casks (id INTEGER)").await;
@@ -81,7 +81,7 @@
     drop(lane);
     let is_closed = || installation.instances[0].connection_count() < with_lane;
     wait_until("the connection is closed", is_closed).await;
-    let mut lane = ForwardedLane::open_at(host.peer_address, &target())
+    let mut lane = ForwardedLane::open_at(host.peer_address, &target(), None)
         .await
         .expect("it opens");
     let tags = tags_of(&mut lane, "SELECT id FROM casks").await;
@@ -100,7 +100,7 @@
         is_local: false,
     };
     let owners = [owner("gone", address), owner("host-1", host.peer_address)];
-    let mut lane = ForwardedLane::open(&owners, &target())
+    let mut lane = ForwardedLane::open(&owners, &target(), None)
         .await
         .expect("it opens");
     let tags = tags_of(&mut lane, "SELECT 1").await;
@@ -114,7 +114,7 @@
         service: "no-such".into(),
         ..target()
     };
-    let refused = ForwardedLane::open_at(host.peer_address, &target).await;
+    let refused = ForwardedLane::open_at(host.peer_address, &target, None).await;
     let Err(ForwardError::Refused { reason, .. }) = refused else {
         panic!("it is refused");
     };
--- a/crates/jujubehold_host/tests/control_shutdown.rs
+++ b/crates/jujubehold_host/tests/control_shutdown.rs
@@ -82,7 +82,7 @@
         term: 0,
         wait: Duration::from_secs(5),
     };
-    let mut lane = ForwardedLane::open_at(host.peer_address, &target)
+    let mut lane = ForwardedLane::open_at(host.peer_address, &target, None)
         .await
         .expect("it opens");
     host.ask_to_leave();
--- a/crates/jujubehold_host/tests/security.rs
+++ b/crates/jujubehold_host/tests/security.rs
@@ -1,10 +1,12 @@
 //! TLS towards callers, mutual TLS between hosts, and callers' logins.
 
+#[path = "support/identity.rs"]
+mod identity_files;
+
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::sync::Arc;
 
 use bytes::BytesMut;
+use identity_files::{authority, caller_connector, identity};
 use jujubehold_core::prelude::*;
 use jujubehold_host::security::{
     CallerReadHalf, CallerTls, LoginError, PeerTls, SecurityError, log_in,
@@ -17,9 +19,7 @@
     DeleteRangeRequest, DeleteRangeResponse, PutRequest, PutResponse, RangeRequest, RangeResponse,
     TxnRequest, TxnResponse,
 };
-use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
-use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, ServerName};
+use rustls::pki_types::ServerName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_stream::wrappers::TcpListenerStream;
@@ -31,35 +31,6 @@
                         $WG5d8oPm3OtcPnkdi4Uo7BkeZkBFzpcXkuLmtbsT4qY=\
                         :wfPLwcE6nTWhTAmQ7tl2KeoiWGPlZqQxSrmfPwDl2dU=";
 
-type Authority = CertifiedIssuer<'static, KeyPair>;
-
-fn authority() -> Authority {
-    let mut params = CertificateParams::new(Vec::new()).expect("no names are good names");
-    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-    let key = KeyPair::generate().expect("a key can be made");
-    CertifiedIssuer::self_signed(params, key).expect("an authority can sign itself")
-}
-
-/// Writes the identity of `host` by `authority` to files whose names start with `test`.
-fn identity(test: &str, authority: &Authority, host: &str) -> TlsSettings {
-    let key = KeyPair::generate().expect("a key can be made");
-    let certificate = CertificateParams::new(vec![host.to_owned()])
-        .expect("the name is good")
-        .signed_by(&key, authority)
-        .expect("the authority can sign");
-    let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
-    let write = |kind: &str, text: &str| -> PathBuf {
-        let file = directory.join(format!("{test}-{host}-{kind}.pem"));
-        std::fs::write(&file, text).expect("the target directory can be written");
-        file
-    };
-    TlsSettings {
-        certificate_file: write("certificate", &certificate.pem()),
-        key_file: write("key", &key.serialize_pem()),
-        authority_file: write("authority", &authority.pem()),
-    }
-}
-
 async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await;
     let listener = listener.expect("loopback has free ports");
@@ -67,19 +38,6 @@
     (listener, address)
 }
 
-fn caller_connector(authority: &Authority) -> tokio_rustls::TlsConnector {
-    let mut roots = rustls::RootCertStore::empty();
-    let root = CertificateDer::from_pem_slice(authority.pem().as_bytes());
-    roots.add(root.expect("it is PEM")).expect("it is a root");
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let config = rustls::ClientConfig::builder_with_provider(provider)
-        .with_safe_default_protocol_versions()
-        .expect("the versions are known")
-        .with_root_certificates(roots)
-        .with_no_client_auth();
-    Arc::new(config).into()
-}
-
 #[actix_rt::test]
 async fn a_caller_talks_by_tls_both_ways_at_once() {
     let authority = authority();
--- /dev/null
+++ b/crates/jujubehold_host/tests/security_hosts.rs
@@ -0,0 +1,151 @@
+//! Whole hosts with TLS and callers' passwords.
+
+#[path = "support/control.rs"]
+mod control;
+#[path = "support/identity.rs"]
+mod identity_files;
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use control::{HANG_LIMIT, Installation, RunningHost, SERVICE, wait_until};
+use identity_files::{authority, caller_connector, identity};
+use jujubehold_core::prelude::*;
+use jujubehold_host::peer::{ForwardTarget, ForwardedLane};
+use jujubehold_host::{Host, HostError};
+use jujubehold_pg::{FrameReader, backend, startup_message};
+use jujubehold_settings::{HostSettings, TlsSettings};
+use rustls::pki_types::ServerName;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_postgres::error::SqlState;
+use tokio_postgres::{Client, Error, NoTls};
+
+/// The verifier of `pencil`, with the salt of RFC 7677's example.
+const VERIFIER: &str = "SCRAM-SHA-256$4096:W22ZaJ0SNY7soEsUEjb6gQ==\
+                        $WG5d8oPm3OtcPnkdi4Uo7BkeZkBFzpcXkuLmtbsT4qY=\
+                        :wfPLwcE6nTWhTAmQ7tl2KeoiWGPlZqQxSrmfPwDl2dU=";
+/// The request for TLS: its length, and its code.
+const SSL_REQUEST: [u8; 8] = [0, 0, 0, 8, 4, 210, 22, 47];
+
+fn with_tls(settings: HostSettings, tls: &TlsSettings) -> HostSettings {
+    HostSettings {
+        tls: Some(tls.clone()),
+        ..settings
+    }
+}
+
+async fn log_in(host: &RunningHost, user: &str, password: &str) -> Result<Client, Error> {
+    let port = host.caller_address.port();
+    let text =
+        format!("host=127.0.0.1 port={port} user={user} password={password} dbname={SERVICE}");
+    let (client, connection) = tokio_postgres::connect(&text, NoTls).await?;
+    actix_rt::spawn(async move {
+        // The client's calls tell of a lost connection.
+        let _ = connection.await;
+    });
+    Ok(client)
+}
+
+fn code(outcome: Result<Client, Error>) -> Option<SqlState> {
+    outcome.err()?.code().cloned()
+}
+
+#[actix_rt::test]
+async fn hosts_forward_by_tls_for_callers_with_passwords() {
+    let tls = identity("hosts", &authority(), "127.0.0.1");
+    let installation = Installation::start().await;
+    let mut config = installation.config(2);
+    config.callers.insert("clerk".into(), VERIFIER.into());
+    config.confirm = Confirm::None;
+    installation.submit(&config).await;
+    let owner = with_tls(installation.settings("host-1", "delta"), &tls);
+    let owner = RunningHost::start(owner).await;
+    let entry = HostSettings {
+        peer_seeds: vec![owner.seed()],
+        ..installation.settings("host-2", "piedmont")
+    };
+    let entry = RunningHost::start(with_tls(entry, &tls)).await;
+    wait_until("the entry host knows the primary's owner", || {
+        let route = entry.route();
+        route.is_some_and(|route| {
+            let owners = route.owners.get("a");
+            route.view.primary.as_deref() == Some("a")
+                && owners.is_some_and(|owners| owners.iter().any(|owner| !owner.is_local))
+        })
+    })
+    .await;
+
+    let clerk = log_in(&entry, "clerk", "pencil").await;
+    let clerk = clerk.expect("the password is right");
+    let written = clerk.batch_execute("CREATE TABLE casks (id INTEGER)").await;
+    written.expect("the owner lends a connection by TLS");
+
+    for (user, password) in [("clerk", "pen"), ("eve", "pencil")] {
+        let refused = log_in(&entry, user, password).await;
+        assert_eq!(code(refused), Some(SqlState::INVALID_PASSWORD), "{user}");
+    }
+    let target = ForwardTarget {
+        request_id: "request-1".into(),
+        service: SERVICE.into(),
+        instance: "a".into(),
+        term: 0,
+        wait: Duration::from_secs(1),
+    };
+    let in_the_clear = ForwardedLane::open_at(owner.peer_address, &target, None).await;
+    assert!(
+        in_the_clear.is_err(),
+        "a host without a certificate was taken"
+    );
+}
+
+fn exposed(settings: HostSettings) -> HostSettings {
+    HostSettings {
+        caller_address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+        ..settings
+    }
+}
+
+#[actix_rt::test]
+async fn a_host_off_loopback_takes_callers_by_tls_only() {
+    let authority = authority();
+    let tls = identity("exposed", &authority, "127.0.0.1");
+    let installation = Installation::start().await;
+    let settings = exposed(installation.settings("host-1", "delta"));
+    let host = RunningHost::start(with_tls(settings, &tls)).await;
+    wait_until("the primary is known", || host.primary().is_some()).await;
+
+    let in_the_clear = log_in(&host, "clerk", "none").await;
+    assert_eq!(code(in_the_clear), Some(SqlState::INVALID_PASSWORD));
+
+    let by_tls = async {
+        let address = (Ipv4Addr::LOCALHOST, host.caller_address.port());
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(&SSL_REQUEST).await?;
+        assert_eq!(stream.read_u8().await?, b'S');
+        let name = ServerName::try_from("127.0.0.1").expect("it is an IP number");
+        let mut stream = caller_connector(&authority).connect(name, stream).await?;
+        let parameters = [("user", "clerk"), ("database", SERVICE)]
+            .map(|(name, value)| (name.to_owned(), value.to_owned()));
+        let startup = startup_message(BTreeMap::from(parameters));
+        stream.write_all(&startup).await?;
+        let mut reader = FrameReader::new(stream, BytesMut::new());
+        Ok::<_, std::io::Error>(reader.read().await)
+    };
+    let first = tokio::time::timeout(HANG_LIMIT, by_tls).await;
+    let first = first.expect("the host answers").expect("TLS works");
+    let first = first.expect("it is a message").expect("there is one");
+    assert_eq!(
+        (first.tag(), first.body()),
+        (backend::AUTHENTICATION, &[0; 4][..])
+    );
+}
+
+#[actix_rt::test]
+async fn a_host_in_the_clear_off_loopback_does_not_start() {
+    let settings = exposed(HostSettings::default());
+    let refused = Host::start(settings).await;
+    assert!(matches!(refused, Err(HostError::Exposed { .. })));
+}
