--- a/crates/jujubehold_host/src/error.rs
+++ b/crates/jujubehold_host/src/error.rs
@@ -17,7 +17,7 @@
         /// The system's error.
         source: std::io::Error,
     },
-    /// The host's identity can't be read.
+    /// The host's TLS identity can't be used.
     #[error(transparent)]
     Security(#[from] SecurityError),
     /// A thread can't be started.
--- a/crates/jujubehold_host/tests/control_shutdown.rs
+++ b/crates/jujubehold_host/tests/control_shutdown.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use control::{Installation, RunningHost, SERVICE, wait_until};
-use jujubehold_host::peer::{ForwardTarget, ForwardedLane};
+use jujubehold_host::peer::{ForwardTarget, ForwardedLane, PeerConnector};
 use jujubehold_pg::{backend, query};
 use jujubehold_settings::HostSettings;
 
 async fn started() -> (Installation, RunningHost) {
     let installation = Installation::start().await;
     let host = RunningHost::start(installation.settings("host-1", "delta")).await;
-    wait_until("the primary is known", || host.primary().is_some()).await;
+    wait_until("the group is known", || host.is_ready()).await;
     (installation, host)
 }
 
@@ -82,7 +82,7 @@
         term: 0,
         wait: Duration::from_secs(5),
     };
-    let mut lane = ForwardedLane::open_at(host.peer_address, &target)
+    let mut lane = ForwardedLane::open_at(&PeerConnector::default(), &host.target(), &target)
         .await
         .expect("it opens");
     host.ask_to_leave();
@@ -110,7 +110,7 @@
         ..installation.settings("host-1", "delta")
     };
     let mut host = RunningHost::start(settings).await;
-    wait_until("the primary is known", || host.primary().is_some()).await;
+    wait_until("the group is known", || host.is_ready()).await;
     let caller = host.connect().await;
     caller.simple_query("BEGIN").await.expect("it begins");
     host.ask_to_leave();
