--- a/crates/jujubehold_host/src/error.rs
+++ b/crates/jujubehold_host/src/error.rs
@@ -23,7 +23,7 @@
         /// The address.
         address: SocketAddr,
     },
-    /// The host's identity can't be read.
+    /// The host's TLS identity can't be used.
     #[error(transparent)]
     Security(#[from] SecurityError),
     /// A thread can't be started.
--- a/crates/jujubehold_host/src/shared.rs
+++ b/crates/jujubehold_host/src/shared.rs
@@ -10,9 +10,10 @@
 use crate::clock::Clock;
 use crate::drain_phase::DrainPhase;
 use crate::observation::ObservationSender;
+use crate::peer::PeerConnector;
 use crate::pool::Pools;
 use crate::routing_table::{RoutingTable, ServiceRoute};
-use crate::security::{CallerTls, PeerTls, SecurityError};
+use crate::security::{CallerTls, SecurityError};
 use crate::traffic::{AdmissionDesk, CancelKeys, ConfirmDesk, RetryBudgets};
 
 /// The parts of one host that its threads share.
@@ -28,6 +29,8 @@
     pub observations: ObservationSender,
     /// The connections to upstreams that this host owns.
     pub pools: Pools,
+    /// How channels to other hosts are opened.
+    pub connector: PeerConnector,
     /// The queues of requests.
     pub admission: AdmissionDesk,
     /// The shares of retries.
@@ -42,8 +45,6 @@
     pub phase: watch::Receiver<DrainPhase>,
     /// The host's identity towards callers; `None` serves them in the clear.
     pub tls: Option<CallerTls>,
-    /// The host's identity towards other hosts; `None` talks with them in the clear.
-    pub peer_tls: Option<PeerTls>,
 }
 
 impl Shared {
@@ -61,6 +62,7 @@
             table,
             observations,
             pools: Pools::default(),
+            connector: PeerConnector::default(),
             admission: AdmissionDesk::default(),
             retries: RetryBudgets::default(),
             confirms: ConfirmDesk::default(),
@@ -68,7 +70,6 @@
             activity: Arc::default(),
             phase,
             tls: None,
-            peer_tls: None,
         }
     }
 
@@ -77,12 +78,16 @@
     /// # Errors
     /// The identity can't be read.
     pub fn with_tls(self) -> Result<Self, SecurityError> {
-        let files = self.settings.tls.as_ref();
-        let tls = files.map(CallerTls::load).transpose()?;
-        let peer_tls = files.map(PeerTls::load).transpose()?;
+        let tls = self
+            .settings
+            .tls
+            .as_ref()
+            .map(CallerTls::load)
+            .transpose()?;
+        let connector = PeerConnector::load(&self.settings)?;
         Ok(Self {
+            connector,
             tls,
-            peer_tls,
             ..self
         })
     }
--- a/crates/jujubehold_host/src/traffic/lane.rs
+++ b/crates/jujubehold_host/src/traffic/lane.rs
@@ -85,7 +85,7 @@
             wait: wait.min(FORWARD_WAIT),
         };
         let owners = route.owners.get(instance).map_or(&[][..], Vec::as_slice);
-        match ForwardedLane::open(owners, &target, shared.peer_tls.as_ref()).await {
+        match ForwardedLane::open(&shared.connector, owners, &target).await {
             Ok(lane) => Ok(Self::Forwarded(Forwarded {
                 lane,
                 prepared: PreparedNames::default(),
--- a/crates/jujubehold_host/tests/security_hosts.rs
+++ b/crates/jujubehold_host/tests/security_hosts.rs
@@ -11,12 +11,12 @@
 
 use bytes::BytesMut;
 use control::{HANG_LIMIT, Installation, RunningHost, SERVICE, wait_until};
-use identity_files::{authority, caller_connector, identity};
+use identity_files::{Authority, authority, caller_connector, identity};
 use jujubehold_core::prelude::*;
-use jujubehold_host::peer::{ForwardTarget, ForwardedLane};
+use jujubehold_host::peer::{ForwardTarget, ForwardedLane, PeerConnector};
 use jujubehold_host::{Host, HostError};
 use jujubehold_pg::{FrameReader, backend, startup_message};
-use jujubehold_settings::{HostSettings, TlsSettings};
+use jujubehold_settings::HostSettings;
 use rustls::pki_types::ServerName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -30,9 +30,10 @@
 /// The request for TLS: its length, and its code.
 const SSL_REQUEST: [u8; 8] = [0, 0, 0, 8, 4, 210, 22, 47];
 
-fn with_tls(settings: HostSettings, tls: &TlsSettings) -> HostSettings {
+/// The settings with an identity of the host's own name.
+fn with_tls(test: &str, authority: &Authority, settings: HostSettings) -> HostSettings {
     HostSettings {
-        tls: Some(tls.clone()),
+        tls: Some(identity(test, authority, &settings.host)),
         ..settings
     }
 }
@@ -55,19 +56,23 @@
 
 #[actix_rt::test]
 async fn hosts_forward_by_tls_for_callers_with_passwords() {
-    let tls = identity("hosts", &authority(), "127.0.0.1");
+    let authority = authority();
     let installation = Installation::start().await;
     let mut config = installation.config(2);
     config.callers.insert("clerk".into(), VERIFIER.into());
     config.confirm = Confirm::None;
     installation.submit(&config).await;
-    let owner = with_tls(installation.settings("host-1", "delta"), &tls);
+    let owner = with_tls(
+        "hosts",
+        &authority,
+        installation.settings("host-1", "delta"),
+    );
     let owner = RunningHost::start(owner).await;
     let entry = HostSettings {
         peer_seeds: vec![owner.seed()],
         ..installation.settings("host-2", "piedmont")
     };
-    let entry = RunningHost::start(with_tls(entry, &tls)).await;
+    let entry = RunningHost::start(with_tls("hosts", &authority, entry)).await;
     wait_until("the entry host knows the primary's owner", || {
         let route = entry.route();
         route.is_some_and(|route| {
@@ -94,7 +99,8 @@
         term: 0,
         wait: Duration::from_secs(1),
     };
-    let in_the_clear = ForwardedLane::open_at(owner.peer_address, &target, None).await;
+    let in_the_clear =
+        ForwardedLane::open_at(&PeerConnector::default(), &owner.target(), &target).await;
     assert!(
         in_the_clear.is_err(),
         "a host without a certificate was taken"
@@ -111,10 +117,9 @@
 #[actix_rt::test]
 async fn a_host_off_loopback_takes_callers_by_tls_only() {
     let authority = authority();
-    let tls = identity("exposed", &authority, "127.0.0.1");
     let installation = Installation::start().await;
     let settings = exposed(installation.settings("host-1", "delta"));
-    let host = RunningHost::start(with_tls(settings, &tls)).await;
+    let host = RunningHost::start(with_tls("exposed", &authority, settings)).await;
     wait_until("the primary is known", || host.primary().is_some()).await;
 
     let in_the_clear = log_in(&host, "clerk", "none").await;
@@ -125,7 +130,7 @@
         let mut stream = TcpStream::connect(address).await?;
         stream.write_all(&SSL_REQUEST).await?;
         assert_eq!(stream.read_u8().await?, b'S');
-        let name = ServerName::try_from("127.0.0.1").expect("it is an IP number");
+        let name = ServerName::try_from("host-1").expect("the name is good");
         let mut stream = caller_connector(&authority).connect(name, stream).await?;
         let parameters = [("user", "clerk"), ("database", SERVICE)]
             .map(|(name, value)| (name.to_owned(), value.to_owned()));
