Accuse no host for what this one missed while it was paused

A host that woke from a pause took the probe that was under way for unanswered, and took hosts that it had suspected before for dead.

--- a/crates/jujubehold_core/src/membership.rs
+++ b/crates/jujubehold_core/src/membership.rs
@@ -98,6 +98,7 @@
     probe_due: Monotonic,
     rejoin_due: Monotonic,
     exchange_due: Monotonic,
+    last_tick_at: Monotonic,
 }
 
 impl Membership {
@@ -126,6 +127,7 @@
             probe_due: Monotonic::ZERO,
             rejoin_due: Monotonic::ZERO,
             exchange_due: Monotonic::ZERO,
+            last_tick_at: Monotonic::ZERO,
         }
     }
 
--- a/crates/jujubehold_core/src/membership/probe.rs
+++ b/crates/jujubehold_core/src/membership/probe.rs
@@ -42,6 +42,7 @@
 
 impl Membership {
     pub(super) fn on_tick(&mut self, now: Monotonic, actions: &mut Vec<MembershipAction>) {
+        self.forget_what_was_missed(now);
         self.advance_probe(now, actions);
         self.expire(now, actions);
         if now >= self.probe_due {
@@ -70,6 +71,24 @@
         }
     }
 
+    // What a host did not hear while it was paused is no sign against the others: they get their
+    // whole time again to answer and to refute.
+    fn forget_what_was_missed(&mut self, now: Monotonic) {
+        let since_last_tick = now.saturating_sub(self.last_tick_at);
+        self.last_tick_at = now;
+        if since_last_tick < self.settings.probe_interval * 2 {
+            return;
+        }
+        self.probe = None;
+        let suspects = self
+            .peers
+            .values_mut()
+            .filter(|known| known.member.state == MemberState::Suspect);
+        for known in suspects {
+            known.changed_at = now;
+        }
+    }
+
     pub(super) fn on_datagram(
         &mut self,
         now: Monotonic,
--- a/crates/jujubehold_core/tests/membership.rs
+++ b/crates/jujubehold_core/tests/membership.rs
@@ -67,7 +67,13 @@
                 let datagram = Datagram::parse(&text).expect("hosts send what they can read");
                 self.event(number, MembershipEvent::Received { from, datagram });
             }
-            let numbers: Vec<_> = self.hosts.keys().copied().collect();
+            // As a daemon does, a host ticks only when it is due.
+            let now = self.now();
+            let due = self
+                .hosts
+                .iter()
+                .filter(|(_, host)| host.next_wakeup() <= now);
+            let numbers: Vec<_> = due.map(|(number, _)| *number).collect();
             for number in numbers {
                 self.event(number, MembershipEvent::Tick);
             }
@@ -206,3 +212,20 @@
     domain.run(10_000);
     assert_eq!(domain.state_at(0, "h9"), Some(MemberState::Dead));
 }
+
+#[test]
+fn a_host_that_was_frozen_accuses_no_one_for_what_it_missed() {
+    let mut domain = Domain::new(4);
+    domain.run(20_000);
+    for _ in 0..10 {
+        domain.cut.insert(2);
+        domain.run(1500);
+        domain.cut.clear();
+        domain.event(2, MembershipEvent::Tick);
+        for host in ["h0", "h1", "h3"] {
+            let state = domain.state_at(2, host);
+            assert_eq!(state, Some(MemberState::Alive), "{host}");
+        }
+        domain.run(5000);
+    }
+}
