--- a/crates/jujubehold_core/src/membership/probe.rs
+++ b/crates/jujubehold_core/src/membership/probe.rs
@@ -275,10 +275,12 @@
             self.apply(now, member, actions);
         }
         let lifetime = self.settings.dead_lifetime;
-        self.peers.retain(|_, known| {
-            known.member.state != MemberState::Dead
-                || now.saturating_sub(known.changed_at) < lifetime
-        });
+        for hosts in [&mut self.peers, &mut self.others] {
+            hosts.retain(|_, known| {
+                known.member.state != MemberState::Dead
+                    || now.saturating_sub(known.changed_at) < lifetime
+            });
+        }
         let relay_lifetime = self.settings.probe_interval * 2;
         self.relays
             .retain(|_, relay| now.saturating_sub(relay.started_at) < relay_lifetime);
--- a/crates/jujubehold_core/tests/membership.rs
+++ b/crates/jujubehold_core/tests/membership.rs
@@ -229,3 +229,20 @@
         domain.run(5000);
     }
 }
+
+#[test]
+fn hosts_that_are_gone_are_forgotten_in_time_wherever_they_were() {
+    let mut domain = Domain::new(2);
+    domain.run(5000);
+    let mut far = own(9, 4);
+    far.domain = "gulf".into();
+    for state in [MemberState::Alive, MemberState::Dead] {
+        far.state = state;
+        let hosts = vec![far.clone()];
+        domain.event(0, MembershipEvent::Heard { hosts });
+        assert_eq!(domain.state_at(0, "h9"), Some(state));
+    }
+    domain.run(70_000);
+    assert_eq!(domain.state_at(0, "h9"), None);
+    assert_eq!(domain.live_at(0), 2);
+}
