Ask for proofs of the term when the ones at hand have lapsed

Replicas are sampled once a second, the window is 400 ms: a read without a floor was refused with no_fresh_replica on a host that had a live primary, and a write could be refused for want of a recent sample. Both now ask the replicas first, in the batches that confirm writes; asking on every read was ruled out, since traffic that proves the term serves the reads of the next 400 ms.

--- a/crates/jujubehold_host/src/traffic/acknowledge.rs
+++ b/crates/jujubehold_host/src/traffic/acknowledge.rs
@@ -10,6 +10,7 @@
 use tokio::sync::oneshot;
 
 use super::confirm_desk::ask;
+use crate::observation::Observation;
 use crate::routing_table::ServiceRoute;
 use crate::shared::Shared;
 
@@ -84,6 +85,48 @@
     }
 }
 
+/// Brings fresh proofs of the present term into `view`, unless it has them already.
+pub(crate) async fn prove_term(
+    shared: &Arc<Shared>,
+    route: &ServiceRoute,
+    view: &mut GroupView,
+    deadline: Monotonic,
+) {
+    let service = &route.config.service;
+    let needed = route.config.proving_replicas();
+    let window = shared.settings.authority.window;
+    let mut answers = FuturesUnordered::new();
+    for instance in route.config.instances.keys() {
+        if view.primary.as_ref() != Some(instance) {
+            let reply = ask(shared, service, instance, view.term, 0);
+            answers.push(named_answer(instance.clone(), reply));
+        }
+    }
+    loop {
+        let now = shared.clock.now();
+        let is_proved = view
+            .term_proof(needed)
+            .is_some_and(|sent_at| sent_at + window > now);
+        if is_proved || now >= deadline {
+            return;
+        }
+        let next = tokio::time::timeout(deadline.saturating_sub(now), answers.next());
+        let Ok(Some((_, answer))) = next.await else {
+            return;
+        };
+        let Some(answer) = answer else {
+            continue;
+        };
+        // The control thread ends only with the host.
+        let _ = shared.observations.send(Observation::Status {
+            service: service.clone(),
+            sent_at: answer.asked_at,
+            status: answer.status.clone(),
+        });
+        view.observe(answer.asked_at, answer.status);
+    }
+}
+
 async fn named_answer(
     instance: InstanceId,
     reply: oneshot::Receiver<ReplicaAnswer>,
--- a/crates/jujubehold_host/src/traffic/read_path.rs
+++ b/crates/jujubehold_host/src/traffic/read_path.rs
@@ -12,6 +12,7 @@
 use jujubehold_pg::{query, ready_for_query};
 use metrics::counter;
 
+use super::acknowledge::prove_term;
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
 use super::answer_plan::AnswerPlan;
 use super::lane::{Lane, LaneError};
@@ -19,6 +20,7 @@
 use super::status_answer::{STATUS_QUERY, read_status};
 use super::transaction::Pinned;
 use super::unit::Unit;
+use super::write_path::PROOF_LIMIT;
 use crate::metric_names::READS;
 use crate::observation::Observation;
 use crate::routing_table::ServiceRoute;
@@ -134,8 +136,19 @@
         let authority = &self.shared.settings.authority;
         // The view may have grown while the answer was under way.
         let latest = self.shared.route(&self.service);
-        let view = latest.as_ref().map_or(&route.view, |route| &route.view);
-        match need.judge(&route.config, view, authority, sent_at, &status) {
+        let mut view = latest.as_ref().map_or(&route.view, |route| &route.view);
+        let mut judgement = need.judge(&route.config, view, authority, sent_at, &status);
+        let proved;
+        if judgement == ReadJudgement::Retry && status.is_primary_of(view.term) {
+            // The primary is fresh as long as its term stands, which others have to tell.
+            let mut asked = view.clone();
+            let limit = self.shared.clock.now() + PROOF_LIMIT;
+            prove_term(&self.shared, route, &mut asked, limit.min(unit.deadline)).await;
+            proved = asked;
+            view = &proved;
+            judgement = need.judge(&route.config, view, authority, sent_at, &status);
+        }
+        match judgement {
             ReadJudgement::Serve => {}
             ReadJudgement::Retry => {
                 self.drop_answer(lane, plan);
--- a/crates/jujubehold_host/src/traffic/write_path.rs
+++ b/crates/jujubehold_host/src/traffic/write_path.rs
@@ -10,7 +10,7 @@
 use jujubehold_pg::{parameter_status, query, ready_for_query};
 use metrics::{counter, histogram};
 
-use super::acknowledge::{Commit, acknowledge};
+use super::acknowledge::{Commit, acknowledge, prove_term};
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
 use super::lane::{Lane, LaneError};
 use super::read_path::READ_ONLY_SQLSTATE;
@@ -26,6 +26,9 @@
 /// How old the last status of a replica may be for it to count as able to confirm.
 const CONFIRMING_AGE: std::time::Duration = std::time::Duration::from_secs(3);
 
+/// How long replicas may take to say that they could confirm.
+pub(crate) const PROOF_LIMIT: std::time::Duration = std::time::Duration::from_millis(500);
+
 /// What became of one attempt at a write.
 enum Tried {
     /// The caller has its answer.
@@ -64,7 +67,8 @@
 
     async fn try_write(&mut self, unit: &Unit, route: &ServiceRoute) -> Result<Tried, UnitError> {
         let instance = route_write(&route.config, &route.view)?;
-        self.check_before_write(route)?;
+        self.check_floor(route)?;
+        self.check_confirmable(route).await?;
         let wait = unit.deadline.saturating_sub(self.shared.clock.now());
         let mut lane = match Lane::open(&self.shared, route, &instance, wait).await {
             Ok(lane) => lane,
@@ -184,8 +188,9 @@
         }
     }
 
-    // What is known to fail is refused before anything is sent.
-    fn check_before_write(&self, route: &ServiceRoute) -> Result<(), UnitError> {
+    // A write of a session that knows of a later term, or of a history that was cut, is refused
+    // before anything is sent.
+    fn check_floor(&self, route: &ServiceRoute) -> Result<(), UnitError> {
         let view = &route.view;
         if let FloorKnowledge::Floor(floor) = &self.floor {
             let sample = view
@@ -203,6 +208,25 @@
                 return Err(RefusalReason::NoPrimary.into());
             }
         }
+        Ok(())
+    }
+
+    // A write that no replica can confirm is refused before anything is sent.
+    async fn check_confirmable(&self, route: &ServiceRoute) -> Result<(), UnitError> {
+        if self.is_confirmable(route, &route.view) {
+            return Ok(());
+        }
+        // What is known here may only be old.
+        let mut asked = route.view.clone();
+        let deadline = self.shared.clock.now() + PROOF_LIMIT;
+        prove_term(&self.shared, route, &mut asked, deadline).await;
+        if self.is_confirmable(route, &asked) {
+            return Ok(());
+        }
+        Err(RefusalReason::NoConfirmingReplica.into())
+    }
+
+    fn is_confirmable(&self, route: &ServiceRoute, view: &GroupView) -> bool {
         let now = self.shared.clock.now();
         let able = view
             .samples
@@ -213,10 +237,7 @@
             .filter(|(_, sample)| sample.status.proves(view.term))
             .count();
         let needed = route.config.confirming_replicas();
-        if able < needed.max(route.config.proving_replicas()) {
-            return Err(RefusalReason::NoConfirmingReplica.into());
-        }
-        Ok(())
+        able >= needed.max(route.config.proving_replicas())
     }
 
     async fn pin_after(
--- a/crates/jujubehold_host/tests/traffic/writes.rs
+++ b/crates/jujubehold_host/tests/traffic/writes.rs
@@ -30,11 +30,14 @@
 async fn a_write_is_refused_unsent_when_no_replica_can_confirm() {
     let mut bench = Bench::start(ServiceConfig::default()).await;
     bench.create_counter().await;
+    let client = bench.connect().await;
+    bench.databases[1].kill();
+    bench.databases[2].kill();
     bench.edit_view(|view| {
         view.samples.remove("b");
         view.samples.remove("c");
     });
-    let client = bench.connect().await;
+    let before = bench.databases[0].statement_count();
     let (sqlstate, detail) = try_run(&client, "UPDATE counter SET n = 1")
         .await
         .unwrap_err();
@@ -44,8 +47,19 @@
         "{detail}"
     );
     assert!(detail.contains("retry_after_ms="), "{detail}");
-    bench.probe();
-    assert_eq!(text(&client, "SELECT n FROM counter").await, "0");
+    assert_eq!(bench.databases[0].statement_count(), before);
+}
+
+#[actix_rt::test]
+async fn a_write_goes_on_when_only_the_host_s_knowledge_is_old() {
+    let mut bench = Bench::start(ServiceConfig::default()).await;
+    bench.create_counter().await;
+    let client = bench.connect().await;
+    bench.edit_view(|view| {
+        view.samples.remove("b");
+        view.samples.remove("c");
+    });
+    run(&client, "UPDATE counter SET n = 1").await;
 }
 
 #[actix_rt::test]
