--- a/crates/jujubehold_host/src/peer/forward_server.rs
+++ b/crates/jujubehold_host/src/peer/forward_server.rs
@@ -111,7 +111,9 @@
                 }
             }
             Err(PoolError::Busy) => return Err(RefusalReason::QueueFull),
-            Err(PoolError::Open(_)) => return Err(RefusalReason::UpstreamUnreachable),
+            Err(PoolError::Open(_) | PoolError::Refused) => {
+                return Err(RefusalReason::UpstreamUnreachable);
+            }
         }
     }
 }
--- a/crates/jujubehold_host/src/pool/pools.rs
+++ b/crates/jujubehold_host/src/pool/pools.rs
@@ -5,6 +5,7 @@
 use std::thread::ThreadId;
 use std::time::{Duration, Instant};
 
+use jujubehold_core::backoff::Backoff;
 use jujubehold_core::prelude::*;
 use jujubehold_pg::FrameError;
 use metrics::counter;
@@ -23,6 +24,9 @@
     /// All connections stayed in use.
     #[error("no connection came free in time")]
     Busy,
+    /// The upstream refused a connection a moment ago, and is not asked for another yet.
+    #[error("the upstream refused a connection a moment ago")]
+    Refused,
     /// The upstream can't be reached or refuses a connection.
     #[error("no connection could be opened: {0}")]
     Open(#[from] FrameError),
@@ -38,9 +42,17 @@
 struct Pool {
     permits: Arc<Semaphore>,
     limit: Mutex<usize>,
+    refusals: Mutex<Refusals>,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
+/// How often in a row the upstream refused a connection, and until when it is left alone.
+#[derive(Debug, Default)]
+struct Refusals {
+    count: u32,
+    until: Option<Instant>,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: UpstreamConnection,
@@ -85,12 +97,7 @@
         let connection = if let Some(connection) = pool.take_idle() {
             connection
         } else {
-            counter!(UPSTREAM_OPENS, "service" => service.to_string(),
-                    "instance" => name.to_string())
-            .increment(1);
-            tokio::time::timeout(wait, UpstreamConnection::open(instance.address, service))
-                .await
-                .map_err(|_| PoolError::Busy)??
+            pool.open(service, name, instance, wait).await?
         };
         Ok(PooledConnection {
             connection,
@@ -106,6 +113,7 @@
             Arc::new(Pool {
                 permits: Arc::new(Semaphore::new(quota)),
                 limit: Mutex::new(quota),
+                refusals: Mutex::default(),
                 idle: Mutex::new(Vec::new()),
             })
         };
@@ -145,6 +153,33 @@
         }
     }
 
+    async fn open(
+        &self,
+        service: &ServiceId,
+        name: &InstanceId,
+        instance: &InstanceConfig,
+        wait: Duration,
+    ) -> Result<UpstreamConnection, PoolError> {
+        let now = Instant::now();
+        if lock(&self.refusals).until.is_some_and(|until| now < until) {
+            return Err(PoolError::Refused);
+        }
+        counter!(UPSTREAM_OPENS, "service" => service.to_string(), "instance" => name.to_string())
+            .increment(1);
+        let opening = UpstreamConnection::open(instance.address, service);
+        let opened = tokio::time::timeout(wait, opening).await;
+        let opened = opened.map_err(|_| PoolError::Busy)?;
+        let mut refusals = lock(&self.refusals);
+        if let Err(FrameError::Malformed(_)) = opened {
+            let delay = Backoff::default().delay(refusals.count, rand::random());
+            refusals.count = refusals.count.saturating_add(1);
+            refusals.until = Some(Instant::now() + delay);
+        } else {
+            *refusals = Refusals::default();
+        }
+        Ok(opened?)
+    }
+
     // A connection that was last used on this thread is polled without waking another one.
     fn take_idle(&self) -> Option<UpstreamConnection> {
         let mut idle = lock(&self.idle);
--- a/crates/jujubehold_host/src/traffic/lane.rs
+++ b/crates/jujubehold_host/src/traffic/lane.rs
@@ -67,7 +67,9 @@
         {
             Ok(connection) => Ok(Self::Local(connection)),
             Err(PoolError::Busy) => Err(LaneError::Busy),
-            Err(PoolError::Open(_)) => Err(LaneError::Retry(RetryReason::ConnectRefused)),
+            Err(PoolError::Open(_) | PoolError::Refused) => {
+                Err(LaneError::Retry(RetryReason::ConnectRefused))
+            }
         }
     }
 
--- /dev/null
+++ b/crates/jujubehold_host/tests/traffic/pools.rs
@@ -0,0 +1,81 @@
+//! Connections to upstreams are few, shared, and never more than allowed.
+
+use jujubehold_core::prelude::*;
+
+use crate::support::{Bench, run, text, try_run};
+
+#[actix_rt::test]
+async fn many_callers_share_few_connections() {
+    let mut bench = Bench::start(ServiceConfig::default()).await;
+    bench.create_counter().await;
+    // 60 connections, three shares; the direct connections of the group itself are on top.
+    let before = bench.databases[0].connection_count();
+    let mut clients = Vec::new();
+    for _ in 0..60 {
+        clients.push(bench.connect().await);
+    }
+    let updates = clients
+        .iter()
+        .map(|client| run(client, "UPDATE counter SET n = n + 1"));
+    futures_util::future::join_all(updates).await;
+    assert_eq!(text(&clients[0], "SELECT n FROM counter").await, "60");
+    assert!(bench.databases[0].connection_count() <= before + 20);
+}
+
+#[actix_rt::test]
+async fn a_pooled_connection_that_died_is_not_used() {
+    let mut bench = Bench::start(ServiceConfig::default()).await;
+    bench.create_counter().await;
+    let client = bench.connect().await;
+    run(&client, "UPDATE counter SET n = 1").await;
+    bench.databases[0].kill();
+    bench.databases[0].revive();
+    // The upstream closed every pooled connection; a write must not be lost on one of them once
+    // the host's threads have heard of it.
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    let mut done = 0;
+    while done < 3 {
+        match try_run(&client, "UPDATE counter SET n = n + 1").await {
+            Ok(_) => done += 1,
+            Err((sqlstate, detail)) => assert_eq!(sqlstate, "57P03", "{detail}"),
+        }
+    }
+    assert_eq!(text(&client, "SELECT n FROM counter").await, "4");
+}
+
+#[actix_rt::test]
+async fn an_upstream_that_is_full_is_told_and_left_alone_for_a_while() {
+    let mut bench = Bench::start(ServiceConfig::default()).await;
+    bench.create_counter().await;
+    let mut direct = Vec::new();
+    let primary = bench.databases[0].address();
+    while let Some(client) = crate::support::try_connect(primary).await {
+        direct.push(client);
+    }
+    let mut sessions = Vec::new();
+    for _ in 0..4 {
+        sessions.push(bench.connect().await);
+    }
+    let mut refused = 0;
+    for session in &sessions {
+        match try_run(session, "BEGIN").await {
+            Ok(_) => {}
+            Err((sqlstate, detail)) => {
+                assert_eq!(sqlstate, "57P03");
+                assert!(detail.contains("verdict=not_run"), "{detail}");
+                assert!(detail.contains("retry_after_ms="), "{detail}");
+                refused += 1;
+            }
+        }
+    }
+    assert!(refused > 0);
+    drop(direct);
+    let start = std::time::Instant::now();
+    while try_run(&sessions[3], "UPDATE counter SET n = 1")
+        .await
+        .is_err()
+    {
+        assert!(start.elapsed() < crate::support::HANG);
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
--- a/crates/jujubehold_host/tests/traffic/support.rs
+++ b/crates/jujubehold_host/tests/traffic/support.rs
@@ -239,6 +239,22 @@
     client
 }
 
+/// A session, if the instance takes it.
+pub(crate) async fn try_connect(address: SocketAddr) -> Option<Client> {
+    let mut config = tokio_postgres::Config::new();
+    config
+        .host(address.ip().to_string())
+        .port(address.port())
+        .user("clerk")
+        .dbname(SERVICE);
+    let (client, connection) = config.connect(NoTls).await.ok()?;
+    actix_rt::spawn(async move {
+        // A connection that a test cuts ends with an error.
+        let _ = connection.await;
+    });
+    Some(client)
+}
+
 /// Runs a simple query that must succeed.
 pub(crate) async fn run(client: &Client, sql: &str) {
     try_run(client, sql).await.expect(sql);
