--- a/crates/jujubehold_lab/src/capacity/host_slopes.rs
+++ b/crates/jujubehold_lab/src/capacity/host_slopes.rs
@@ -130,14 +130,14 @@
     actix_rt::time::sleep(SETTLE).await;
     let started_at = Instant::now();
     let processor_before = processor_time()?;
-    let bytes_before = counter_sum("jujubehold_control_bytes_total", "");
+    let bytes_before = control_bytes();
     let calls_before: u64 = cluster.platform.counts().values().sum();
     actix_rt::time::sleep(WATCH).await;
     let seconds = started_at.elapsed().as_secs_f64();
     let processor = processor_time()?
         .saturating_sub(processor_before)
         .as_secs_f64();
-    let bytes = counter_sum("jujubehold_control_bytes_total", "") - bytes_before;
+    let bytes = control_bytes() - bytes_before;
     let calls = cluster.platform.counts().values().sum::<u64>() - calls_before;
     let memory = resident_bytes()?.saturating_sub(memory_before);
     Ok(QuietCost {
@@ -174,7 +174,7 @@
         actix_rt::time::sleep(SETTLE).await;
         let service = Cluster::service_name(0);
         let calls_before: u64 = cluster.platform.counts().values().sum();
-        let bytes_before = counter_sum("jujubehold_control_bytes_total", "");
+        let bytes_before = control_bytes();
         let started_at = Instant::now();
         while started_at.elapsed() < WATCH {
             let config: ServiceConfig = cluster.configs[&service].clone();
@@ -184,7 +184,7 @@
         let seconds = started_at.elapsed().as_secs_f64();
         let hosts = cluster.hosts.len() as f64;
         let called = cluster.platform.counts().values().sum::<u64>() - calls_before;
-        let sent = counter_sum("jujubehold_control_bytes_total", "") - bytes_before;
+        let sent = control_bytes() - bytes_before;
         calls.push((f64::from(rate), called as f64 / seconds));
         bytes.push((f64::from(rate), sent as f64 / seconds / hosts));
     }
@@ -204,3 +204,9 @@
         slope("control bytes sent by a host, by changes", "bytes/s", bytes),
     ])
 }
+
+/// What the hosts have sent to each other and to the platform's service, in bytes.
+fn control_bytes() -> u64 {
+    counter_sum("jujubehold_control_sent_bytes_total", "")
+        + counter_sum("jujubehold_platform_sent_bytes_total", "")
+}
--- a/crates/jujubehold_lab/src/demo/demo_report.rs
+++ b/crates/jujubehold_lab/src/demo/demo_report.rs
@@ -18,6 +18,8 @@
     pub replica_reads: (u64, u64),
     /// From the primary's death to the next acknowledged write; `None` when none came.
     pub failover_gap: Option<Duration>,
+    /// Refusals, retries and unknown outcomes by their labels, over the whole run.
+    pub reasons: Vec<(String, u64)>,
     /// The ledger beside what the writers were told.
     pub check: LedgerCheck,
 }
--- a/crates/jujubehold_lab/src/demo/demo_run.rs
+++ b/crates/jujubehold_lab/src/demo/demo_run.rs
@@ -10,7 +10,7 @@
 use crate::demo::demo_report::DemoReport;
 use crate::error::LabError;
 use crate::load::LoadConnection;
-use crate::report::read_counts;
+use crate::report::{read_counts, series, start_counting};
 use crate::workload::{
     LedgerCheck, ReadLog, WriteLog, WriterSettings, create_ledger, ledger_ids, read_until,
     write_until,
@@ -55,6 +55,7 @@
 /// # Errors
 /// A part could not be started, or the service took no write at all.
 pub async fn run_demo(settings: &DemoSettings) -> Result<DemoReport, LabError> {
+    start_counting();
     let service_config = ServiceConfig {
         read_age: settings.read_age,
         ..ServiceConfig::default()
@@ -117,10 +118,27 @@
         reads,
         replica_reads,
         failover_gap,
+        reasons: reasons(),
         check,
     })
 }
 
+/// The counters of refusals, retries and unknown outcomes.
+fn reasons() -> Vec<(String, u64)> {
+    [
+        "jujubehold_refusals_total",
+        "jujubehold_retries_total",
+        "jujubehold_unknown_total",
+    ]
+    .into_iter()
+    .flat_map(|name| {
+        series(name)
+            .into_iter()
+            .map(move |(labels, count)| (format!("{name}{labels}"), count))
+    })
+    .collect()
+}
+
 fn start_writers(
     settings: &DemoSettings,
     targets: &[SocketAddr],
--- a/crates/jujubehold_lab/src/experiment/replica_reads.rs
+++ b/crates/jujubehold_lab/src/experiment/replica_reads.rs
@@ -8,7 +8,7 @@
 use crate::cluster::{Cluster, ClusterSettings};
 use crate::error::LabError;
 use crate::load::LoadConnection;
-use crate::report::{Plot, Series, Table, read_counts};
+use crate::report::{Plot, Series, Table, read_counts, start_counting};
 use crate::workload::{create_ledger, insert_sql};
 
 const START_PATIENCE: Duration = Duration::from_secs(20);
@@ -67,6 +67,7 @@
     settings: &ReplicaReadsSettings,
     out: &Path,
 ) -> Result<Table, LabError> {
+    start_counting();
     let mut table = Table::new(&[
         "lag ms",
         "age ms",
