Serve reads of untracked sessions from replicas, as of their connection's start

Cause: a session without a token was taken to need the primary's position as of each request, for which no known mark is ever new enough, so reads went to the primary, which then lacked a replica's proof, and the retries that followed spent the budget.

The writes of a caller that moves are acknowledged before it connects, so the connection's start bounds them. Where no mark is new enough the primary is asked for its status, once for all sessions that ask; a primary that no replica has vouched for is judged again after the replicas were asked; and a spent budget no longer keeps a read from the primary.

The stated outcome of one trace and one test changed: a floor no longer excuses data older than the service accepts. A service with an age of 0 accepts none, which the rule before ignored for sessions with a floor; the new one is stricter and has a trace and a test of its own.

--- a/crates/jujubehold_core/src/primary_marks.rs
+++ b/crates/jujubehold_core/src/primary_marks.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// When the newest mark of `term` was asked for.
+    pub fn newest(&self, term: Term) -> Option<Monotonic> {
+        let mark = self.marks.back()?;
+        (term == self.term).then_some(mark.sent_at)
+    }
+
     /// When the newest mark was asked for that the instance has applied.
     pub fn newest_reached(&self, term: Term, status: &InstanceStatus) -> Option<Monotonic> {
         if term != self.term {
--- a/crates/jujubehold_core/src/read_candidates.rs
+++ b/crates/jujubehold_core/src/read_candidates.rs
@@ -101,13 +101,11 @@
                 }),
         },
     };
-    let age_chance = need.age.map_or(Chance::Known, |age| {
-        let oldest_allowed = need.as_of.saturating_sub(age);
-        match view.marks.newest_reached(view.term, &sample.status) {
-            Some(reached) if reached >= oldest_allowed => Chance::Known,
-            Some(_) | None => catch_up_chance(view, sample, now, oldest_allowed),
-        }
-    });
+    let oldest_allowed = need.oldest_allowed();
+    let age_chance = match view.marks.newest_reached(view.term, &sample.status) {
+        Some(reached) if reached >= oldest_allowed => Chance::Known,
+        Some(_) | None => catch_up_chance(view, sample, now, oldest_allowed),
+    };
     Some(floor_chance.max(age_chance))
 }
 
--- a/crates/jujubehold_core/src/read_policy.rs
+++ b/crates/jujubehold_core/src/read_policy.rs
@@ -20,8 +20,10 @@
         pub floor: Option<Floor>,
         /// When the request arrived.
         pub as_of: Monotonic,
-        /// How long before `as_of` the data may be from; `None` when the floor alone counts.
-        pub age: Option<Duration>,
+        /// How long before `as_of` the data may be from.
+        pub age: Duration,
+        /// A time of which the data must be complete, whatever its age may be.
+        pub complete_since: Option<Monotonic>,
     }
 }
 
@@ -41,23 +43,38 @@
     /// The need of a request that arrived at `now`.
     ///
     /// A session that may have written what no one here knows of needs the primary's position as
-    /// of the request; one that surely wrote nothing takes the service's read age.
+    /// of the request. One whose writes were all acknowledged by some time, such as the start of its
+    /// connection, needs what the primary had by then; one that surely wrote nothing takes the
+    /// service's read age alone.
     pub fn new(config: &ServiceConfig, knowledge: FloorKnowledge, now: Monotonic) -> Self {
-        let (floor, age) = match knowledge {
-            FloorKnowledge::Floor(floor) => {
-                let age = (config.read_age > Duration::ZERO).then_some(config.read_age);
-                (Some(floor), age)
-            }
-            FloorKnowledge::NoWrites => (None, Some(config.read_age)),
-            FloorKnowledge::Unknown => (None, Some(Duration::ZERO)),
+        let (floor, complete_since) = match knowledge {
+            FloorKnowledge::Floor(floor) => (Some(floor), None),
+            FloorKnowledge::NoWrites => (None, None),
+            FloorKnowledge::UnknownBefore(time) => (None, Some(time)),
+            FloorKnowledge::Unknown => (None, Some(now)),
         };
         Self {
             floor,
             as_of: now,
-            age,
+            age: config.read_age,
+            complete_since,
         }
     }
 
+    /// The oldest time of which the data may be complete.
+    pub fn oldest_allowed(&self) -> Monotonic {
+        let by_age = self.as_of.saturating_sub(self.age);
+        self.complete_since.map_or(by_age, |time| time.max(by_age))
+    }
+
+    /// Whether no answer of a replica can meet the need before the primary's position is asked
+    /// for again.
+    pub fn needs_newer_mark(&self, view: &GroupView) -> bool {
+        view.marks
+            .newest(view.term)
+            .is_none_or(|newest| newest < self.oldest_allowed())
+    }
+
     /// Judges an answer by the status that was asked for at `sent_at`, before the read, on the
     /// same connection.
     pub fn judge(
@@ -74,10 +91,7 @@
             Some(FloorCheck::Behind) => return ReadJudgement::Retry,
             Some(FloorCheck::Reached) | None => {}
         }
-        let Some(age) = self.age else {
-            return ReadJudgement::Serve;
-        };
-        let oldest_allowed = self.as_of.saturating_sub(age);
+        let oldest_allowed = self.oldest_allowed();
         let is_fresh = complete_as_of(config, view, authority, sent_at, status)
             .is_some_and(|complete_as_of| complete_as_of >= oldest_allowed);
         if is_fresh {
--- a/crates/jujubehold_core/src/session_floor.rs
+++ b/crates/jujubehold_core/src/session_floor.rs
@@ -31,6 +31,8 @@
         NoWrites,
         /// It may have written what this host does not know of.
         Unknown,
+        /// The same, but all that it may have written was acknowledged before this time.
+        UnknownBefore(Monotonic),
     }
 
     /// Floors by session and service, in bounded memory.
--- a/crates/jujubehold_core/tests/exploration/callers.rs
+++ b/crates/jujubehold_core/tests/exploration/callers.rs
@@ -478,7 +478,7 @@
         }
         // Without confirmation a failover may drop what was acknowledged, which only a floor
         // tells.
-        if read.need.age.is_none() || self.config.confirm == Confirm::None {
+        if self.config.confirm == Confirm::None {
             return;
         }
         let missing = self
--- a/crates/jujubehold_core/tests/read_policy.rs
+++ b/crates/jujubehold_core/tests/read_policy.rs
@@ -29,7 +29,8 @@
     ReadNeed {
         floor: None,
         as_of: ms(as_of_ms),
-        age: Some(ms(age_ms)),
+        age: ms(age_ms),
+        complete_since: None,
     }
 }
 
@@ -76,8 +77,10 @@
 
 #[test]
 fn a_floor_that_a_failover_cut_is_told() {
+    let mut config = config();
+    config.read_age = ms(2000);
     let need = ReadNeed::new(
-        &config(),
+        &config,
         FloorKnowledge::Floor(Floor {
             service: "shares".into(),
             term: 1,
@@ -103,8 +106,35 @@
     let mut config = config();
     config.read_age = ms(5000);
     let need = |knowledge| ReadNeed::new(&config, knowledge, ms(10));
-    assert_eq!(need(FloorKnowledge::Unknown).age, Some(ms(0)));
-    assert_eq!(need(FloorKnowledge::NoWrites).age, Some(ms(5000)));
+    assert_eq!(need(FloorKnowledge::Unknown).oldest_allowed(), ms(10));
+    let before = FloorKnowledge::UnknownBefore(ms(4));
+    assert_eq!(need(before).oldest_allowed(), ms(4));
+    assert_eq!(need(FloorKnowledge::NoWrites).oldest_allowed(), ms(0));
+}
+
+#[test]
+fn a_floor_does_not_excuse_data_older_than_the_service_accepts() {
+    let floor = Floor {
+        service: "shares".into(),
+        term: 1,
+        position: 90,
+    };
+    let replica = status("b", "replica", 1, 110, "1:0");
+    let judge_at = |read_age| {
+        let mut config = config();
+        config.read_age = read_age;
+        let need = ReadNeed::new(&config, FloorKnowledge::Floor(floor.clone()), ms(2100));
+        judge(&need, &view(), 2100, &replica)
+    };
+    assert_eq!(judge_at(ms(1100)), ReadJudgement::Serve);
+    assert_eq!(judge_at(ms(0)), ReadJudgement::Retry);
+}
+
+#[test]
+fn a_read_that_no_mark_can_meet_asks_for_a_newer_one() {
+    assert!(!aged(2100, 100).needs_newer_mark(&view()));
+    assert!(aged(2101, 100).needs_newer_mark(&view()));
+    assert!(aged(0, 0).needs_newer_mark(&GroupView::default()));
 }
 
 #[test]
--- a/crates/jujubehold_host/src/traffic/read_path.rs
+++ b/crates/jujubehold_host/src/traffic/read_path.rs
@@ -4,6 +4,8 @@
 //! a byte of the read's answer goes to the caller; see docs/notes/callers-side.md.
 
 use bytes::BytesMut;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use jujubehold_core::group_view::Sample;
 use jujubehold_core::prelude::*;
 use jujubehold_core::read_candidates::{ReadOrigin, read_candidates};
@@ -14,6 +16,7 @@
 
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
 use super::answer_plan::AnswerPlan;
+use super::confirm_desk;
 use super::lane::{Lane, LaneError};
 use super::session::{Session, UnitError};
 use super::status_answer::{STATUS_QUERY, read_status};
@@ -56,8 +59,29 @@
             now: unit.arrived_at,
             spread: rand::random(),
         };
-        let candidates = read_candidates(&route.config, &route.view, &need, &origin);
-        self.try_candidates(unit, route, &need, candidates).await
+        let fresh_view = self.fresh_view(route, &need).await;
+        let view = fresh_view.as_ref().unwrap_or(&route.view);
+        let candidates = read_candidates(&route.config, view, &need, &origin);
+        self.try_candidates(unit, route, fresh_view, &need, candidates)
+            .await
+    }
+
+    /// The view with the primary's position as of now, when no answer of a replica can meet the
+    /// need without it.
+    ///
+    /// The question is shared with all sessions that ask at the same time, and is far cheaper for
+    /// the primary than the read would be. Without an answer the table's view has to do.
+    async fn fresh_view(&self, route: &ServiceRoute, need: &ReadNeed) -> Option<GroupView> {
+        if !need.needs_newer_mark(&route.view) {
+            return None;
+        }
+        let primary = route.view.primary.as_ref()?;
+        let answer = confirm_desk::ask(&self.shared, &self.service, primary, route.view.term, 0);
+        let answer = answer.await.ok()?;
+        self.report_status(route, answer.asked_at, &answer.status);
+        let mut view = route.view.clone();
+        view.observe(answer.asked_at, answer.status);
+        Some(view)
     }
 
     /// Opens a transaction on the primary.
@@ -66,18 +90,17 @@
         unit: &Unit,
         route: &ServiceRoute,
     ) -> Result<(), UnitError> {
-        let mut need = ReadNeed::new(&route.config, self.floor.clone(), unit.arrived_at);
-        if need.floor.is_some() {
-            need.age = None;
-        }
+        let need = ReadNeed::new(&route.config, self.floor.clone(), unit.arrived_at);
         let primary = route_write(&route.config, &route.view)?;
-        self.try_candidates(unit, route, &need, vec![primary]).await
+        self.try_candidates(unit, route, None, &need, vec![primary])
+            .await
     }
 
     async fn try_candidates(
         &mut self,
         unit: &Unit,
         route: &ServiceRoute,
+        fresh_view: Option<GroupView>,
         need: &ReadNeed,
         candidates: Vec<InstanceId>,
     ) -> Result<(), UnitError> {
@@ -86,9 +109,17 @@
             if let Some(reason) = last_reason
                 && !self.shared.retries.try_retry(&self.service, reason)
             {
-                return Err(RefusalReason::RetryBudgetSpent.into());
+                let is_primary = route.view.primary.as_ref() == Some(&instance);
+                // The primary is never behind, so going on to it can't grow into a storm.
+                if reason != RetryReason::ReplicaBehind {
+                    return Err(RefusalReason::RetryBudgetSpent.into());
+                }
+                if !is_primary {
+                    continue;
+                }
             }
-            match self.try_read(unit, route, need, &instance).await? {
+            let tried = self.try_read(unit, route, fresh_view.as_ref(), need, &instance);
+            match tried.await? {
                 Tried::Served => return Ok(()),
                 Tried::Next(reason) => last_reason = Some(reason),
                 Tried::IsWrite => return self.run_write(unit, route).await,
@@ -101,6 +132,7 @@
         &mut self,
         unit: &Unit,
         route: &ServiceRoute,
+        fresh_view: Option<&GroupView>,
         need: &ReadNeed,
         instance: &InstanceId,
     ) -> Result<Tried, UnitError> {
@@ -131,11 +163,8 @@
             return Ok(Tried::Next(RetryReason::BrokenDuringRead));
         };
         self.report_status(route, sent_at, &status);
-        let authority = &self.shared.settings.authority;
-        // The view may have grown while the answer was under way.
-        let latest = self.shared.route(&self.service);
-        let view = latest.as_ref().map_or(&route.view, |route| &route.view);
-        match need.judge(&route.config, view, authority, sent_at, &status) {
+        let judgement = self.judge(route, fresh_view, need, sent_at, &status).await;
+        match judgement {
             ReadJudgement::Serve => {}
             ReadJudgement::Retry => {
                 self.drop_answer(lane, plan);
@@ -172,6 +201,52 @@
         Ok(Tried::Served)
     }
 
+    /// Judges an answer by the status asked for ahead of it at `sent_at`.
+    ///
+    /// A primary that no replica has vouched for of late is judged again once replicas were asked.
+    async fn judge(
+        &self,
+        route: &ServiceRoute,
+        fresh_view: Option<&GroupView>,
+        need: &ReadNeed,
+        sent_at: Monotonic,
+        status: &InstanceStatus,
+    ) -> ReadJudgement {
+        let authority = &self.shared.settings.authority;
+        // The view may have grown while the answer was under way.
+        let latest = self.shared.route(&self.service);
+        let table_view = latest.as_ref().map_or(&route.view, |route| &route.view);
+        let view = fresh_view
+            .filter(|view| view.term >= table_view.term)
+            .unwrap_or(table_view);
+        let judgement = need.judge(&route.config, view, authority, sent_at, status);
+        if judgement != ReadJudgement::Retry || !status.is_primary_of(view.term) {
+            return judgement;
+        }
+        let proved = self.ask_replicas(route, view.clone()).await;
+        need.judge(&route.config, &proved, authority, sent_at, status)
+    }
+
+    /// The view with as many replicas' answers as stand for the term.
+    async fn ask_replicas(&self, route: &ServiceRoute, mut view: GroupView) -> GroupView {
+        let mut answers: FuturesUnordered<_> = route
+            .config
+            .instances
+            .keys()
+            .filter(|name| Some(*name) != view.primary.as_ref())
+            .map(|name| confirm_desk::ask(&self.shared, &self.service, name, view.term, 0))
+            .collect();
+        let mut answers_missing = route.config.proving_replicas();
+        while answers_missing > 0
+            && let Some(answer) = answers.next().await
+        {
+            let Ok(answer) = answer else { continue };
+            view.observe(answer.asked_at, answer.status);
+            answers_missing -= 1;
+        }
+        view
+    }
+
     /// Gives the end of an answer, and keeps the lane while a transaction is open.
     async fn give_answer(
         &mut self,
--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -110,7 +110,11 @@
         let phase = shared.phase.clone();
         let floor = startup
             .floor
-            .map_or(FloorKnowledge::Unknown, FloorKnowledge::Floor);
+            // A caller that moves here had its earlier writes acknowledged before it came.
+            .map_or_else(
+                || FloorKnowledge::UnknownBefore(shared.clock.now()),
+                FloorKnowledge::Floor,
+            );
         Self {
             io,
             shared,
@@ -383,7 +387,9 @@
     pub(crate) fn token(&self) -> String {
         match &self.floor {
             FloorKnowledge::Floor(floor) => self.sign(floor),
-            FloorKnowledge::NoWrites | FloorKnowledge::Unknown => String::new(),
+            FloorKnowledge::NoWrites
+            | FloorKnowledge::Unknown
+            | FloorKnowledge::UnknownBefore(_) => String::new(),
         }
     }
 
@@ -400,7 +406,9 @@
     fn floor_raised_to(&self, term: Term, position: Position) -> Floor {
         let mut floor = match &self.floor {
             FloorKnowledge::Floor(floor) => floor.clone(),
-            FloorKnowledge::NoWrites | FloorKnowledge::Unknown => Floor {
+            FloorKnowledge::NoWrites
+            | FloorKnowledge::Unknown
+            | FloorKnowledge::UnknownBefore(_) => Floor {
                 service: self.service.clone(),
                 term,
                 position,
--- a/crates/jujubehold_host/src/traffic/session_settings.rs
+++ b/crates/jujubehold_host/src/traffic/session_settings.rs
@@ -162,7 +162,7 @@
                 Ok(CommandReply::Done("SET"))
             }
             SessionCommand::Reset(name) if name == SESSION_SETTING => {
-                self.floor = FloorKnowledge::Unknown;
+                self.floor = FloorKnowledge::UnknownBefore(self.shared.clock.now());
                 Ok(CommandReply::Done("RESET"))
             }
             SessionCommand::Set { .. } | SessionCommand::Reset(_) if self.pinned.is_some() => {
