--- a/crates/jujubehold_host/src/shared.rs
+++ b/crates/jujubehold_host/src/shared.rs
@@ -10,6 +10,7 @@
 use crate::clock::Clock;
 use crate::drain_phase::DrainPhase;
 use crate::observation::ObservationSender;
+use crate::peer::PeerConnector;
 use crate::pool::Pools;
 use crate::routing_table::{RoutingTable, ServiceRoute};
 use crate::security::{CallerTls, SecurityError};
@@ -28,6 +29,8 @@
     pub observations: ObservationSender,
     /// The connections to upstreams that this host owns.
     pub pools: Pools,
+    /// How channels to other hosts are opened.
+    pub connector: PeerConnector,
     /// The queues of requests.
     pub admission: AdmissionDesk,
     /// The shares of retries.
@@ -59,6 +62,7 @@
             table,
             observations,
             pools: Pools::default(),
+            connector: PeerConnector::default(),
             admission: AdmissionDesk::default(),
             retries: RetryBudgets::default(),
             confirms: ConfirmDesk::default(),
@@ -80,7 +84,12 @@
             .as_ref()
             .map(CallerTls::load)
             .transpose()?;
-        Ok(Self { tls, ..self })
+        let connector = PeerConnector::load(&self.settings)?;
+        Ok(Self {
+            connector,
+            tls,
+            ..self
+        })
     }
 
     /// How many connections to an instance this host may hold when it is one of its owners.
--- a/crates/jujubehold_host/src/traffic/read_path.rs
+++ b/crates/jujubehold_host/src/traffic/read_path.rs
@@ -4,8 +4,6 @@
 //! a byte of the read's answer goes to the caller; see docs/notes/callers-side.md.
 
 use bytes::BytesMut;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use jujubehold_core::group_view::Sample;
 use jujubehold_core::prelude::*;
 use jujubehold_core::read_candidates::{ReadOrigin, read_candidates};
@@ -14,6 +12,7 @@
 use jujubehold_pg::{query, ready_for_query};
 use metrics::counter;
 
+use super::acknowledge::prove_term;
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
 use super::answer_plan::AnswerPlan;
 use super::confirm_desk;
@@ -22,6 +21,7 @@
 use super::status_answer::{STATUS_QUERY, read_status};
 use super::transaction::Pinned;
 use super::unit::Unit;
+use super::write_path::PROOF_LIMIT;
 use crate::metric_names::READS;
 use crate::observation::Observation;
 use crate::routing_table::ServiceRoute;
@@ -163,7 +163,9 @@
             return Ok(Tried::Next(RetryReason::BrokenDuringRead));
         };
         self.report_status(route, sent_at, &status);
-        let judgement = self.judge(route, fresh_view, need, sent_at, &status).await;
+        let judgement = self
+            .judge(unit, route, fresh_view, need, sent_at, &status)
+            .await;
         match judgement {
             ReadJudgement::Serve => {}
             ReadJudgement::Retry => {
@@ -206,6 +208,7 @@
     /// A primary that no replica has vouched for of late is judged again once replicas were asked.
     async fn judge(
         &self,
+        unit: &Unit,
         route: &ServiceRoute,
         fresh_view: Option<&GroupView>,
         need: &ReadNeed,
@@ -223,30 +226,12 @@
         if judgement != ReadJudgement::Retry || !status.is_primary_of(view.term) {
             return judgement;
         }
-        let proved = self.ask_replicas(route, view.clone()).await;
+        let mut proved = view.clone();
+        let limit = self.shared.clock.now() + PROOF_LIMIT;
+        prove_term(&self.shared, route, &mut proved, limit.min(unit.deadline)).await;
         need.judge(&route.config, &proved, authority, sent_at, status)
     }
 
-    /// The view with as many replicas' answers as stand for the term.
-    async fn ask_replicas(&self, route: &ServiceRoute, mut view: GroupView) -> GroupView {
-        let mut answers: FuturesUnordered<_> = route
-            .config
-            .instances
-            .keys()
-            .filter(|name| Some(*name) != view.primary.as_ref())
-            .map(|name| confirm_desk::ask(&self.shared, &self.service, name, view.term, 0))
-            .collect();
-        let mut answers_missing = route.config.proving_replicas();
-        while answers_missing > 0
-            && let Some(answer) = answers.next().await
-        {
-            let Ok(answer) = answer else { continue };
-            view.observe(answer.asked_at, answer.status);
-            answers_missing -= 1;
-        }
-        view
-    }
-
     /// Gives the end of an answer, and keeps the lane while a transaction is open.
     async fn give_answer(
         &mut self,
