Let the model's late catch-up cut nothing, as the group interface has it

The stand-in fetches only while a position is missing, so the model was wrong; the rule is now written down for groups of another kind. What the checks look for is unchanged.

--- a/crates/jujubehold_core/tests/exploration/instance.rs
+++ b/crates/jujubehold_core/tests/exploration/instance.rs
@@ -146,9 +146,11 @@
         self.take(primary, primary.log.len(), entries);
     }
 
+    /// Fetches what is missing up to `position`; one that comes late, when there is nothing to
+    /// fetch any more, cuts nothing.
     pub(crate) fn catch_up(&mut self, source: &Self, position: Position) {
-        if self.fence_term == source.fence_term {
-            let end = usize::try_from(position).expect("the model's logs are short");
+        let end = usize::try_from(position).expect("the model's logs are short");
+        if self.fence_term == source.fence_term && self.log.len() < end {
             self.take(source, end, usize::MAX);
         }
     }
