--- a/crates/jujubehold_host/src/host.rs
+++ b/crates/jujubehold_host/src/host.rs
@@ -62,6 +62,7 @@
         if settings.metrics_address.is_some() {
             metrics_page::install();
         }
+        check_exposure(&settings)?;
         let listener = listen(settings.caller_address).await?;
         let connector = PeerConnector::load(&settings)?;
         let peer_sockets = PeerSockets::open(settings.peer_address)?;
@@ -213,6 +214,19 @@
     }
 }
 
+/// Refuses to listen in the clear where others than this machine's can reach the host.
+fn check_exposure(settings: &HostSettings) -> Result<(), HostError> {
+    if settings.tls.is_some() || settings.is_cleartext_allowed {
+        return Ok(());
+    }
+    for address in [settings.caller_address, settings.peer_address] {
+        if !address.ip().is_loopback() {
+            return Err(HostError::Exposed { address });
+        }
+    }
+    Ok(())
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, HostError> {
     TcpListener::bind(address)
         .await
