--- a/crates/jujubehold_host/src/pool/pools.rs
+++ b/crates/jujubehold_host/src/pool/pools.rs
@@ -1,6 +1,7 @@
 //! The pools of all instances that this host holds connections to.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::ThreadId;
 use std::time::{Duration, Instant};
@@ -18,6 +19,9 @@
 /// How long a connection may lie idle before it is closed.
 const IDLE_LIMIT: Duration = Duration::from_mins(5);
 
+/// How long opening a connection ahead of its use may take.
+const WARM_LIMIT: Duration = Duration::from_secs(2);
+
 /// Why no connection could be had.
 #[derive(Debug, Error)]
 pub enum PoolError {
@@ -43,6 +47,7 @@
     permits: Arc<Semaphore>,
     limit: Mutex<usize>,
     refusals: Mutex<Refusals>,
+    is_warming: AtomicBool,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
@@ -95,6 +100,7 @@
                 .expect("the semaphore is never closed"),
         };
         let connection = if let Some(connection) = pool.take_idle() {
+            pool.keep_warm(service, name, instance);
             connection
         } else {
             pool.open(service, name, instance, wait).await?
@@ -114,6 +120,7 @@
                 permits: Arc::new(Semaphore::new(quota)),
                 limit: Mutex::new(quota),
                 refusals: Mutex::default(),
+                is_warming: AtomicBool::new(false),
                 idle: Mutex::new(Vec::new()),
             })
         };
@@ -153,6 +160,43 @@
         }
     }
 
+    // Opens the next connection while the last idle one is in use, so that a further request
+    // does not wait for it.
+    fn keep_warm(
+        self: &Arc<Self>,
+        service: &ServiceId,
+        name: &InstanceId,
+        instance: &InstanceConfig,
+    ) {
+        if !lock(&self.idle).is_empty() {
+            return;
+        }
+        let Ok(permit) = self.permits.clone().try_acquire_owned() else {
+            return;
+        };
+        if self.is_warming.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let (pool, service) = (self.clone(), service.clone());
+        let (name, instance) = (name.clone(), instance.clone());
+        actix_rt::spawn(async move {
+            let opened = pool.open(&service, &name, &instance, WARM_LIMIT).await;
+            if let Ok(connection) = opened {
+                pool.add_idle(connection);
+            }
+            pool.is_warming.store(false, Ordering::Release);
+            drop(permit);
+        });
+    }
+
+    fn add_idle(&self, connection: UpstreamConnection) {
+        lock(&self.idle).push(IdleConnection {
+            connection,
+            thread: std::thread::current().id(),
+            since: Instant::now(),
+        });
+    }
+
     async fn open(
         &self,
         service: &ServiceId,
@@ -206,11 +250,7 @@
 
     /// Gives a clean connection back: outside of a transaction, with every answer read.
     pub fn put_back(self) {
-        lock(&self.pool.idle).push(IdleConnection {
-            connection: self.connection,
-            thread: std::thread::current().id(),
-            since: Instant::now(),
-        });
+        self.pool.add_idle(self.connection);
     }
 }
 
--- a/crates/jujubehold_host/src/traffic/mod.rs
+++ b/crates/jujubehold_host/src/traffic/mod.rs
@@ -18,11 +18,14 @@
 mod retry_budgets;
 mod session;
 mod session_command;
+mod session_floor;
+mod session_pipeline;
 mod session_settings;
 mod session_start;
 mod status_answer;
 mod transaction;
 mod unit;
+mod unit_error;
 mod upstream_error;
 mod write_path;
 
--- a/crates/jujubehold_host/src/traffic/session_command.rs
+++ b/crates/jujubehold_host/src/traffic/session_command.rs
@@ -10,9 +10,10 @@
 };
 
 use super::prepared::Prepared;
-use super::session::{Session, UnitError, refusal};
+use super::session::Session;
 use super::session_settings::{CommandReply, SESSION_SETTING};
 use super::unit::{ExtendedItem, StatementRef, Unit};
+use super::unit_error::{UnitError, refusal};
 
 impl Session {
     /// Answers a unit that holds nothing but session commands.
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/session_floor.rs
@@ -0,0 +1,44 @@
+//! The session's floor, and the token that carries it.
+
+use jujubehold_core::prelude::*;
+use jujubehold_core::session_floor::FloorKnowledge;
+use jujubehold_core::session_token::sign_token;
+
+use super::session::Session;
+
+impl Session {
+    /// The session's floor as a token; empty when it has none.
+    pub(crate) fn token(&self) -> String {
+        match &self.floor {
+            FloorKnowledge::Floor(floor) => self.sign(floor),
+            FloorKnowledge::NoWrites | FloorKnowledge::Unknown => String::new(),
+        }
+    }
+
+    /// The token that the session has once its floor is raised.
+    pub(crate) fn token_raised_to(&self, term: Term, position: Position) -> String {
+        self.sign(&self.floor_raised_to(term, position))
+    }
+
+    /// Raises the session's floor.
+    pub(crate) fn raise_floor(&mut self, term: Term, position: Position) {
+        self.floor = FloorKnowledge::Floor(self.floor_raised_to(term, position));
+    }
+
+    fn floor_raised_to(&self, term: Term, position: Position) -> Floor {
+        let mut floor = match &self.floor {
+            FloorKnowledge::Floor(floor) => floor.clone(),
+            FloorKnowledge::NoWrites | FloorKnowledge::Unknown => Floor {
+                service: self.service.clone(),
+                term,
+                position,
+            },
+        };
+        floor.raise(term, position);
+        floor
+    }
+
+    fn sign(&self, floor: &Floor) -> String {
+        sign_token(self.shared.settings.token_key.as_bytes(), floor)
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/session_pipeline.rs
@@ -0,0 +1,83 @@
+//! Gathers messages of the extended protocol until the caller waits for an answer.
+
+use std::rc::Rc;
+
+use jujubehold_pg::{ExtendedMessage, Frame, FrameError};
+use smol_str::SmolStr;
+
+use super::prepared::Prepared;
+use super::session::{Session, classify};
+use super::unit::{ExtendedItem, StatementRef, Unit};
+
+/// The most messages of the extended protocol before a Sync.
+const MAX_PIPELINE: usize = 16_384;
+/// The most bytes of messages before a Sync.
+const MAX_PIPELINE_BYTES: usize = 64 * 1024 * 1024;
+/// The most statements that a caller may keep prepared.
+const MAX_PREPARED: usize = 4096;
+
+impl Session {
+    /// Adds a message, and runs the pipeline when it is the last.
+    pub(crate) async fn add_to_pipeline(
+        &mut self,
+        message: ExtendedMessage,
+        frame: Frame,
+    ) -> Result<(), FrameError> {
+        self.pipeline_bytes += frame.bytes().len();
+        let item = match message {
+            ExtendedMessage::Parse {
+                name,
+                text_and_types,
+                text_bytes,
+            } => {
+                let text = std::str::from_utf8(&text_and_types[..text_bytes]).unwrap_or_default();
+                let class = classify(text);
+                let prepared = Rc::new(Prepared::new(text_and_types, text_bytes, class));
+                self.statements.insert(name, prepared.clone());
+                ExtendedItem::Parse(prepared)
+            }
+            ExtendedMessage::Bind {
+                portal,
+                statement,
+                rest,
+            } => ExtendedItem::Bind {
+                statement: self.statement(statement),
+                portal,
+                rest,
+            },
+            ExtendedMessage::DescribeStatement(name) => {
+                ExtendedItem::DescribeStatement(self.statement(name))
+            }
+            ExtendedMessage::DescribePortal => ExtendedItem::DescribePortal(frame),
+            ExtendedMessage::Execute { .. } => ExtendedItem::Execute(frame),
+            ExtendedMessage::CloseStatement(name) => {
+                self.statements.remove(&name);
+                ExtendedItem::CloseStatement
+            }
+            ExtendedMessage::ClosePortal => ExtendedItem::ClosePortal(frame),
+            ExtendedMessage::Sync => ExtendedItem::Sync,
+            ExtendedMessage::Flush => ExtendedItem::Flush,
+        };
+        let is_end = matches!(item, ExtendedItem::Sync | ExtendedItem::Flush);
+        self.pipeline.push(item);
+        if self.pipeline.len() > MAX_PIPELINE
+            || self.pipeline_bytes > MAX_PIPELINE_BYTES
+            || self.statements.len() > MAX_PREPARED
+        {
+            return Err(FrameError::Malformed("a pipeline is too long".to_owned()));
+        }
+        if !is_end {
+            return Ok(());
+        }
+        self.pipeline_bytes = 0;
+        let items = std::mem::take(&mut self.pipeline);
+        self.run(Unit::extended(items)).await
+    }
+
+    fn statement(&self, name: SmolStr) -> StatementRef {
+        match self.statements.get(&name) {
+            Some(prepared) => StatementRef::Known(prepared.clone()),
+            None => StatementRef::Unknown(name),
+        }
+    }
+}
--- a/crates/jujubehold_host/src/traffic/transaction.rs
+++ b/crates/jujubehold_host/src/traffic/transaction.rs
@@ -6,9 +6,10 @@
 
 use super::answer::{Giving, pass_answer};
 use super::lane::Lane;
-use super::session::{Session, UnitError};
+use super::session::Session;
 use super::status_answer::{STATUS_QUERY, read_status};
 use super::unit::Unit;
+use super::unit_error::UnitError;
 use crate::routing_table::ServiceRoute;
 
 /// A lane that a session keeps, because a transaction or a pipeline is open on it.
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/unit_error.rs
@@ -0,0 +1,129 @@
+//! Units that their upstream did not answer, and what the caller is told of them.
+
+use std::time::Duration;
+
+use jujubehold_core::prelude::*;
+use jujubehold_pg::{FrameError, ready_for_query};
+use metrics::counter;
+
+use super::session::Session;
+use super::unit::Unit;
+use super::upstream_error::{fatal_error, refusal_error, refusal_with_hint, unknown_error};
+use crate::metric_names::{REFUSALS, UNKNOWNS};
+
+/// When a refused caller should come back, where nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Why a unit was not answered by its upstream.
+#[derive(Debug)]
+pub(crate) enum UnitError {
+    /// It did not run.
+    Refused(Refusal),
+    /// It did not run, and there is something particular to do.
+    Hinted {
+        refusal: Refusal,
+        hint: &'static str,
+    },
+    /// It may have run.
+    Unknown(UnknownReason),
+    /// The session can't go on: half an answer was given, or a transaction was lost.
+    Ended(UnknownReason),
+    /// The caller is gone.
+    Caller(FrameError),
+}
+
+impl From<Refusal> for UnitError {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl From<RefusalReason> for UnitError {
+    fn from(reason: RefusalReason) -> Self {
+        Self::Refused(refusal(reason))
+    }
+}
+
+/// A refusal with the usual time to come back.
+pub(crate) fn refusal(reason: RefusalReason) -> Refusal {
+    if reason.is_transient() {
+        Refusal::transient(reason, RETRY_AFTER)
+    } else {
+        Refusal::permanent(reason)
+    }
+}
+
+impl Session {
+    /// Tells the caller what came of a unit that its upstream did not answer.
+    pub(crate) async fn tell(&mut self, error: UnitError, unit: &Unit) -> Result<(), FrameError> {
+        self.key.running.end();
+        let service = self.service.to_string();
+        let error = match error {
+            UnitError::Unknown(reason) if self.io.has_given => UnitError::Ended(reason),
+            other => other,
+        };
+        if !self.io.has_given {
+            self.io.clear();
+        }
+        match error {
+            UnitError::Refused(refusal) => {
+                self.put_refusal_hint(&refusal, unit);
+            }
+            UnitError::Hinted { refusal, hint } => {
+                self.count_refusal(&refusal);
+                self.io.put(&refusal_with_hint(&refusal, hint));
+            }
+            UnitError::Unknown(reason) => {
+                counter!(UNKNOWNS, "service" => service, "reason" => reason.as_str()).increment(1);
+                self.io.put(&unknown_error(reason));
+            }
+            UnitError::Ended(reason) => {
+                counter!(UNKNOWNS, "service" => service, "reason" => reason.as_str()).increment(1);
+                self.pinned = None;
+                self.io.clear();
+                self.io.put(&fatal_error(reason));
+                self.io.flush().await?;
+                return Err(FrameError::Truncated);
+            }
+            UnitError::Caller(error) => return Err(error),
+        }
+        if unit.ends_with_flush {
+            // The caller's pipeline is void up to its Sync, which this host can't wait for.
+            self.io.flush().await?;
+            return Err(FrameError::Truncated);
+        }
+        let status = self.pinned.as_ref().map_or(b'I', |pinned| pinned.status);
+        self.io.put(&ready_for_query(status));
+        self.io.flush().await
+    }
+
+    pub(crate) fn put_refusal(&mut self, refusal: &Refusal) {
+        self.count_refusal(refusal);
+        self.io.put(&refusal_error(refusal));
+    }
+
+    fn put_refusal_hint(&mut self, refusal: &Refusal, unit: &Unit) {
+        self.count_refusal(refusal);
+        let error = match refusal.reason {
+            RefusalReason::UnsupportedSessionState => refusal_with_hint(
+                refusal,
+                "It would leave state on a shared connection. Use plain statements, SET LOCAL, \
+                 pg_advisory_xact_lock or a table in its place.",
+            ),
+            RefusalReason::FloorLost => refusal_with_hint(
+                refusal,
+                "A failover cut this session's last write. Look at the data, then RESET \
+                 jujubehold.session.",
+            ),
+            _ if unit.ends_with_flush => refusal_with_hint(refusal, "The session ends."),
+            _ => refusal_error(refusal),
+        };
+        self.io.put(&error);
+    }
+
+    fn count_refusal(&self, refusal: &Refusal) {
+        counter!(REFUSALS, "service" => self.service.to_string(),
+            "reason" => refusal.reason.as_str())
+        .increment(1);
+    }
+}
--- a/crates/jujubehold_host/tests/traffic/pools.rs
+++ b/crates/jujubehold_host/tests/traffic/pools.rs
@@ -79,3 +79,16 @@
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
     }
 }
+
+#[actix_rt::test]
+async fn the_next_connection_is_opened_while_the_last_one_is_in_use() {
+    let mut bench = Bench::start(ServiceConfig::default()).await;
+    bench.create_counter().await;
+    let (service, primary) = ("ledger".into(), "a".into());
+    bench.shared.pools.close_idle(&service, &primary);
+    let client = bench.connect().await;
+    run(&client, "UPDATE counter SET n = 1").await;
+    run(&client, "BEGIN").await;
+    let pools = &bench.shared.pools;
+    crate::support::wait_until(|| pools.idle_count(&service, &primary) == 1).await;
+}
