--- a/crates/jujubehold_host/src/shared.rs
+++ b/crates/jujubehold_host/src/shared.rs
@@ -92,6 +92,13 @@
         })
     }
 
+    /// Whether a caller must talk by TLS: where others than this machine's can reach the host, and
+    /// the settings don't allow them the clear.
+    pub fn is_tls_required(&self) -> bool {
+        let is_exposed = !self.settings.caller_address.ip().is_loopback();
+        self.tls.is_some() && is_exposed && !self.settings.is_cleartext_allowed
+    }
+
     /// How many connections to an instance this host may hold when it is one of its owners.
     ///
     /// There is one share more than there are owners, so that a change of owner stays within the
--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -60,7 +60,11 @@
         let phase = shared.phase.clone();
         let floor = startup
             .floor
-            .map_or(FloorKnowledge::Unknown, FloorKnowledge::Floor);
+            // A caller that moves here had its earlier writes acknowledged before it came.
+            .map_or_else(
+                || FloorKnowledge::UnknownBefore(shared.clock.now()),
+                FloorKnowledge::Floor,
+            );
         Self {
             io,
             shared,
--- a/crates/jujubehold_host/src/traffic/session_floor.rs
+++ b/crates/jujubehold_host/src/traffic/session_floor.rs
@@ -11,7 +11,9 @@
     pub(crate) fn token(&self) -> String {
         match &self.floor {
             FloorKnowledge::Floor(floor) => self.sign(floor),
-            FloorKnowledge::NoWrites | FloorKnowledge::Unknown => String::new(),
+            FloorKnowledge::NoWrites
+            | FloorKnowledge::Unknown
+            | FloorKnowledge::UnknownBefore(_) => String::new(),
         }
     }
 
@@ -28,7 +30,9 @@
     fn floor_raised_to(&self, term: Term, position: Position) -> Floor {
         let mut floor = match &self.floor {
             FloorKnowledge::Floor(floor) => floor.clone(),
-            FloorKnowledge::NoWrites | FloorKnowledge::Unknown => Floor {
+            FloorKnowledge::NoWrites
+            | FloorKnowledge::Unknown
+            | FloorKnowledge::UnknownBefore(_) => Floor {
                 service: self.service.clone(),
                 term,
                 position,
