--- a/crates/jujubehold_host/tests/traffic/malformed.rs
+++ b/crates/jujubehold_host/tests/traffic/malformed.rs
@@ -82,3 +82,39 @@
         assert!(is_closed(stream).await);
     }
 }
+
+#[actix_rt::test]
+async fn half_an_answer_ends_the_session_and_is_not_completed_from_elsewhere() {
+    let mut bench = Bench::start(ServiceConfig::default()).await;
+    bench.create_counter().await;
+    let client = bench.connect().await;
+    let values = vec!["(1)"; 299].join(", ");
+    crate::support::run(&client, &format!("INSERT INTO counter VALUES {values}")).await;
+    bench.wait_applied().await;
+    let mut stream = start_session(&bench).await;
+    let sql = format!("SELECT '{}' FROM counter a, counter b", "x".repeat(400));
+    stream.write_all(query(&sql).bytes()).await.unwrap();
+    let mut first = [0; 4096];
+    let read = stream.read(&mut first);
+    let count = tokio::time::timeout(HANG, read).await.unwrap().unwrap();
+    assert_eq!(first[0], b'T');
+    for database in bench.databases.iter() {
+        database.kill();
+    }
+    let mut answer = first[..count].to_vec();
+    let rest = stream.read_to_end(&mut answer);
+    tokio::time::timeout(HANG, rest).await.unwrap().unwrap();
+    let mut tags = Vec::new();
+    let mut bytes = bytes::BytesMut::from(&answer[..]);
+    let mut last = None;
+    while let Some(frame) = jujubehold_pg::Frame::cut(&mut bytes).unwrap() {
+        tags.push(frame.tag());
+        last = Some(frame);
+    }
+    assert!(!tags.contains(&b'C'), "the answer must not look whole");
+    assert!(!tags.contains(&b'Z'));
+    let last = last.unwrap();
+    assert_eq!(last.tag(), b'E');
+    let error = String::from_utf8_lossy(last.body()).into_owned();
+    assert!(error.contains("FATAL"), "{error}");
+}
