--- a/crates/jujubehold/tests/host.rs
+++ b/crates/jujubehold/tests/host.rs
@@ -1,10 +1,14 @@
 //! The daemon logs JSON lines and ends well at SIGTERM.
 
+mod support;
+
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use support::jujubehold;
+
 /// A generous limit, only there to detect a hang.
 const DEADLINE: Duration = Duration::from_mins(1);
 
@@ -77,3 +81,32 @@
         .expect("the host ends");
     assert_eq!(output.status.code(), Some(3));
 }
+
+#[test]
+fn status_shows_a_hosts_counters() {
+    let metrics = free_address();
+    let callers = free_address();
+    let settings = write_settings(
+        "status-host.ini",
+        &format!(
+            "[host]\ncaller_address = {callers}\npeer_address = {}\nmetrics_address = {metrics}\n\
+             platform_addresses = {}\ntraffic_threads = 1\n",
+            free_address(),
+            free_address(),
+        ),
+    );
+    let mut host = start_host(&settings);
+    wait_for_listener(metrics);
+    let shown = jujubehold(&["status", "--metrics", &metrics.to_string()]);
+    host.kill().expect("the host can be ended");
+    host.wait().expect("the host ends");
+    assert!(shown.starts_with("exit code 0"), "{shown}");
+    assert!(
+        shown.contains("\nprocess_resident_memory_bytes "),
+        "{shown}"
+    );
+    assert!(!shown.contains("# TYPE"), "{shown}");
+
+    let gone = jujubehold(&["status", "--metrics", &metrics.to_string()]);
+    assert!(gone.starts_with("exit code 5"), "{gone}");
+}
