Run lent streams as tasks of the peer thread

The pools now open a connection ahead in a task of the present thread, which the tasks of the tonic server can't start: the first stream that needed a new connection panicked and the entry host saw the owner end it. Streams are handed to the thread's own task set instead.

--- a/crates/jujubehold_host/src/peer/peer_server.rs
+++ b/crates/jujubehold_host/src/peer/peer_server.rs
@@ -6,28 +6,37 @@
 use jujubehold_wire::peer::peer_server::{Peer, PeerServer};
 use log::warn;
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::transport::Server;
 use tonic::{Request, Response, Status, Streaming};
 
-use super::forward_server::{WAITING_ANSWERS, forward};
+use super::forward_server::{ForwardSender, WAITING_ANSWERS, forward};
 use super::peer_clients::MAX_MESSAGE_BYTES;
 use crate::control::{ControlEvent, ControlSender};
 use crate::shared::Shared;
 
-/// Serves other hosts: control calls go to the control thread, lent connections stay here.
+/// Serves other hosts: control calls go to the control thread, streams to this thread's own tasks.
 #[derive(Debug)]
 struct PeerService {
     events: ControlSender,
-    shared: Arc<Shared>,
+    jobs: mpsc::UnboundedSender<ForwardJob>,
+}
+
+/// A stream that asks for a connection.
+#[derive(Debug)]
+struct ForwardJob {
+    requests: Streaming<peer::ForwardRequest>,
+    answers: ForwardSender,
 }
 
 /// Serves other hosts on `listener` until its future is dropped.
 pub(crate) async fn serve_peers(listener: TcpListener, events: ControlSender, shared: Arc<Shared>) {
     let shared_tls = shared.connector.server_config();
-    let service = PeerServer::new(PeerService { events, shared })
-        .max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let (jobs, job_receiver) = mpsc::unbounded_channel();
+    actix_rt::spawn(run_jobs(job_receiver, shared));
+    let service =
+        PeerServer::new(PeerService { events, jobs }).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let incoming = TcpListenerStream::new(listener);
     let builder = match shared_tls {
         Some(tls) => Server::builder().tls_config(tls),
@@ -42,6 +51,14 @@
     }
 }
 
+/// Runs streams as tasks of this thread, as which the pools need them: the server's own tasks may
+/// start none.
+async fn run_jobs(mut jobs: mpsc::UnboundedReceiver<ForwardJob>, shared: Arc<Shared>) {
+    while let Some(job) = jobs.recv().await {
+        actix_rt::spawn(forward(job.requests, job.answers, Arc::clone(&shared)));
+    }
+}
+
 #[tonic::async_trait]
 impl Peer for PeerService {
     type ForwardStream = ReceiverStream<Result<peer::ForwardResponse, Status>>;
@@ -50,12 +67,14 @@
         &self,
         request: Request<Streaming<peer::ForwardRequest>>,
     ) -> Result<Response<Self::ForwardStream>, Status> {
-        let (sender, receiver) = tokio::sync::mpsc::channel(WAITING_ANSWERS);
-        tokio::spawn(forward(
-            request.into_inner(),
-            sender,
-            Arc::clone(&self.shared),
-        ));
+        let (sender, receiver) = mpsc::channel(WAITING_ANSWERS);
+        let job = ForwardJob {
+            requests: request.into_inner(),
+            answers: sender,
+        };
+        self.jobs
+            .send(job)
+            .map_err(|_| Status::unavailable("the host ends"))?;
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
