--- a/crates/jujubehold_host/src/peer/forward_server.rs
+++ b/crates/jujubehold_host/src/peer/forward_server.rs
@@ -17,7 +17,7 @@
 use tonic::{Status, Streaming};
 
 use crate::activity::Activity;
-use crate::pool::PooledConnection;
+use crate::pool::{PoolError, PooledConnection};
 use crate::shared::Shared;
 
 /// How many answers may wait for a slow entry host; more of them hold the upstream back.
@@ -96,11 +96,23 @@
         return Err(RefusalReason::NoPrimary);
     }
     let wait = Duration::from_millis(open.wait_ms.into());
-    let acquire = shared.pools.acquire(&service, &instance, config);
-    match tokio::time::timeout(wait, acquire).await {
-        Ok(Ok(connection)) => Ok(connection),
-        Ok(Err(_)) => Err(RefusalReason::UpstreamUnreachable),
-        Err(_) => Err(RefusalReason::QueueFull),
+    let quota = shared.quota(config);
+    loop {
+        let acquired = shared
+            .pools
+            .acquire(&service, &instance, config, quota, wait)
+            .await;
+        match acquired {
+            // The entry host counts on the upstream's own settings; a connection that has others
+            // is closed.
+            Ok(mut connection) => {
+                if connection.connection().settings().is_empty() {
+                    return Ok(connection);
+                }
+            }
+            Err(PoolError::Busy) => return Err(RefusalReason::QueueFull),
+            Err(PoolError::Open(_)) => return Err(RefusalReason::UpstreamUnreachable),
+        }
     }
 }
 
@@ -111,8 +123,8 @@
     sent: u64,
     // Whether the upstream waits for the next message outside of a transaction.
     is_idle: bool,
-    // Whether statements were prepared by name, of which this host keeps no list.
-    has_prepared: bool,
+    // How many statements were prepared by name, of which this host keeps no list.
+    prepared_count: usize,
 }
 
 impl LentConnection {
@@ -122,7 +134,7 @@
             received: 0,
             sent: 0,
             is_idle: true,
-            has_prepared: false,
+            prepared_count: 0,
         }
     }
 
@@ -171,7 +183,7 @@
             ));
         }
         self.is_idle = false;
-        self.has_prepared |= has_parse(&frames.frames);
+        self.prepared_count += count_parses(&frames.frames);
         let connection = self.connection.connection();
         connection
             .send(&frames.frames)
@@ -199,23 +211,26 @@
     }
 
     /// Takes the connection back; one that is not clean is closed.
-    fn end(self) {
-        if self.is_idle && !self.has_prepared {
+    fn end(mut self) {
+        let connection = self.connection.connection();
+        let has_room = connection.add_foreign_statements(self.prepared_count);
+        if self.is_idle && has_room {
             self.connection.put_back();
         }
     }
 }
 
-/// Whether messages of a frontend hold one that prepares a statement by name.
-fn has_parse(frames: &Bytes) -> bool {
+/// How many messages of a frontend prepare a statement by name.
+fn count_parses(frames: &Bytes) -> usize {
     let mut rest = BytesMut::from(frames.as_ref());
+    let mut count = 0;
     while let Ok(Some(frame)) = Frame::cut(&mut rest) {
         let is_named = frame.first_text().is_some_and(|name| !name.is_empty());
         if frame.tag() == frontend::PARSE && is_named {
-            return true;
+            count += 1;
         }
     }
-    false
+    count
 }
 
 fn broken(detail: &str) -> ResponseKind {
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/lane.rs
@@ -0,0 +1,166 @@
+//! The way to one upstream connection, here or on another host.
+
+use std::time::Duration;
+
+use jujubehold_core::prelude::*;
+use jujubehold_pg::{Frame, FrameError};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::peer::{ForwardError, ForwardTarget, ForwardedLane};
+use crate::pool::{CancelTarget, PoolError, PooledConnection, PreparedNames, SendFailure};
+use crate::routing_table::ServiceRoute;
+use crate::shared::Shared;
+
+/// How long an owner may keep a request waiting for a connection.
+const FORWARD_WAIT: Duration = Duration::from_secs(2);
+/// The reason with which an owner refuses when all of its connections are in use.
+const BUSY: &str = "queue_full";
+
+/// An upstream connection that one request or transaction holds.
+///
+/// It is closed when dropped; [`Lane::finish`] gives it back.
+#[derive(Debug)]
+pub(crate) enum Lane {
+    /// A connection of this host's pools.
+    Local(PooledConnection),
+    /// A connection that an owner lends to this host.
+    Forwarded(Forwarded),
+}
+
+/// A lent connection, and what this host has done to it.
+#[derive(Debug)]
+pub(crate) struct Forwarded {
+    lane: ForwardedLane,
+    prepared: PreparedNames,
+    settings: SmolStr,
+}
+
+/// Why no lane could be had; nothing was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LaneError {
+    /// Another try, or another instance, may do.
+    Retry(RetryReason),
+    /// All connections stayed in use.
+    Busy,
+}
+
+impl Lane {
+    /// Takes a connection to `instance`.
+    pub(crate) async fn open(
+        shared: &Shared,
+        route: &ServiceRoute,
+        instance: &InstanceId,
+        wait: Duration,
+    ) -> Result<Self, LaneError> {
+        let Some(config) = route.config.instances.get(instance) else {
+            return Err(LaneError::Retry(RetryReason::NotPrimary));
+        };
+        let service = &route.config.service;
+        if !route.is_owned_here(instance) {
+            return Self::open_forwarded(route, instance, wait).await;
+        }
+        let quota = shared.quota(config);
+        match shared
+            .pools
+            .acquire(service, instance, config, quota, wait)
+            .await
+        {
+            Ok(connection) => Ok(Self::Local(connection)),
+            Err(PoolError::Busy) => Err(LaneError::Busy),
+            Err(PoolError::Open(_)) => Err(LaneError::Retry(RetryReason::ConnectRefused)),
+        }
+    }
+
+    async fn open_forwarded(
+        route: &ServiceRoute,
+        instance: &InstanceId,
+        wait: Duration,
+    ) -> Result<Self, LaneError> {
+        let target = ForwardTarget {
+            request_id: format_smolstr!("{:016x}", rand::random::<u64>()),
+            service: route.config.service.clone(),
+            instance: instance.clone(),
+            term: 0,
+            wait: wait.min(FORWARD_WAIT),
+        };
+        let owners = route.owners.get(instance).map_or(&[][..], Vec::as_slice);
+        match ForwardedLane::open(owners, &target).await {
+            Ok(lane) => Ok(Self::Forwarded(Forwarded {
+                lane,
+                prepared: PreparedNames::default(),
+                settings: SmolStr::default(),
+            })),
+            Err(ForwardError::Refused { reason, .. }) if reason == BUSY => Err(LaneError::Busy),
+            Err(_) => Err(LaneError::Retry(RetryReason::OwnerMoved)),
+        }
+    }
+
+    /// Sends bytes of whole messages.
+    pub(crate) async fn send(&mut self, bytes: &[u8]) -> Result<(), SendFailure> {
+        match self {
+            Self::Local(pooled) => pooled.connection().hand_over(bytes).await,
+            // The owner may have passed the bytes on before the stream broke.
+            Self::Forwarded(forwarded) => {
+                let sent = forwarded.lane.send(bytes).await;
+                sent.map_err(|_| SendFailure::Sent)
+            }
+        }
+    }
+
+    /// The next message.
+    pub(crate) async fn receive(&mut self) -> Result<Frame, FrameError> {
+        match self {
+            Self::Local(pooled) => pooled.connection().receive().await,
+            Self::Forwarded(forwarded) => {
+                let received = forwarded.lane.receive().await;
+                received.map_err(|_| FrameError::Truncated)
+            }
+        }
+    }
+
+    /// The statements that the connection is known to have prepared.
+    pub(crate) fn prepared(&mut self) -> &mut PreparedNames {
+        match self {
+            Self::Local(pooled) => pooled.connection().prepared(),
+            Self::Forwarded(forwarded) => &mut forwarded.prepared,
+        }
+    }
+
+    /// Whether a statement that is not known to be prepared may be there all the same.
+    pub(crate) fn may_hold_unknown_statements(&mut self) -> bool {
+        match self {
+            Self::Local(pooled) => pooled.connection().has_foreign_statements(),
+            Self::Forwarded(_) => true,
+        }
+    }
+
+    /// The commands that brought the connection's settings about.
+    pub(crate) fn settings(&mut self) -> &mut SmolStr {
+        match self {
+            Self::Local(pooled) => pooled.connection().settings(),
+            Self::Forwarded(forwarded) => &mut forwarded.settings,
+        }
+    }
+
+    /// What a cancel request needs.
+    pub(crate) fn cancel_target(&mut self) -> Option<CancelTarget> {
+        match self {
+            Self::Local(pooled) => pooled.connection().cancel_target().cloned(),
+            Self::Forwarded(_) => None,
+        }
+    }
+
+    /// Ends the use of the connection; one that is not clean is closed.
+    pub(crate) fn finish(self, is_clean: bool) {
+        match self {
+            Self::Local(pooled) if is_clean => pooled.put_back(),
+            // The owner does not know of settings and of statements that were closed.
+            Self::Forwarded(forwarded)
+                if is_clean && forwarded.settings.is_empty() && !forwarded.prepared.is_full() =>
+            {
+                actix_rt::spawn(forwarded.lane.finish());
+            }
+            Self::Local(_) | Self::Forwarded(_) => {}
+        }
+    }
+}
