Prove the nine promises with host processes behind the fault proxy

Hosts run as the product's binary on loopback; the group and the platform are stand-ins behind the fault proxy. Callers write, read back and move between hosts, and their verdicts are held against the newest primary's rows, so that a lost acknowledgement, a false "not run", a doubled row or a missed own write fails the test whatever brought it about.

Healthy groups now and then refuse a read or a BEGIN with no_fresh_replica; tests of other promises ask again, as this is an honest answer.

docs/PROOFS.md lists what is proved and what is not. rand is a development dependency of the command line for the seeded pairs of failures.

--- /dev/null
+++ b/crates/jujubehold/tests/proofs/answers.rs
@@ -0,0 +1,102 @@
+//! Each caller gets the whole answer to its own request.
+
+use std::time::Duration;
+
+use jujubehold_faults::{Direction, LinkFaults};
+
+use crate::harness::{Answer, Caller, Installation, Layout};
+
+/// How many rows an answer has.
+const ROWS: usize = 3000;
+/// How many callers ask at once.
+const CALLERS: usize = 8;
+/// How often each asks.
+const ROUNDS: usize = 6;
+
+/// Asks for an answer that names the caller in each row; returns whether it came.
+async fn ask(caller: &mut Caller, number: usize, round: usize) -> bool {
+    let sql = format!(
+        "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < {ROWS}) \
+         SELECT 'caller {number} round {round} row ' || i FROM n"
+    );
+    let Answer::Ran(rows) = caller.run(&sql).await else {
+        return false;
+    };
+    assert_eq!(rows.len(), ROWS, "the answer is not whole");
+    for (index, row) in rows.iter().enumerate() {
+        let expected = format!("caller {number} round {round} row {}", index + 1);
+        assert_eq!(row[0], expected, "another caller's row");
+    }
+    true
+}
+
+async fn ask_all(installation: &Installation) -> usize {
+    let tasks = (0..CALLERS).map(|number| {
+        let mut caller = installation.caller(number % installation.hosts.len());
+        async move {
+            let mut answered = 0;
+            for round in 0..ROUNDS {
+                answered += usize::from(ask(&mut caller, number, round).await);
+            }
+            answered
+        }
+    });
+    futures_util::future::join_all(tasks)
+        .await
+        .into_iter()
+        .sum()
+}
+
+#[actix_rt::test]
+async fn large_answers_of_many_callers_stay_whole_and_apart() {
+    let installation = Installation::start(Layout::default()).await;
+    assert_eq!(ask_all(&installation).await, CALLERS * ROUNDS);
+}
+
+#[actix_rt::test]
+async fn answers_that_arrive_late_stay_whole_and_apart() {
+    let installation = Installation::start(Layout::default()).await;
+    let late = LinkFaults {
+        delay: Duration::from_millis(5),
+        jitter: Duration::from_millis(20),
+        ..LinkFaults::default()
+    };
+    for route in ["a", "b", "c"] {
+        installation
+            .faults
+            .set_both(route, &late)
+            .expect("the route stands");
+    }
+    assert!(ask_all(&installation).await > 0);
+}
+
+#[actix_rt::test]
+async fn an_answer_that_is_cut_in_its_middle_is_never_taken_for_whole() {
+    let installation = Installation::start(Layout::default()).await;
+    let cut = async {
+        for step in 1..=10 {
+            let faults = LinkFaults {
+                reset_after_bytes: Some(step * 9_000),
+                ..LinkFaults::default()
+            };
+            for route in ["a", "b", "c"] {
+                installation
+                    .faults
+                    .set(route, Direction::Down, faults.clone())
+                    .expect("the route stands");
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            for route in ["a", "b", "c"] {
+                installation.faults.heal(route).expect("the route stands");
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    futures_util::future::join(ask_all(&installation), cut).await;
+    // Once the faults are over, everyone is answered again.
+    crate::harness::until("a caller is answered", async || {
+        let mut caller = installation.caller(0);
+        ask(&mut caller, 99, 0).await
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/jujubehold/tests/proofs/harness/workload.rs
@@ -0,0 +1,205 @@
+//! Callers that write and read back without a pause, and what they were told.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+
+use super::caller::{Answer, Caller};
+
+/// How long a caller waits after it was refused.
+const REFUSED_PAUSE: Duration = Duration::from_millis(20);
+
+/// What the callers were told of each write, by its id.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    pub(crate) acknowledged: BTreeSet<i64>,
+    /// With the reason that was given.
+    pub(crate) not_run: BTreeMap<i64, String>,
+    pub(crate) unknown: BTreeMap<i64, String>,
+    /// Ids of acknowledged writes that a later read of the same session did not find.
+    pub(crate) not_read_back: BTreeSet<i64>,
+    /// How many writes were read back.
+    pub(crate) read_back: usize,
+}
+
+impl Report {
+    /// Holds what the callers were told against what the group has.
+    pub(crate) fn check(&self, rows: &BTreeMap<i64, i64>) {
+        let count = |id: &i64| rows.get(id).copied().unwrap_or(0);
+        let lost: Vec<_> = self
+            .acknowledged
+            .iter()
+            .filter(|id| count(id) == 0)
+            .collect();
+        assert!(lost.is_empty(), "acknowledged and lost: {lost:?}");
+        let ran: Vec<_> = self
+            .not_run
+            .iter()
+            .filter(|(id, _)| count(id) != 0)
+            .collect();
+        assert!(ran.is_empty(), "told as not run, and ran: {ran:?}");
+        let doubled: Vec<_> = rows.iter().filter(|(_, count)| **count > 1).collect();
+        assert!(doubled.is_empty(), "ran more than once: {doubled:?}");
+        let unread = &self.not_read_back;
+        assert!(
+            unread.is_empty(),
+            "not read back by their own session: {unread:?}"
+        );
+    }
+}
+
+/// Callers at work; each has one session, which moves to the next host after every few writes.
+#[derive(Debug)]
+pub(crate) struct Workload {
+    report: Rc<RefCell<Report>>,
+    is_stopping: Rc<Cell<bool>>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Workload {
+    /// Starts `count` callers over the hosts at `addresses`.
+    pub(crate) fn start(count: i64, addresses: &[SocketAddr]) -> Self {
+        let report = Rc::new(RefCell::new(Report::default()));
+        let is_stopping = Rc::new(Cell::new(false));
+        let callers = (0..count)
+            .map(|number| {
+                let task = CallerTask {
+                    number,
+                    addresses: addresses.to_vec(),
+                    report: Rc::clone(&report),
+                    is_stopping: Rc::clone(&is_stopping),
+                };
+                actix_rt::spawn(task.run())
+            })
+            .collect();
+        Self {
+            report,
+            is_stopping,
+            callers,
+        }
+    }
+
+    /// How many writes were acknowledged so far.
+    pub(crate) fn acknowledged(&self) -> usize {
+        self.report.borrow().acknowledged.len()
+    }
+
+    /// Lets `count` more writes be acknowledged.
+    pub(crate) async fn wait_for(&self, count: usize) {
+        let goal = self.acknowledged() + count;
+        super::until("more acknowledged writes", async || {
+            self.acknowledged() >= goal
+        })
+        .await;
+    }
+
+    /// Stops the callers and returns what they were told.
+    pub(crate) async fn stop(self) -> Report {
+        self.is_stopping.set(true);
+        for caller in self.callers {
+            caller.await.expect("a caller ends");
+        }
+        Rc::try_unwrap(self.report)
+            .expect("the callers have ended")
+            .into_inner()
+    }
+}
+
+struct CallerTask {
+    number: i64,
+    addresses: Vec<SocketAddr>,
+    report: Rc<RefCell<Report>>,
+    is_stopping: Rc<Cell<bool>>,
+}
+
+impl CallerTask {
+    /// After how many writes a session moves to the next host.
+    const WRITES_A_HOST: i64 = 5;
+    /// How far apart the ids of two callers are.
+    const IDS_A_CALLER: i64 = 1_000_000;
+
+    async fn run(self) {
+        let mut host = usize::try_from(self.number).unwrap_or(0) % self.addresses.len();
+        let mut caller = Caller::new(self.addresses[host]);
+        for step in 0.. {
+            if self.is_stopping.get() {
+                return;
+            }
+            if step % Self::WRITES_A_HOST == Self::WRITES_A_HOST - 1 {
+                host = (host + 1) % self.addresses.len();
+                caller.move_to(self.addresses[host]);
+            }
+            let id = self.number * Self::IDS_A_CALLER + step;
+            self.write(&mut caller, id, step % 2 == 0).await;
+        }
+    }
+
+    async fn write(&self, caller: &mut Caller, id: i64, is_in_transaction: bool) {
+        let number = self.number;
+        let insert = format!("INSERT INTO orders (id, caller) VALUES ({id}, {number})");
+        let answer = if is_in_transaction {
+            write_in_transaction(caller, &insert).await
+        } else {
+            caller.write(&insert).await
+        };
+        match answer {
+            Answer::Ran(_) => {
+                self.report.borrow_mut().acknowledged.insert(id);
+                self.read_back(caller, id).await;
+            }
+            Answer::NotRun(code, detail) => {
+                self.report
+                    .borrow_mut()
+                    .not_run
+                    .insert(id, format!("{code} {detail}"));
+                tokio::time::sleep(REFUSED_PAUSE).await;
+            }
+            Answer::Failed(reason) => {
+                self.report.borrow_mut().not_run.insert(id, reason);
+                tokio::time::sleep(REFUSED_PAUSE).await;
+            }
+            Answer::Unknown(reason) => {
+                self.report.borrow_mut().unknown.insert(id, reason);
+                tokio::time::sleep(REFUSED_PAUSE).await;
+            }
+        }
+    }
+
+    async fn read_back(&self, caller: &mut Caller, id: i64) {
+        let sql = format!("SELECT count(*) FROM orders WHERE id = {id}");
+        let answer = caller.run(&sql).await;
+        let mut report = self.report.borrow_mut();
+        match answer.value() {
+            Some("1") => report.read_back += 1,
+            Some(_) => {
+                report.not_read_back.insert(id);
+            }
+            // A read that is refused says nothing false.
+            None => {}
+        }
+    }
+}
+
+/// Writes in a transaction of the caller's own; its outcome is that of the commit.
+async fn write_in_transaction(caller: &mut Caller, insert: &str) -> Answer {
+    let begun = caller.run("BEGIN").await;
+    if !begun.is_ran() {
+        return begun;
+    }
+    let inserted = caller.run(insert).await;
+    if !inserted.is_ran() {
+        // Without a commit, nothing can have taken effect.
+        caller.vanish();
+        return Answer::Failed(format!("before the commit: {inserted:?}"));
+    }
+    let committed = caller.write("COMMIT").await;
+    if committed.is_ran() {
+        return committed;
+    }
+    caller.vanish();
+    committed
+}
--- /dev/null
+++ b/crates/jujubehold/tests/proofs/main.rs
@@ -0,0 +1,15 @@
+//! The nine promises, proved with host processes on loopback behind the fault proxy.
+//!
+//! docs/PROOFS.md lists each promise with its tests and what they bring about.
+
+mod acknowledged_writes;
+mod answers;
+mod at_most_once;
+mod configuration;
+mod graceful_shutdown;
+mod harness;
+mod leaving_upstream;
+mod not_run;
+mod random_faults;
+mod read_your_writes;
+mod transactions;
--- /dev/null
+++ b/crates/jujubehold/tests/proofs/random_faults.rs
@@ -0,0 +1,120 @@
+//! Two failures at once, drawn from a fixed seed.
+//!
+//! `JUJUBEHOLD_PROOF_ROUNDS` sets how many pairs are drawn, `JUJUBEHOLD_PROOF_SEED` from what.
+
+use std::time::Duration;
+
+use jujubehold_faults::LinkFaults;
+use jujubehold_standin::platform::Outage;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::harness::{Installation, Layout, Workload};
+
+const ROUNDS_IN_CI: u64 = 3;
+const SEED_IN_CI: u64 = 1;
+/// How long a pair of failures lasts.
+const FAILURE_TIME: Duration = Duration::from_millis(1500);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Failure {
+    KillPrimary,
+    StallPrimary,
+    ResetPrimary,
+    DelayReplica,
+    LagReplicas,
+    PlatformOut,
+    PlatformLosesAnswers,
+    FreezeHost,
+}
+
+impl Failure {
+    const ALL: [Self; 8] = [
+        Self::KillPrimary,
+        Self::StallPrimary,
+        Self::ResetPrimary,
+        Self::DelayReplica,
+        Self::LagReplicas,
+        Self::PlatformOut,
+        Self::PlatformLosesAnswers,
+        Self::FreezeHost,
+    ];
+
+    fn begin(self, installation: &Installation, primary: &str) {
+        let faults = &installation.faults;
+        match self {
+            Self::KillPrimary => installation.databases[primary].kill(),
+            Self::StallPrimary => faults.stall(primary).expect("the route stands"),
+            Self::ResetPrimary => faults.reset(primary).expect("the route stands"),
+            Self::DelayReplica => {
+                let delay = Duration::from_millis(80);
+                let late = LinkFaults {
+                    delay,
+                    jitter: delay,
+                    ..LinkFaults::default()
+                };
+                faults.set_both("c", &late).expect("the route stands");
+            }
+            Self::LagReplicas => {
+                for database in installation.databases.values() {
+                    database.set_apply_lag(Duration::from_millis(700));
+                }
+            }
+            Self::PlatformOut => installation.platform.set_outage(Outage::Hang),
+            Self::PlatformLosesAnswers => installation.platform.lose_answers(5),
+            Self::FreezeHost => installation.hosts[1].freeze(),
+        }
+    }
+
+    fn end(self, installation: &Installation, primary: &str) {
+        let faults = &installation.faults;
+        match self {
+            Self::KillPrimary => installation.databases[primary].revive(),
+            Self::StallPrimary => faults.heal(primary).expect("the route stands"),
+            Self::ResetPrimary => {}
+            Self::DelayReplica => faults.heal("c").expect("the route stands"),
+            Self::LagReplicas => {
+                for database in installation.databases.values() {
+                    database.set_apply_lag(Duration::ZERO);
+                }
+            }
+            Self::PlatformOut => installation.platform.set_outage(Outage::None),
+            Self::PlatformLosesAnswers => installation.platform.lose_answers(0),
+            Self::FreezeHost => installation.hosts[1].wake(),
+        }
+    }
+}
+
+fn number_from(variable: &str, default: u64) -> u64 {
+    std::env::var(variable)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+#[actix_rt::test]
+async fn pairs_of_failures_break_no_promise() {
+    let seed = number_from("JUJUBEHOLD_PROOF_SEED", SEED_IN_CI);
+    let rounds = number_from("JUJUBEHOLD_PROOF_ROUNDS", ROUNDS_IN_CI);
+    let mut random = StdRng::seed_from_u64(seed);
+    let installation = Installation::start(Layout::default()).await;
+    let workload = Workload::start(6, &installation.caller_addresses());
+    workload.wait_for(20).await;
+    for round in 0..rounds {
+        let pair: [Failure; 2] =
+            std::array::from_fn(|_| Failure::ALL[random.random_range(0..Failure::ALL.len())]);
+        eprintln!("seed {seed} round {round}: {pair:?}");
+        let primary = installation.primary();
+        for failure in pair {
+            failure.begin(&installation, primary);
+        }
+        tokio::time::sleep(FAILURE_TIME).await;
+        for failure in pair {
+            failure.end(&installation, primary);
+        }
+        // Writes go on once the failures are over.
+        workload.wait_for(10).await;
+    }
+    let report = workload.stop().await;
+    report.check(&installation.rows().await);
+}
