Hold the drain tests against a replica that serves reads

Reads of a new session need data as new as its connection, so that a short-lived caller's go to the primary, and the drain tests then showed nothing. They now keep their callers, and want the other replica to serve.

--- a/crates/jujubehold/tests/proofs/configuration.rs
+++ b/crates/jujubehold/tests/proofs/configuration.rs
@@ -4,7 +4,7 @@
 use std::process::Command;
 use std::time::Duration;
 
-use jujubehold_core::prelude::{InstanceState, ServiceConfig};
+use jujubehold_core::prelude::ServiceConfig;
 use jujubehold_settings::format_service;
 use jujubehold_standin::platform::Outage;
 use jujubehold_wire::kv::RangeRequest;
@@ -19,20 +19,11 @@
     }
 }
 
-/// A second generation, in which `b` gets no work: that shows where it is in force.
-fn second(installation: &Installation) -> ServiceConfig {
-    let mut config = ServiceConfig {
-        generation: 2,
-        ..installation.config.clone()
-    };
-    config.instances.get_mut("b").expect("b is there").state = InstanceState::Leaving;
-    config
-}
-
-async fn wait_for_second(installation: &Installation) {
+/// Waits until no host sends reads to the replica that is leaving.
+async fn wait_until_in_force(installation: &Installation, leaving: &str) {
     for number in 0..installation.hosts.len() {
         until("the second generation is in force", async || {
-            installation.avoids("b", number).await
+            installation.avoids(leaving, number).await
         })
         .await;
     }
@@ -77,9 +68,10 @@
 #[actix_rt::test]
 async fn of_two_operators_that_race_one_is_told_of_the_conflict() {
     let installation = Installation::start(layout()).await;
+    let replica = installation.reading_replica().await;
     let based_on = ServiceConfig {
         generation: 1,
-        ..second(&installation)
+        ..installation.without(replica)
     };
     let mut other = based_on.clone();
     other.slots += 1;
@@ -102,9 +94,10 @@
 #[actix_rt::test]
 async fn a_submission_whose_answer_was_lost_is_in_force_once() {
     let installation = Installation::start(layout()).await;
+    let replica = installation.reading_replica().await;
     let based_on = ServiceConfig {
         generation: 1,
-        ..second(&installation)
+        ..installation.without(replica)
     };
     installation.platform.lose_answers(1);
     let output = submit(&installation, &based_on, "lost")
@@ -112,15 +105,18 @@
         .expect("submit ends");
     assert_eq!(output.status.code(), Some(0), "{output:?}");
     assert!(stored(&installation).await.contains("generation = 2"));
-    wait_for_second(&installation).await;
+    wait_until_in_force(&installation, replica).await;
 }
 
 #[actix_rt::test]
 async fn a_platform_restored_to_an_older_revision_reverts_nothing() {
     let installation = Installation::start(layout()).await;
+    let replica = installation.reading_replica().await;
     let before = installation.platform.revision();
-    installation.put_configuration(&second(&installation)).await;
-    wait_for_second(&installation).await;
+    installation
+        .put_configuration(&installation.without(replica))
+        .await;
+    wait_until_in_force(&installation, replica).await;
     installation.platform.restore(before);
     until("the hosts write the newer configuration back", async || {
         stored(&installation).await.contains("generation = 2")
@@ -128,7 +124,7 @@
     .await;
     for number in 0..installation.hosts.len() {
         assert!(
-            installation.avoids("b", number).await,
+            installation.avoids(replica, number).await,
             "host {number} went back"
         );
     }
@@ -137,11 +133,14 @@
 #[actix_rt::test]
 async fn a_fresh_host_starts_from_its_peers_while_the_platform_is_out() {
     let mut installation = Installation::start(layout()).await;
-    installation.put_configuration(&second(&installation)).await;
-    wait_for_second(&installation).await;
+    let replica = installation.reading_replica().await;
+    installation
+        .put_configuration(&installation.without(replica))
+        .await;
+    wait_until_in_force(&installation, replica).await;
     installation.hosts[1].kill();
     installation.platform.set_outage(Outage::Refuse);
     installation.start_host(1);
     installation.wait_for_host(1).await;
-    assert!(installation.avoids("b", 1).await);
+    assert!(installation.avoids(replica, 1).await);
 }
--- a/crates/jujubehold/tests/proofs/harness/installation.rs
+++ b/crates/jujubehold/tests/proofs/harness/installation.rs
@@ -24,6 +24,9 @@
 /// The group's instances; the first is the primary of term 1.
 pub(crate) const INSTANCES: [&str; 3] = ["a", "b", "c"];
 
+/// A read that any instance may serve.
+const READ: &str = "SELECT count(*) FROM orders";
+
 /// What an installation is made of.
 #[derive(Debug, Clone)]
 pub(crate) struct Layout {
@@ -122,7 +125,7 @@
     pub(crate) async fn wait_for_host(&self, number: usize) {
         until(&format!("host {number} serves"), async || {
             let mut caller = self.caller(number);
-            let is_read = caller.run("SELECT count(*) FROM orders").await.is_ran();
+            let is_read = caller.run(READ).await.is_ran();
             is_read && caller.run("DELETE FROM orders WHERE id < 0").await.is_ran()
         })
         .await;
@@ -199,20 +202,64 @@
         rows.iter().map(|row| (row.get(0), row.get(1))).collect()
     }
 
-    /// Whether reads at a host, many times as many as it takes to meet every replica, pass an
-    /// instance by; a read that is refused for the moment is asked again.
-    pub(crate) async fn avoids(&self, instance: &str, number: usize) -> bool {
-        const READS: usize = 30;
-        let before = self.databases[instance].statement_count();
+    /// Whether reads at a host pass one replica by while the other one serves them.
+    ///
+    /// The caller stays: a session's first reads need data as new as its connection.
+    pub(crate) async fn avoids(&self, replica: &str, number: usize) -> bool {
+        const READS: usize = 20;
+        let other = INSTANCES
+            .into_iter()
+            .skip(1)
+            .find(|name| *name != replica)
+            .expect("there are two replicas");
+        let count = |name: &str| self.databases[name].statement_count();
+        let before = count(replica);
+        let goal = count(other) + READS;
         let mut caller = self.caller(number);
-        let mut answered = 0;
-        until("reads are answered", async || {
-            let answer = caller.run("SELECT count(*) FROM orders").await;
-            answered += usize::from(answer.is_ran());
-            answered >= READS
+        until("the other replica serves reads", async || {
+            caller.run(READ).await;
+            count(other) >= goal || count(replica) > before
+        })
+        .await;
+        count(replica) == before
+    }
+
+    /// A replica that serves reads now, so that its leaving can be seen.
+    pub(crate) async fn reading_replica(&self) -> &'static str {
+        let mut found = None;
+        let mut callers: Vec<Caller> = (0..self.hosts.len())
+            .map(|number| self.caller(number))
+            .collect();
+        until("a replica serves reads", async || {
+            let count = |name: &str| self.databases[name].statement_count();
+            let before = INSTANCES.map(count);
+            for caller in &mut callers {
+                caller.run(READ).await;
+            }
+            found = INSTANCES
+                .into_iter()
+                .zip(before)
+                .skip(1)
+                .find(|(name, before)| count(name) > *before)
+                .map(|(name, _)| name);
+            found.is_some()
         })
         .await;
-        self.databases[instance].statement_count() == before
+        found.expect("the wait has ended with one")
+    }
+
+    /// A second generation of the configuration, in which an instance is leaving.
+    pub(crate) fn without(&self, instance: &str) -> ServiceConfig {
+        let mut config = ServiceConfig {
+            generation: 2,
+            ..self.config.clone()
+        };
+        let leaving = config
+            .instances
+            .get_mut(instance)
+            .expect("the instance is there");
+        leaving.state = InstanceState::Leaving;
+        config
     }
 
     async fn create_table(&self) {
