--- a/crates/jujubehold_host/src/host.rs
+++ b/crates/jujubehold_host/src/host.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use jujubehold_core::drain::{Drain, DrainAction, DrainEvent, DrainSettings};
+use jujubehold_core::prelude::*;
 use jujubehold_settings::HostSettings;
 use log::{info, warn};
 use tokio::net::TcpListener;
@@ -20,6 +21,7 @@
 use crate::metrics_page;
 use crate::peer::{PeerConnector, serve_peers};
 use crate::peer_sockets::PeerSockets;
+use crate::pool_keeper::keep_pools;
 use crate::routing_table::RoutingTable;
 use crate::shared::Shared;
 use crate::traffic::{TrafficThreads, accept_callers};
@@ -60,6 +62,7 @@
         if settings.metrics_address.is_some() {
             metrics_page::install();
         }
+        check_exposure(&settings)?;
         let listener = listen(settings.caller_address).await?;
         let connector = PeerConnector::load(&settings)?;
         let peer_sockets = PeerSockets::open(settings.peer_address)?;
@@ -133,6 +136,12 @@
         self.shared.table.clone()
     }
 
+    /// How many connections to an instance lie idle, at any time later on.
+    pub fn idle_counter(&self) -> impl Fn(&ServiceId, &InstanceId) -> usize + use<> {
+        let shared = Arc::clone(&self.shared);
+        move |service, instance| shared.pools.idle_count(service, instance)
+    }
+
     /// What is in flight.
     pub fn activity(&self) -> Arc<Activity> {
         Arc::clone(&self.shared.activity)
@@ -205,6 +214,19 @@
     }
 }
 
+/// Refuses to listen in the clear where others than this machine's can reach the host.
+fn check_exposure(settings: &HostSettings) -> Result<(), HostError> {
+    if settings.tls.is_some() || settings.is_cleartext_allowed {
+        return Ok(());
+    }
+    for address in [settings.caller_address, settings.peer_address] {
+        if !address.ip().is_loopback() {
+            return Err(HostError::Exposed { address });
+        }
+    }
+    Ok(())
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, HostError> {
     TcpListener::bind(address)
         .await
@@ -224,6 +246,7 @@
 fn spawn_peers(calls: std::net::TcpListener, events: ControlSender, shared: Arc<Shared>) {
     match TcpListener::from_std(calls) {
         Ok(listener) => {
+            actix_rt::spawn(keep_pools(Arc::clone(&shared)));
             actix_rt::spawn(serve_peers(listener, events, shared));
         }
         Err(error) => warn!("other hosts are not served: {error}"),
--- a/crates/jujubehold_host/src/pool/pools.rs
+++ b/crates/jujubehold_host/src/pool/pools.rs
@@ -1,10 +1,12 @@
 //! The pools of all instances that this host holds connections to.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::ThreadId;
 use std::time::{Duration, Instant};
 
+use jujubehold_core::backoff::Backoff;
 use jujubehold_core::prelude::*;
 use jujubehold_pg::FrameError;
 use metrics::counter;
@@ -17,12 +19,18 @@
 /// How long a connection may lie idle before it is closed.
 const IDLE_LIMIT: Duration = Duration::from_mins(5);
 
+/// How long opening a connection ahead of its use may take.
+const WARM_LIMIT: Duration = Duration::from_secs(2);
+
 /// Why no connection could be had.
 #[derive(Debug, Error)]
 pub enum PoolError {
     /// All connections stayed in use.
     #[error("no connection came free in time")]
     Busy,
+    /// The upstream refused a connection a moment ago, and is not asked for another yet.
+    #[error("the upstream refused a connection a moment ago")]
+    Refused,
     /// The upstream can't be reached or refuses a connection.
     #[error("no connection could be opened: {0}")]
     Open(#[from] FrameError),
@@ -38,9 +46,18 @@
 struct Pool {
     permits: Arc<Semaphore>,
     limit: Mutex<usize>,
+    refusals: Mutex<Refusals>,
+    is_warming: AtomicBool,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
+/// How often in a row the upstream refused a connection, and until when it is left alone.
+#[derive(Debug, Default)]
+struct Refusals {
+    count: u32,
+    until: Option<Instant>,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: UpstreamConnection,
@@ -83,14 +100,10 @@
                 .expect("the semaphore is never closed"),
         };
         let connection = if let Some(connection) = pool.take_idle() {
+            pool.keep_warm(service, name, instance);
             connection
         } else {
-            counter!(UPSTREAM_OPENS, "service" => service.to_string(),
-                    "instance" => name.to_string())
-            .increment(1);
-            tokio::time::timeout(wait, UpstreamConnection::open(instance.address, service))
-                .await
-                .map_err(|_| PoolError::Busy)??
+            pool.open(service, name, instance, wait).await?
         };
         Ok(PooledConnection {
             connection,
@@ -106,6 +119,8 @@
             Arc::new(Pool {
                 permits: Arc::new(Semaphore::new(quota)),
                 limit: Mutex::new(quota),
+                refusals: Mutex::default(),
+                is_warming: AtomicBool::new(false),
                 idle: Mutex::new(Vec::new()),
             })
         };
@@ -125,6 +140,18 @@
         }
     }
 
+    /// Closes the idle connections to every instance that `is_unwanted` names.
+    pub fn close_idle_where(&self, is_unwanted: impl Fn(&ServiceId, &InstanceId) -> bool) {
+        let unwanted: Vec<_> = lock(&self.pools)
+            .iter()
+            .filter(|((service, instance), _)| is_unwanted(service, instance))
+            .map(|(_, pool)| Arc::clone(pool))
+            .collect();
+        for pool in unwanted {
+            lock(&pool.idle).clear();
+        }
+    }
+
     /// How many connections to an instance lie idle.
     pub fn idle_count(&self, service: &ServiceId, instance: &InstanceId) -> usize {
         lock(&self.pools)
@@ -145,6 +172,70 @@
         }
     }
 
+    // Opens the next connection while the last idle one is in use, so that a further request
+    // does not wait for it.
+    fn keep_warm(
+        self: &Arc<Self>,
+        service: &ServiceId,
+        name: &InstanceId,
+        instance: &InstanceConfig,
+    ) {
+        if !lock(&self.idle).is_empty() {
+            return;
+        }
+        let Ok(permit) = self.permits.clone().try_acquire_owned() else {
+            return;
+        };
+        if self.is_warming.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let (pool, service) = (self.clone(), service.clone());
+        let (name, instance) = (name.clone(), instance.clone());
+        actix_rt::spawn(async move {
+            let opened = pool.open(&service, &name, &instance, WARM_LIMIT).await;
+            if let Ok(connection) = opened {
+                pool.add_idle(connection);
+            }
+            pool.is_warming.store(false, Ordering::Release);
+            drop(permit);
+        });
+    }
+
+    fn add_idle(&self, connection: UpstreamConnection) {
+        lock(&self.idle).push(IdleConnection {
+            connection,
+            thread: std::thread::current().id(),
+            since: Instant::now(),
+        });
+    }
+
+    async fn open(
+        &self,
+        service: &ServiceId,
+        name: &InstanceId,
+        instance: &InstanceConfig,
+        wait: Duration,
+    ) -> Result<UpstreamConnection, PoolError> {
+        let now = Instant::now();
+        if lock(&self.refusals).until.is_some_and(|until| now < until) {
+            return Err(PoolError::Refused);
+        }
+        counter!(UPSTREAM_OPENS, "service" => service.to_string(), "instance" => name.to_string())
+            .increment(1);
+        let opening = UpstreamConnection::open(instance.address, service);
+        let opened = tokio::time::timeout(wait, opening).await;
+        let opened = opened.map_err(|_| PoolError::Busy)?;
+        let mut refusals = lock(&self.refusals);
+        if let Err(FrameError::Malformed(_)) = opened {
+            let delay = Backoff::default().delay(refusals.count, rand::random());
+            refusals.count = refusals.count.saturating_add(1);
+            refusals.until = Some(Instant::now() + delay);
+        } else {
+            *refusals = Refusals::default();
+        }
+        Ok(opened?)
+    }
+
     // A connection that was last used on this thread is polled without waking another one.
     fn take_idle(&self) -> Option<UpstreamConnection> {
         let mut idle = lock(&self.idle);
@@ -171,11 +262,7 @@
 
     /// Gives a clean connection back: outside of a transaction, with every answer read.
     pub fn put_back(self) {
-        lock(&self.pool.idle).push(IdleConnection {
-            connection: self.connection,
-            thread: std::thread::current().id(),
-            since: Instant::now(),
-        });
+        self.pool.add_idle(self.connection);
     }
 }
 
