Open warm connections from any task, and tell a request without a connection that it did not run

A request that waited for a connection up to its deadline was told that its fate was unknown although nothing was sent; it now leaves a quarter of its time for the refusal. The metrics that every statement touches are looked up once for each session.

--- a/crates/jujubehold_host/src/pool/pools.rs
+++ b/crates/jujubehold_host/src/pool/pools.rs
@@ -191,7 +191,8 @@
         }
         let (pool, service) = (self.clone(), service.clone());
         let (name, instance) = (name.clone(), instance.clone());
-        actix_rt::spawn(async move {
+        // A lent connection is taken by a task that is not bound to its thread.
+        tokio::spawn(async move {
             let opened = pool.open(&service, &name, &instance, WARM_LIMIT).await;
             if let Ok(connection) = opened {
                 pool.add_idle(connection);
--- a/crates/jujubehold_host/src/traffic/mod.rs
+++ b/crates/jujubehold_host/src/traffic/mod.rs
@@ -19,6 +19,7 @@
 mod session;
 mod session_command;
 mod session_floor;
+mod session_metrics;
 mod session_pipeline;
 mod session_settings;
 mod session_start;
--- a/crates/jujubehold_host/src/traffic/read_path.rs
+++ b/crates/jujubehold_host/src/traffic/read_path.rs
@@ -10,7 +10,6 @@
 use jujubehold_core::read_policy::{ReadJudgement, ReadNeed};
 use jujubehold_core::route::route_write;
 use jujubehold_pg::{query, ready_for_query};
-use metrics::counter;
 
 use super::acknowledge::prove_term;
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
@@ -23,7 +22,6 @@
 use super::unit::Unit;
 use super::unit_error::UnitError;
 use super::write_path::PROOF_LIMIT;
-use crate::metric_names::READS;
 use crate::observation::Observation;
 use crate::routing_table::ServiceRoute;
 
@@ -137,7 +135,7 @@
         need: &ReadNeed,
         instance: &InstanceId,
     ) -> Result<Tried, UnitError> {
-        let wait = unit.deadline.saturating_sub(self.shared.clock.now());
+        let wait = self.lane_wait(unit);
         let mut lane = match Lane::open(&self.shared, route, instance, wait).await {
             Ok(lane) => lane,
             Err(LaneError::Retry(reason)) => {
@@ -197,8 +195,12 @@
             return Ok(Tried::IsWrite);
         }
         let is_primary = route.view.primary.as_ref() == Some(instance);
-        let role = if is_primary { "primary" } else { "replica" };
-        counter!(READS, "service" => self.service.to_string(), "role" => role).increment(1);
+        let reads = if is_primary {
+            &self.metrics.primary_reads
+        } else {
+            &self.metrics.replica_reads
+        };
+        reads.increment(1);
         self.give_answer(lane, instance, &answered, is_primary)
             .await?;
         Ok(Tried::Served)
--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use jujubehold_core::admission::RequestClass;
 use jujubehold_core::prelude::*;
 use jujubehold_core::session_floor::FloorKnowledge;
 use jujubehold_pg::{Classifier, ExtendedMessage, Frame, FrameError, frontend};
-use metrics::{gauge, histogram};
+use metrics::gauge;
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
@@ -16,12 +17,13 @@
 use super::cancel::SessionKeyData;
 use super::lane::Lane;
 use super::prepared::Prepared;
+use super::session_metrics::SessionMetrics;
 use super::session_settings::{CarriedSettings, StartupSettings};
 use super::transaction::Pinned;
 use super::unit::{ExtendedItem, Unit};
 use super::unit_error::{UnitError, refusal};
 use crate::drain_phase::DrainPhase;
-use crate::metric_names::{SESSIONS, STATEMENT_SECONDS};
+use crate::metric_names::SESSIONS;
 use crate::routing_table::ServiceRoute;
 use crate::shared::Shared;
 
@@ -40,6 +42,7 @@
     pub(crate) floor: FloorKnowledge,
     pub(crate) carried: CarriedSettings,
     pub(crate) pinned: Option<Pinned>,
+    pub(crate) metrics: SessionMetrics,
     phase: watch::Receiver<DrainPhase>,
     pub(crate) statements: BTreeMap<SmolStr, Rc<Prepared>>,
     pub(crate) pipeline: Vec<ExtendedItem>,
@@ -58,6 +61,7 @@
         gauge!(SESSIONS).increment(1);
         let key = shared.cancels.add_session();
         let phase = shared.phase.clone();
+        let metrics = SessionMetrics::new(&service);
         let floor = startup
             .floor
             // A caller that moves here had its earlier writes acknowledged before it came.
@@ -74,6 +78,7 @@
             floor,
             carried: startup.carried,
             pinned: None,
+            metrics,
             phase,
             statements: BTreeMap::new(),
             pipeline: Vec::new(),
@@ -131,14 +136,13 @@
     pub(crate) async fn run(&mut self, mut unit: Unit) -> Result<(), FrameError> {
         unit.arrived_at = self.shared.clock.now();
         self.io.has_given = false;
-        let path = match unit.class {
-            StatementClass::Read | StatementClass::BeginReadOnly => "read",
-            _ => "write",
-        };
         let Err(error) = self.try_run(&mut unit).await else {
             let taken = self.shared.clock.now().saturating_sub(unit.arrived_at);
-            histogram!(STATEMENT_SECONDS, "service" => self.service.to_string(), "path" => path)
-                .record(taken.as_secs_f64());
+            let seconds = match unit.class {
+                StatementClass::Read | StatementClass::BeginReadOnly => &self.metrics.read_seconds,
+                _ => &self.metrics.write_seconds,
+            };
+            seconds.record(taken.as_secs_f64());
             return Ok(());
         };
         self.tell(error, &unit).await
@@ -198,6 +202,12 @@
         }
     }
 
+    /// How long a unit may wait for a connection. Some of its time is left, so that a caller whose
+    /// request was not sent is told so, and not that it is unknown.
+    pub(crate) fn lane_wait(&self, unit: &Unit) -> Duration {
+        unit.deadline.saturating_sub(self.shared.clock.now()) * 3 / 4
+    }
+
     /// Ends the use of a lane after a whole answer.
     pub(crate) fn finish_lane(&self, lane: Lane) {
         let is_uncancelled = self.key.running.end();
--- a/crates/jujubehold_host/src/traffic/write_path.rs
+++ b/crates/jujubehold_host/src/traffic/write_path.rs
@@ -8,7 +8,6 @@
 use jujubehold_core::route::route_write;
 use jujubehold_core::session_floor::FloorKnowledge;
 use jujubehold_pg::{parameter_status, query, ready_for_query};
-use metrics::{counter, histogram};
 
 use super::acknowledge::{Commit, acknowledge, prove_term};
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
@@ -20,7 +19,6 @@
 use super::transaction::Pinned;
 use super::unit::Unit;
 use super::unit_error::UnitError;
-use crate::metric_names::{CONFIRM_SECONDS, WRITES};
 use crate::pool::SendFailure;
 use crate::routing_table::ServiceRoute;
 
@@ -70,7 +68,7 @@
         let instance = route_write(&route.config, &route.view)?;
         self.check_floor(route)?;
         self.check_confirmable(route).await?;
-        let wait = unit.deadline.saturating_sub(self.shared.clock.now());
+        let wait = self.lane_wait(unit);
         let mut lane = match Lane::open(&self.shared, route, &instance, wait).await {
             Ok(lane) => lane,
             Err(LaneError::Retry(reason)) => {
@@ -167,9 +165,10 @@
         self.io.put(&ready_for_query(b'I'));
         self.io.flush().await.map_err(UnitError::Caller)?;
         let confirm_time = self.shared.clock.now().saturating_sub(started_at);
-        histogram!(CONFIRM_SECONDS, "service" => self.service.to_string())
+        self.metrics
+            .confirm_seconds
             .record(confirm_time.as_secs_f64());
-        counter!(WRITES, "service" => self.service.to_string()).increment(1);
+        self.metrics.writes.increment(1);
         Ok(())
     }
 
--- a/crates/jujubehold_host/tests/traffic/pools.rs
+++ b/crates/jujubehold_host/tests/traffic/pools.rs
@@ -92,3 +92,25 @@
     let pools = &bench.shared.pools;
     crate::support::wait_until(|| pools.idle_count(&service, &primary) == 1).await;
 }
+
+#[actix_rt::test]
+async fn a_request_that_finds_no_connection_in_time_is_told_that_it_did_not_run() {
+    let mut bench = Bench::start(ServiceConfig {
+        statement_timeout: std::time::Duration::from_secs(1),
+        ..ServiceConfig::default()
+    })
+    .await;
+    bench.create_counter().await;
+    let mut holders = Vec::new();
+    for _ in 0..20 {
+        let holder = bench.connect().await;
+        run(&holder, "BEGIN").await;
+        holders.push(holder);
+    }
+    let client = bench.connect().await;
+    let (sqlstate, detail) = try_run(&client, "UPDATE counter SET n = 1")
+        .await
+        .unwrap_err();
+    assert_eq!(sqlstate, "53300", "{detail}");
+    assert!(detail.contains("verdict=not_run"), "{detail}");
+}
