--- a/crates/jujubehold/tests/docs.rs
+++ b/crates/jujubehold/tests/docs.rs
@@ -69,26 +69,26 @@
     }
 }
 
-/// The texts of every Rust file below `directory`.
-fn sources(directory: &Path) -> Vec<String> {
+/// Every Rust file below `directory`.
+fn rust_files(directory: &Path) -> Vec<PathBuf> {
     let entries = std::fs::read_dir(directory).expect("the directory is there");
-    let mut texts = Vec::new();
+    let mut files = Vec::new();
     for entry in entries {
         let path = entry.expect("it can be read").path();
         if path.is_dir() {
-            texts.extend(sources(&path));
+            files.extend(rust_files(&path));
         } else if path.extension().is_some_and(|extension| extension == "rs") {
-            texts.push(std::fs::read_to_string(&path).expect("the file can be read"));
+            files.push(path);
         }
     }
-    texts
+    files
 }
 
 /// Every text that stands between `start` and a quotation mark in the host's code.
 fn quoted_after(start: &str) -> Vec<String> {
-    let texts = sources(&root().join("crates/jujubehold_host/src"));
     let mut found = Vec::new();
-    for text in &texts {
+    for file in rust_files(&root().join("crates/jujubehold_host/src")) {
+        let text = std::fs::read_to_string(&file).expect("the file can be read");
         let rests = text.split(start).skip(1);
         found.extend(rests.filter_map(|rest| rest.split('"').next().map(str::to_owned)));
     }
@@ -217,3 +217,19 @@
         }
     }
 }
+
+#[test]
+fn files_that_the_pages_name_are_there() {
+    let files = rust_files(&root().join("crates"));
+    for name in ["docs/ARCHITECTURE.md", "CONTRIBUTING.md"] {
+        let text = page(name);
+        // Every second piece stands between backticks.
+        for told in text.split('`').skip(1).step_by(2) {
+            if told.contains(' ') || Path::new(told).extension().is_none_or(|end| end != "rs") {
+                continue;
+            }
+            let is_there = files.iter().any(|file| file.ends_with(told));
+            assert!(is_there, "{name}: there is no {told}");
+        }
+    }
+}
