Prove the look at idle connections before they are used

The test of dead pooled connections passed without the look: the stand-in was revived before it had closed anything. It now waits for that, and a second test takes the connection from the pool itself; both fail when the look is left out.

--- a/crates/jujubehold_host/tests/traffic/pools.rs
+++ b/crates/jujubehold_host/tests/traffic/pools.rs
@@ -29,6 +29,8 @@
     let client = bench.connect().await;
     run(&client, "UPDATE counter SET n = 1").await;
     bench.databases[0].kill();
+    let primary = &bench.databases[0];
+    crate::support::wait_until(|| primary.connection_count() == 0).await;
     bench.databases[0].revive();
     // The upstream closed every pooled connection; a write must not be lost on one of them once
     // the host's threads have heard of it.
@@ -114,3 +116,30 @@
     assert_eq!(sqlstate, "53300", "{detail}");
     assert!(detail.contains("verdict=not_run"), "{detail}");
 }
+
+#[actix_rt::test]
+async fn a_closed_connection_is_not_handed_out() {
+    let bench = Bench::start(ServiceConfig::default()).await;
+    let instance = InstanceConfig {
+        address: bench.databases[0].address(),
+        domain: "local".into(),
+        region: "local".into(),
+        state: InstanceState::Active,
+        connections: 10,
+    };
+    let (service, name) = ("ledger".into(), "a".into());
+    let wait = crate::support::HANG;
+    let pools = &bench.shared.pools;
+    let acquire = || pools.acquire(&service, &name, &instance, 3, wait);
+    acquire().await.unwrap().put_back();
+    bench.databases[0].kill();
+    let primary = &bench.databases[0];
+    crate::support::wait_until(|| primary.connection_count() == 0).await;
+    bench.databases[0].revive();
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    assert_eq!(pools.idle_count(&service, &name), 1);
+    let mut connection = acquire().await.unwrap();
+    let query = jujubehold_pg::query("SELECT 1");
+    connection.connection().send(query.bytes()).await.unwrap();
+    connection.connection().receive().await.unwrap();
+}
