Measure a failover's parts, an ordered change's silence and the best share of reads

The best possible share counted reads as eligible whose data would have been older than the service accepts; it is now worked out from every session's writes. An ordered change was measured from the order to the change's end, while writes went on for most of it; it is now the longest silence. The memory of idle callers is measured before the load, whose freed memory hid it: the first run printed 0 bytes a connection.

--- a/crates/jujubehold_core/src/failover/phases.rs
+++ b/crates/jujubehold_core/src/failover/phases.rs
@@ -24,8 +24,20 @@
 }
 
 impl Phases {
+    /// The parts by name, in their order.
+    pub fn parts(&self) -> [(&'static str, Duration); 6] {
+        [
+            ("detect", self.detect),
+            ("agree", self.agree),
+            ("fence", self.fence),
+            ("wait", self.wait),
+            ("promote", self.promote),
+            ("announce", self.announce),
+        ]
+    }
+
     /// The whole run.
     pub fn total(&self) -> Duration {
-        self.detect + self.agree + self.fence + self.wait + self.promote + self.announce
+        self.parts().iter().map(|(_, duration)| *duration).sum()
     }
 }
--- a/crates/jujubehold_host/src/control/groups.rs
+++ b/crates/jujubehold_host/src/control/groups.rs
@@ -138,7 +138,9 @@
         info!(service = service.as_str(), detect_ms = ms(phases.detect),
             agree_ms = ms(phases.agree), fence_ms = ms(phases.fence), wait_ms = ms(phases.wait),
             promote_ms = ms(phases.promote); "replaced the primary");
-        histogram!("jujubehold_failover_seconds").record(phases.total());
+        for (part, duration) in phases.parts() {
+            histogram!("jujubehold_failover_seconds", "part" => part).record(duration);
+        }
     }
 
     /// Tells the group's other watchers that its primary is suspected, or that it is alive.
--- a/crates/jujubehold_lab/src/experiment/failover_gap.rs
+++ b/crates/jujubehold_lab/src/experiment/failover_gap.rs
@@ -11,7 +11,7 @@
 use crate::demo::{gap_after_change, surviving_ids};
 use crate::error::LabError;
 use crate::experiment::gap_kind::GapKind;
-use crate::report::{Plot, Series, Table};
+use crate::report::{Plot, Series, Table, failover_parts, start_counting};
 use crate::workload::{LedgerCheck, WriteLog, WriterSettings, create_ledger, write_until};
 
 const START_PATIENCE: Duration = Duration::from_secs(20);
@@ -53,6 +53,7 @@
     doubled: usize,
     ran_after_all: usize,
     unknown: usize,
+    parts: String,
 }
 
 /// Runs every kind and writes `failover-gap.svg` into `out`; returns the table.
@@ -74,7 +75,9 @@
         "doubled",
         "run though not run",
         "unknown",
+        "mean of detect/agree/fence/wait/promote/announce, ms",
     ]);
+    start_counting();
     let mut plot = Plot {
         title: "Failover gap".into(),
         x_label: "runs, sorted".into(),
@@ -101,10 +104,17 @@
     let service = Cluster::service_name(0);
     create_ledger(cluster.caller_address(0), &service, START_PATIENCE).await?;
     let mut result = KindResult::default();
+    let parts_before = failover_parts();
     let mut log = WriteLog::default();
     for run in 0..settings.runs {
         let (writes, lost_at) = run_once(settings, kind, &mut cluster, &service, run).await?;
-        match gap_after_change(&writes, lost_at) {
+        let gap = match kind {
+            GapKind::Ordered => writes.longest_silence(lost_at),
+            GapKind::Crash | GapKind::Freeze | GapKind::CrashInOutage => {
+                gap_after_change(&writes, lost_at)
+            }
+        };
+        match gap {
             Some(gap) => result
                 .gaps_ms
                 .push(u64::try_from(gap.as_millis()).unwrap_or(u64::MAX)),
@@ -119,6 +129,7 @@
     result.doubled = check.doubled.len();
     result.ran_after_all = check.ran_after_all.len();
     result.unknown = log.unknown.len();
+    result.parts = mean_parts(&parts_before);
     Ok(result)
 }
 
@@ -192,6 +203,16 @@
     Ok(())
 }
 
+/// What the parts took on average since `before`, in milliseconds.
+fn mean_parts(before: &[(&'static str, f64, f64)]) -> String {
+    let after = failover_parts();
+    let means = before.iter().zip(&after).map(|(before, after)| {
+        let runs = (after.2 - before.2).max(1.0);
+        format!("{:.0}", 1000.0 * (after.1 - before.1) / runs)
+    });
+    means.collect::<Vec<_>>().join("/")
+}
+
 impl KindResult {
     fn row(&self, kind: GapKind) -> Vec<String> {
         let at = |percent: usize| {
@@ -211,6 +232,7 @@
             self.doubled.to_string(),
             self.ran_after_all.to_string(),
             self.unknown.to_string(),
+            self.parts.clone(),
         ]
     }
 }
--- a/crates/jujubehold_lab/src/experiment/replica_reads.rs
+++ b/crates/jujubehold_lab/src/experiment/replica_reads.rs
@@ -55,11 +55,22 @@
     failed: u64,
 }
 
+/// What one session did.
+#[derive(Debug, Clone, Default)]
+struct SessionTrace {
+    /// When its writes were acknowledged.
+    writes: Vec<Instant>,
+    /// When its reads were sent.
+    reads: Vec<Instant>,
+    stale: u64,
+    failed: u64,
+}
+
 /// Runs every pair of lag and age, and writes `replica-reads.svg` into `out`; returns the table.
 ///
-/// The best possible share is worked out on the same trace: a read counts as eligible for a
-/// replica when its session's last write is at least the lag old, or when the session has no
-/// write and the age allows the lag.
+/// The best possible share is worked out on the same trace, with perfect knowledge of a replica
+/// that has each write exactly one lag after its acknowledgement. Such a replica may serve a read
+/// when it has the session's own writes, and every write older than the age.
 ///
 /// # Errors
 /// A part could not be started or a report not written.
@@ -132,19 +143,15 @@
             let session = Session {
                 first_id: (index as u64 + 1) * 1_000_000,
                 reads_per_write: settings.reads_per_write,
-                lag,
             };
             actix_rt::spawn(session.run(target, service.to_string(), deadline))
         })
         .collect();
-    let mut total = ShareResult::default();
+    let mut traces = Vec::new();
     for session in sessions {
-        let result = session.await.unwrap_or_default();
-        total.best_by_replicas += result.best_by_replicas;
-        total.best_all += result.best_all;
-        total.stale += result.stale;
-        total.failed += result.failed;
+        traces.push(session.await.unwrap_or_default());
     }
+    let mut total = best_possible(&traces, lag, age);
     let after = read_counts();
     total.by_replicas = after.0 - before.0;
     total.all = after.1 - before.1;
@@ -154,7 +161,6 @@
 struct Session {
     first_id: u64,
     reads_per_write: u32,
-    lag: Duration,
 }
 
 impl Session {
@@ -163,37 +169,61 @@
         target: std::net::SocketAddr,
         service: String,
         deadline: Instant,
-    ) -> ShareResult {
-        let mut result = ShareResult::default();
+    ) -> SessionTrace {
+        let mut trace = SessionTrace::default();
         let Ok(mut connection) = LoadConnection::open(target, &service, None).await else {
-            result.failed += 1;
-            return result;
+            trace.failed += 1;
+            return trace;
         };
         let mut id = self.first_id;
         while Instant::now() < deadline {
             id += 1;
             let written = connection.run(&insert_sql(id)).await;
             if !written.is_ok_and(|answer| answer.is_ok()) {
-                result.failed += 1;
+                trace.failed += 1;
                 continue;
             }
-            let written_at = Instant::now();
+            trace.writes.push(Instant::now());
             for _ in 0..self.reads_per_write {
-                let is_eligible = written_at.elapsed() >= self.lag;
+                trace.reads.push(Instant::now());
                 let sql = format!("SELECT id FROM ledger WHERE id = {id}");
                 match connection.run(&sql).await {
                     Ok(answer) if answer.is_ok() => {
-                        result.best_all += 1;
-                        result.best_by_replicas += u64::from(is_eligible);
-                        result.stale += u64::from(answer.values.is_empty());
+                        trace.stale += u64::from(answer.values.is_empty());
                     }
-                    Ok(_) | Err(_) => result.failed += 1,
+                    Ok(_) | Err(_) => trace.failed += 1,
                 }
                 actix_rt::time::sleep(PAUSE).await;
             }
         }
-        result
+        trace
+    }
+}
+
+/// The reads that a replica with perfect knowledge could have served.
+fn best_possible(traces: &[SessionTrace], lag: Duration, age: Duration) -> ShareResult {
+    let mut all_writes: Vec<_> = traces
+        .iter()
+        .flat_map(|trace| trace.writes.clone())
+        .collect();
+    all_writes.sort_unstable();
+    let mut result = ShareResult::default();
+    for trace in traces {
+        result.stale += trace.stale;
+        result.failed += trace.failed;
+        for read in &trace.reads {
+            let is_missing = |from: Instant, to: Instant, writes: &[Instant]| {
+                writes.iter().any(|write| *write > from && *write <= to)
+            };
+            let has_until = read.checked_sub(lag).unwrap_or(*read);
+            let needs_until = read.checked_sub(age).unwrap_or(*read);
+            let is_eligible = !is_missing(has_until, *read, &trace.writes)
+                && !is_missing(has_until, needs_until, &all_writes);
+            result.best_all += 1;
+            result.best_by_replicas += u64::from(is_eligible);
+        }
     }
+    result
 }
 
 impl ShareResult {
--- a/crates/jujubehold_lab/src/load/benchmark.rs
+++ b/crates/jujubehold_lab/src/load/benchmark.rs
@@ -105,6 +105,8 @@
         "rate to straight",
         "added p50 µs",
     ]);
+    // Memory that a load has freed would hide the callers' own, so they come first.
+    let idle_bytes = idle_memory_bytes(host, &service, most as usize)?;
     for &connections in &settings.connections {
         let direct = run_one(settings, straight, connections)?;
         let through = run_one(settings, host, connections)?;
@@ -121,7 +123,6 @@
         let rest = [format!("{ratio:.2}"), added_us.to_string()];
         table.row(row(connections, "through a host", &through, rest));
     }
-    let idle_bytes = idle_memory_bytes(host, &service, most as usize)?;
     table.row(vec![
         most.to_string(),
         format!("idle: {idle_bytes} bytes a connection"),
--- a/crates/jujubehold_lab/src/report/mod.rs
+++ b/crates/jujubehold_lab/src/report/mod.rs
@@ -7,5 +7,5 @@
 
 pub use line_fit::LineFit;
 pub use plot::{Plot, Series};
-pub use read_counts::{counter_sum, read_counts, series, start_counting};
+pub use read_counts::{counter_sum, failover_parts, read_counts, series, start_counting};
 pub use table::Table;
--- a/crates/jujubehold_lab/src/report/read_counts.rs
+++ b/crates/jujubehold_lab/src/report/read_counts.rs
@@ -1,5 +1,6 @@
 //! The counters of the hosts in this process.
 
+use jujubehold_core::failover::Phases;
 use jujubehold_host::metrics_page;
 
 /// Starts counting.
@@ -7,6 +8,21 @@
     metrics_page::install();
 }
 
+/// The parts of the failovers so far: each part's name, the seconds of all runs, and their number.
+pub fn failover_parts() -> Vec<(&'static str, f64, f64)> {
+    let page = metrics_page::render();
+    let value = |name: &str, part: &str| {
+        let start = format!("jujubehold_failover_seconds_{name}{{part=\"{part}\"}} ");
+        page.lines()
+            .find_map(|line| line.strip_prefix(&start)?.parse::<f64>().ok())
+            .unwrap_or_default()
+    };
+    Phases::default()
+        .parts()
+        .map(|(part, _)| (part, value("sum", part), value("count", part)))
+        .to_vec()
+}
+
 /// The sum of a counter over all hosts in this process, of those of its series that hold `label`.
 pub fn counter_sum(name: &str, label: &str) -> u64 {
     series(name)
--- a/crates/jujubehold_lab/src/workload/write_log.rs
+++ b/crates/jujubehold_lab/src/workload/write_log.rs
@@ -24,23 +24,11 @@
         self.refusals += other.refusals;
     }
 
-    /// How long after `failed_at` the first write was acknowledged that was sent to a primary
-    /// after the failure; `None` when there was none.
-    pub fn gap_after(&self, failed_at: Instant) -> Option<Duration> {
-        self.acknowledged
-            .iter()
-            .filter_map(|(_, at)| at.checked_duration_since(failed_at))
-            .min()
-    }
-
-    /// The longest time between two acknowledgements next to each other.
-    pub fn longest_gap(&self) -> Duration {
-        let mut times: Vec<_> = self.acknowledged.iter().map(|(_, at)| *at).collect();
+    /// The longest time after `start` between two acknowledgements next to each other.
+    pub fn longest_silence(&self, start: Instant) -> Option<Duration> {
+        let times = self.acknowledged.iter().map(|(_, at)| *at);
+        let mut times: Vec<_> = times.filter(|at| *at >= start).collect();
         times.sort_unstable();
-        times
-            .windows(2)
-            .map(|pair| pair[1] - pair[0])
-            .max()
-            .unwrap_or_default()
+        times.windows(2).map(|pair| pair[1] - pair[0]).max()
     }
 }
