--- a/crates/jujubehold/src/commands/experiment.rs
+++ b/crates/jujubehold/src/commands/experiment.rs
@@ -6,8 +6,8 @@
 use jujubehold_lab::LabError;
 use jujubehold_lab::capacity::run_capacity;
 use jujubehold_lab::experiment::{
-    FailoverGapSettings, OverloadSettings, ReplicaReadsSettings, run_failover_gap, run_overload,
-    run_replica_reads,
+    FailoverGapSettings, GapKind, OverloadSettings, ReplicaReadsSettings, run_failover_gap,
+    run_overload, run_replica_reads,
 };
 use jujubehold_lab::load::{BenchmarkSettings, run_benchmark};
 use jujubehold_lab::report::Table;
@@ -17,7 +17,7 @@
 use crate::options::{CommandHelp, Parsed};
 
 const HELP: CommandHelp = CommandHelp {
-    usage: "experiment NAME [--out DIRECTORY] [--runs N]",
+    usage: "experiment NAME [--out DIRECTORY] [--runs N] [--kinds KINDS]",
     about: "Runs an experiment on loopback, prints its table in Markdown and writes its plots. \
             NAME is one of\n    failover-gap   how long writes are impossible after a primary is \
             lost\n    replica-reads  the share of reads that replicas serve\n    overload       \
@@ -54,6 +54,12 @@
     let mut options = Options::new();
     options.optopt("o", "out", "where plots are written (.)", "DIRECTORY");
     options.optopt("r", "runs", "runs of each kind of failover-gap (50)", "N");
+    options.optopt(
+        "k",
+        "kinds",
+        "kinds of loss of failover-gap, with commas between them (crash,freeze,crash-in-outage,ordered)",
+        "KINDS",
+    );
     let matches = match HELP.parse(options, arguments)? {
         Parsed::Help(text) => return Ok(text),
         Parsed::Run(matches) => matches,
@@ -71,12 +77,24 @@
 
 fn gap_settings(matches: &Matches) -> Result<FailoverGapSettings, CliError> {
     let default = FailoverGapSettings::default();
+    let kinds = match matches.opt_str("kinds") {
+        Some(names) => names.split(',').map(gap_kind).collect::<Result<_, _>>()?,
+        None => default.kinds,
+    };
     Ok(FailoverGapSettings {
         runs: HELP.value(matches, "runs", default.runs, "a whole number")?,
-        ..default
+        kinds,
+        writers: default.writers,
     })
 }
 
+fn gap_kind(name: &str) -> Result<GapKind, CliError> {
+    GapKind::ALL
+        .into_iter()
+        .find(|kind| kind.as_str() == name.trim())
+        .ok_or_else(|| HELP.usage_error(&format!("there is no kind of loss {name:?}")))
+}
+
 async fn measure(
     experiment: Experiment,
     gap: &FailoverGapSettings,
