Tell the caller at once when the primary of its write was replaced

Cause: a write in flight at a frozen primary was told unknown only at the service's statement timeout, 10 s, although the host knew after 2 s that another instance was primary.

--- a/crates/jujubehold_host/src/traffic/mod.rs
+++ b/crates/jujubehold_host/src/traffic/mod.rs
@@ -15,6 +15,7 @@
 mod listener;
 mod prepared;
 mod read_path;
+mod replacement;
 mod retry_budgets;
 mod session;
 mod session_command;
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/replacement.rs
@@ -0,0 +1,48 @@
+//! The end of waiting for a primary that was replaced.
+
+use std::future::{Future, pending};
+use std::time::Duration;
+
+use jujubehold_core::prelude::*;
+
+use super::unit_error::UnitError;
+use crate::shared::Shared;
+
+/// How long a replaced primary may still answer, since one that is only fenced says for certain
+/// that nothing ran.
+const LAST_ANSWER: Duration = Duration::from_millis(200);
+
+/// Runs `work` on `instance`, a primary, until another instance has taken its place.
+///
+/// A replaced primary may never answer, and its answer could not be acknowledged: the caller is
+/// told at once that the outcome is unknown, not at its deadline. See docs/notes/write-path.md.
+pub(crate) async fn while_primary<T>(
+    shared: &Shared,
+    service: &ServiceId,
+    instance: &InstanceId,
+    work: impl Future<Output = Result<T, UnitError>>,
+) -> Result<T, UnitError> {
+    tokio::select! {
+        biased;
+        result = work => result,
+        () = until_replaced(shared, service, instance) => {
+            Err(UnitError::Unknown(UnknownReason::AuthorityLost))
+        }
+    }
+}
+
+async fn until_replaced(shared: &Shared, service: &ServiceId, instance: &InstanceId) {
+    let mut table = shared.table.clone();
+    loop {
+        let route = table.borrow_and_update().services.get(service).cloned();
+        let primary = route.and_then(|route| route.view.primary.clone());
+        if primary.is_some_and(|primary| primary != *instance) {
+            tokio::time::sleep(LAST_ANSWER).await;
+            return;
+        }
+        if table.changed().await.is_err() {
+            // The control thread ends only with the host.
+            pending::<()>().await;
+        }
+    }
+}
--- a/crates/jujubehold_host/src/traffic/transaction.rs
+++ b/crates/jujubehold_host/src/traffic/transaction.rs
@@ -6,6 +6,7 @@
 
 use super::answer::{Giving, pass_answer};
 use super::lane::Lane;
+use super::replacement::while_primary;
 use super::session::Session;
 use super::status_answer::{STATUS_QUERY, read_status};
 use super::unit::Unit;
@@ -39,7 +40,15 @@
         route: &ServiceRoute,
     ) -> Result<(), UnitError> {
         let limit = unit.deadline.saturating_sub(self.shared.clock.now());
+        let (shared, service) = (self.shared.clone(), self.service.clone());
+        let primary = pinned.is_primary.then(|| pinned.instance.clone());
         let run = self.run_in_transaction(pinned, unit, route);
+        let run = async {
+            match primary {
+                Some(primary) => while_primary(&shared, &service, &primary, run).await,
+                None => run.await,
+            }
+        };
         let result = tokio::time::timeout(limit, run)
             .await
             .unwrap_or(Err(UnitError::Unknown(UnknownReason::TimedOut)));
--- a/crates/jujubehold_host/src/traffic/write_path.rs
+++ b/crates/jujubehold_host/src/traffic/write_path.rs
@@ -13,6 +13,7 @@
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
 use super::lane::{Lane, LaneError};
 use super::read_path::READ_ONLY_SQLSTATE;
+use super::replacement::while_primary;
 use super::session::Session;
 use super::session_settings::SESSION_SETTING;
 use super::status_answer::{STATUS_QUERY, read_status};
@@ -102,7 +103,10 @@
                 return Err(UnitError::Unknown(UnknownReason::ConnectionLost));
             }
         }
-        let passed = pass_answer(&mut lane, plan, &mut self.io, Giving::HoldEnd).await;
+        let (shared, service) = (self.shared.clone(), self.service.clone());
+        let answer =
+            async { Ok(pass_answer(&mut lane, plan, &mut self.io, Giving::HoldEnd).await) };
+        let passed = while_primary(&shared, &service, &instance, answer).await?;
         let answered = self.check_passed(passed, &instance)?;
         if answered.status != Some(b'I') {
             // The text opened a transaction; its status query ran within.
@@ -117,7 +121,8 @@
             self.finish_lane(lane);
             return Ok(Tried::Again(RetryReason::NotPrimary));
         }
-        let status = read_status(&mut lane).await;
+        let answer = async { Ok(read_status(&mut lane).await) };
+        let status = while_primary(&shared, &service, &instance, answer).await?;
         if answered.sqlstate.is_some() && unit.is_single {
             // The upstream's own error says that nothing ran.
             self.finish_lane(lane);
--- a/crates/jujubehold_host/tests/traffic/writes.rs
+++ b/crates/jujubehold_host/tests/traffic/writes.rs
@@ -4,7 +4,7 @@
 
 use jujubehold_core::prelude::*;
 
-use crate::support::{Bench, call, run, text, try_run};
+use crate::support::{Bench, HANG, call, run, text, try_run};
 
 fn quick() -> ServiceConfig {
     ServiceConfig {
@@ -192,3 +192,31 @@
     assert!(!first.is_empty());
     assert_ne!(first, second);
 }
+
+#[actix_rt::test]
+async fn a_write_at_a_replaced_primary_is_told_of_before_its_deadline() {
+    let config = ServiceConfig {
+        statement_timeout: 10 * HANG,
+        ..ServiceConfig::default()
+    };
+    let mut bench = Bench::start(config).await;
+    bench.create_counter().await;
+    let client = bench.connect().await;
+    bench.databases[0].freeze();
+    let write = try_run(&client, "UPDATE counter SET n = 1");
+    let replacement = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        bench.edit_view(|view| {
+            view.announce(2, &"b".into());
+        });
+    };
+    let (outcome, ()) = tokio::time::timeout(HANG, async { tokio::join!(write, replacement) })
+        .await
+        .expect("the caller is told while its deadline is far");
+    let (sqlstate, detail) = outcome.unwrap_err();
+    assert_eq!(sqlstate, "08007");
+    assert!(
+        detail.contains("verdict=unknown reason=authority_lost"),
+        "{detail}"
+    );
+}
