Leave the probes of a group's watchers room under an instance's limit

Cause: an owner's share was connections / (owners + 1), and the watchers' probe connections came on top: six of them and three owners of six make 24 of 20 while ownership moves. The rule stood twice, in the core and in the host; it stands in the core now and takes the watchers off first: four for each owner of an instance that takes 20.

--- a/crates/jujubehold_core/src/ownership.rs
+++ b/crates/jujubehold_core/src/ownership.rs
@@ -80,11 +80,19 @@
 /// How many connections each of `owner_count` owners may open to an instance that takes
 /// `connections`.
 ///
-/// One share is left free, so that one owner more than usual stays under the limit while
-/// ownership moves.
-pub fn quota(connections: u32, owner_count: usize) -> u32 {
+/// Each watcher of the group is left a connection for its probes, and one share is left free, so
+/// that one owner more than usual stays under the limit while ownership moves.
+pub fn quota(connections: u32, owner_count: usize, watcher_count: usize) -> u32 {
     let shares = u32::try_from(owner_count).map_or(u32::MAX, |count| count.saturating_add(1));
-    (connections / shares).max(1)
+    let probes = u32::try_from(watcher_count).unwrap_or(u32::MAX);
+    (connections.saturating_sub(probes) / shares).max(1)
+}
+
+/// How many hosts watch a service's group, where each of its failure domains has enough.
+pub fn watcher_count(config: &ServiceConfig) -> usize {
+    let instances = config.instances.values();
+    let domains: BTreeSet<_> = instances.map(|instance| &instance.domain).collect();
+    domains.len() * WATCHERS_PER_DOMAIN
 }
 
 /// The hosts that watch a service's group, in the order in which they would act.
--- a/crates/jujubehold_host/src/peer/forward_server.rs
+++ b/crates/jujubehold_host/src/peer/forward_server.rs
@@ -101,7 +101,7 @@
         return Err(RefusalReason::NoPrimary);
     }
     let wait = Duration::from_millis(open.wait_ms.into());
-    let quota = shared.quota(config);
+    let quota = shared.quota(&route.config, config);
     loop {
         let acquired = shared
             .pools
--- a/crates/jujubehold_host/src/shared.rs
+++ b/crates/jujubehold_host/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use jujubehold_core::ownership::{quota, watcher_count};
 use jujubehold_core::prelude::*;
 use jujubehold_settings::HostSettings;
 use tokio::sync::watch;
@@ -101,11 +102,11 @@
 
     /// How many connections to an instance this host may hold when it is one of its owners.
     ///
-    /// There is one share more than there are owners, so that a change of owner stays within the
-    /// instance's limit.
-    pub fn quota(&self, instance: &InstanceConfig) -> usize {
-        let share_count = self.settings.owners_per_instance + 1;
-        (instance.connections as usize / share_count).max(1)
+    /// See [`quota`](jujubehold_core::ownership::quota).
+    pub fn quota(&self, config: &ServiceConfig, instance: &InstanceConfig) -> usize {
+        let owner_count = self.settings.owners_per_instance;
+        let share = quota(instance.connections, owner_count, watcher_count(config));
+        usize::try_from(share).unwrap_or(usize::MAX)
     }
 
     /// The latest route of a service.
--- a/crates/jujubehold_host/src/traffic/lane.rs
+++ b/crates/jujubehold_host/src/traffic/lane.rs
@@ -61,7 +61,7 @@
         if !route.is_owned_here(instance) {
             return Self::open_forwarded(shared, route, instance, wait).await;
         }
-        let quota = shared.quota(config);
+        let quota = shared.quota(&route.config, config);
         match shared
             .pools
             .acquire(service, instance, config, quota, wait)
--- a/crates/jujubehold_lab/src/experiment/failover_gap.rs
+++ b/crates/jujubehold_lab/src/experiment/failover_gap.rs
@@ -19,6 +19,9 @@
 const BEFORE: Duration = Duration::from_millis(800);
 /// How long writes are awaited afterwards.
 const AFTER: Duration = Duration::from_millis(3500);
+/// How long writes are awaited after an order: a change waits 10 s after the last one, and for the
+/// wish to have stood for some seconds.
+const AFTER_ORDER: Duration = Duration::from_secs(16);
 /// How long a lost instance gets to follow its new primary.
 const REJOIN: Duration = Duration::from_millis(1500);
 const IDS_PER_WRITER: u64 = 1_000_000;
@@ -140,7 +143,11 @@
     service: &ServiceId,
     run: u64,
 ) -> Result<(WriteLog, Instant), LabError> {
-    let deadline = Instant::now() + BEFORE + AFTER;
+    let after = match kind {
+        GapKind::Ordered => AFTER_ORDER,
+        GapKind::Crash | GapKind::Freeze | GapKind::CrashInOutage => AFTER,
+    };
+    let deadline = Instant::now() + BEFORE + after;
     let targets: Vec<_> = cluster
         .hosts
         .iter()
@@ -171,6 +178,9 @@
         writes.merge(task.await.unwrap_or_default());
     }
     cluster.platform.set_outage(Outage::None);
+    if kind == GapKind::Ordered && cluster.primary(service).as_ref() == Some(&primary) {
+        return Err(LabError::TimedOut("an ordered change of primary"));
+    }
     if let Some(database) = cluster.instance(service, &primary) {
         database.revive();
         database.thaw();
--- a/crates/jujubehold_lab/src/load/benchmark.rs
+++ b/crates/jujubehold_lab/src/load/benchmark.rs
@@ -16,6 +16,8 @@
 const WARM_UP: Duration = Duration::from_secs(3);
 /// The age that the benchmark's reads accept, so that no read asks the primary first.
 const READ_AGE: Duration = Duration::from_mins(1);
+/// The hosts that watch a group of one failure domain, each with a connection for its probes.
+const WATCHERS: u32 = 2;
 /// Connections that the instance takes beyond those of the load.
 const SPARE_CONNECTIONS: u32 = 200;
 
@@ -80,7 +82,7 @@
     let service = Cluster::service_name(0);
     let mut config = cluster.configs[&service].clone();
     for instance in config.instances.values_mut() {
-        instance.connections = settings.upstream_connections * 3;
+        instance.connections = settings.upstream_connections * 3 + WATCHERS;
     }
     cluster.submit(config).await?;
     let host = cluster.caller_address(0);
