Give the traffic tests' instances room for two watchers' probes

The share that a test fills, 20 connections, now comes from 62 rather than 60: the watchers' two are taken off first. What the test asserts is unchanged.

--- a/crates/jujubehold_host/tests/traffic/support.rs
+++ b/crates/jujubehold_host/tests/traffic/support.rs
@@ -68,7 +68,8 @@
                     domain: "local".into(),
                     region: "local".into(),
                     state: InstanceState::Active,
-                    connections: 60,
+                    // Three shares of 20, and the probes of two watchers.
+                    connections: 62,
                 };
                 (database.status().instance, instance)
             })
