--- a/crates/jujubehold_core/src/failover/suspicion.rs
+++ b/crates/jujubehold_core/src/failover/suspicion.rs
@@ -29,6 +29,16 @@
     }
 }
 
+impl Report {
+    fn new(heard_at: Monotonic, domain: DomainId, term: Term) -> Self {
+        Self {
+            domain,
+            term,
+            heard_at,
+        }
+    }
+}
+
 impl SuspicionTable {
     pub(super) fn new(now: Monotonic) -> Self {
         Self {
@@ -74,12 +84,7 @@
         term: Term,
     ) {
         self.vouchers.remove(&host);
-        let report = Report {
-            domain,
-            term,
-            heard_at: now,
-        };
-        self.suspects.insert(host, report);
+        self.suspects.insert(host, Report::new(now, domain, term));
     }
 
     pub(super) fn hear_liveness(
@@ -90,12 +95,7 @@
         term: Term,
     ) {
         self.suspects.remove(&host);
-        let report = Report {
-            domain,
-            term,
-            heard_at: now,
-        };
-        self.vouchers.insert(host, report);
+        self.vouchers.insert(host, Report::new(now, domain, term));
     }
 
     /// Whether this host itself suspects the primary.
--- a/crates/jujubehold_standin/src/database/handle.rs
+++ b/crates/jujubehold_standin/src/database/handle.rs
@@ -4,13 +4,13 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use jujubehold_core::prelude::InstanceStatus;
 use tokio::sync::oneshot;
 
 use crate::control_port::serve_control;
+use crate::own_thread::OwnThread;
 
 use super::control::{DatabaseControl, set_down, set_frozen, set_lag};
 use super::instance::Instance;
@@ -24,8 +24,7 @@
     address: SocketAddr,
     control_address: Option<SocketAddr>,
     shared: Arc<Shared>,
-    stop: Option<oneshot::Sender<()>>,
-    thread: Option<JoinHandle<()>>,
+    _thread: OwnThread,
 }
 
 /// What an instance says once it listens.
@@ -42,21 +41,16 @@
     /// An address is taken, or the database file can't be opened.
     pub async fn start(settings: DatabaseSettings) -> std::io::Result<Self> {
         let (started_sender, started) = oneshot::channel();
-        let (stop, stopped) = oneshot::channel();
         let name = format!("standin-{}", settings.name);
-        let thread = std::thread::Builder::new().name(name).spawn(move || {
-            actix_rt::System::new().block_on(run(settings, started_sender, async {
-                // A dropped handle stops the instance as well.
-                let _ = stopped.await;
-            }));
+        let thread = OwnThread::spawn(name, |stopped| {
+            run(settings, started_sender, async { drop(stopped.await) })
         })?;
         let started = started.await.map_err(std::io::Error::other)??;
         Ok(Self {
             address: started.address,
             control_address: started.control_address,
             shared: started.shared,
-            stop: Some(stop),
-            thread: Some(thread),
+            _thread: thread,
         })
     }
 
@@ -118,25 +112,8 @@
     }
 
     /// Stops the instance and waits for its thread.
-    pub fn stop(mut self) {
-        self.end();
-    }
-
-    fn end(&mut self) {
-        if let Some(stop) = self.stop.take() {
-            // The instance may have stopped by itself.
-            let _ = stop.send(());
-        }
-        if let Some(thread) = self.thread.take() {
-            // A panic of the thread was printed already.
-            let _ = thread.join();
-        }
-    }
-}
-
-impl Drop for Database {
-    fn drop(&mut self) {
-        self.end();
+    pub fn stop(self) {
+        drop(self);
     }
 }
 
--- a/crates/jujubehold_standin/src/lib.rs
+++ b/crates/jujubehold_standin/src/lib.rs
@@ -7,7 +7,9 @@
 
 mod control_port;
 pub mod database;
+mod own_thread;
 pub mod platform;
 
 pub use database::run_database;
+pub use own_thread::OwnThread;
 pub use platform::run_platform;
--- a/crates/jujubehold_standin/src/platform/handle.rs
+++ b/crates/jujubehold_standin/src/platform/handle.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use jujubehold_wire::kv::kv_server::KvServer;
@@ -15,6 +14,7 @@
 use tonic::transport::Server;
 
 use crate::control_port::serve_control;
+use crate::own_thread::OwnThread;
 
 use super::control::PlatformControl;
 use super::faults::{CallKind, Outage};
@@ -31,8 +31,7 @@
     address: SocketAddr,
     control_address: Option<SocketAddr>,
     shared: Arc<Shared>,
-    stop: Option<oneshot::Sender<()>>,
-    thread: Option<JoinHandle<()>>,
+    _thread: OwnThread,
 }
 
 struct Started {
@@ -48,22 +47,16 @@
     /// An address is taken.
     pub async fn start(settings: PlatformSettings) -> std::io::Result<Self> {
         let (started_sender, started) = oneshot::channel();
-        let (stop, stopped) = oneshot::channel();
         let name = "standin-platform".to_owned();
-        let thread = std::thread::Builder::new().name(name).spawn(move || {
-            let stopped = async {
-                // A dropped handle stops the platform as well.
-                let _ = stopped.await;
-            };
-            actix_rt::System::new().block_on(run(settings, started_sender, stopped));
+        let thread = OwnThread::spawn(name, |stopped| {
+            run(settings, started_sender, async { drop(stopped.await) })
         })?;
         let started = started.await.map_err(std::io::Error::other)??;
         Ok(Self {
             address: started.address,
             control_address: started.control_address,
             shared: started.shared,
-            stop: Some(stop),
-            thread: Some(thread),
+            _thread: thread,
         })
     }
 
@@ -114,25 +107,8 @@
     }
 
     /// Stops the platform and waits for its thread.
-    pub fn stop(mut self) {
-        self.end();
-    }
-
-    fn end(&mut self) {
-        if let Some(stop) = self.stop.take() {
-            // The platform may have stopped by itself.
-            let _ = stop.send(());
-        }
-        if let Some(thread) = self.thread.take() {
-            // A panic of the thread was printed already.
-            let _ = thread.join();
-        }
-    }
-}
-
-impl Drop for Platform {
-    fn drop(&mut self) {
-        self.end();
+    pub fn stop(self) {
+        drop(self);
     }
 }
 
