--- a/crates/jujubehold_host/src/traffic/replacement.rs
+++ b/crates/jujubehold_host/src/traffic/replacement.rs
@@ -31,6 +31,21 @@
     }
 }
 
+/// Runs `opening`, which sends nothing yet, until another instance has taken the primary's place;
+/// `None` when one has.
+pub(crate) async fn open_while_primary<T>(
+    shared: &Shared,
+    service: &ServiceId,
+    instance: &InstanceId,
+    opening: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::select! {
+        biased;
+        opened = opening => Some(opened),
+        () = until_replaced(shared, service, instance) => None,
+    }
+}
+
 async fn until_replaced(shared: &Shared, service: &ServiceId, instance: &InstanceId) {
     let mut table = shared.table.clone();
     loop {
--- a/crates/jujubehold_host/src/traffic/write_path.rs
+++ b/crates/jujubehold_host/src/traffic/write_path.rs
@@ -13,7 +13,7 @@
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
 use super::lane::{Lane, LaneError};
 use super::read_path::READ_ONLY_SQLSTATE;
-use super::replacement::while_primary;
+use super::replacement::{open_while_primary, while_primary};
 use super::session::Session;
 use super::session_settings::SESSION_SETTING;
 use super::status_answer::{STATUS_QUERY, read_status};
@@ -70,7 +70,12 @@
         self.check_floor(route)?;
         self.check_confirmable(route).await?;
         let wait = self.lane_wait(unit);
-        let mut lane = match Lane::open(&self.shared, route, &instance, wait).await {
+        let opening = Lane::open(&self.shared, route, &instance, wait);
+        let opened = open_while_primary(&self.shared, &self.service, &instance, opening).await;
+        let Some(opened) = opened else {
+            return Ok(Tried::Again(RetryReason::NotPrimary));
+        };
+        let mut lane = match opened {
             Ok(lane) => lane,
             Err(LaneError::Retry(reason)) => {
                 self.report_unreachable(&instance);
--- a/crates/jujubehold_host/tests/traffic/writes.rs
+++ b/crates/jujubehold_host/tests/traffic/writes.rs
@@ -220,3 +220,42 @@
         "{detail}"
     );
 }
+
+#[actix_rt::test]
+async fn a_write_that_waits_for_a_replaced_primary_is_refused_before_its_deadline() {
+    let config = ServiceConfig {
+        statement_timeout: 10 * HANG,
+        ..ServiceConfig::default()
+    };
+    let mut bench = Bench::start(config).await;
+    bench.create_counter().await;
+    // The primary has 20 connections for this host, and more callers than that.
+    let mut clients = Vec::new();
+    for _ in 0..16 {
+        clients.push(bench.connect().await);
+    }
+    let mut holders = Vec::new();
+    for _ in 0..19 {
+        let holder = bench.connect().await;
+        run(&holder, "BEGIN").await;
+        holders.push(holder);
+    }
+    bench.databases[0].freeze();
+    let writes = clients
+        .iter()
+        .map(|client| try_run(client, "UPDATE counter SET n = 1"));
+    let replacement = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        bench.edit_view(|view| {
+            view.announce(2, &"b".into());
+        });
+    };
+    let all = async { tokio::join!(futures_util::future::join_all(writes), replacement) };
+    let (outcomes, ()) = tokio::time::timeout(HANG, all)
+        .await
+        .expect("the callers are told while their deadline is far");
+    let details: Vec<_> = outcomes.into_iter().map(|o| o.unwrap_err().1).collect();
+    let not_run = details.iter().filter(|d| d.contains("verdict=not_run"));
+    let unknown = details.iter().filter(|d| d.contains("verdict=unknown"));
+    assert_eq!((not_run.count(), unknown.count()), (15, 1), "{details:?}");
+}
