Let open transactions on a leaving primary end before it is fenced

Cause: a drain of the primary fenced it 200 ms after the configuration was known, whatever ran on it, so a COMMIT that came later was answered 25006.

Now the watchers ask the primary how many callers' connections have a transaction open or a statement running, every 50 ms, and fence it once every answer for 200 ms said none, or `leaving_grace_ms` (2 s) is over. Hosts refuse new writes and transactions meanwhile, with when to come back, as before.

Ruled out: reports of the hosts to each other. A dead or unreachable host costs the whole grace then, though its transactions have ended with its connections; the instance knows the transactions of all hosts.

Three proofs are new: no new transaction is taken while an open one is waited for; one that never ends keeps the primary only for the grace and is told so; one of a killed host keeps nothing.

--- a/crates/jujubehold/tests/proofs/harness/host_process.rs
+++ b/crates/jujubehold/tests/proofs/harness/host_process.rs
@@ -18,6 +18,7 @@
     pub(crate) peer_address: SocketAddr,
     pub(crate) metrics_address: SocketAddr,
     pub(crate) platform_address: SocketAddr,
+    pub(crate) leaving_grace: Duration,
 }
 
 impl HostPlace {
@@ -29,6 +30,7 @@
             peer_address: free_address(),
             metrics_address: free_address(),
             platform_address,
+            leaving_grace: Duration::from_secs(2),
         }
     }
 
@@ -36,13 +38,14 @@
         let mut text = format!(
             "[host]\nname = {}\ndomain = {}\nregion = local\ncaller_address = {}\n\
              peer_address = {}\nmetrics_address = {}\nplatform_addresses = {}\n\
-             traffic_threads = 2\ndrain_timeout_ms = 20000\n",
+             traffic_threads = 2\ndrain_timeout_ms = 20000\n\n[failover]\nleaving_grace_ms = {}\n",
             self.name,
             self.domain,
             self.caller_address,
             self.peer_address,
             self.metrics_address,
             self.platform_address,
+            self.leaving_grace.as_millis(),
         );
         for peer in peers.iter().filter(|peer| peer.name != self.name) {
             let _ = write!(
--- a/crates/jujubehold/tests/proofs/harness/installation.rs
+++ b/crates/jujubehold/tests/proofs/harness/installation.rs
@@ -37,6 +37,8 @@
     pub(crate) confirm: Confirm,
     pub(crate) read_age: Duration,
     pub(crate) service_time: Duration,
+    /// How long a leaving primary waits for its transactions.
+    pub(crate) leaving_grace: Duration,
 }
 
 impl Default for Layout {
@@ -47,6 +49,7 @@
             confirm: Confirm::Replica,
             read_age: Duration::ZERO,
             service_time: Duration::ZERO,
+            leaving_grace: Duration::from_secs(2),
         }
     }
 }
@@ -86,7 +89,10 @@
         for (number, domain) in layout.host_domains.iter().enumerate() {
             let name = format!("platform-{number}");
             let platform_address = add_route(&faults, &name, platform.address()).await;
-            let place = HostPlace::new(&format!("host-{number}"), domain, platform_address);
+            let place = HostPlace {
+                leaving_grace: layout.leaving_grace,
+                ..HostPlace::new(&format!("host-{number}"), domain, platform_address)
+            };
             add_route(&faults, &format!("callers-{number}"), place.caller_address).await;
             places.push(place);
         }
--- a/crates/jujubehold/tests/proofs/leaving_upstream.rs
+++ b/crates/jujubehold/tests/proofs/leaving_upstream.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use crate::harness::{Installation, Layout, until};
+use crate::harness::{Answer, Caller, Installation, Layout, until};
 
 /// Reads of any age, so that replicas serve them.
 fn layout() -> Layout {
     Layout {
         read_age: Duration::from_hours(1),
+        // Long enough that no wait ends by it while a test looks.
+        leaving_grace: Duration::from_mins(1),
         ..Layout::default()
     }
 }
@@ -45,7 +47,6 @@
 }
 
 #[actix_rt::test]
-#[ignore = "known red: what_runs_on_a_leaving_primary_ends_well"]
 async fn what_runs_on_a_leaving_primary_ends_well() {
     let installation = Installation::start(layout()).await;
     let mut caller = installation.caller(0);
@@ -60,3 +61,65 @@
     assert!(committed.is_ran(), "{committed:?}");
     assert_eq!(installation.rows().await.get(&1), Some(&1));
 }
+
+/// Opens a transaction at a host, writes in it, and has the primary leave.
+async fn leave_with_open_transaction(installation: &Installation, host: usize) -> Caller {
+    let mut caller = installation.caller(host);
+    caller.must_begin().await;
+    caller
+        .must_run("INSERT INTO orders (id, caller) VALUES (1, 1)")
+        .await;
+    let config = installation.without("a");
+    installation.put_configuration(&config).await;
+    caller
+}
+
+#[actix_rt::test]
+async fn a_leaving_primary_takes_no_new_transaction_and_waits_for_an_open_transaction() {
+    let installation = Installation::start(layout()).await;
+    let mut caller = leave_with_open_transaction(&installation, 1).await;
+    let mut other = installation.caller(0);
+    until("a new transaction is refused", async || {
+        if let Answer::NotRun(_, detail) = other.run("BEGIN").await {
+            return detail.contains("reason=leaving") && detail.contains("retry_after_ms");
+        }
+        // The host has not heard of it yet.
+        other.run("ROLLBACK").await;
+        false
+    })
+    .await;
+    assert_eq!(installation.primary(), "a");
+    let committed = caller.write("COMMIT").await;
+    assert!(committed.is_ran(), "{committed:?}");
+    installation.wait_for_failover("a").await;
+    assert_eq!(installation.rows().await.get(&1), Some(&1));
+}
+
+#[actix_rt::test]
+async fn a_transaction_that_does_not_end_keeps_a_leaving_primary_only_for_the_grace() {
+    let layout = Layout {
+        leaving_grace: Duration::from_millis(500),
+        ..layout()
+    };
+    let installation = Installation::start(layout).await;
+    let mut caller = leave_with_open_transaction(&installation, 1).await;
+    installation.wait_for_failover("a").await;
+    let committed = caller.write("COMMIT").await;
+    assert!(!committed.is_ran(), "{committed:?}");
+    assert_eq!(installation.rows().await.get(&1), None);
+}
+
+#[actix_rt::test]
+async fn the_transactions_of_a_dead_host_keep_no_leaving_primary() {
+    let mut installation = Installation::start(layout()).await;
+    let mut caller = leave_with_open_transaction(&installation, 1).await;
+    installation.hosts[1].kill();
+    installation.wait_for_failover("a").await;
+    assert!(!caller.run("COMMIT").await.is_ran());
+    assert_eq!(installation.rows().await.get(&1), None);
+    let mut other = installation.caller(0);
+    until("writes are taken", async || {
+        other.run("DELETE FROM orders WHERE id < 0").await.is_ran()
+    })
+    .await;
+}
--- a/crates/jujubehold_core/src/failover.rs
+++ b/crates/jujubehold_core/src/failover.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod attempt;
 mod change;
+mod leaving;
 mod phases;
 mod probing;
 mod settings;
--- a/crates/jujubehold_core/src/failover/change.rs
+++ b/crates/jujubehold_core/src/failover/change.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::failover::Failover;
+use crate::failover::leaving::LeavingPrimary;
 use crate::ids::{InstanceId, Monotonic};
 use crate::service_config::InstanceState;
 use crate::value_type;
@@ -16,6 +17,7 @@
         configured_since: Monotonic,
         stranded_since: Option<Monotonic>,
         changed_at: Option<Monotonic>,
+        leaving: LeavingPrimary,
     }
 
     struct Order {
@@ -33,6 +35,7 @@
     /// Notes that the primary changed, so that no change follows too soon.
     pub(super) fn note_change(&mut self, now: Monotonic) {
         self.changed_at = Some(now);
+        self.leaving.clear();
     }
 
     fn has_settled(&self, now: Monotonic, min_interval: Duration, settle: Duration) -> bool {
@@ -50,6 +53,7 @@
         if let Some(order) = &self.wish.order {
             return Some(order.instance.clone());
         }
+        self.observe_leaving(now);
         let configured = self.configured_change(now);
         if configured != self.wish.configured {
             self.wish.configured = configured;
@@ -75,21 +79,37 @@
             self.wish.stranded_since = None;
             return self.view.primary.clone();
         }
-        let is_leaving = self
-            .view
-            .primary
-            .as_ref()
-            .is_some_and(|primary| !self.is_active(primary));
-        let has_settled = if is_leaving {
-            // Its writes are refused already, so the change can't wait.
+        let has_settled = if self.is_primary_leaving() {
+            // New writes are refused already, so the change waits only for what runs.
             let settle = change.leaving_settle.saturating_mul(rank.saturating_add(1));
             self.wish.has_settled(now, Duration::ZERO, settle)
+                && self.wish.leaving.may_be_fenced(now, change, rank)
         } else {
             self.wish.has_settled(now, change.min_interval, settle)
         };
         self.wish.configured.clone().filter(|_| has_settled)
     }
 
+    fn observe_leaving(&mut self, now: Monotonic) {
+        if !self.is_primary_leaving() {
+            self.wish.leaving.clear();
+            return;
+        }
+        let primary = self.view.primary.as_ref();
+        let sample = primary.and_then(|primary| self.view.samples.get(primary));
+        self.wish.leaving.observe(now, sample);
+    }
+
+    fn is_primary_leaving(&self) -> bool {
+        let primary = self.view.primary.as_ref();
+        primary.is_some_and(|primary| !self.is_active(primary))
+    }
+
+    /// Whether the primary is probed closely, because it is leaving and work is open on it.
+    pub(super) fn awaits_open_work(&self, now: Monotonic) -> bool {
+        self.wish.leaving.is_waiting(now, &self.settings.change)
+    }
+
     fn drop_spent_order(&mut self, now: Monotonic) {
         let lifetime = self.settings.change.order_lifetime;
         let Some(order) = &self.wish.order else {
--- a/crates/jujubehold_core/src/failover/probing.rs
+++ b/crates/jujubehold_core/src/failover/probing.rs
@@ -83,7 +83,9 @@
             || self.view.primary.is_none()
             || self.attempt.is_some()
             || self.has_doubt(now);
-        let interval = if is_urgent {
+        let interval = if is_primary && self.awaits_open_work(now) {
+            self.settings.change.leaving_probe_interval
+        } else if is_urgent {
             self.settings.probe_interval
         } else {
             self.settings.sample_interval
--- a/crates/jujubehold_core/src/failover/settings.rs
+++ b/crates/jujubehold_core/src/failover/settings.rs
@@ -58,8 +58,12 @@
         pub min_interval: Duration,
         /// How long the wish must have stood, and the instance answered, before the change.
         pub settle: Duration,
-        /// How long a primary must have been leaving before it is replaced.
+        /// How long a leaving primary must have had no open transaction before it is replaced.
         pub leaving_settle: Duration,
+        /// How long a leaving primary's open transactions may take to end.
+        pub leaving_grace: Duration,
+        /// How often a leaving primary is asked for its open transactions.
+        pub leaving_probe_interval: Duration,
         /// How long an instance may be fenced past the present term before the primary takes a new
         /// one, so that the instance can follow again.
         pub stranded_after: Duration,
@@ -104,6 +108,8 @@
             min_interval: Duration::from_secs(10),
             settle: Duration::from_secs(2),
             leaving_settle: Duration::from_millis(200),
+            leaving_grace: Duration::from_secs(2),
+            leaving_probe_interval: Duration::from_millis(50),
             stranded_after: Duration::from_secs(5),
             max_lag: 1000,
         }
--- a/crates/jujubehold_core/src/instance_status.rs
+++ b/crates/jujubehold_core/src/instance_status.rs
@@ -35,6 +35,9 @@
         pub fence_nonce: Nonce,
         /// The position of the asking connection's own last commit; 0 when it had none.
         pub last_commit: Position,
+        /// How many callers' connections have a transaction open or a statement running; 0 when
+        /// the group does not state it.
+        pub open_transactions: u32,
         /// The terms of its log.
         pub history: TermHistory,
     }
@@ -57,6 +60,10 @@
                 "fence_nonce" => status.fence_nonce = value.parse().ok()?,
                 "last_commit" => status.last_commit = value.parse().ok()?,
                 "history" => status.history = TermHistory::parse(value)?,
+                "open_transactions" => {
+                    status.open_transactions = value.parse().ok()?;
+                    continue;
+                }
                 // A newer group may state more than this version knows.
                 _ => continue,
             }
@@ -83,7 +90,7 @@
         (self.history.term_of(self.received), self.received)
     }
 
-    /// The number of pairs in the text form.
+    /// The number of pairs that the text form must have.
     const PAIRS: usize = 9;
 
     fn empty() -> Self {
@@ -96,6 +103,7 @@
             fence_term: 0,
             fence_nonce: 0,
             last_commit: 0,
+            open_transactions: 0,
             history: TermHistory::default(),
         }
     }
@@ -106,7 +114,7 @@
         write!(
             f,
             "instance={} role={} term={} received={} applied={} fence_term={} fence_nonce={} \
-             last_commit={} history={}",
+             last_commit={} open_transactions={} history={}",
             self.instance,
             self.role.as_str(),
             self.term,
@@ -115,6 +123,7 @@
             self.fence_term,
             self.fence_nonce,
             self.last_commit,
+            self.open_transactions,
             self.history,
         )
     }
--- a/crates/jujubehold_core/src/replay/line.rs
+++ b/crates/jujubehold_core/src/replay/line.rs
@@ -92,10 +92,12 @@
             .ok_or_else(|| TraceFault::Malformed("fence".to_owned()))?;
         let text = format!(
             "instance={instance} role={} term={} received={log} applied={} \
-             fence_term={fence_term} fence_nonce={fence_nonce} last_commit=0 history={}",
+             fence_term={fence_term} fence_nonce={fence_nonce} last_commit=0 \
+             open_transactions={} history={}",
             self.pair("role").unwrap_or("replica"),
             self.needed("in_term")?,
             self.pair("applied").unwrap_or(log),
+            self.pair("open").unwrap_or("0"),
             self.needed("history")?,
         );
         let status = InstanceStatus::parse(&text);
--- a/crates/jujubehold_core/src/replay/record.rs
+++ b/crates/jujubehold_core/src/replay/record.rs
@@ -140,13 +140,14 @@
         return " silent".to_owned();
     };
     format!(
-        " role={} in_term={} log={} applied={} fence={}/{} history={}",
+        " role={} in_term={} log={} applied={} fence={}/{} open={} history={}",
         status.role.as_str(),
         status.term,
         status.received,
         status.applied,
         status.fence_term,
         status.fence_nonce,
+        status.open_transactions,
         status.history,
     )
 }
--- a/crates/jujubehold_core/tests/exploration/instance.rs
+++ b/crates/jujubehold_core/tests/exploration/instance.rs
@@ -67,6 +67,7 @@
             fence_term: self.fence_term,
             fence_nonce: self.fence_nonce,
             last_commit: self.log.len() as Position,
+            open_transactions: 0,
             history: self.history.clone(),
         }
     }
--- a/crates/jujubehold_host/src/control/control_loop.rs
+++ b/crates/jujubehold_host/src/control/control_loop.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use jujubehold_core::config_store::ConfigStore;
-use jujubehold_core::failover::FailoverSettings;
+use jujubehold_core::failover::{ChangeSettings, FailoverSettings};
 use jujubehold_core::membership::{
     Member, MemberState, Membership, MembershipEvent, MembershipSettings,
 };
@@ -116,6 +116,10 @@
             probe_interval: settings.probe_interval,
             probe_timeout: settings.probe_timeout,
             authority: settings.authority.clone(),
+            change: ChangeSettings {
+                leaving_grace: settings.leaving_grace,
+                ..ChangeSettings::default()
+            },
             ..FailoverSettings::default()
         };
         let kv = KvClient::with_addresses(&settings.platform_addresses, PLATFORM_CALL_TIMEOUT);
--- a/crates/jujubehold_settings/src/host_settings.rs
+++ b/crates/jujubehold_settings/src/host_settings.rs
@@ -46,6 +46,8 @@
     pub probe_timeout: Duration,
     /// The window in which a proof of a term lets this host acknowledge writes.
     pub authority: Authority,
+    /// How long open transactions on a leaving primary may take to end.
+    pub leaving_grace: Duration,
     /// How many hosts of an instance's failure domain own its connections.
     pub owners_per_instance: usize,
     /// Whether the host may listen off loopback without TLS.
@@ -71,6 +73,7 @@
             probe_interval: Duration::from_millis(200),
             probe_timeout: Duration::from_millis(300),
             authority: Authority::default(),
+            leaving_grace: Duration::from_secs(2),
             owners_per_instance: 2,
             is_cleartext_allowed: false,
             tls: None,
--- a/crates/jujubehold_settings/src/host_settings_reader.rs
+++ b/crates/jujubehold_settings/src/host_settings_reader.rs
@@ -20,6 +20,7 @@
 /// A promotion waits for the window and the drift, and is to be over within 7 s.
 const MAX_WINDOW_MS: u64 = 3_000;
 const MAX_DRIFT_MS: u64 = 1_000;
+const MAX_GRACE_MS: u64 = 60_000;
 const MAX_OWNERS: usize = 5;
 const MIN_TOKEN_KEY_BYTES: usize = 16;
 
@@ -106,6 +107,7 @@
             MAX_WINDOW_MS,
         );
         self.authority.drift = duration("drift_ms", self.authority.drift, 0, MAX_DRIFT_MS);
+        self.leaving_grace = duration("leaving_grace_ms", self.leaving_grace, 0, MAX_GRACE_MS);
         self.owners_per_instance = reader.number(
             s,
             "owners_per_instance",
--- a/crates/jujubehold_settings/src/known_keys.rs
+++ b/crates/jujubehold_settings/src/known_keys.rs
@@ -27,6 +27,7 @@
     "probe_timeout_ms",
     "window_ms",
     "drift_ms",
+    "leaving_grace_ms",
     "owners_per_instance",
 ];
 
--- a/crates/jujubehold_standin/src/database/control.rs
+++ b/crates/jujubehold_standin/src/database/control.rs
@@ -30,7 +30,7 @@
             ["thaw"] => set_frozen(shared, false),
             ["kill"] => set_down(shared, true),
             ["revive"] => set_down(shared, false),
-            ["status"] => return shared.instance().status(0).to_string(),
+            ["status"] => return shared.status(0).to_string(),
             ["counts"] => {
                 let statements = shared.statements.load(std::sync::atomic::Ordering::Relaxed);
                 let connections = shared.connection_count();
--- a/crates/jujubehold_standin/src/database/group_answers.rs
+++ b/crates/jujubehold_standin/src/database/group_answers.rs
@@ -49,7 +49,7 @@
     }
 
     fn status(&self) -> Outcome {
-        let status = self.shared.instance().status(self.executor.last_commit);
+        let status = self.shared.status(self.executor.last_commit);
         Outcome::texts(&["group_status"], vec![vec![status.to_string()]])
     }
 
--- a/crates/jujubehold_standin/src/database/handle.rs
+++ b/crates/jujubehold_standin/src/database/handle.rs
@@ -66,7 +66,7 @@
 
     /// What it would answer to a status query.
     pub fn status(&self) -> InstanceStatus {
-        self.shared.instance().status(0)
+        self.shared.status(0)
     }
 
     /// How many callers' connections are open.
--- a/crates/jujubehold_standin/src/database/instance.rs
+++ b/crates/jujubehold_standin/src/database/instance.rs
@@ -92,6 +92,7 @@
             fence_term: self.fence_term,
             fence_nonce: self.fence_nonce,
             last_commit,
+            open_transactions: 0,
             history: self.history.clone(),
         }
     }
--- a/crates/jujubehold_standin/src/database/mod.rs
+++ b/crates/jujubehold_standin/src/database/mod.rs
@@ -14,6 +14,7 @@
 mod inference;
 mod instance;
 mod log_entry;
+mod open_work;
 mod outcome;
 mod pg_client;
 mod puller;
--- a/crates/jujubehold_standin/src/database/session.rs
+++ b/crates/jujubehold_standin/src/database/session.rs
@@ -16,6 +16,7 @@
 
 use super::executor::{Attempt, Executor};
 use super::extended::Extended;
+use super::open_work::OpenWork;
 use super::outcome::{Outcome, data_row, row_description};
 use super::shared::Shared;
 use super::sql_error::SqlError;
@@ -36,6 +37,7 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) executor: Executor,
     pub(crate) extended: Extended,
+    open_work: OpenWork,
     reader: FrameReader<OwnedReadHalf>,
     writer: OwnedWriteHalf,
     out: BytesMut,
@@ -52,6 +54,7 @@
         cancel: Arc<Notify>,
     ) -> Self {
         Self {
+            open_work: OpenWork::new(Arc::clone(&shared)),
             shared,
             executor,
             extended: Extended::default(),
@@ -92,6 +95,7 @@
     }
 
     pub(crate) async fn send_ready(&mut self) -> Result<(), FrameError> {
+        self.open_work.set(self.executor.transaction.is_some());
         let ready = ready_for_query(self.executor.status_byte());
         self.put(&ready);
         self.send().await
@@ -182,6 +186,9 @@
             let message = "the transaction is aborted, commands are ignored until its end";
             return Err(SqlError::new("25P02", message));
         }
+        if !matches!(kind, StatementKind::Group(_)) {
+            self.open_work.set(true);
+        }
         match kind {
             StatementKind::Empty => Ok(Outcome::done("")),
             StatementKind::Begin { is_read_only } => {
--- a/crates/jujubehold_standin/src/database/shared.rs
+++ b/crates/jujubehold_standin/src/database/shared.rs
@@ -1,10 +1,11 @@
 //! What the connections of one instance share.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use jujubehold_core::prelude::{InstanceStatus, Position};
 use tokio::sync::{Notify, Semaphore, watch};
 
 use super::instance::Instance;
@@ -39,6 +40,8 @@
     pub(crate) cancellations: Mutex<BTreeMap<i32, Cancellation>>,
     pub(crate) connections: AtomicUsize,
     pub(crate) statements: AtomicUsize,
+    /// The callers' connections with a transaction open or a statement running.
+    pub(crate) open_transactions: AtomicU32,
 }
 
 impl Shared {
@@ -56,6 +59,7 @@
             cancellations: Mutex::new(BTreeMap::new()),
             connections: AtomicUsize::new(0),
             statements: AtomicUsize::new(0),
+            open_transactions: AtomicU32::new(0),
             settings,
         }
     }
@@ -81,6 +85,14 @@
             .await;
     }
 
+    /// The instance's status, as a connection with that last commit sees it.
+    pub(crate) fn status(&self, last_commit: Position) -> InstanceStatus {
+        InstanceStatus {
+            open_transactions: self.open_transactions.load(Ordering::Relaxed),
+            ..self.instance().status(last_commit)
+        }
+    }
+
     /// How many callers' connections are open.
     pub(crate) fn connection_count(&self) -> usize {
         self.connections.load(Ordering::Relaxed)
