Pass news on along two trees in a failure domain

Cause: each of a domain's two watching hosts told every other host of the domain itself, so that a watching host sent 91 copies of a change at the target, 98 KB a second in a burst (worked out in docs/CAPACITY.md), and one more was sent by whoever announced a primary or left.

Now a domain of more than seven hosts is told along two trees with three copies from each host. The order of the hosts is hashed anew for each change, and reversed in the second tree, so that a host passes news on in at most one of them and no single dead host keeps it from another. Smaller domains are told as before.

Ruled out: one tree (a dead inner host cuts off its subtree until the next exchange). A relay that had heard an announcement as a watcher did not hand it on to its domain, since it was no news to it; it now hands on what is current and was not handed on before.

Shown by crates/jujubehold_core/tests/relay_tree.rs at 1 to 92 hosts: every host reached, also with any one host dead; at most three copies of a change from a host (six from one that is no watching host and begins both trees); 300 changes spread over all 92 hosts.

Bytes at the hosts are not measured yet.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod read_candidates;
 pub mod read_policy;
 pub mod refusal_reason;
+pub mod relay_tree;
 pub mod replay;
 pub mod retry_budget;
 pub mod retry_reason;
--- a/crates/jujubehold_host/src/control/control_loop.rs
+++ b/crates/jujubehold_host/src/control/control_loop.rs
@@ -13,6 +13,7 @@
 };
 use jujubehold_core::ownership::DomainHosts;
 use jujubehold_core::prelude::*;
+use jujubehold_core::relay_tree::RelayMemory;
 use jujubehold_settings::{HostSettings, PeerSeed};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -74,6 +75,7 @@
     pub(super) kv: KvClient,
     pub(super) platform_watch: Option<JoinHandle<()>>,
     pub(super) restores: RestoreQueue,
+    pub(super) relay_memory: RelayMemory,
     pub(super) events_sender: ControlSender,
     pub(super) routes: BTreeMap<ServiceId, Arc<ServiceRoute>>,
     pub(super) dirty: BTreeSet<ServiceId>,
@@ -156,6 +158,7 @@
             kv,
             platform_watch: None,
             restores: RestoreQueue::default(),
+            relay_memory: RelayMemory::default(),
             events_sender: parts.events_sender,
             routes: BTreeMap::new(),
             dirty: BTreeSet::new(),
--- a/crates/jujubehold_host/src/control/exchange.rs
+++ b/crates/jujubehold_host/src/control/exchange.rs
@@ -13,17 +13,19 @@
 
 use super::control_event::ControlEvent;
 use super::control_loop::Control;
+use super::spreading::HandOn;
 use crate::peer::{Digests, PeerTarget, bucket_of, host_message, member_of};
 use crate::platform::config_record;
 
 impl Control {
-    /// Takes in a notification.
+    /// Takes in a notification, and passes it on where that is asked for.
     pub(super) fn on_notified(&mut self, request: peer::NotifyRequest) {
+        let hand_on = HandOn::of(&request);
         let Some(kind) = request.kind else {
             return;
         };
         let (host, domain) = (request.host.into(), request.domain.into());
-        let is_news = match &kind {
+        let is_current = match &kind {
             Kind::Suspicion(suspicion) => {
                 let term = suspicion.term;
                 let event = FailoverEvent::SuspicionHeard { host, domain, term };
@@ -36,44 +38,55 @@
                 self.on_group_event(&liveness.service.as_str().into(), event);
                 false
             }
-            Kind::Announcement(record) => self.on_announced(record),
-            Kind::Service(record) => self.offer_message(record),
+            Kind::Announcement(record) => {
+                self.on_announced(record);
+                record.term >= self.term_of(&record.service.as_str().into())
+            }
+            Kind::Service(record) => {
+                self.offer_message(record);
+                record.generation >= self.generation_of(&record.service)
+            }
             Kind::Leaving(host) => {
                 let hosts: Vec<_> = member_of(host).into_iter().collect();
-                let was_changed = std::mem::take(&mut self.is_membership_changed);
                 self.on_membership(MembershipEvent::Heard { hosts });
-                let is_news = self.is_membership_changed;
-                self.is_membership_changed |= was_changed;
-                is_news
+                true
             }
         };
-        if is_news && request.is_for_domain {
-            self.notify_own_domain(&kind);
+        // What is already known here may be news to those that hear it through this host.
+        match hand_on {
+            HandOn::Along(tree) if is_current => self.pass_on(&tree, &kind),
+            HandOn::ToItsDomain if is_current => self.notify_own_domain_once(&kind),
+            HandOn::Along(_) | HandOn::ToItsDomain | HandOn::Keep => {}
         }
     }
 
-    /// Takes in a primary; returns whether it was new.
-    fn on_announced(&mut self, record: &peer::GroupRecord) -> bool {
+    /// Takes in a primary that is newer than the one known.
+    fn on_announced(&mut self, record: &peer::GroupRecord) {
         let service = record.service.as_str().into();
         if record.term <= self.term_of(&service) || record.primary.is_empty() {
-            return false;
+            return;
         }
         let event = FailoverEvent::Announced {
             term: record.term,
             primary: record.primary.as_str().into(),
         };
         self.on_group_event(&service, event);
-        true
     }
 
     fn offer_message(&mut self, record: &peer::ServiceRecord) -> bool {
-        let in_force = self.store.config(&record.service);
-        if in_force.is_some_and(|config| config.generation > record.generation) {
+        if self.generation_of(&record.service) > record.generation {
             return false;
         }
         config_record(&record.service, &record.text).is_some_and(|record| self.offer(record))
     }
 
+    /// The generation in force; 0 when the service is not known.
+    fn generation_of(&self, service: &str) -> Generation {
+        self.store
+            .config(service)
+            .map_or(0, |config| config.generation)
+    }
+
     fn term_of(&self, service: &ServiceId) -> Term {
         self.groups
             .get(service)
--- a/crates/jujubehold_host/src/control/groups.rs
+++ b/crates/jujubehold_host/src/control/groups.rs
@@ -2,7 +2,6 @@
 
 use jujubehold_core::failover_action::FailoverAction;
 use jujubehold_core::failover_event::FailoverEvent;
-use jujubehold_core::ownership::{CONFIG_WATCHERS, config_watchers};
 use jujubehold_core::prelude::*;
 use jujubehold_wire::peer;
 use log::info;
@@ -10,8 +9,8 @@
 
 use super::control_loop::Control;
 use super::group_driver::GroupDriver;
+use super::spreading::HandOn;
 use crate::observation::Observation;
-use crate::peer::PeerTarget;
 
 impl Control {
     /// Takes in what traffic learned; a status counts as much as a probe's.
@@ -161,7 +160,7 @@
         };
         let hosts: Vec<_> = group.watchers().iter().map(|w| w.host.clone()).collect();
         for host in hosts {
-            self.notify(&host, kind.clone(), false);
+            self.notify(&host, kind.clone(), HandOn::Keep);
         }
     }
 
@@ -179,58 +178,10 @@
             .map(|group| group.watchers().iter().map(|w| w.host.clone()).collect())
             .unwrap_or_default();
         for host in watchers {
-            self.notify(&host, kind.clone(), false);
+            self.notify(&host, kind.clone(), HandOn::Keep);
         }
         self.notify_domains(&kind);
     }
-
-    /// Notifies the hosts of this failure domain, and relays of every other.
-    pub(super) fn notify_domains(&mut self, kind: &peer::notify_request::Kind) {
-        let relays: Vec<_> = self
-            .live_hosts
-            .iter()
-            .filter(|(domain, _)| **domain != self.domain)
-            .flat_map(|(domain, hosts)| config_watchers(domain, hosts, CONFIG_WATCHERS))
-            .collect();
-        for host in relays {
-            self.notify(&host, kind.clone(), true);
-        }
-        self.notify_own_domain(kind);
-    }
-
-    /// Notifies the hosts of this failure domain.
-    pub(super) fn notify_own_domain(&mut self, kind: &peer::notify_request::Kind) {
-        let hosts = self.live_hosts.get(&self.domain).cloned();
-        for host in hosts.unwrap_or_default() {
-            self.notify(&host, kind.clone(), false);
-        }
-    }
-
-    /// Notifies one other host.
-    pub(super) fn notify(
-        &mut self,
-        host: &HostId,
-        kind: peer::notify_request::Kind,
-        is_for_domain: bool,
-    ) {
-        if *host == self.owner.host {
-            return;
-        }
-        let Some(member) = self.membership.member(host) else {
-            return;
-        };
-        let request = peer::NotifyRequest {
-            host: self.owner.host.to_string(),
-            domain: self.domain.to_string(),
-            kind: Some(kind),
-            is_for_domain,
-        };
-        let to = PeerTarget {
-            host: host.clone(),
-            address: member.peer_address,
-        };
-        self.peers.notify(to, request);
-    }
 }
 
 fn ms(duration: Monotonic) -> u64 {
--- a/crates/jujubehold_host/src/control/mod.rs
+++ b/crates/jujubehold_host/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod instance_caller;
 mod publishing;
 mod restore_queue;
+mod spreading;
 
 pub use control_event::{ControlEvent, ControlReceiver, ControlSender};
 pub use control_loop::{Control, ControlParts};
