Send small messages between hosts at once

Cause of the fall of useful answers beyond nine callers: the peer server took its connections from a plain listener stream, and tonic passes over its own `tcp_nodelay` for those. So the owner's side kept Nagle's algorithm: its second small message (the answer after `opened`, the end of the stream after a close) waited for the entry host's delayed acknowledgement, some 40 ms. A lent connection is out of the owner's pool until that end, and an owner has four of 20 connections (six are the watchers', a third of the rest each), so the four connections were handed over at 40 ms and more a statement however many callers waited.

Ruled out: the slots of the stand-in (statements run take 5 ms there and the status query takes no slot), refusals and retry pauses (no request was refused at 18 to 90 callers), the cost of the stand-in or of the load (user time of the run is a third of a core).

The stand-in of the platform had the same listener, and gets the same mend.

--- a/crates/jujubehold_host/src/peer/mod.rs
+++ b/crates/jujubehold_host/src/peer/mod.rs
@@ -11,6 +11,7 @@
 pub use forwarded_lane::{ForwardError, ForwardTarget, ForwardedLane};
 pub use peer_clients::PeerTarget;
 pub use peer_connector::PeerConnector;
+pub use peer_server::peer_incoming;
 
 pub(crate) use digest::{Digests, bucket_of};
 pub(crate) use messages::{host_message, member_of};
--- a/crates/jujubehold_host/src/peer/peer_server.rs
+++ b/crates/jujubehold_host/src/peer/peer_server.rs
@@ -7,8 +7,9 @@
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status, Streaming};
 
 use super::forward_server::{ForwardSender, WAITING_ANSWERS, forward};
@@ -37,7 +38,7 @@
     actix_rt::spawn(run_jobs(job_receiver, shared));
     let service =
         PeerServer::new(PeerService { events, jobs }).max_decoding_message_size(MAX_MESSAGE_BYTES);
-    let incoming = TcpListenerStream::new(listener);
+    let incoming = peer_incoming(listener);
     let builder = match shared_tls {
         Some(tls) => Server::builder().tls_config(tls),
         None => Ok(Server::builder()),
@@ -51,6 +52,15 @@
     }
 }
 
+/// The connections of other hosts, each of which sends small messages at once.
+///
+/// Without it the end of a lent connection waits for the other side's delayed acknowledgement, some
+/// 40 ms, and the connection is out of the pool for as long; see
+/// docs/notes/ownership-and-forwarding.md.
+pub fn peer_incoming(listener: TcpListener) -> TcpIncoming {
+    TcpIncoming::from(listener).with_nodelay(Some(true))
+}
+
 /// Runs streams as tasks of this thread, as which the pools need them: the server's own tasks may
 /// start none.
 async fn run_jobs(mut jobs: mpsc::UnboundedReceiver<ForwardJob>, shared: Arc<Shared>) {
--- a/crates/jujubehold_host/tests/control_forwarding.rs
+++ b/crates/jujubehold_host/tests/control_forwarding.rs
@@ -3,14 +3,19 @@
 #[path = "support/control.rs"]
 mod control;
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use control::{Installation, RunningHost, SERVICE, wait_until};
-use jujubehold_host::peer::{ForwardError, ForwardTarget, ForwardedLane, PeerConnector};
+use jujubehold_host::peer::{
+    ForwardError, ForwardTarget, ForwardedLane, PeerConnector, peer_incoming,
+};
 use jujubehold_host::routing_table::Owner;
 use jujubehold_pg::{backend, query};
 use jujubehold_wire::peer;
 use jujubehold_wire::peer::peer_client::PeerClient;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_stream::StreamExt;
 
 fn target() -> ForwardTarget {
     ForwardTarget {
@@ -229,3 +234,16 @@
     })
     .await;
 }
+
+#[actix_rt::test]
+async fn a_connection_of_another_host_sends_small_messages_at_once() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let mut incoming = peer_incoming(listener);
+    let _stream = TcpStream::connect(address).await.expect("it connects");
+    let accepted = incoming.next().await.expect("one comes");
+    let accepted = accepted.expect("it is accepted");
+    assert!(accepted.nodelay().expect("the option can be read"));
+}
--- a/crates/jujubehold_standin/src/platform/handle.rs
+++ b/crates/jujubehold_standin/src/platform/handle.rs
@@ -10,8 +10,8 @@
 use jujubehold_wire::kv::watch_server::WatchServer;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 
 use crate::control_port::serve_control;
 use crate::own_thread::OwnThread;
@@ -164,7 +164,7 @@
         watch: WatchServer::new(WatchService(Arc::clone(&shared))),
         lease: LeaseServer::new(LeaseService(Arc::clone(&shared))),
     };
-    let incoming = TcpListenerStream::new(listener);
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let server = Server::builder().serve_with_incoming(services, incoming);
     actix_rt::spawn(async move {
         if let Err(error) = server.await {
