Keep the set-up of traffic tests free of races with the machine's speed

Cause: in the failing run none of 16 writes was sent to the frozen primary, since its last connection was still being opened ahead of use when it was frozen; the test took it for open. Three more tests failed on a loaded machine: the table was made through the host under the test's own short statement timeout, and a request to cancel came before its statement ran.

Ruled out: a fault in the product. All 16 were told at once and truthfully that they had not run.

Now the tests bring about the state that they start from: one write is run and its connection seen idle before the freeze, tables are made at the primary itself, a request to cancel is made again until the statement ends, and short timeouts are 3 s. What is asserted is unchanged.

--- a/crates/jujubehold_host/tests/traffic/cancel.rs
+++ b/crates/jujubehold_host/tests/traffic/cancel.rs
@@ -14,10 +14,17 @@
     let client = bench.connect().await;
     let token = client.cancel_token();
     let sleep = client.simple_query("SELECT pg_sleep(20)");
-    let (answer, ()) = tokio::join!(sleep, async {
-        tokio::time::sleep(Duration::from_millis(200)).await;
-        token.cancel_query(NoTls).await.unwrap();
-    });
+    // A request that comes before the statement runs cancels nothing, so it is made again.
+    let cancels = async {
+        loop {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            token.cancel_query(NoTls).await.unwrap();
+        }
+    };
+    let answer = tokio::select! {
+        answer = sleep => answer,
+        () = cancels => unreachable!("the loop has no end"),
+    };
     assert_eq!(error_text(&answer.unwrap_err()).0, "57014");
     assert_eq!(text(&client, "SELECT n FROM counter").await, "0");
 }
--- a/crates/jujubehold_host/tests/traffic/pools.rs
+++ b/crates/jujubehold_host/tests/traffic/pools.rs
@@ -98,7 +98,7 @@
 #[actix_rt::test]
 async fn a_request_that_finds_no_connection_in_time_is_told_that_it_did_not_run() {
     let mut bench = Bench::start(ServiceConfig {
-        statement_timeout: std::time::Duration::from_secs(1),
+        statement_timeout: std::time::Duration::from_secs(3),
         ..ServiceConfig::default()
     })
     .await;
--- a/crates/jujubehold_host/tests/traffic/support.rs
+++ b/crates/jujubehold_host/tests/traffic/support.rs
@@ -156,8 +156,11 @@
     }
 
     /// A table with one row, `n` = 0, applied everywhere.
+    ///
+    /// It is written at the primary itself, so that a test's short statement timeout does not
+    /// bear on it.
     pub(crate) async fn create_counter(&mut self) {
-        let client = self.connect().await;
+        let client = connect(self.databases[0].address(), "").await;
         run(&client, "CREATE TABLE counter (n int)").await;
         run(&client, "INSERT INTO counter VALUES (0)").await;
         self.wait_applied().await;
--- a/crates/jujubehold_host/tests/traffic/transactions.rs
+++ b/crates/jujubehold_host/tests/traffic/transactions.rs
@@ -107,7 +107,7 @@
 #[actix_rt::test]
 async fn a_statement_that_takes_too_long_in_a_transaction_ends_it() {
     let mut bench = Bench::start(ServiceConfig {
-        statement_timeout: Duration::from_millis(500),
+        statement_timeout: Duration::from_secs(3),
         ..ServiceConfig::default()
     })
     .await;
--- a/crates/jujubehold_host/tests/traffic/writes.rs
+++ b/crates/jujubehold_host/tests/traffic/writes.rs
@@ -4,11 +4,11 @@
 
 use jujubehold_core::prelude::*;
 
-use crate::support::{Bench, HANG, call, run, text, try_run};
+use crate::support::{Bench, HANG, SERVICE, call, run, text, try_run, wait_until};
 
 fn quick() -> ServiceConfig {
     ServiceConfig {
-        statement_timeout: Duration::from_secs(1),
+        statement_timeout: Duration::from_secs(3),
         ..ServiceConfig::default()
     }
 }
@@ -202,6 +202,10 @@
     let mut bench = Bench::start(config).await;
     bench.create_counter().await;
     let client = bench.connect().await;
+    // The write goes out on a connection that is open already.
+    run(&client, "UPDATE counter SET n = 1").await;
+    let pools = &bench.shared.pools;
+    wait_until(|| pools.idle_count(&SERVICE.into(), &"a".into()) > 0).await;
     bench.databases[0].freeze();
     let write = try_run(&client, "UPDATE counter SET n = 1");
     let replacement = async {
@@ -240,6 +244,11 @@
         run(&holder, "BEGIN").await;
         holders.push(holder);
     }
+    // The last connection is open and free: one that is still being opened would give none of the
+    // writes its turn.
+    run(&clients[0], "UPDATE counter SET n = 1").await;
+    let pools = &bench.shared.pools;
+    wait_until(|| pools.idle_count(&SERVICE.into(), &"a".into()) == 1).await;
     bench.databases[0].freeze();
     let writes = clients
         .iter()
