Open local connections and wait for primaries in one place each

`Lane::open` and the way without an owner took from the pool and mapped its errors alike; `open_local` serves both, and `LocalShare` says how many connections the host may hold and how its refusal is retried. `while_primary` is `open_while_primary` with a verdict. No behaviour is changed: the tests of the crate pass as they were.

--- a/crates/jujubehold_host/src/traffic/lane.rs
+++ b/crates/jujubehold_host/src/traffic/lane.rs
@@ -37,6 +37,15 @@
     settings: SmolStr,
 }
 
+/// By which right this host opens connections to an instance itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LocalShare {
+    /// It is one of the instance's owners.
+    Owner,
+    /// No owner can be reached: the instance's domain may have lost all of its hosts.
+    Ownerless,
+}
+
 /// Why no lane could be had; nothing was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LaneError {
@@ -46,6 +55,26 @@
     Busy,
 }
 
+impl LocalShare {
+    // Without an owner every host may need the instance, so each takes a small part of what it
+    // accepts.
+    fn quota(self, shared: &Shared, service: &ServiceConfig, instance: &InstanceConfig) -> usize {
+        match self {
+            Self::Owner => shared.quota(service, instance),
+            Self::Ownerless => {
+                usize::try_from(instance.connections / OWNERLESS_SHARE).map_or(1, |n| n.max(1))
+            }
+        }
+    }
+
+    fn retry_reason(self) -> RetryReason {
+        match self {
+            Self::Owner => RetryReason::ConnectRefused,
+            Self::Ownerless => RetryReason::OwnerMoved,
+        }
+    }
+}
+
 impl Lane {
     /// Takes a connection to `instance`.
     pub(crate) async fn open(
@@ -54,24 +83,13 @@
         instance: &InstanceId,
         wait: Duration,
     ) -> Result<Self, LaneError> {
-        let Some(config) = route.config.instances.get(instance) else {
+        if !route.config.instances.contains_key(instance) {
             return Err(LaneError::Retry(RetryReason::NotPrimary));
-        };
-        let service = &route.config.service;
-        if !route.is_owned_here(instance) {
-            return Self::open_forwarded(shared, route, instance, wait).await;
         }
-        let quota = shared.quota(&route.config, config);
-        match shared
-            .pools
-            .acquire(service, instance, config, quota, wait)
-            .await
-        {
-            Ok(connection) => Ok(Self::Local(connection)),
-            Err(PoolError::Busy) => Err(LaneError::Busy),
-            Err(PoolError::Open(_) | PoolError::Refused) => {
-                Err(LaneError::Retry(RetryReason::ConnectRefused))
-            }
+        if route.is_owned_here(instance) {
+            Self::open_local(shared, route, instance, LocalShare::Owner, wait).await
+        } else {
+            Self::open_forwarded(shared, route, instance, wait).await
         }
     }
 
@@ -97,7 +115,7 @@
             })),
             Err(ForwardError::Refused { reason, .. }) if reason == BUSY => Err(LaneError::Busy),
             Err(ForwardError::Unreachable(_)) => {
-                Self::open_without_owner(shared, route, instance, wait).await
+                Self::open_local(shared, route, instance, LocalShare::Ownerless, wait).await
             }
             Err(ForwardError::Refused { .. } | ForwardError::Broken(_)) => {
                 Err(LaneError::Retry(RetryReason::OwnerMoved))
@@ -105,28 +123,27 @@
         }
     }
 
-    // A domain may have lost all of its hosts while its instance lives. Every host may then need
-    // it, so each takes a small part of what the instance accepts.
-    async fn open_without_owner(
+    async fn open_local(
         shared: &Shared,
         route: &ServiceRoute,
         instance: &InstanceId,
+        share: LocalShare,
         wait: Duration,
     ) -> Result<Self, LaneError> {
         let Some(config) = route.config.instances.get(instance) else {
             return Err(LaneError::Retry(RetryReason::NotPrimary));
         };
-        let quota = usize::try_from(config.connections / OWNERLESS_SHARE).map_or(1, |n| n.max(1));
+        let quota = share.quota(shared, &route.config, config);
         let service = &route.config.service;
-        match shared
+        let acquired = shared
             .pools
             .acquire(service, instance, config, quota, wait)
-            .await
-        {
+            .await;
+        match acquired {
             Ok(connection) => Ok(Self::Local(connection)),
             Err(PoolError::Busy) => Err(LaneError::Busy),
             Err(PoolError::Open(_) | PoolError::Refused) => {
-                Err(LaneError::Retry(RetryReason::OwnerMoved))
+                Err(LaneError::Retry(share.retry_reason()))
             }
         }
     }
--- a/crates/jujubehold_host/src/traffic/replacement.rs
+++ b/crates/jujubehold_host/src/traffic/replacement.rs
@@ -22,13 +22,9 @@
     instance: &InstanceId,
     work: impl Future<Output = Result<T, UnitError>>,
 ) -> Result<T, UnitError> {
-    tokio::select! {
-        biased;
-        result = work => result,
-        () = until_replaced(shared, service, instance) => {
-            Err(UnitError::Unknown(UnknownReason::AuthorityLost))
-        }
-    }
+    open_while_primary(shared, service, instance, work)
+        .await
+        .unwrap_or(Err(UnitError::Unknown(UnknownReason::AuthorityLost)))
 }
 
 /// Runs `opening`, which sends nothing yet, until another instance has taken the primary's place;
