Keep the primary's slots apart from the readers', and give up in time

- It counted the slots of all instances for every statement.
Writes, which only the primary runs, took the slots of reads: a primary that stands still held up every read of the service once 9 writes waited on it.
Now a service has a queue for the primary's slots and one for those of the instances that reads go to (`SlotTarget`, decided in the core).
- A waiting request was only given up when another one ended.
Where nothing ends, as behind a frozen primary, it was told at its deadline.
The core now says when a waiting request expires, and the host looks then.
- `jujubehold_wait_seconds` was documented and never recorded.
It is now, for a slot and for a connection.

The tests failed first: `traffic::overload` on the old host waited in vain for 30 s for a refusal, `control_metrics` found no such metric.

--- a/crates/jujubehold_core/src/admission.rs
+++ b/crates/jujubehold_core/src/admission.rs
@@ -7,6 +7,7 @@
 mod fair_share;
 mod service_times;
 mod settings;
+mod slot_target;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use crate::verdict::Refusal;
 
 pub use settings::{AdmissionSettings, Admitted, RequestClass};
+pub use slot_target::SlotTarget;
 
 use fair_share::FairShare;
 use service_times::ServiceTimes;
@@ -48,6 +50,8 @@
         pub decision: Result<Admitted, Refusal>,
         /// A request of a caller with more than its share, refused to make room.
         pub displaced: Option<RefusedTicket>,
+        /// When the request is given up, if it waits; a [`tick`](Admission::tick) is due then.
+        pub expires_at: Option<Monotonic>,
     }
 
     /// A request that waited and is refused; it did not run.
@@ -166,6 +170,7 @@
         Offered {
             decision: Ok(Admitted::Wait),
             displaced,
+            expires_at: Some(expires_at),
         }
     }
 
@@ -393,6 +398,7 @@
         Self {
             decision,
             displaced: None,
+            expires_at: None,
         }
     }
 }
--- a/crates/jujubehold_core/src/service_config.rs
+++ b/crates/jujubehold_core/src/service_config.rs
@@ -25,7 +25,8 @@
         pub read_age: Duration,
         /// How many statements an instance runs at once.
         pub slots: u32,
-        /// How many requests may wait for a slot on one host.
+        /// How many requests may wait on one host for each
+        /// [`SlotTarget`](crate::admission::SlotTarget)'s slots.
         pub queue: u32,
         /// How long a statement may take, from its arrival to its answer.
         pub statement_timeout: Duration,
--- a/crates/jujubehold_core/tests/admission.rs
+++ b/crates/jujubehold_core/tests/admission.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use jujubehold_core::admission::{
-    Admission, AdmissionRequest, AdmissionSettings, Admitted, Offered, RequestClass, Ticket,
+    Admission, AdmissionRequest, AdmissionSettings, Admitted, Offered, RequestClass, SlotTarget,
+    Ticket,
 };
 use jujubehold_core::prelude::*;
 
@@ -97,6 +98,49 @@
     assert_eq!(admission.next_expiry(), None);
 }
 
+#[test]
+fn a_waiting_request_is_told_when_it_is_given_up() {
+    let mut admission = admission(1, 4);
+    let first = admission.offer(ms(0), request(0, "x", RequestClass::Write, 60_000));
+    assert_eq!(first.expires_at, None);
+    let soon = admission.offer(ms(0), request(1, "x", RequestClass::Write, 100));
+    assert_eq!(soon.expires_at, Some(ms(90)));
+    let late = admission.offer(ms(0), request(2, "x", RequestClass::Write, 60_000));
+    let longest = AdmissionSettings::default().max_wait;
+    assert_eq!(late.expires_at, Some(longest));
+    let expired = admission.tick(longest).expired;
+    assert_eq!(expired.len(), 2);
+    assert!(expired.iter().all(|one| one.refusal.retry_after.is_some()));
+}
+
+#[test]
+fn a_target_has_the_slots_of_the_instances_that_its_statements_go_to() {
+    let instance = |state| InstanceConfig {
+        address: ([127, 0, 0, 1], 5432).into(),
+        domain: "delta".into(),
+        region: "south".into(),
+        state,
+        connections: 20,
+    };
+    let active = instance(InstanceState::Active);
+    let mut config = ServiceConfig {
+        slots: 3,
+        ..ServiceConfig::default()
+    };
+    config.instances.insert("a".into(), active.clone());
+    let primary = Some(&"a".into());
+    assert_eq!(SlotTarget::Readers.slots(&config, primary), 3);
+    config.instances.insert("b".into(), active.clone());
+    config.instances.insert("c".into(), active);
+    let leaving = instance(InstanceState::Leaving);
+    config.instances.insert("d".into(), leaving);
+    assert_eq!(SlotTarget::Readers.slots(&config, primary), 6);
+    assert_eq!(SlotTarget::Readers.slots(&config, None), 9);
+    assert_eq!(SlotTarget::Primary.slots(&config, primary), 3);
+    assert_eq!(SlotTarget::of(StatementClass::Read), SlotTarget::Readers);
+    assert_eq!(SlotTarget::of(StatementClass::Begin), SlotTarget::Primary);
+}
+
 /// Offers `load_percent` of what the slots can do, and counts what is finished in time.
 fn goodput(load_percent: u64) -> (u64, BTreeMap<RefusalReason, u64>) {
     let mut admission = admission(3, 64);
--- a/crates/jujubehold_host/src/metric_names.rs
+++ b/crates/jujubehold_host/src/metric_names.rs
@@ -14,7 +14,7 @@
 pub const STATEMENT_SECONDS: &str = "jujubehold_statement_seconds";
 /// Seconds from a commit's answer to its acknowledgement, by `service`.
 pub const CONFIRM_SECONDS: &str = "jujubehold_confirm_seconds";
-/// Seconds that a request waited for a slot and a connection, by `service`.
+/// Seconds that a request waited, by `service` and what it waited `for`: slot or connection.
 pub const WAIT_SECONDS: &str = "jujubehold_wait_seconds";
 /// Sessions of callers that are open.
 pub const SESSIONS: &str = "jujubehold_sessions";
--- a/crates/jujubehold_host/src/pool/pools.rs
+++ b/crates/jujubehold_host/src/pool/pools.rs
@@ -9,12 +9,12 @@
 use jujubehold_core::backoff::Backoff;
 use jujubehold_core::prelude::*;
 use jujubehold_pg::FrameError;
-use metrics::counter;
+use metrics::{Histogram, counter, histogram};
 use thiserror::Error;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::connection::UpstreamConnection;
-use crate::metric_names::UPSTREAM_OPENS;
+use crate::metric_names::{UPSTREAM_OPENS, WAIT_SECONDS};
 
 /// How long a connection may lie idle before it is closed.
 const IDLE_LIMIT: Duration = Duration::from_mins(5);
@@ -44,6 +44,7 @@
 
 #[derive(Debug)]
 struct Pool {
+    wait_seconds: Histogram,
     permits: Arc<Semaphore>,
     limit: Mutex<usize>,
     refusals: Mutex<Refusals>,
@@ -91,6 +92,7 @@
         quota: usize,
         wait: Duration,
     ) -> Result<PooledConnection, PoolError> {
+        let asked_at = Instant::now();
         let pool = self.pool(service, name, quota);
         let permit = match pool.permits.clone().try_acquire_owned() {
             Ok(permit) => permit,
@@ -105,6 +107,7 @@
         } else {
             pool.open(service, name, instance, wait).await?
         };
+        pool.wait_seconds.record(asked_at.elapsed());
         Ok(PooledConnection {
             connection,
             pool,
@@ -117,6 +120,8 @@
         let key = (service.clone(), instance.clone());
         let new_pool = || {
             Arc::new(Pool {
+                wait_seconds: histogram!(
+                    WAIT_SECONDS, "service" => service.to_string(), "for" => "connection"),
                 permits: Arc::new(Semaphore::new(quota)),
                 limit: Mutex::new(quota),
                 refusals: Mutex::default(),
--- a/crates/jujubehold_host/src/traffic/admission_desk.rs
+++ b/crates/jujubehold_host/src/traffic/admission_desk.rs
@@ -1,4 +1,4 @@
-//! The queues of all services on this host.
+//! The queues of all services on this host, one for each of a service's [`SlotTarget`]s.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -7,22 +7,26 @@
 
 use jujubehold_core::admission::{
     Admission, AdmissionRequest, AdmissionSettings, Admitted, CallerKey, RefusedTicket, Released,
-    RequestClass, Ticket,
+    RequestClass, SlotTarget, Ticket,
 };
 use jujubehold_core::prelude::*;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
+use crate::routing_table::ServiceRoute;
+
+/// When a request comes back whose queue is gone.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Asks the core's [`Admission`] for every request, and wakes those whose turn comes.
 #[derive(Debug, Default)]
 pub struct AdmissionDesk {
-    queues: Mutex<BTreeMap<ServiceId, Arc<ServiceQueue>>>,
+    queues: Mutex<BTreeMap<(ServiceId, SlotTarget), Arc<SlotQueue>>>,
     next_ticket: AtomicU64,
 }
 
 #[derive(Debug)]
-struct ServiceQueue {
+struct SlotQueue {
     state: Mutex<QueueState>,
 }
 
@@ -32,30 +36,39 @@
     waiting: BTreeMap<Ticket, oneshot::Sender<Result<(), Refusal>>>,
 }
 
+/// A place in the queue.
+#[derive(Debug)]
+struct Place {
+    decision: oneshot::Receiver<Result<(), Refusal>>,
+    expires_at: Monotonic,
+}
+
 /// A slot that a running request holds until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Slot {
-    queue: Arc<ServiceQueue>,
+    queue: Arc<SlotQueue>,
     ticket: Ticket,
     clock: Clock,
 }
 
 impl AdmissionDesk {
-    /// Waits for a slot.
+    /// Waits for a slot of the instances that `target` names.
+    ///
+    /// A request whose turn can't come in time is refused as soon as that is known.
     pub(crate) async fn admit(
         &self,
         clock: Clock,
-        config: &ServiceConfig,
+        route: &ServiceRoute,
+        target: SlotTarget,
         caller: &CallerKey,
-        class: RequestClass,
         deadline: Monotonic,
     ) -> Result<Slot, Refusal> {
-        let queue = self.queue(config);
+        let queue = self.queue(route, target);
         let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
         let request = AdmissionRequest {
             ticket,
             caller: caller.clone(),
-            class,
+            class: class_of(target),
             deadline,
         };
         // From here on a drop gives the slot, or the place in the queue, back.
@@ -64,50 +77,61 @@
             ticket,
             clock,
         };
-        let receiver = queue.offer(clock.now(), request)?;
-        let Some(receiver) = receiver else {
+        let Some(mut place) = queue.offer(clock.now(), request)? else {
             return Ok(slot);
         };
-        let wait = deadline.saturating_sub(clock.now());
-        match tokio::time::timeout(wait, receiver).await {
-            Ok(Ok(decision)) => decision.map(|()| slot),
-            Ok(Err(_)) | Err(_) => Err(Refusal::transient(
+        let wait = place.expires_at.saturating_sub(clock.now());
+        let turn = tokio::time::timeout(wait, &mut place.decision).await;
+        let decision = if let Ok(decision) = turn {
+            decision.ok()
+        } else {
+            queue.tick(clock.now());
+            place.decision.try_recv().ok()
+        };
+        match decision {
+            Some(decision) => decision.map(|()| slot),
+            None => Err(Refusal::transient(
                 RefusalReason::DeadlineTooShort,
-                Duration::from_millis(100),
+                RETRY_AFTER,
             )),
         }
     }
 
-    fn queue(&self, config: &ServiceConfig) -> Arc<ServiceQueue> {
-        let slots = config.slots as usize * config.instances.len();
-        let limits = (slots.max(1), config.queue as usize);
+    fn queue(&self, route: &ServiceRoute, target: SlotTarget) -> Arc<SlotQueue> {
+        let config = &route.config;
+        let slots = target.slots(config, route.view.primary.as_ref());
+        let limit = config.queue as usize;
+        let key = (config.service.clone(), target);
         let mut queues = lock(&self.queues);
-        let queue = queues.entry(config.service.clone()).or_insert_with(|| {
+        let queue = queues.entry(key).or_insert_with(|| {
             let settings = AdmissionSettings {
-                slots: limits.0,
-                queue: limits.1,
+                slots,
+                queue: limit,
                 ..AdmissionSettings::default()
             };
             let state = QueueState {
                 admission: Admission::new(settings),
                 waiting: BTreeMap::new(),
             };
-            Arc::new(ServiceQueue {
+            Arc::new(SlotQueue {
                 state: Mutex::new(state),
             })
         });
-        lock(&queue.state).admission.set_limits(limits.0, limits.1);
+        lock(&queue.state).admission.set_limits(slots, limit);
         queue.clone()
     }
 }
 
-impl ServiceQueue {
+fn class_of(target: SlotTarget) -> RequestClass {
+    match target {
+        SlotTarget::Readers => RequestClass::Lookup,
+        SlotTarget::Primary => RequestClass::Write,
+    }
+}
+
+impl SlotQueue {
     // `None` when the request runs at once.
-    fn offer(
-        &self,
-        now: Monotonic,
-        request: AdmissionRequest,
-    ) -> Result<Option<oneshot::Receiver<Result<(), Refusal>>>, Refusal> {
+    fn offer(&self, now: Monotonic, request: AdmissionRequest) -> Result<Option<Place>, Refusal> {
         let mut state = lock(&self.state);
         let ticket = request.ticket;
         let offered = state.admission.offer(now, request);
@@ -117,12 +141,23 @@
         match offered.decision? {
             Admitted::Start => Ok(None),
             Admitted::Wait => {
-                let (sender, receiver) = oneshot::channel();
+                let (sender, decision) = oneshot::channel();
                 state.waiting.insert(ticket, sender);
-                Ok(Some(receiver))
+                let expires_at = offered.expires_at.unwrap_or(now);
+                Ok(Some(Place {
+                    decision,
+                    expires_at,
+                }))
             }
         }
     }
+
+    // Nothing may come free while an upstream stands still, so a waiting request looks itself.
+    fn tick(&self, now: Monotonic) {
+        let mut state = lock(&self.state);
+        let released = state.admission.tick(now);
+        state.apply(released);
+    }
 }
 
 impl QueueState {
--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jujubehold_core::admission::RequestClass;
+use jujubehold_core::admission::SlotTarget;
 use jujubehold_core::prelude::*;
 use jujubehold_core::session_floor::FloorKnowledge;
 use jujubehold_pg::{Classifier, ExtendedMessage, Frame, FrameError, frontend};
@@ -164,21 +164,18 @@
             return self.run_pinned(pinned, unit, &route).await;
         }
         self.shared.retries.count_request(&self.service);
-        let class = match unit.class {
-            StatementClass::Read | StatementClass::BeginReadOnly => RequestClass::Lookup,
-            _ => RequestClass::Write,
+        let target = if unit.ends_with_flush {
+            SlotTarget::Primary
+        } else {
+            SlotTarget::of(unit.class)
         };
         let slot = self
             .shared
             .admission
-            .admit(
-                self.shared.clock,
-                &route.config,
-                &self.user,
-                class,
-                unit.deadline,
-            )
+            .admit(self.shared.clock, &route, target, &self.user, unit.deadline)
             .await?;
+        let waited = self.shared.clock.now().saturating_sub(unit.arrived_at);
+        self.metrics.slot_wait_seconds.record(waited.as_secs_f64());
         let limit = unit.deadline.saturating_sub(self.shared.clock.now());
         let result = tokio::time::timeout(limit, self.run_routed(unit, &route)).await;
         drop(slot);
--- a/crates/jujubehold_host/src/traffic/session_metrics.rs
+++ b/crates/jujubehold_host/src/traffic/session_metrics.rs
@@ -2,7 +2,7 @@
 
 use metrics::{Counter, Histogram, counter, histogram};
 
-use crate::metric_names::{CONFIRM_SECONDS, READS, STATEMENT_SECONDS, WRITES};
+use crate::metric_names::{CONFIRM_SECONDS, READS, STATEMENT_SECONDS, WAIT_SECONDS, WRITES};
 
 /// Handles of a session's metrics; looking one up by its labels costs more than counting.
 #[derive(Debug)]
@@ -17,6 +17,8 @@
     pub(crate) read_seconds: Histogram,
     /// How long writes took.
     pub(crate) write_seconds: Histogram,
+    /// How long statements waited for a slot.
+    pub(crate) slot_wait_seconds: Histogram,
     /// How long acknowledgements took.
     pub(crate) confirm_seconds: Histogram,
 }
@@ -34,6 +36,7 @@
             writes: counter!(WRITES, "service" => service.clone()),
             read_seconds: seconds("read"),
             write_seconds: seconds("write"),
+            slot_wait_seconds: histogram!(WAIT_SECONDS, "service" => service.clone(), "for" => "slot"),
             confirm_seconds: histogram!(CONFIRM_SECONDS, "service" => service.clone()),
         }
     }
--- a/crates/jujubehold_host/tests/control_metrics.rs
+++ b/crates/jujubehold_host/tests/control_metrics.rs
@@ -5,7 +5,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use control::{Installation, RunningHost, wait_until};
+use control::{Installation, RunningHost, SERVICE, wait_until};
 use jujubehold_settings::HostSettings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -46,5 +46,19 @@
     ] {
         assert!(page.contains(name), "{name} is missing from {page}");
     }
+    let client = host.connect().await;
+    client
+        .simple_query("CREATE TABLE casks (id INTEGER)")
+        .await
+        .expect("the primary is there");
+    let page = get(address, "/metrics").await;
+    for waited_for in ["slot", "connection"] {
+        let name =
+            format!("jujubehold_wait_seconds_count{{service=\"{SERVICE}\",for=\"{waited_for}\"}}");
+        let count = page.lines().find_map(|line| line.strip_prefix(&name));
+        let count = count.and_then(|count| count.trim().parse::<u64>().ok());
+        // The questions behind an acknowledgement take connections too.
+        assert!(count >= Some(1), "{name} is {count:?}");
+    }
     assert!(get(address, "/other").await.starts_with("HTTP/1.1 404"));
 }
--- a/crates/jujubehold_host/tests/traffic/main.rs
+++ b/crates/jujubehold_host/tests/traffic/main.rs
@@ -6,6 +6,7 @@
 mod cancel;
 mod extended;
 mod malformed;
+mod overload;
 mod pools;
 mod reads;
 mod session_state;
