Leave a full primary alone that no host has known yet

Cause: a host that knew no primary counted every answer of a replica as a failure of the primary, and a refusal by 53300 as no answer. Two fresh hosts came to a quorum and replaced a primary that lived and had no connection left.

Now, while no primary has been known, answers count as failures only once every instance has given one; a refusal by 53300 is a sign of life, also of a known primary; and so is a replica's log that grows. A host does not vouch for an instance on a refusal, which says nothing of its role.

Ruled out: to wait for the platform's word of a primary. It keeps none.

--- a/crates/jujubehold_core/src/failover.rs
+++ b/crates/jujubehold_core/src/failover.rs
@@ -14,6 +14,7 @@
 mod start;
 mod steps;
 mod suspicion;
+mod unknown_primary;
 
 use std::collections::BTreeMap;
 
@@ -147,6 +148,7 @@
                 sent_at,
                 status,
             } => self.on_probed(now, &instance, sent_at, status, &mut actions),
+            FailoverEvent::Refused { instance, sent_at } => self.on_refused(&instance, sent_at),
             FailoverEvent::SuspicionHeard { host, domain, term } => {
                 self.on_suspicion(now, host, domain, term, &mut actions);
             }
--- a/crates/jujubehold_core/src/failover/probing.rs
+++ b/crates/jujubehold_core/src/failover/probing.rs
@@ -41,13 +41,14 @@
             return;
         };
         self.note_promoted(now, &status, actions);
+        self.note_growth(&status);
         self.observe(now, sent_at, status.clone());
         let is_serving = self.view.primary.as_ref() == Some(instance)
             && status.is_primary_of(self.view.term)
             && !self.is_term_over();
         if is_serving {
             self.on_alive(now, sent_at);
-        } else if is_primary || self.view.primary.is_none() {
+        } else if is_primary || self.is_leaderless(now) {
             // It answers, but no write can be acknowledged: it is fenced, or a majority is, or it
             // came back as a replica.
             self.suspicion.count_failure(sent_at);
@@ -102,7 +103,7 @@
     }
 
     // An attempt that ended after its fences leaves a primary that can acknowledge nothing.
-    fn is_term_over(&self) -> bool {
+    pub(super) fn is_term_over(&self) -> bool {
         let fenced_past = self
             .view
             .samples
--- a/crates/jujubehold_core/src/failover/suspicion.rs
+++ b/crates/jujubehold_core/src/failover/suspicion.rs
@@ -63,8 +63,15 @@
 
     pub(super) fn prove_alive(&mut self, sent_at: Monotonic) {
         if sent_at >= self.last_alive {
-            self.last_alive = sent_at;
             self.proved_alive_at = Some(sent_at);
+            self.note_life(sent_at);
+        }
+    }
+
+    /// Notes a sign of life that says nothing of the instance's role.
+    pub(super) fn note_life(&mut self, sent_at: Monotonic) {
+        if sent_at >= self.last_alive {
+            self.last_alive = sent_at;
             self.failures = 0;
             self.quorum_since = None;
         }
--- a/crates/jujubehold_core/src/failover_event.rs
+++ b/crates/jujubehold_core/src/failover_event.rs
@@ -16,6 +16,14 @@
             /// The answer; `None` when there was none in time.
             status: Option<InstanceStatus>,
         },
+        /// An instance refused a connection because it has as many as it takes: it is alive, but
+        /// says nothing of its role.
+        Refused {
+            /// The instance asked.
+            instance: InstanceId,
+            /// When the question left this host.
+            sent_at: Monotonic,
+        },
         /// Another host can't reach the primary of `term`.
         SuspicionHeard {
             /// The host that says so.
--- a/crates/jujubehold_core/src/replay/failover_lines.rs
+++ b/crates/jujubehold_core/src/replay/failover_lines.rs
@@ -25,6 +25,10 @@
                 status: line.status(instance)?,
             }
         }
+        "refused" => FailoverEvent::Refused {
+            instance: line.word(0, "the instance")?.into(),
+            sent_at: line.duration_or("sent_ms", line.at)?,
+        },
         "suspicion" => FailoverEvent::SuspicionHeard {
             host: line.word(0, "the host")?.into(),
             domain: line.word(1, "the domain")?.into(),
--- a/crates/jujubehold_core/src/replay/record.rs
+++ b/crates/jujubehold_core/src/replay/record.rs
@@ -53,6 +53,10 @@
             milliseconds(*sent_at),
             status_text(status.as_ref())
         ),
+        FailoverEvent::Refused { instance, sent_at } => {
+            let sent_ms = milliseconds(*sent_at);
+            format!("refused {instance} at_ms={at_ms} sent_ms={sent_ms}")
+        }
         FailoverEvent::SuspicionHeard { host, domain, term } => {
             format!("suspicion {host} {domain} at_ms={at_ms} term={term}")
         }
--- a/crates/jujubehold_core/src/replay/runner.rs
+++ b/crates/jujubehold_core/src/replay/runner.rs
@@ -41,8 +41,8 @@
             "group" => self.on_group(line),
             "instance" => self.on_instance(line),
             "watchers" => self.on_watchers(line),
-            "probed" | "suspicion" | "liveness" | "announced" | "recorded" | "fenced"
-            | "caught_up" | "promoted" | "change" | "tick" => self.on_failover(line),
+            "probed" | "refused" | "suspicion" | "liveness" | "announced" | "recorded"
+            | "fenced" | "caught_up" | "promoted" | "change" | "tick" => self.on_failover(line),
             "commit" => self.on_commit(line),
             "confirmed" => self.on_confirmed(line),
             "proved" => self.on_proved(line),
--- a/crates/jujubehold_host/src/control/action_runner.rs
+++ b/crates/jujubehold_host/src/control/action_runner.rs
@@ -13,6 +13,7 @@
 
 use super::control_event::{ControlEvent, ControlSender};
 use super::instance_caller::InstanceCaller;
+use super::instance_reply::InstanceReply;
 use crate::clock::Clock;
 use crate::platform::{GroupRecord, KvClient};
 
@@ -101,12 +102,15 @@
         let timeout = self.settings.probe_timeout;
         self.spawn(config, async move {
             let sent_at = clock.now();
-            let status = caller.ask(STATUS_QUERY, timeout).await;
+            let reply = caller.ask(STATUS_QUERY, timeout).await;
             caller.end_probe();
+            if reply == InstanceReply::Full {
+                return FailoverEvent::Refused { instance, sent_at };
+            }
             FailoverEvent::Probed {
                 instance,
                 sent_at,
-                status,
+                status: reply.status(),
             }
         });
     }
@@ -135,7 +139,7 @@
         let timeout = self.settings.fence_timeout;
         self.spawn(config, async move {
             let sql = format!("SELECT group_fence({term}, {nonce})");
-            let status = caller.ask(&sql, timeout).await;
+            let status = caller.ask(&sql, timeout).await.status();
             FailoverEvent::Fenced {
                 instance,
                 term,
@@ -162,7 +166,7 @@
         let timeout = self.settings.catch_up_timeout;
         self.spawn(config, async move {
             let sql = format!("SELECT group_catch_up('{source}', {position})");
-            let status = caller.ask(&sql, timeout).await;
+            let status = caller.ask(&sql, timeout).await.status();
             FailoverEvent::CaughtUp { instance, status }
         });
     }
@@ -175,7 +179,7 @@
         let instance = instance.clone();
         self.spawn(config, async move {
             let sql = format!("SELECT group_promote({term}, {nonce})");
-            let status = caller.ask(&sql, ROLE_CHANGE_TIMEOUT).await;
+            let status = caller.ask(&sql, ROLE_CHANGE_TIMEOUT).await.status();
             FailoverEvent::Promoted {
                 instance,
                 term,
@@ -201,7 +205,7 @@
         self.spawn(config, async move {
             let sent_at = clock.now();
             let sql = format!("SELECT group_follow({term}, '{leader}')");
-            let status = caller.ask(&sql, ROLE_CHANGE_TIMEOUT).await;
+            let status = caller.ask(&sql, ROLE_CHANGE_TIMEOUT).await.status();
             FailoverEvent::Probed {
                 instance,
                 sent_at,
--- a/crates/jujubehold_host/src/control/group_driver.rs
+++ b/crates/jujubehold_host/src/control/group_driver.rs
@@ -182,6 +182,7 @@
                 self.view.announce(term, &primary);
             }
             FailoverEvent::Probed { status: None, .. }
+            | FailoverEvent::Refused { .. }
             | FailoverEvent::SuspicionHeard { .. }
             | FailoverEvent::LivenessHeard { .. }
             | FailoverEvent::Fenced { .. }
--- a/crates/jujubehold_host/src/control/groups.rs
+++ b/crates/jujubehold_host/src/control/groups.rs
@@ -50,7 +50,8 @@
         let is_news = match &event {
             FailoverEvent::Probed { status, .. } => status.is_some(),
             FailoverEvent::Announced { .. } | FailoverEvent::Promoted { .. } => true,
-            FailoverEvent::SuspicionHeard { .. }
+            FailoverEvent::Refused { .. }
+            | FailoverEvent::SuspicionHeard { .. }
             | FailoverEvent::LivenessHeard { .. }
             | FailoverEvent::Fenced { .. }
             | FailoverEvent::Recorded { .. }
--- a/crates/jujubehold_host/src/control/instance_caller.rs
+++ b/crates/jujubehold_host/src/control/instance_caller.rs
@@ -8,6 +8,7 @@
 use jujubehold_pg::{FrameError, backend, query};
 use pgwire::messages::data::DataRow;
 
+use super::instance_reply::InstanceReply;
 use crate::pool::UpstreamConnection;
 
 /// Asks one instance, over one connection that it keeps while nothing goes wrong.
@@ -48,9 +49,9 @@
         self.is_probing.set(false);
     }
 
-    /// Asks with the text `sql`, any of the group's functions; `None` when there was no answer in
-    /// time. A connection that gave none is closed.
-    pub(crate) async fn ask(&self, sql: &str, timeout: Duration) -> Option<InstanceStatus> {
+    /// Asks with the text `sql`, any of the group's functions. A connection that gave no answer in
+    /// time is closed.
+    pub(crate) async fn ask(&self, sql: &str, timeout: Duration) -> InstanceReply {
         let kept = self.kept.take();
         let answer = tokio::time::timeout(timeout, async {
             let mut connection = match kept {
@@ -60,12 +61,24 @@
             let status = ask_on(&mut connection, sql).await?;
             Ok::<_, FrameError>((connection, status))
         });
-        let (connection, status) = answer.await.ok()?.ok()?;
-        self.kept.replace(Some(connection));
-        status
+        match answer.await {
+            Ok(Ok((connection, status))) => {
+                self.kept.replace(Some(connection));
+                status.map_or(InstanceReply::Nothing, InstanceReply::Status)
+            }
+            Ok(Err(FrameError::Malformed(detail))) if says_too_many_connections(&detail) => {
+                InstanceReply::Full
+            }
+            Ok(Err(_)) | Err(_) => InstanceReply::Nothing,
+        }
     }
 }
 
+/// Whether an error's fields name the SQLSTATE `too_many_connections`.
+fn says_too_many_connections(detail: &str) -> bool {
+    detail.split('\0').any(|field| field == "C53300")
+}
+
 /// Runs one of the group's functions on `connection` and reads the status it answers with.
 async fn ask_on(
     connection: &mut UpstreamConnection,
--- a/crates/jujubehold_host/src/control/mod.rs
+++ b/crates/jujubehold_host/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod groups;
 mod hosts;
 mod instance_caller;
+mod instance_reply;
 mod publishing;
 mod restore_queue;
 mod spreading;
--- a/crates/jujubehold_host/tests/control_failover.rs
+++ b/crates/jujubehold_host/tests/control_failover.rs
@@ -8,12 +8,16 @@
 use control::{Installation, RunningHost, wait_until};
 use jujubehold_core::prelude::*;
 use jujubehold_standin::platform::Outage;
+use tokio_postgres::NoTls;
 
 const INSERT: &str = "INSERT INTO issues (id) VALUES (1)";
 
 /// How long a caller waits for an answer.
 const CALLER_PATIENCE: Duration = Duration::from_secs(1);
 
+/// Past this a host would have replaced a primary that it takes for gone.
+const LONGER_THAN_SUSPICION: Duration = Duration::from_secs(3);
+
 async fn write_until_acknowledged(host: &RunningHost, sql: &str) {
     let writing = async {
         loop {
@@ -108,3 +112,25 @@
     wait_until("another instance is the primary", is_other).await;
     write_until_acknowledged(&host, INSERT).await;
 }
+
+#[actix_rt::test]
+async fn fresh_hosts_leave_a_primary_alone_that_takes_no_more_connections() {
+    let installation = Installation::start().await;
+    let address = installation.instances[0].address();
+    let text = format!("host={} port={} user=clerk", address.ip(), address.port());
+    let mut holders = Vec::new();
+    while let Ok(holder) = tokio_postgres::connect(&text, NoTls).await {
+        holders.push(holder);
+    }
+    let first = RunningHost::start(installation.settings("host-1", "delta")).await;
+    let mut settings = installation.settings("host-2", "gulf");
+    settings.peer_seeds = vec![first.seed()];
+    let second = RunningHost::start(settings).await;
+    tokio::time::sleep(LONGER_THAN_SUSPICION).await;
+    assert_eq!(installation.instances[0].status().fence_term, 0);
+    drop(holders);
+    for host in [&first, &second] {
+        wait_until("the primary is known", || host.primary().is_some()).await;
+        assert_eq!(host.primary(), Some(("a".into(), 1)));
+    }
+}
