Order two texts of one generation, so that all hosts end with the same

Cause: a host that had a text of a generation kept it against any other text of that generation, from a peer or from the platform's service, so hosts that had seen different ones stayed apart until the next change. Exchanges stated only generations and could not even tell.

Now the texts of one generation are ordered by their digest. Exchanges state the digest, the greater one is taken and handed on, and what the platform shows of a lower one is written over. A peer that states no digest is compared by generation.

Ruled out: that the platform's copy wins. A host that is cut off from it can't tell a text of before the loss from one of after it, so peers would hand the old one back, and a second restore would undo the first choice.

Failing first: of_two_texts_of_one_generation_every_host_has_the_same waited 40 s in vain for the platform to show what the hosts had.

--- a/crates/jujubehold_core/src/config_store.rs
+++ b/crates/jujubehold_core/src/config_store.rs
@@ -2,10 +2,12 @@
 //!
 //! See docs/notes/configuration-revisions.md.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
 
+use crate::config_version::ConfigVersion;
 use crate::ids::{Generation, Nonce, ServiceId};
 use crate::service_config::ServiceConfig;
 use crate::value_type;
@@ -30,7 +32,10 @@
             /// The generation in force.
             in_force: Generation,
         },
-        /// Another text of the same generation is in force and stays.
+        /// Another text of the same generation was in force; this one outranks it and is in force
+        /// now.
+        Outranks,
+        /// Another text of the same generation is in force and outranks this one.
         Differs,
     }
 
@@ -60,9 +65,9 @@
     /// What two hosts lack of each other.
     #[derive(Default)]
     pub struct Difference {
-        /// Services of which the other shows a higher generation.
+        /// Services of which the other shows a newer version.
         pub wanted: Vec<ServiceId>,
-        /// Services of which this host has a higher generation.
+        /// Services of which this host has a newer version.
         pub offered: Vec<ServiceId>,
     }
 
@@ -81,56 +86,52 @@
         NotWritten,
     }
 
+    /// A record in force, with its version, which is worked out once.
+    struct InForce {
+        record: ConfigRecord,
+        version: ConfigVersion,
+    }
+
     /// The records in force, by service.
     ///
     /// A record takes its text twice over and some 500 bytes for each instance; 4,200 services of
     /// three instances are about 10 MB.
     #[derive(Default)]
     pub struct ConfigStore {
-        records: BTreeMap<ServiceId, ConfigRecord>,
+        records: BTreeMap<ServiceId, InForce>,
     }
 }
 
 impl ConfigStore {
     /// Takes in a record, from the platform's service or from a peer.
     pub fn offer(&mut self, record: ConfigRecord) -> Offer {
-        let Some(in_force) = self.records.get(&record.config.service) else {
-            self.records.insert(record.config.service.clone(), record);
-            return Offer::Applied;
-        };
-        let generation = in_force.config.generation;
-        if record.config.generation > generation {
-            self.records.insert(record.config.service.clone(), record);
-            Offer::Applied
-        } else if record.config.generation < generation {
-            Offer::Older {
-                in_force: generation,
-            }
-        } else if record.text == in_force.text {
-            Offer::Same
-        } else {
-            Offer::Differs
+        let version = record.version();
+        let known = self.records.get(&record.config.service);
+        let offer = known.map_or(Offer::Applied, |in_force| in_force.judge(&record, version));
+        if matches!(offer, Offer::Applied | Offer::Outranks) {
+            let service = record.config.service.clone();
+            self.records.insert(service, InForce { record, version });
         }
+        offer
     }
 
     /// Takes in what the platform's service shows for a service.
     ///
     /// A generation lower than the one in force, or a lost key, is a service that was restored to
     /// an older state. Two texts of one generation can only stand after such a loss; the one that
-    /// the platform's service shows then counts as much as ours, so ours stays and is written
-    /// back one generation higher by the operators, who see the counter.
+    /// outranks the other stays, here and there, so that nothing that won is ever undone.
     pub fn on_platform(&mut self, service: &ServiceId, shown: PlatformValue) -> PlatformAction {
         let mod_revision = shown.mod_revision;
         if let Some(record) = shown.record {
             match self.offer(record) {
-                Offer::Applied => return PlatformAction::HandOn,
-                Offer::Same | Offer::Differs => return PlatformAction::Nothing,
-                Offer::Older { .. } => {}
+                Offer::Applied | Offer::Outranks => return PlatformAction::HandOn,
+                Offer::Same => return PlatformAction::Nothing,
+                Offer::Older { .. } | Offer::Differs => {}
             }
         }
         match self.records.get(service) {
             Some(in_force) => PlatformAction::Restore {
-                text: in_force.text.clone(),
+                text: in_force.record.text.clone(),
                 mod_revision,
             },
             None => PlatformAction::Nothing,
@@ -139,7 +140,7 @@
 
     /// The record in force for a service.
     pub fn record(&self, service: &str) -> Option<&ConfigRecord> {
-        self.records.get(service)
+        self.records.get(service).map(|in_force| &in_force.record)
     }
 
     /// The configuration in force for a service.
@@ -149,39 +150,68 @@
 
     /// All records in force.
     pub fn records(&self) -> impl Iterator<Item = &ConfigRecord> {
-        self.records.values()
+        self.records.values().map(|in_force| &in_force.record)
     }
 
-    /// The generations in force, which is all that an exchange needs to state.
-    pub fn generations(&self) -> BTreeMap<ServiceId, Generation> {
+    /// The version in force for a service.
+    pub fn version(&self, service: &str) -> ConfigVersion {
+        self.records
+            .get(service)
+            .map(|in_force| in_force.version)
+            .unwrap_or_default()
+    }
+
+    /// The versions in force, which is all that an exchange needs to state.
+    pub fn versions(&self) -> BTreeMap<ServiceId, ConfigVersion> {
         self.records
             .iter()
-            .map(|(service, record)| (service.clone(), record.config.generation))
+            .map(|(service, in_force)| (service.clone(), in_force.version))
             .collect()
     }
 
-    /// Compares with the generations that a peer states.
-    pub fn compare(&self, theirs: &BTreeMap<ServiceId, Generation>) -> Difference {
+    /// Compares with the versions that a peer states.
+    pub fn compare(&self, theirs: &BTreeMap<ServiceId, ConfigVersion>) -> Difference {
         let wanted = theirs
             .iter()
-            .filter(|(service, generation)| self.generation(service) < **generation)
+            .filter(|(service, version)| self.version(service).order(version).is_lt())
             .map(|(service, _)| service.clone())
             .collect();
         let offered = self
             .records
             .iter()
-            .filter(|(service, record)| {
-                theirs.get(*service).copied().unwrap_or(0) < record.config.generation
+            .filter(|(service, in_force)| {
+                let stated = theirs.get(*service).copied().unwrap_or_default();
+                in_force.version.order(&stated).is_gt()
             })
             .map(|(service, _)| service.clone())
             .collect();
         Difference { wanted, offered }
     }
+}
+
+impl ConfigRecord {
+    /// The record's version, by its text.
+    pub fn version(&self) -> ConfigVersion {
+        ConfigVersion::of(self.config.generation, &self.text)
+    }
+}
 
-    fn generation(&self, service: &ServiceId) -> Generation {
-        self.records
-            .get(service)
-            .map_or(0, |record| record.config.generation)
+impl InForce {
+    fn judge(&self, offered: &ConfigRecord, version: ConfigVersion) -> Offer {
+        let in_force = self.version.generation;
+        if version.generation > in_force {
+            return Offer::Applied;
+        }
+        if version.generation < in_force {
+            return Offer::Older { in_force };
+        }
+        // Texts of one digest are told apart by themselves.
+        let by_text = offered.text.cmp(&self.record.text);
+        match version.digest.cmp(&self.version.digest).then(by_text) {
+            Ordering::Greater => Offer::Outranks,
+            Ordering::Equal => Offer::Same,
+            Ordering::Less => Offer::Differs,
+        }
     }
 }
 
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod authority;
 pub mod backoff;
 pub mod config_store;
+pub mod config_version;
 pub mod drain;
 pub mod failover;
 pub mod failover_action;
--- a/crates/jujubehold_core/src/replay/host_lines.rs
+++ b/crates/jujubehold_core/src/replay/host_lines.rs
@@ -15,6 +15,7 @@
             Offer::Applied => "applied".to_owned(),
             Offer::Same => "same".to_owned(),
             Offer::Older { in_force } => format!("older in_force={in_force}"),
+            Offer::Outranks => "outranks".to_owned(),
             Offer::Differs => "differs".to_owned(),
         };
         Ok(vec![text])
--- a/crates/jujubehold_core/tests/config_store.rs
+++ b/crates/jujubehold_core/tests/config_store.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 
 use jujubehold_core::config_store::{
-    ConfigRecord, ConfigStore, SubmitOutcome, mark_submission, submit_outcome,
+    ConfigRecord, ConfigStore, PlatformAction, PlatformValue, SubmitOutcome, mark_submission,
+    submit_outcome,
 };
+use jujubehold_core::config_version::ConfigVersion;
 use jujubehold_core::prelude::*;
 
 fn record(service: &str, generation: Generation) -> ConfigRecord {
@@ -24,10 +26,14 @@
     for (service, generation) in [("casks", 2), ("shares", 5)] {
         store.offer(record(service, generation));
     }
+    let version = |generation| ConfigVersion {
+        generation,
+        ..ConfigVersion::default()
+    };
     let theirs = BTreeMap::from([
-        ("shares".into(), 7),
-        ("orders".into(), 1),
-        ("casks".into(), 2),
+        ("shares".into(), version(7)),
+        ("orders".into(), version(1)),
+        ("casks".into(), version(2)),
     ]);
     let difference = store.compare(&theirs);
     assert_eq!(difference.wanted, ["orders", "shares"]);
@@ -73,3 +79,63 @@
         "the names of earlier ones are bounded"
     );
 }
+
+fn with_text(text: &str) -> ConfigRecord {
+    ConfigRecord {
+        text: text.into(),
+        ..record("shares", 3)
+    }
+}
+
+#[test]
+fn of_two_texts_of_one_generation_the_same_one_wins_wherever_it_comes_first() {
+    for (one, other) in [("one", "other"), ("five", "six"), ("a", "b")] {
+        let mut stores = [ConfigStore::default(), ConfigStore::default()];
+        stores[0].offer(with_text(one));
+        stores[1].offer(with_text(other));
+        let versions = stores[1].versions();
+        let difference = stores[0].compare(&versions);
+        let differing = difference.wanted.len() + difference.offered.len();
+        assert_eq!(differing, 1, "{one} and {other}: one of them is to be sent");
+        stores[0].offer(with_text(other));
+        stores[1].offer(with_text(one));
+        assert_eq!(stores[0], stores[1], "{one} and {other}");
+        let difference = stores[0].compare(&stores[1].versions());
+        assert!(difference.wanted.is_empty() && difference.offered.is_empty());
+    }
+}
+
+#[test]
+fn the_platform_ends_with_the_text_that_wins() {
+    for (ours, theirs) in [("one", "other"), ("other", "one")] {
+        let mut store = ConfigStore::default();
+        store.offer(with_text(ours));
+        let shown = PlatformValue {
+            record: Some(with_text(theirs)),
+            mod_revision: 7,
+        };
+        let action = store.on_platform(&"shares".into(), shown);
+        let in_force = store.record("shares").expect("there is one").text.clone();
+        let expected = if in_force == theirs {
+            PlatformAction::HandOn
+        } else {
+            PlatformAction::Restore {
+                text: in_force,
+                mod_revision: 7,
+            }
+        };
+        assert_eq!(action, expected);
+    }
+}
+
+#[test]
+fn a_peer_that_states_no_digest_is_compared_by_generation() {
+    let mut store = ConfigStore::default();
+    store.offer(with_text("one"));
+    let theirs = ConfigVersion {
+        generation: 3,
+        digest: 0,
+    };
+    let difference = store.compare(&BTreeMap::from([("shares".into(), theirs)]));
+    assert!(difference.wanted.is_empty() && difference.offered.is_empty());
+}
--- a/crates/jujubehold_host/src/control/configuration.rs
+++ b/crates/jujubehold_host/src/control/configuration.rs
@@ -26,7 +26,7 @@
         self.restores.clear();
         let lost: Vec<_> = self
             .store
-            .generations()
+            .versions()
             .into_keys()
             .filter(|service| !services.contains_key(service))
             .collect();
@@ -45,6 +45,9 @@
     /// Takes in what the platform's service shows for one service.
     pub(super) fn on_shown(&mut self, service: &ServiceId, value: PlatformValue) {
         self.restores.drop_service(service);
+        if let Some(record) = &value.record {
+            self.count_conflict(service, record);
+        }
         match self.store.on_platform(service, value) {
             PlatformAction::Nothing => {}
             PlatformAction::HandOn => {
@@ -63,16 +66,23 @@
     /// Takes in a record that a peer has; returns whether it was new.
     pub(super) fn offer(&mut self, record: ConfigRecord) -> bool {
         let service = record.config.service.clone();
+        self.count_conflict(&service, &record);
         match self.store.offer(record) {
-            Offer::Applied => {
+            Offer::Applied | Offer::Outranks => {
                 self.apply(&service);
                 true
             }
-            Offer::Differs => {
-                counter!("jujubehold_configuration_conflicts_total").increment(1);
-                false
-            }
-            Offer::Same | Offer::Older { .. } => false,
+            Offer::Differs | Offer::Same | Offer::Older { .. } => false,
+        }
+    }
+
+    /// Tells of another text of the generation that is in force.
+    fn count_conflict(&self, service: &ServiceId, record: &ConfigRecord) {
+        let (ours, theirs) = (self.store.version(service), record.version());
+        if ours.generation == theirs.generation && ours.digest != theirs.digest {
+            counter!("jujubehold_configuration_conflicts_total").increment(1);
+            warn!(service = service.as_str(), generation = ours.generation;
+                "two texts of one generation");
         }
     }
 
@@ -112,6 +122,7 @@
             service: service.to_string(),
             generation: record.config.generation,
             text: record.text.to_string(),
+            text_digest: self.store.version(service).digest,
         })
     }
 
--- a/crates/jujubehold_host/src/control/exchange.rs
+++ b/crates/jujubehold_host/src/control/exchange.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use jujubehold_core::config_version::ConfigVersion;
 use jujubehold_core::failover_event::FailoverEvent;
 use jujubehold_core::membership::{Member, MembershipEvent};
 use jujubehold_core::prelude::*;
@@ -163,7 +164,7 @@
         let theirs = request
             .services
             .iter()
-            .map(|record| (record.service.as_str().into(), record.generation))
+            .map(|record| (record.service.as_str().into(), version_of(record)))
             .collect();
         self.take_in(&request.hosts, &request.groups, &request.services);
         if is_digest_only {
@@ -227,12 +228,14 @@
         let wanted: BTreeSet<_> = buckets.iter().copied().collect();
         let services = self
             .store
-            .records()
-            .filter(|record| is_in(&wanted, &record.config.service))
-            .map(|record| peer::ServiceRecord {
-                service: record.config.service.to_string(),
-                generation: record.config.generation,
+            .versions()
+            .into_iter()
+            .filter(|(service, _)| is_in(&wanted, service))
+            .map(|(service, version)| peer::ServiceRecord {
+                service: service.to_string(),
+                generation: version.generation,
                 text: String::new(),
+                text_digest: version.digest,
             })
             .collect();
         peer::ExchangeRequest {
@@ -255,7 +258,7 @@
         if !hosts.is_empty() {
             self.on_membership(MembershipEvent::Heard { hosts });
         }
-        // A record without its text states only its generation.
+        // A record without its text states only its version.
         for record in services.iter().filter(|record| !record.text.is_empty()) {
             if self.offer_message(record) {
                 self.hand_on(&record.service.as_str().into());
@@ -269,8 +272,8 @@
     fn digests(&self) -> Digests {
         let mut digests = Digests::default();
         for (service, group) in &self.groups {
-            let generation = group.config().generation;
-            digests.add_service(service, generation, group.view().term);
+            let version = self.store.version(service);
+            digests.add_service(service, version, group.view().term);
         }
         for member in self.membership.members() {
             digests.add_host(member);
@@ -302,6 +305,13 @@
     }
 }
 
+fn version_of(record: &peer::ServiceRecord) -> ConfigVersion {
+    ConfigVersion {
+        generation: record.generation,
+        digest: record.text_digest,
+    }
+}
+
 fn is_in(buckets: &BTreeSet<u32>, name: &str) -> bool {
     u32::try_from(bucket_of(name)).is_ok_and(|bucket| buckets.contains(&bucket))
 }
--- a/crates/jujubehold_host/src/peer/digest.rs
+++ b/crates/jujubehold_host/src/peer/digest.rs
@@ -2,6 +2,7 @@
 //!
 //! See docs/notes/configuration-relay.md.
 
+use jujubehold_core::config_version::ConfigVersion;
 use jujubehold_core::membership::{Member, MemberState};
 use jujubehold_core::ownership::{mix, weight};
 use jujubehold_core::prelude::*;
@@ -24,10 +25,11 @@
 }
 
 impl Digests {
-    /// Adds a service with the generation and the term that are known of it.
-    pub(crate) fn add_service(&mut self, service: &ServiceId, generation: Generation, term: Term) {
+    /// Adds a service with the version and the term that are known of it.
+    pub(crate) fn add_service(&mut self, service: &ServiceId, version: ConfigVersion, term: Term) {
         let bucket = bucket_of(service);
-        self.buckets[bucket] ^= mix(weight("service", service) ^ mix(generation) ^ mix(!term));
+        let word = mix(version.generation) ^ mix(!version.digest).rotate_left(1) ^ mix(!term);
+        self.buckets[bucket] ^= mix(weight("service", service) ^ word);
     }
 
     /// Adds a host; a suspicion alone makes no difference, since it passes.
--- a/crates/jujubehold_host/tests/control_configuration.rs
+++ b/crates/jujubehold_host/tests/control_configuration.rs
@@ -3,7 +3,10 @@
 #[path = "support/control.rs"]
 mod control;
 
+use std::time::Duration;
+
 use control::{Installation, RunningHost, SERVICE, wait_until};
+use jujubehold_core::prelude::*;
 use jujubehold_host::platform::SERVICES_PREFIX;
 use jujubehold_settings::{HostSettings, parse_service};
 use jujubehold_standin::platform::{CallKind, Outage};
@@ -61,7 +64,7 @@
             if parse_service(SERVICE, &text).is_ok_and(|config| config.generation == 2) {
                 return;
             }
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
     };
     let limited = tokio::time::timeout(control::HANG_LIMIT, reading).await;
@@ -80,6 +83,47 @@
     wait_until("it has the second", || host.generation() == 2).await;
 }
 
+/// The read age in force at a host.
+fn read_age(host: &RunningHost) -> Option<Duration> {
+    Some(host.route()?.config.read_age)
+}
+
+#[actix_rt::test]
+async fn of_two_texts_of_one_generation_every_host_has_the_same() {
+    for ages_ms in [(1000, 2000), (2000, 1000)] {
+        let installation = Installation::start().await;
+        let config = |age_ms| ServiceConfig {
+            read_age: Duration::from_millis(age_ms),
+            ..installation.config(2)
+        };
+        installation.submit(&config(ages_ms.0)).await;
+        let first = host(&installation, "host-1", &[]).await;
+        wait_until("the first text is there", || first.generation() == 2).await;
+        // The platform lost the first text, and another operator's was accepted in its place.
+        installation.submit(&config(ages_ms.1)).await;
+        let second = host(&installation, "host-2", &[&first]).await;
+        wait_until("both hosts have the same", || {
+            read_age(&first).is_some() && read_age(&first) == read_age(&second)
+        })
+        .await;
+        let key = format!("{SERVICES_PREFIX}{SERVICE}");
+        let reading = async {
+            loop {
+                let shown = installation.kv().get(&key).await.expect("it answers");
+                let text = shown.map_or_else(Vec::new, |entry| entry.value);
+                let text = String::from_utf8(text).expect("it is text");
+                let shown = parse_service(SERVICE, &text).expect("it was accepted");
+                if Some(shown.read_age) == read_age(&first) {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let limited = tokio::time::timeout(control::HANG_LIMIT, reading).await;
+        limited.expect("the platform shows what the hosts have");
+    }
+}
+
 #[actix_rt::test]
 async fn only_two_hosts_of_a_domain_watch_the_platform() {
     let installation = Installation::start().await;
--- a/crates/jujubehold_lab/src/capacity/configuration_slopes.rs
+++ b/crates/jujubehold_lab/src/capacity/configuration_slopes.rs
@@ -36,9 +36,9 @@
         let growth = resident_bytes()?.saturating_sub(before);
         memory_mb.push(point(size, growth as f64 / 1e6));
         text_kb.push(point(size, bytes as f64 / 1e3));
-        let generations = store.generations();
+        let versions = store.versions();
         let started_at = Instant::now();
-        black_box(store.compare(&generations));
+        black_box(store.compare(&versions));
         compare_ms.push(point(size, millis(started_at.elapsed())));
         // The store stays until the end, so that the next size's growth is its own.
         std::mem::forget(store);
