Rank replicas by when the primary wrote what a read needs

Cause: whether a replica would have what a read needs was reckoned from the time that the data must be complete as of, as if the primary had written something at that very time. A replica that lags by 100 ms was thought to lack what a primary had that wrote nothing for a second, unless its last sample, up to 200 ms old, showed otherwise; such reads went to the primary. A write that the session had just made, and that no mark showed yet, sent the next read to the primary as well.

Now marks keep when the primary was first seen at a position, samples keep an estimate of the lag within the bounds that statuses give, and a write without a mark counts as made when the read came. Without the change two of the new tests fail (the others assert the new estimate).

--- a/crates/jujubehold_core/src/group_view.rs
+++ b/crates/jujubehold_core/src/group_view.rs
@@ -1,6 +1,7 @@
 //! What a host knows of one database group.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::ids::{InstanceId, Monotonic, Position, Term};
 use crate::instance_status::InstanceStatus;
@@ -27,6 +28,8 @@
         pub sent_at: Monotonic,
         /// What the instance answered.
         pub status: InstanceStatus,
+        /// How far the instance is thought to be behind the primary, by this and earlier statuses.
+        pub lag: Duration,
     }
 }
 
@@ -54,12 +57,30 @@
             .get(&status.instance)
             .is_none_or(|sample| sample.sent_at <= sent_at);
         if is_newer {
-            self.samples
-                .insert(status.instance.clone(), Sample { sent_at, status });
+            let sample = Sample {
+                sent_at,
+                lag: self.lag(sent_at, &status),
+                status,
+            };
+            self.samples.insert(sample.status.instance.clone(), sample);
         }
         is_changed
     }
 
+    // A status that shows an instance up to date tells little of its lag when the primary wrote
+    // nothing of late, so the earlier estimate stays as far as the status allows it.
+    fn lag(&self, sent_at: Monotonic, status: &InstanceStatus) -> Duration {
+        let earlier = self
+            .samples
+            .get(&status.instance)
+            .map_or(Duration::ZERO, |sample| sample.lag);
+        let Some(bounds) = self.marks.lag_bounds(self.term, sent_at, status) else {
+            return earlier;
+        };
+        let at_most = bounds.most.map_or(earlier, |most| earlier.min(most));
+        at_most.max(bounds.least)
+    }
+
     // A primary's log only grows within its term. One that shrank came back without it, and what
     // replicas hold of the lost log would falsely confirm its new commits.
     fn has_lost_log(&self, sent_at: Monotonic, status: &InstanceStatus) -> bool {
--- a/crates/jujubehold_core/src/primary_marks.rs
+++ b/crates/jujubehold_core/src/primary_marks.rs
@@ -12,7 +12,7 @@
 /// Questions overtake each other on different connections, so that a position may seem to shrink.
 const ORDER_MARGIN: Duration = Duration::from_secs(1);
 
-/// The most marks kept; a mark takes 32 bytes.
+/// The most marks kept; a mark takes 40 bytes.
 const CAPACITY: usize = 64;
 
 value_type! {
@@ -27,9 +27,20 @@
     }
 
     struct Mark {
+        // When the position was asked for the first time that this was the answer, and the last.
+        first_sent_at: Monotonic,
         sent_at: Monotonic,
         position: Position,
     }
+
+    /// Between which bounds a replica's lag lies, as one status tells.
+    pub struct LagBounds {
+        /// The replica has not applied what the primary had that long before.
+        pub least: Duration,
+        /// The replica has applied what the primary wrote after that long before; `None` when no
+        /// mark tells when it was written.
+        pub most: Option<Duration>,
+    }
 }
 
 impl PrimaryMarks {
@@ -44,8 +55,13 @@
             self.term = term;
             self.marks.clear();
         }
+        let mark = Mark {
+            first_sent_at: sent_at,
+            sent_at,
+            position,
+        };
         let Some(last) = self.marks.back_mut() else {
-            self.marks.push_back(Mark { sent_at, position });
+            self.marks.push_back(mark);
             return;
         };
         if sent_at <= last.sent_at || position < last.position {
@@ -55,7 +71,7 @@
             last.sent_at = sent_at;
             return;
         }
-        self.marks.push_back(Mark { sent_at, position });
+        self.marks.push_back(mark);
         if self.marks.len() > CAPACITY {
             self.thin();
         }
@@ -90,10 +106,42 @@
                 .any(|mark| mark.position > position && mark.sent_at + ORDER_MARGIN <= sent_at)
     }
 
-    /// When the oldest mark was asked for that is at or past `position`.
+    /// When the primary was first seen at or past `position`.
     pub fn reached_by_primary(&self, term: Term, position: Position) -> Option<Monotonic> {
         let mark = self.marks.iter().find(|mark| mark.position >= position)?;
-        (term == self.term).then_some(mark.sent_at)
+        (term == self.term).then_some(mark.first_sent_at)
+    }
+
+    /// The position that makes data surely complete as of `time`, and when the primary was first
+    /// seen there, which may be long before `time` when it writes seldom.
+    pub fn complete_as_of(&self, term: Term, time: Monotonic) -> Option<(Position, Monotonic)> {
+        let mark = self.marks.iter().find(|mark| mark.sent_at >= time)?;
+        (term == self.term).then_some((mark.position, mark.first_sent_at))
+    }
+
+    /// What a status that was asked for at `sent_at` tells of its instance's lag; `None` without a
+    /// mark that the instance has applied.
+    pub fn lag_bounds(
+        &self,
+        term: Term,
+        sent_at: Monotonic,
+        status: &InstanceStatus,
+    ) -> Option<LagBounds> {
+        if term != self.term {
+            return None;
+        }
+        let is_applied = |mark: &Mark| {
+            status.applied >= mark.position && status.history.contains(term, mark.position)
+        };
+        let reached = self.marks.iter().rposition(is_applied)?;
+        let next = self.marks.get(reached + 1);
+        let before = reached.checked_sub(1).map(|index| &self.marks[index]);
+        Some(LagBounds {
+            least: next.map_or(Duration::ZERO, |mark| {
+                sent_at.saturating_sub(mark.first_sent_at)
+            }),
+            most: before.map(|mark| sent_at.saturating_sub(mark.sent_at)),
+        })
     }
 
     // Old marks may stand further apart, so every second one of the older half goes.
--- a/crates/jujubehold_core/src/read_candidates.rs
+++ b/crates/jujubehold_core/src/read_candidates.rs
@@ -83,7 +83,7 @@
 fn chance(
     view: &GroupView,
     need: &ReadNeed,
-    now: Monotonic,
+    ready_by: Monotonic,
     instance: &InstanceId,
 ) -> Option<Chance> {
     if view.primary.as_ref() == Some(instance) {
@@ -97,35 +97,41 @@
         Some(floor) => match floor.check(&sample.status) {
             FloorCheck::Cut => return None,
             FloorCheck::Reached => Chance::Known,
-            FloorCheck::Behind => view
-                .marks
-                .reached_by_primary(view.term, floor.position)
-                .map_or(Chance::Unlikely, |at| {
-                    catch_up_chance(view, sample, now, at)
-                }),
+            FloorCheck::Behind => {
+                // A write that no mark shows yet was acknowledged before the read came.
+                let written_at = view
+                    .marks
+                    .reached_by_primary(view.term, floor.position)
+                    .map_or(need.as_of, |at| at.min(need.as_of));
+                catch_up_chance(view, sample, ready_by, written_at)
+            }
         },
     };
-    let oldest_allowed = need.oldest_allowed();
-    let age_chance = match view.marks.newest_reached(view.term, &sample.status) {
-        Some(reached) if reached >= oldest_allowed => Chance::Known,
-        Some(_) | None => catch_up_chance(view, sample, now, oldest_allowed),
+    Some(floor_chance.max(age_chance(view, need, sample, ready_by)))
+}
+
+fn age_chance(view: &GroupView, need: &ReadNeed, sample: &Sample, ready_by: Monotonic) -> Chance {
+    // Without a mark that is new enough no answer can be shown to be.
+    let Some((position, written_at)) = view.marks.complete_as_of(view.term, need.oldest_allowed())
+    else {
+        return Chance::Unlikely;
     };
-    Some(floor_chance.max(age_chance))
+    if sample.status.applied >= position && sample.status.history.contains(view.term, position) {
+        return Chance::Known;
+    }
+    catch_up_chance(view, sample, ready_by, written_at)
 }
 
-// Whether the instance, if it lags as much as when it was sampled, has by `now` what the primary
-// had at `position_at`.
+// Whether an instance that lags as much as is thought has by `ready_by` what the primary wrote at
+// `written_at`.
 fn catch_up_chance(
     view: &GroupView,
     sample: &Sample,
-    now: Monotonic,
-    position_at: Monotonic,
+    ready_by: Monotonic,
+    written_at: Monotonic,
 ) -> Chance {
-    let Some(reached_at) = view.marks.newest_reached(view.term, &sample.status) else {
-        return Chance::Unlikely;
-    };
-    let lag = sample.sent_at.saturating_sub(reached_at);
-    if now.saturating_sub(lag) >= position_at && position_at < now {
+    let follows = sample.status.term == view.term;
+    if follows && written_at + sample.lag <= ready_by {
         Chance::Likely
     } else {
         Chance::Unlikely
--- a/crates/jujubehold_core/tests/read_policy.rs
+++ b/crates/jujubehold_core/tests/read_policy.rs
@@ -172,3 +172,69 @@
     let judged = judge(&aged(5010, 20), &view, 5010, &outdated);
     assert_eq!(judged, ReadJudgement::Retry);
 }
+
+/// The primary `a` wrote its last, position 120, between 1,000 ms and 1,010 ms; `b`, which lags by
+/// 100 ms, was last asked shortly before it had that.
+fn view_of_a_quiet_primary() -> GroupView {
+    let mut view = GroupView::default();
+    view.observe(ms(900), status("a", "primary", 1, 100, "1:0"));
+    view.observe(ms(1000), status("a", "primary", 1, 110, "1:0"));
+    view.observe(ms(1010), status("a", "primary", 1, 120, "1:0"));
+    view.observe(ms(1100), status("b", "replica", 1, 110, "1:0"));
+    view.observe(ms(1300), status("a", "primary", 1, 120, "1:0"));
+    view
+}
+
+fn first_candidate(need: &ReadNeed, view: &GroupView, patience_ms: u64) -> InstanceId {
+    let origin = ReadOrigin {
+        domain: "delta".into(),
+        region: "south".into(),
+        now: need.as_of,
+        patience: ms(patience_ms),
+        spread: 3,
+    };
+    let mut config = config();
+    config.instances.remove("c");
+    read_candidates(&config, view, need, &origin).remove(0)
+}
+
+#[test]
+fn a_replica_has_what_a_quiet_primary_wrote_long_ago() {
+    let view = view_of_a_quiet_primary();
+    assert_eq!(view.samples["b"].lag, ms(90));
+    assert_eq!(first_candidate(&aged(1300, 0), &view, 0), "b");
+}
+
+#[test]
+fn a_replica_that_is_known_to_lag_is_not_asked_for_what_was_just_written() {
+    let mut view = view_of_a_quiet_primary();
+    // That it is up to date now does not say that it lags less than it did.
+    view.observe(ms(1310), status("b", "replica", 1, 120, "1:0"));
+    assert_eq!(view.samples["b"].lag, ms(90));
+    view.observe(ms(1320), status("a", "primary", 1, 130, "1:0"));
+    assert_eq!(first_candidate(&aged(1320, 0), &view, 8), "a");
+    assert_eq!(first_candidate(&aged(1320, 0), &view, 90), "b");
+}
+
+#[test]
+fn a_replica_that_has_a_write_soon_after_it_is_thought_to_lag_less() {
+    let mut view = view_of_a_quiet_primary();
+    view.observe(ms(1320), status("a", "primary", 1, 130, "1:0"));
+    view.observe(ms(1325), status("b", "replica", 1, 130, "1:0"));
+    // The write came after the primary was asked at 1,300 ms.
+    assert_eq!(view.samples["b"].lag, ms(25));
+}
+
+#[test]
+fn a_session_s_write_that_no_mark_shows_yet_is_as_old_as_the_read_at_least() {
+    let mut view = view_of_a_quiet_primary();
+    view.observe(ms(1310), status("b", "replica", 1, 120, "1:0"));
+    let mut need = aged(1320, 1000);
+    need.floor = Some(Floor {
+        service: "shares".into(),
+        term: 1,
+        position: 130,
+    });
+    assert_eq!(first_candidate(&need, &view, 8), "a");
+    assert_eq!(first_candidate(&need, &view, 90), "b");
+}
