Decide in the core which instance a read is tried at next

The order of tries, the pauses before a replica that is about to catch up and the part that the retry budget plays stood in the host among its I/O, and found out twice whether an instance is the primary. `read_attempts` decides them without I/O, beside `read_candidates`.

One reason changes: a read whose budget is spent after the primary was tried is refused as retry_budget_spent, no longer as no_fresh_replica. Both say that it did not run.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ownership;
 pub mod prelude;
 pub mod primary_marks;
+pub mod read_attempts;
 pub mod read_candidates;
 pub mod read_policy;
 pub mod refusal_reason;
--- a/crates/jujubehold_host/src/traffic/read_path.rs
+++ b/crates/jujubehold_host/src/traffic/read_path.rs
@@ -6,6 +6,7 @@
 use bytes::BytesMut;
 use jujubehold_core::group_view::Sample;
 use jujubehold_core::prelude::*;
+use jujubehold_core::read_attempts::{ReadAttempts, ReadStep};
 use jujubehold_core::read_candidates::{ReadOrigin, read_candidates};
 use jujubehold_core::read_policy::{ReadJudgement, ReadNeed};
 use jujubehold_core::route::route_write;
@@ -30,12 +31,6 @@
 const SAMPLE_AGE: std::time::Duration = std::time::Duration::from_millis(20);
 /// How long a replica may be waited for before the primary serves a read.
 const REPLICA_PATIENCE: std::time::Duration = std::time::Duration::from_millis(8);
-/// The pauses between tries at replicas that lag by less than that, for one read in all.
-const REPLICA_PAUSES: [std::time::Duration; 3] = [
-    std::time::Duration::from_millis(1),
-    std::time::Duration::from_millis(2),
-    std::time::Duration::from_millis(4),
-];
 /// The most bytes of a dropped answer that are read to keep the connection.
 const DRAIN_BYTES: usize = 256 * 1024;
 /// How long reading a dropped answer may take.
@@ -113,41 +108,28 @@
         need: &ReadNeed,
         candidates: Vec<InstanceId>,
     ) -> Result<(), UnitError> {
-        let mut last_reason = None;
-        let mut pauses = REPLICA_PAUSES.into_iter();
-        let mut is_before_primary = true;
-        for instance in candidates {
-            is_before_primary &= route.view.primary.as_ref() != Some(&instance);
-            if let Some(reason) = last_reason
-                && !self.shared.retries.try_retry(&self.service, reason)
-            {
-                let is_primary = route.view.primary.as_ref() == Some(&instance);
-                // The primary is never behind, so going on to it can't grow into a storm.
-                if reason != RetryReason::ReplicaBehind {
-                    return Err(RefusalReason::RetryBudgetSpent.into());
+        let mut attempts = ReadAttempts::new(candidates, route.view.primary.clone());
+        let mut step = attempts.first();
+        loop {
+            let instance = match step {
+                ReadStep::Try(instance) => instance,
+                ReadStep::TryAgain(instance, pause) => {
+                    RetryBudgets::count(&self.service, RetryReason::ReplicaBehind);
+                    actix_rt::time::sleep(pause).await;
+                    instance
                 }
-                if !is_primary {
-                    continue;
-                }
-            }
+                ReadStep::Refuse(reason) => return Err(reason.into()),
+            };
             let view = fresh_view.as_ref();
-            let mut tried = self.try_read(unit, route, view, need, &instance).await?;
-            // The replica ranks before the primary because it will soon have what the read needs.
-            while is_before_primary
-                && matches!(tried, Tried::Next(RetryReason::ReplicaBehind))
-                && let Some(pause) = pauses.next()
-            {
-                RetryBudgets::count(&self.service, RetryReason::ReplicaBehind);
-                actix_rt::time::sleep(pause).await;
-                tried = self.try_read(unit, route, view, need, &instance).await?;
-            }
-            match tried {
+            match self.try_read(unit, route, view, need, &instance).await? {
                 Tried::Served => return Ok(()),
-                Tried::Next(reason) => last_reason = Some(reason),
                 Tried::IsWrite => return self.run_write(unit, route).await,
+                Tried::Next(reason) => {
+                    let take_retry = || self.shared.retries.try_retry(&self.service, reason);
+                    step = attempts.next(reason, take_retry);
+                }
             }
         }
-        Err(no_candidate(last_reason).into())
     }
 
     async fn try_read(
@@ -350,16 +332,3 @@
     }
     false
 }
-
-fn no_candidate(last_reason: Option<RetryReason>) -> RefusalReason {
-    match last_reason {
-        Some(RetryReason::ReplicaBehind) | None => RefusalReason::NoFreshReplica,
-        Some(RetryReason::OwnerMoved) => RefusalReason::OwnerUnreachable,
-        Some(
-            RetryReason::BrokenBeforeSend
-            | RetryReason::BrokenDuringRead
-            | RetryReason::NotPrimary
-            | RetryReason::ConnectRefused,
-        ) => RefusalReason::UpstreamUnreachable,
-    }
-}
