Ask for the primary's position aside while reads come

Cause: a replica's data counts as old as the newest mark that it has reached. With marks only from probes (200 ms apart) and from what traffic on the primary brings, data of a replica that lags by 500 ms seemed older than the accepted 200 or 1,000 ms by up to a mark's distance.

Now a read that finds the newest mark older than a tenth of the accepted age has the primary asked aside, once for all sessions of the host and at most every 20 ms. It waits for nothing.

Questions to the primary grow by at most 50 a second for a host and service, and at most by one for each read.

--- a/crates/jujubehold_core/src/read_policy.rs
+++ b/crates/jujubehold_core/src/read_policy.rs
@@ -13,6 +13,11 @@
 use crate::session_floor::FloorKnowledge;
 use crate::value_type;
 
+/// How many marks of the primary's position reads want within the age that they accept.
+const MARKS_PER_AGE: u32 = 10;
+/// The least time between two marks that are asked for because of reads.
+const MIN_MARK_SPACING: Duration = Duration::from_millis(20);
+
 value_type! {
     /// What a read needs of the data that answers it.
     pub struct ReadNeed {
@@ -75,6 +80,22 @@
             .is_none_or(|newest| newest < self.oldest_allowed())
     }
 
+    /// How far apart the marks may stand.
+    ///
+    /// A replica's data counts as old as the newest mark that it has reached, so its age seems
+    /// greater than it is by up to this. A tenth of the accepted age costs few of the reads that a
+    /// replica could serve, and ten questions in that time.
+    pub fn mark_spacing(&self) -> Duration {
+        (self.age / MARKS_PER_AGE).max(MIN_MARK_SPACING)
+    }
+
+    /// Whether the primary's position should be asked for again for the reads to come.
+    pub fn wants_newer_mark(&self, view: &GroupView) -> bool {
+        view.marks
+            .newest(view.term)
+            .is_none_or(|newest| newest + self.mark_spacing() <= self.as_of)
+    }
+
     /// Judges an answer by the status that was asked for at `sent_at`, before the read, on the
     /// same connection.
     pub fn judge(
--- a/crates/jujubehold_core/tests/read_policy.rs
+++ b/crates/jujubehold_core/tests/read_policy.rs
@@ -238,3 +238,12 @@
     assert_eq!(first_candidate(&need, &view, 8), "a");
     assert_eq!(first_candidate(&need, &view, 90), "b");
 }
+
+#[test]
+fn marks_are_wanted_at_a_tenth_of_the_accepted_age() {
+    assert!(!aged(2099, 1000).wants_newer_mark(&view()));
+    assert!(aged(2100, 1000).wants_newer_mark(&view()));
+    assert!(!aged(2019, 100).wants_newer_mark(&view()));
+    assert!(aged(2020, 100).wants_newer_mark(&view()));
+    assert!(aged(0, 1000).wants_newer_mark(&GroupView::default()));
+}
--- a/crates/jujubehold_host/src/traffic/confirm_desk.rs
+++ b/crates/jujubehold_host/src/traffic/confirm_desk.rs
@@ -32,6 +32,7 @@
 #[derive(Debug, Default)]
 pub struct ConfirmDesk {
     queues: Mutex<BTreeMap<(ServiceId, InstanceId), mpsc::UnboundedSender<Question>>>,
+    refreshed: Mutex<BTreeMap<ServiceId, Monotonic>>,
 }
 
 #[derive(Debug)]
@@ -83,6 +84,57 @@
     receiver
 }
 
+/// Asks `primary` for its position aside and tells the control thread, unless that was done within
+/// `spacing`.
+pub(crate) fn refresh(
+    shared: &Arc<Shared>,
+    service: &ServiceId,
+    primary: &InstanceId,
+    term: Term,
+    spacing: Duration,
+) {
+    let now = shared.clock.now();
+    if !shared.confirms.is_refresh_due(service, now, spacing) {
+        return;
+    }
+    let answer = ask(shared, service, primary, term, 0);
+    let (shared, service) = (shared.clone(), service.clone());
+    actix_rt::spawn(async move {
+        if let Ok(ReplicaAnswer { asked_at, status }) = answer.await {
+            report(&shared, &service, asked_at, &status);
+        }
+    });
+}
+
+impl ConfirmDesk {
+    fn is_refresh_due(&self, service: &ServiceId, now: Monotonic, spacing: Duration) -> bool {
+        let mut refreshed = self
+            .refreshed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        match refreshed.get_mut(service) {
+            Some(at) if now.saturating_sub(*at) < spacing => false,
+            Some(at) => {
+                *at = now;
+                true
+            }
+            None => {
+                refreshed.insert(service.clone(), now);
+                true
+            }
+        }
+    }
+}
+
+fn report(shared: &Shared, service: &ServiceId, asked_at: Monotonic, status: &InstanceStatus) {
+    // The control thread ends only with the host.
+    let _ = shared.observations.send(Observation::Status {
+        service: service.clone(),
+        sent_at: asked_at,
+        status: status.clone(),
+    });
+}
+
 async fn answer_questions(
     shared: Arc<Shared>,
     service: ServiceId,
@@ -165,12 +217,7 @@
     lane.send(query(&sql).bytes()).await.ok()?;
     let status = read_status(&mut lane).await.ok()??;
     if status.fence_term > term || status.term > term || is_news(shared, service, instance) {
-        // The control thread ends only with the host.
-        let _ = shared.observations.send(Observation::Status {
-            service: service.clone(),
-            sent_at: asked_at,
-            status: status.clone(),
-        });
+        report(shared, service, asked_at, &status);
     }
     Some((lane, ReplicaAnswer { asked_at, status }))
 }
--- a/crates/jujubehold_host/src/traffic/read_path.rs
+++ b/crates/jujubehold_host/src/traffic/read_path.rs
@@ -64,6 +64,9 @@
             spread: rand::random(),
         };
         let fresh_view = self.fresh_view(route, &need).await;
+        if fresh_view.is_none() && need.wants_newer_mark(&route.view) {
+            self.refresh_mark(route, &need);
+        }
         let view = fresh_view.as_ref().unwrap_or(&route.view);
         let candidates = read_candidates(&route.config, view, &need, &origin);
         self.try_candidates(unit, route, fresh_view, &need, candidates)
@@ -88,6 +91,21 @@
         Some(view)
     }
 
+    /// Has the primary's position asked for aside, so that later reads know more closely how old
+    /// the replicas' data is.
+    fn refresh_mark(&self, route: &ServiceRoute, need: &ReadNeed) {
+        if let Some(primary) = &route.view.primary {
+            let spacing = need.mark_spacing();
+            confirm_desk::refresh(
+                &self.shared,
+                &self.service,
+                primary,
+                route.view.term,
+                spacing,
+            );
+        }
+    }
+
     /// Opens a transaction on the primary.
     pub(crate) async fn run_begin(
         &mut self,
