--- a/crates/jujubehold_host/src/control/control_loop.rs
+++ b/crates/jujubehold_host/src/control/control_loop.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use jujubehold_core::config_store::ConfigStore;
-use jujubehold_core::failover::FailoverSettings;
+use jujubehold_core::failover::{ChangeSettings, FailoverSettings};
 use jujubehold_core::membership::{
     Member, MemberState, Membership, MembershipEvent, MembershipSettings,
 };
 use jujubehold_core::ownership::DomainHosts;
 use jujubehold_core::prelude::*;
+use jujubehold_core::relay_tree::RelayMemory;
 use jujubehold_settings::{HostSettings, PeerSeed};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -74,6 +75,7 @@
     pub(super) kv: KvClient,
     pub(super) platform_watch: Option<JoinHandle<()>>,
     pub(super) restores: RestoreQueue,
+    pub(super) relay_memory: RelayMemory,
     pub(super) events_sender: ControlSender,
     pub(super) routes: BTreeMap<ServiceId, Arc<ServiceRoute>>,
     pub(super) dirty: BTreeSet<ServiceId>,
@@ -116,6 +118,10 @@
             probe_interval: settings.probe_interval,
             probe_timeout: settings.probe_timeout,
             authority: settings.authority.clone(),
+            change: ChangeSettings {
+                leaving_grace: settings.leaving_grace,
+                ..ChangeSettings::default()
+            },
             ..FailoverSettings::default()
         };
         let kv = KvClient::with_addresses(&settings.platform_addresses, PLATFORM_CALL_TIMEOUT);
@@ -156,6 +162,7 @@
             kv,
             platform_watch: None,
             restores: RestoreQueue::default(),
+            relay_memory: RelayMemory::default(),
             events_sender: parts.events_sender,
             routes: BTreeMap::new(),
             dirty: BTreeSet::new(),
--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jujubehold_core::admission::RequestClass;
+use jujubehold_core::admission::SlotTarget;
 use jujubehold_core::prelude::*;
+use jujubehold_core::request_name::RequestName;
 use jujubehold_core::session_floor::FloorKnowledge;
 use jujubehold_pg::{Classifier, ExtendedMessage, Frame, FrameError, frontend};
 use metrics::gauge;
@@ -42,6 +43,8 @@
     pub(crate) floor: FloorKnowledge,
     pub(crate) carried: CarriedSettings,
     pub(crate) pinned: Option<Pinned>,
+    /// The name of the next write.
+    pub(crate) request: Option<RequestName>,
     pub(crate) metrics: SessionMetrics,
     phase: watch::Receiver<DrainPhase>,
     pub(crate) statements: BTreeMap<SmolStr, Rc<Prepared>>,
@@ -78,6 +81,7 @@
             floor,
             carried: startup.carried,
             pinned: None,
+            request: startup.request,
             metrics,
             phase,
             statements: BTreeMap::new(),
@@ -164,21 +168,18 @@
             return self.run_pinned(pinned, unit, &route).await;
         }
         self.shared.retries.count_request(&self.service);
-        let class = match unit.class {
-            StatementClass::Read | StatementClass::BeginReadOnly => RequestClass::Lookup,
-            _ => RequestClass::Write,
+        let target = if unit.ends_with_flush {
+            SlotTarget::Primary
+        } else {
+            SlotTarget::of(unit.class)
         };
         let slot = self
             .shared
             .admission
-            .admit(
-                self.shared.clock,
-                &route.config,
-                &self.user,
-                class,
-                unit.deadline,
-            )
+            .admit(self.shared.clock, &route, target, &self.user, unit.deadline)
             .await?;
+        let waited = self.shared.clock.now().saturating_sub(unit.arrived_at);
+        self.metrics.slot_wait_seconds.record(waited.as_secs_f64());
         let limit = unit.deadline.saturating_sub(self.shared.clock.now());
         let result = tokio::time::timeout(limit, self.run_routed(unit, &route)).await;
         drop(slot);
@@ -186,6 +187,9 @@
     }
 
     async fn run_routed(&mut self, unit: &Unit, route: &ServiceRoute) -> Result<(), UnitError> {
+        if self.is_named(unit) {
+            return self.run_write(unit, route).await;
+        }
         if unit.ends_with_flush {
             return self.run_begin(unit, route).await;
         }
