Probe a quiet group often from one watcher only

Cause: each of a group's six watchers probed the primary five times and the two others once a second, and looked at the group every 50 ms besides, whether anything happened or not.

Now, while no traffic of the host uses the group, all instances are in place and nobody doubts the primary, the first watcher probes the primary every 200 ms, the others every 3 s, and all sample the other instances every 10 s. A watcher that finds the primary late or a probe failed tells the others of its doubt; it has them probe at once and counts for no quorum. A watcher suspects by its own probes alone and at the soonest 500 ms after it began to look closely. With traffic a watcher probes as before.

Found on the way: a question that fell due while another was under way was put off by a whole interval more, so that a frozen primary was asked every 400 ms. It is asked again at once now.

Ruled out: proofs of life from one watcher to the others (as many bytes as the probes spared, and a watcher would have to believe another one); two watchers that probe often (five probes/s more).

Doubts are left out of traces as probes are, since they only bring probes.

--- a/crates/jujubehold/src/commands/experiment.rs
+++ b/crates/jujubehold/src/commands/experiment.rs
@@ -4,7 +4,7 @@
 
 use getopts::{Matches, Options};
 use jujubehold_lab::LabError;
-use jujubehold_lab::capacity::run_capacity;
+use jujubehold_lab::capacity::{CapacityPart, run_capacity};
 use jujubehold_lab::experiment::{
     FailoverGapSettings, GapKind, OverloadSettings, ReplicaReadsSettings, run_failover_gap,
     run_overload, run_replica_reads,
@@ -17,7 +17,7 @@
 use crate::options::{CommandHelp, Parsed};
 
 const HELP: CommandHelp = CommandHelp {
-    usage: "experiment NAME [--out DIRECTORY] [--runs N] [--kinds KINDS]",
+    usage: "experiment NAME [--out DIRECTORY] [--runs N] [--kinds KINDS] [--parts PARTS]",
     about: "Runs an experiment on loopback, prints its table in Markdown and writes its plots. \
             NAME is one of\n    failover-gap   how long writes are impossible after a primary is \
             lost\n    replica-reads  the share of reads that replicas serve\n    overload       \
@@ -60,6 +60,12 @@
         "kinds of loss of failover-gap, with commas between them (crash,freeze,crash-in-outage,ordered)",
         "KINDS",
     );
+    options.optopt(
+        "p",
+        "parts",
+        "parts of capacity, with commas between them (configuration,ownership,hosts,domains,services,callers,changes)",
+        "PARTS",
+    );
     let matches = match HELP.parse(options, arguments)? {
         Parsed::Help(text) => return Ok(text),
         Parsed::Run(matches) => matches,
@@ -71,7 +77,8 @@
         .ok_or_else(|| HELP.usage_error(&format!("there is no experiment {name:?}")))?;
     let out = PathBuf::from(matches.opt_str("out").unwrap_or_else(|| ".".into()));
     let gap = gap_settings(&matches)?;
-    let table = actix_rt::System::new().block_on(measure(experiment, &gap, &out))?;
+    let parts = capacity_parts(&matches)?;
+    let table = actix_rt::System::new().block_on(measure(experiment, &gap, &parts, &out))?;
     Ok(table.to_string())
 }
 
@@ -88,6 +95,20 @@
     })
 }
 
+fn capacity_parts(matches: &Matches) -> Result<Vec<CapacityPart>, CliError> {
+    let Some(names) = matches.opt_str("parts") else {
+        return Ok(CapacityPart::ALL.to_vec());
+    };
+    names.split(',').map(capacity_part).collect()
+}
+
+fn capacity_part(name: &str) -> Result<CapacityPart, CliError> {
+    CapacityPart::ALL
+        .into_iter()
+        .find(|part| part.as_str() == name.trim())
+        .ok_or_else(|| HELP.usage_error(&format!("there is no part {name:?}")))
+}
+
 fn gap_kind(name: &str) -> Result<GapKind, CliError> {
     GapKind::ALL
         .into_iter()
@@ -98,6 +119,7 @@
 async fn measure(
     experiment: Experiment,
     gap: &FailoverGapSettings,
+    parts: &[CapacityPart],
     out: &Path,
 ) -> Result<Table, LabError> {
     match experiment {
@@ -105,6 +127,6 @@
         Experiment::ReplicaReads => run_replica_reads(&ReplicaReadsSettings::default(), out).await,
         Experiment::Overload => run_overload(&OverloadSettings::default(), out).await,
         Experiment::Benchmark => run_benchmark(&BenchmarkSettings::default()).await,
-        Experiment::Capacity => run_capacity(out).await,
+        Experiment::Capacity => run_capacity(parts, out).await,
     }
 }
--- a/crates/jujubehold_core/src/failover.rs
+++ b/crates/jujubehold_core/src/failover.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod attempt;
 mod change;
+mod closeness;
 mod phases;
 mod probing;
 mod settings;
@@ -58,6 +59,11 @@
     last_event_at: Option<Monotonic>,
     suspicion_shared_at: Option<Monotonic>,
     liveness_shared_at: Option<Monotonic>,
+    doubt_shared_at: Option<Monotonic>,
+    // Since when this host has probed the primary often; see `closeness`.
+    close_since: Option<Monotonic>,
+    alerted_at: Option<Monotonic>,
+    traffic_at: Option<Monotonic>,
     announced_at: Option<Monotonic>,
     phases: Option<Phases>,
     promoted_at: Option<Monotonic>,
@@ -92,6 +98,10 @@
             last_event_at: None,
             suspicion_shared_at: None,
             liveness_shared_at: None,
+            doubt_shared_at: None,
+            close_since: None,
+            alerted_at: None,
+            traffic_at: None,
             announced_at: None,
             phases: None,
             promoted_at: None,
@@ -133,13 +143,14 @@
 
     /// Whether this host suspects the primary at `now`.
     pub fn is_suspecting(&self, now: Monotonic) -> bool {
-        self.suspicion.is_suspected(&self.settings, now)
+        self.suspects(now)
     }
 
     /// Takes in an event and says what to do.
     pub fn on_event(&mut self, now: Monotonic, event: FailoverEvent) -> Vec<FailoverAction> {
         let mut actions = Vec::new();
         self.notice_own_pause(now);
+        self.update_closeness(now);
         match event {
             FailoverEvent::Probed {
                 instance,
@@ -152,6 +163,11 @@
             FailoverEvent::LivenessHeard { host, domain, term } => {
                 self.suspicion.hear_liveness(now, host, domain, term);
             }
+            FailoverEvent::DoubtHeard { term } => {
+                if term == self.view.term {
+                    self.alert(now);
+                }
+            }
             FailoverEvent::Announced { term, primary } => {
                 self.highest_term = self.highest_term.max(term);
                 let had_primary = self.view.primary.is_some();
@@ -185,6 +201,7 @@
             FailoverEvent::ChangeOrdered { instance } => self.wish.order(now, instance),
             FailoverEvent::Tick => {}
         }
+        self.update_closeness(now);
         self.advance(now, &mut actions);
         actions
     }
@@ -198,6 +215,8 @@
         if was_paused {
             self.suspicion.reset(now);
             self.attempt = None;
+            self.alerted_at = None;
+            self.close_since = None;
         }
         self.last_event_at = Some(now);
     }
@@ -212,6 +231,9 @@
     ) {
         self.highest_term = self.highest_term.max(term);
         self.suspicion.hear_suspicion(now, host, domain, term);
+        if term == self.view.term {
+            self.alert(now);
+        }
         if term < self.view.term {
             self.announce_again(now, actions);
             return;
@@ -267,6 +289,7 @@
     fn on_new_primary(&mut self, now: Monotonic, had_primary: bool) {
         self.highest_term = self.highest_term.max(self.view.term);
         self.suspicion.reset(now);
+        self.alerted_at = None;
         self.failed_attempts = 0;
         self.hold_until = now;
         if had_primary {
--- a/crates/jujubehold_core/src/failover/change.rs
+++ b/crates/jujubehold_core/src/failover/change.rs
@@ -35,6 +35,11 @@
         self.changed_at = Some(now);
     }
 
+    /// Whether a change is wanted or may soon be.
+    pub(super) fn is_pending(&self) -> bool {
+        self.order.is_some() || self.configured.is_some() || self.stranded_since.is_some()
+    }
+
     fn has_settled(&self, now: Monotonic, min_interval: Duration, settle: Duration) -> bool {
         let is_rested = self
             .changed_at
@@ -133,7 +138,7 @@
             .cloned()
     }
 
-    fn is_active(&self, instance: &InstanceId) -> bool {
+    pub(super) fn is_active(&self, instance: &InstanceId) -> bool {
         self.config
             .instances
             .get(instance)
--- a/crates/jujubehold_core/src/failover/probing.rs
+++ b/crates/jujubehold_core/src/failover/probing.rs
@@ -20,8 +20,12 @@
             .min();
         let attempt_due = self.attempt_due();
         // A suspicion ripens between probes.
-        let ripens = now + self.settings.probe_interval / 4;
-        let due = [probe_due, attempt_due, Some(ripens)];
+        let ripens = if self.is_restless(now) {
+            now + self.settings.probe_interval / 4
+        } else {
+            now + self.settings.suspect_after / 2
+        };
+        let due = [probe_due, attempt_due, self.doubt_due(), Some(ripens)];
         due.into_iter().flatten().min().unwrap_or(ripens).max(now)
     }
 
@@ -35,8 +39,10 @@
     ) {
         let is_primary = self.view.primary.as_ref() == Some(instance);
         let Some(status) = status else {
+            // While a question is under way no other is sent, so what was due meanwhile is due now.
+            self.probed_at.insert(instance.clone(), sent_at);
             if is_primary || self.view.primary.is_none() {
-                self.suspicion.count_failure(sent_at);
+                self.count_failure(now, sent_at);
             }
             return;
         };
@@ -50,13 +56,19 @@
         } else if is_primary || self.view.primary.is_none() {
             // It answers, but no write can be acknowledged: it is fenced, or a majority is, or it
             // came back as a replica.
-            self.suspicion.count_failure(sent_at);
+            self.count_failure(now, sent_at);
         }
         self.follow(now, &status, actions);
     }
 
+    fn count_failure(&mut self, now: Monotonic, sent_at: Monotonic) {
+        self.suspicion.count_failure(sent_at);
+        self.alert(now);
+    }
+
     fn on_alive(&mut self, now: Monotonic, sent_at: Monotonic) {
         self.suspicion.prove_alive(sent_at);
+        self.calm(sent_at);
         if let (Some(promoted_at), Some(phases)) = (self.promoted_at.take(), &mut self.phases) {
             phases.announce = now.saturating_sub(promoted_at);
         }
@@ -78,27 +90,24 @@
     }
 
     fn probe_due(&self, now: Monotonic, instance: &InstanceId) -> Monotonic {
-        let is_primary = self.view.primary.as_ref() == Some(instance);
-        let is_urgent = is_primary
-            || self.view.primary.is_none()
-            || self.attempt.is_some()
-            || self.has_doubt(now);
-        let interval = if is_urgent {
-            self.settings.probe_interval
+        let settings = &self.settings;
+        let is_primary =
+            self.view.primary.is_none() || self.view.primary.as_ref() == Some(instance);
+        let interval = if self.attempt.is_some() || self.has_doubt(now) {
+            settings.probe_interval
+        } else if is_primary {
+            self.close_since
+                .map_or(settings.far_probe_interval, |_| settings.probe_interval)
+        } else if self.is_quiet(now) {
+            settings.quiet_sample_interval
         } else {
-            self.settings.sample_interval
+            settings.sample_interval
         };
         let sampled_at = self.view.samples.get(instance).map(|sample| sample.sent_at);
         let last = self.probed_at.get(instance).copied().max(sampled_at);
         last.map_or(now, |at| at + interval)
     }
 
-    // The others are sampled closely as soon as the primary is late, so that their answers are
-    // there when they are needed.
-    fn has_doubt(&self, now: Monotonic) -> bool {
-        now.saturating_sub(self.suspicion.last_alive()) >= self.settings.suspect_after / 2
-    }
-
     // An attempt that ended after its fences leaves a primary that can acknowledge nothing.
     fn is_term_over(&self) -> bool {
         let fenced_past = self
--- a/crates/jujubehold_core/src/failover/settings.rs
+++ b/crates/jujubehold_core/src/failover/settings.rs
@@ -15,6 +15,12 @@
         pub probe_timeout: Duration,
         /// How often the other instances are probed while the primary is alive.
         pub sample_interval: Duration,
+        /// How often the primary of a quiet group is probed by watchers other than the first.
+        pub far_probe_interval: Duration,
+        /// How often the other instances of a quiet group are probed.
+        pub quiet_sample_interval: Duration,
+        /// For how long after this host's traffic used a group the group is not quiet.
+        pub traffic_lifetime: Duration,
         /// How long the primary must have given no proof of life before it is suspected.
         pub suspect_after: Duration,
         /// How many probes must have failed since the last proof of life.
@@ -74,6 +80,9 @@
             probe_interval: Duration::from_millis(200),
             probe_timeout: Duration::from_millis(300),
             sample_interval: Duration::from_secs(1),
+            far_probe_interval: Duration::from_secs(3),
+            quiet_sample_interval: Duration::from_secs(10),
+            traffic_lifetime: Duration::from_secs(10),
             suspect_after: Duration::from_millis(700),
             suspect_failures: 2,
             share_interval: Duration::from_millis(200),
--- a/crates/jujubehold_core/src/failover/start.rs
+++ b/crates/jujubehold_core/src/failover/start.rs
@@ -20,7 +20,7 @@
             self.advance_attempt(now, actions);
             return;
         }
-        let is_suspected = self.suspicion.is_suspected(&self.settings, now);
+        let is_suspected = self.suspects(now);
         if is_suspected && self.may_share(now, self.suspicion_shared_at) {
             self.suspicion_shared_at = Some(now);
             let term = self.view.term;
@@ -29,6 +29,7 @@
         if is_suspected {
             self.start_failover(now, actions);
         } else {
+            self.share_doubt(now, actions);
             self.start_ordered(now, actions);
         }
         self.advance_attempt(now, actions);
--- a/crates/jujubehold_core/src/failover/suspicion.rs
+++ b/crates/jujubehold_core/src/failover/suspicion.rs
@@ -51,6 +51,11 @@
         self.last_alive
     }
 
+    /// Whether a probe failed since the last proof of life.
+    pub(super) fn has_failures(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Whether the primary gave proof of life at or after `since`.
     pub(super) fn has_proof_since(&self, since: Monotonic) -> bool {
         self.proved_alive_at.is_some_and(|at| at >= since)
--- a/crates/jujubehold_core/src/failover_action.rs
+++ b/crates/jujubehold_core/src/failover_action.rs
@@ -11,6 +11,11 @@
             /// The instance to ask.
             instance: InstanceId,
         },
+        /// Have the group's other watchers look at the primary of `term`, which is late.
+        ShareDoubt {
+            /// The doubted term.
+            term: Term,
+        },
         /// Tell the group's other watchers that the primary of `term` can't be reached.
         ShareSuspicion {
             /// The suspected term.
--- a/crates/jujubehold_core/src/failover_event.rs
+++ b/crates/jujubehold_core/src/failover_event.rs
@@ -25,6 +25,12 @@
             /// The term of the primary it suspects.
             term: Term,
         },
+        /// Another host finds the primary of `term` late; it says no more than that this host
+        /// should look for itself.
+        DoubtHeard {
+            /// The term of the primary it doubts.
+            term: Term,
+        },
         /// Another host has proof that the primary of `term` is alive.
         LivenessHeard {
             /// The host that says so.
--- a/crates/jujubehold_core/src/replay/failover_lines.rs
+++ b/crates/jujubehold_core/src/replay/failover_lines.rs
@@ -30,6 +30,9 @@
             domain: line.word(1, "the domain")?.into(),
             term: line.number("term")?,
         },
+        "doubt" => FailoverEvent::DoubtHeard {
+            term: line.number("term")?,
+        },
         "liveness" => FailoverEvent::LivenessHeard {
             host: line.word(0, "the host")?.into(),
             domain: line.word(1, "the domain")?.into(),
--- a/crates/jujubehold_core/src/replay/record.rs
+++ b/crates/jujubehold_core/src/replay/record.rs
@@ -56,6 +56,7 @@
         FailoverEvent::SuspicionHeard { host, domain, term } => {
             format!("suspicion {host} {domain} at_ms={at_ms} term={term}")
         }
+        FailoverEvent::DoubtHeard { term } => format!("doubt at_ms={at_ms} term={term}"),
         FailoverEvent::LivenessHeard { host, domain, term } => {
             format!("liveness {host} {domain} at_ms={at_ms} term={term}")
         }
@@ -99,14 +100,15 @@
 
 /// The line that states an action as an outcome.
 ///
-/// `None` for probes, which follow from the time alone: a trace would be full of them.
+/// `None` for probes, which follow from the time alone, and for doubts, which only bring other
+/// hosts' probes: a trace would be full of them.
 pub fn action_line(action: &FailoverAction) -> Option<String> {
     action_text(action).map(|text| format!("expect {text}"))
 }
 
 pub(super) fn action_text(action: &FailoverAction) -> Option<String> {
     let text = match action {
-        FailoverAction::Probe { .. } => return None,
+        FailoverAction::Probe { .. } | FailoverAction::ShareDoubt { .. } => return None,
         FailoverAction::ShareSuspicion { term } => format!("share_suspicion term={term}"),
         FailoverAction::ShareLiveness { term } => format!("share_liveness term={term}"),
         FailoverAction::Record { term, nonce } => format!("record term={term} nonce={nonce}"),
--- a/crates/jujubehold_core/src/replay/runner.rs
+++ b/crates/jujubehold_core/src/replay/runner.rs
@@ -41,7 +41,7 @@
             "group" => self.on_group(line),
             "instance" => self.on_instance(line),
             "watchers" => self.on_watchers(line),
-            "probed" | "suspicion" | "liveness" | "announced" | "recorded" | "fenced"
+            "probed" | "suspicion" | "doubt" | "liveness" | "announced" | "recorded" | "fenced"
             | "caught_up" | "promoted" | "change" | "tick" => self.on_failover(line),
             "commit" => self.on_commit(line),
             "confirmed" => self.on_confirmed(line),
--- a/crates/jujubehold_core/tests/exploration/interleaving.rs
+++ b/crates/jujubehold_core/tests/exploration/interleaving.rs
@@ -135,6 +135,7 @@
                 }
                 FailoverAction::Probe { .. }
                 | FailoverAction::ShareSuspicion { .. }
+                | FailoverAction::ShareDoubt { .. }
                 | FailoverAction::ShareLiveness { .. }
                 | FailoverAction::Record { .. }
                 | FailoverAction::Fence { .. }
@@ -203,6 +204,7 @@
             }
             FailoverAction::Follow { .. }
             | FailoverAction::ShareSuspicion { .. }
+            | FailoverAction::ShareDoubt { .. }
             | FailoverAction::ShareLiveness { .. }
             | FailoverAction::Announce { .. } => None,
         }
--- a/crates/jujubehold_core/tests/exploration/world.rs
+++ b/crates/jujubehold_core/tests/exploration/world.rs
@@ -258,6 +258,9 @@
                     },
                 );
             }
+            FailoverAction::ShareDoubt { term } => {
+                self.tell(host, &FailoverEvent::DoubtHeard { term });
+            }
             FailoverAction::ShareLiveness { term } => {
                 let (name, domain) = self.name(host);
                 self.tell(
--- /dev/null
+++ b/crates/jujubehold_core/tests/probe_sharing/watched_group.rs
@@ -0,0 +1,211 @@
+//! A group of three instances and its six watchers, over simulated time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use jujubehold_core::failover::{Failover, FailoverSettings};
+use jujubehold_core::failover_action::FailoverAction;
+use jujubehold_core::failover_event::FailoverEvent;
+use jujubehold_core::ownership::Watcher;
+use jujubehold_core::prelude::*;
+
+#[path = "../support/mod.rs"]
+mod support;
+
+use support::{config, ms, status};
+
+/// Two in each of the group's three domains.
+pub(crate) const WATCHERS: usize = 6;
+
+const DOMAINS: [&str; 3] = ["delta", "gulf", "piedmont"];
+const STEP_MS: u64 = 5;
+const DELAY_MS: u64 = 5;
+const PROBE_TIMEOUT_MS: u64 = 300;
+
+/// What befalls the primary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// Its connections are refused.
+    Crash,
+    /// It takes questions and never answers.
+    Freeze,
+    /// One watcher can't reach it.
+    CutOff { watcher: usize },
+    /// The watchers of one failure domain can't reach it.
+    DomainCutOff { domain: usize },
+}
+
+/// The group and its watchers.
+pub(crate) struct WatchedGroup {
+    /// The present fault.
+    pub(crate) fault: Option<Fault>,
+    /// A watcher that does nothing any more.
+    pub(crate) silent: Option<usize>,
+    /// The watchers whose traffic uses the group.
+    pub(crate) users: BTreeSet<usize>,
+    /// The probes so far.
+    pub(crate) probes: usize,
+    /// Those of the last watcher.
+    pub(crate) probes_of_last: usize,
+    /// When the first attempt started.
+    pub(crate) attempt_at_ms: Option<u64>,
+    watchers: Vec<Failover>,
+    due_ms: Vec<u64>,
+    asking: BTreeSet<(usize, InstanceId)>,
+    events: BTreeMap<(u64, u64), (usize, FailoverEvent)>,
+    sequence: u64,
+    now_ms: u64,
+}
+
+fn domain_of(watcher: usize) -> usize {
+    watcher % DOMAINS.len()
+}
+
+impl WatchedGroup {
+    /// Watchers that know nothing yet.
+    pub(crate) fn new() -> Self {
+        let names: Vec<Watcher> = (0..WATCHERS)
+            .map(|index| Watcher {
+                host: format!("h{index}").into(),
+                domain: DOMAINS[domain_of(index)].into(),
+            })
+            .collect();
+        let watchers = names.iter().map(|own| {
+            let settings = FailoverSettings::default();
+            let (host, domain) = (own.host.clone(), own.domain.clone());
+            let mut failover = Failover::new(settings, &config(), host, domain, 7);
+            failover.set_watchers(names.clone());
+            failover
+        });
+        Self {
+            fault: None,
+            silent: None,
+            users: BTreeSet::new(),
+            probes: 0,
+            probes_of_last: 0,
+            attempt_at_ms: None,
+            watchers: watchers.collect(),
+            // They start at different moments.
+            due_ms: (0..WATCHERS as u64).map(|index| index * 35).collect(),
+            asking: BTreeSet::new(),
+            events: BTreeMap::new(),
+            sequence: 0,
+            now_ms: 0,
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run_until(&mut self, end_ms: u64) {
+        while self.now_ms < end_ms {
+            self.now_ms += STEP_MS;
+            while let Some(entry) = self.events.first_entry()
+                && entry.key().0 <= self.now_ms
+            {
+                let (watcher, event) = entry.remove();
+                if let FailoverEvent::Probed { instance, .. } = &event {
+                    self.asking.remove(&(watcher, instance.clone()));
+                }
+                self.deliver(watcher, event);
+            }
+            for watcher in 0..WATCHERS {
+                if self.due_ms[watcher] <= self.now_ms {
+                    self.deliver(watcher, FailoverEvent::Tick);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, watcher: usize, event: FailoverEvent) {
+        if self.silent == Some(watcher) {
+            return;
+        }
+        let now = ms(self.now_ms);
+        if self.users.contains(&watcher) {
+            self.watchers[watcher].note_traffic(now);
+        }
+        let actions = self.watchers[watcher].on_event(now, event);
+        let due = self.watchers[watcher].next_wakeup();
+        self.due_ms[watcher] = millis(due).max(self.now_ms + STEP_MS);
+        for action in actions {
+            self.act(watcher, action);
+        }
+    }
+
+    fn act(&mut self, watcher: usize, action: FailoverAction) {
+        let host: HostId = format!("h{watcher}").into();
+        let domain: DomainId = DOMAINS[domain_of(watcher)].into();
+        match action {
+            FailoverAction::Probe { instance } => self.ask(watcher, &instance),
+            FailoverAction::ShareSuspicion { term } => {
+                self.tell(
+                    watcher,
+                    &FailoverEvent::SuspicionHeard { host, domain, term },
+                );
+            }
+            FailoverAction::ShareLiveness { term } => {
+                self.tell(
+                    watcher,
+                    &FailoverEvent::LivenessHeard { host, domain, term },
+                );
+            }
+            FailoverAction::ShareDoubt { term } => {
+                self.tell(watcher, &FailoverEvent::DoubtHeard { term });
+            }
+            FailoverAction::Record { .. } => {
+                self.attempt_at_ms.get_or_insert(self.now_ms);
+            }
+            FailoverAction::Fence { .. }
+            | FailoverAction::CatchUp { .. }
+            | FailoverAction::Promote { .. }
+            | FailoverAction::Follow { .. }
+            | FailoverAction::Announce { .. } => {}
+        }
+    }
+
+    // Only one question at a time is under way to each instance.
+    fn ask(&mut self, watcher: usize, instance: &InstanceId) {
+        if !self.asking.insert((watcher, instance.clone())) {
+            return;
+        }
+        self.probes += 1;
+        self.probes_of_last += usize::from(watcher == WATCHERS - 1);
+        let role = if instance == "a" {
+            "primary"
+        } else {
+            "replica"
+        };
+        let answer = Some(status(instance, role, 1, 10, "1:0"));
+        let fault = self.fault.filter(|_| instance == "a");
+        let (delay_ms, status) = match fault {
+            Some(Fault::Crash) => (DELAY_MS, None),
+            Some(Fault::Freeze) => (PROBE_TIMEOUT_MS, None),
+            Some(Fault::CutOff { watcher: cut }) if cut == watcher => (PROBE_TIMEOUT_MS, None),
+            Some(Fault::DomainCutOff { domain }) if domain == domain_of(watcher) => {
+                (PROBE_TIMEOUT_MS, None)
+            }
+            Some(Fault::CutOff { .. } | Fault::DomainCutOff { .. }) | None => (DELAY_MS, answer),
+        };
+        let event = FailoverEvent::Probed {
+            instance: instance.clone(),
+            sent_at: ms(self.now_ms),
+            status,
+        };
+        self.push(watcher, delay_ms, event);
+    }
+
+    fn tell(&mut self, from: usize, event: &FailoverEvent) {
+        for watcher in (0..WATCHERS).filter(|watcher| *watcher != from) {
+            self.push(watcher, DELAY_MS, event.clone());
+        }
+    }
+
+    fn push(&mut self, watcher: usize, delay_ms: u64, event: FailoverEvent) {
+        self.sequence += 1;
+        let key = (self.now_ms + delay_ms, self.sequence);
+        self.events.insert(key, (watcher, event));
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/jujubehold_host/src/control/action_runner.rs
+++ b/crates/jujubehold_host/src/control/action_runner.rs
@@ -85,6 +85,7 @@
                 term,
             } => self.follow(config, instance, primary, *term),
             FailoverAction::ShareSuspicion { .. }
+            | FailoverAction::ShareDoubt { .. }
             | FailoverAction::ShareLiveness { .. }
             | FailoverAction::Announce { .. } => {}
         }
@@ -242,6 +243,7 @@
     let kind = match action {
         FailoverAction::Probe { .. } => "probe",
         FailoverAction::ShareSuspicion { .. } => "share_suspicion",
+        FailoverAction::ShareDoubt { .. } => "share_doubt",
         FailoverAction::ShareLiveness { .. } => "share_liveness",
         FailoverAction::Record { .. } => "record",
         FailoverAction::Fence { .. } => "fence",
--- a/crates/jujubehold_host/src/control/configuration.rs
+++ b/crates/jujubehold_host/src/control/configuration.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jujubehold_core::config_store::{ConfigRecord, Offer, PlatformAction, PlatformValue};
+use jujubehold_core::failover_event::FailoverEvent;
 use jujubehold_core::ownership::{CONFIG_WATCHERS, config_watchers};
 use jujubehold_core::prelude::*;
 use jujubehold_wire::peer;
@@ -91,6 +92,8 @@
         self.assign(service);
         self.dirty.insert(service.clone());
         self.is_urgent = true;
+        // A change may ask for another primary, which a quiet group would look at late.
+        self.on_group_event(service, FailoverEvent::Tick);
     }
 
     /// Hands a service's configuration on to the hosts of this failure domain, if this host is
--- a/crates/jujubehold_host/src/control/exchange.rs
+++ b/crates/jujubehold_host/src/control/exchange.rs
@@ -32,6 +32,11 @@
                 self.on_group_event(&suspicion.service.as_str().into(), event);
                 false
             }
+            Kind::Doubt(doubt) => {
+                let event = FailoverEvent::DoubtHeard { term: doubt.term };
+                self.on_group_event(&doubt.service.as_str().into(), event);
+                false
+            }
             Kind::Liveness(liveness) => {
                 let term = liveness.term;
                 let event = FailoverEvent::LivenessHeard { host, domain, term };
--- a/crates/jujubehold_host/src/control/group_driver.rs
+++ b/crates/jujubehold_host/src/control/group_driver.rs
@@ -89,6 +89,13 @@
         self.due = Some(due);
     }
 
+    /// Notes that this host's traffic uses the group.
+    pub(crate) fn note_traffic(&mut self, now: Monotonic) {
+        if let Some(failover) = &mut self.failover {
+            failover.note_traffic(now);
+        }
+    }
+
     /// Takes in a new configuration.
     pub(crate) fn set_config(&mut self, config: Arc<ServiceConfig>) {
         if let Some(failover) = &mut self.failover {
@@ -183,6 +190,7 @@
             }
             FailoverEvent::Probed { status: None, .. }
             | FailoverEvent::SuspicionHeard { .. }
+            | FailoverEvent::DoubtHeard { .. }
             | FailoverEvent::LivenessHeard { .. }
             | FailoverEvent::Fenced { .. }
             | FailoverEvent::Recorded { .. }
--- a/crates/jujubehold_host/src/control/groups.rs
+++ b/crates/jujubehold_host/src/control/groups.rs
@@ -4,6 +4,7 @@
 use jujubehold_core::failover_event::FailoverEvent;
 use jujubehold_core::prelude::*;
 use jujubehold_wire::peer;
+use jujubehold_wire::peer::notify_request::Kind;
 use log::info;
 use metrics::histogram;
 
@@ -26,9 +27,11 @@
                     sent_at,
                     status: Some(status),
                 };
+                self.note_traffic(&service);
                 self.on_group_event(&service, event);
             }
             Observation::Unreachable { service, instance } => {
+                self.note_traffic(&service);
                 // A probe of its own tells a broken connection from an instance that is gone.
                 let is_watched = self
                     .groups
@@ -41,6 +44,13 @@
         }
     }
 
+    fn note_traffic(&mut self, service: &ServiceId) {
+        let now = self.clock.now();
+        if let Some(group) = self.groups.get_mut(service) {
+            group.note_traffic(now);
+        }
+    }
+
     /// Takes in an event of a group and does what follows from it.
     pub(super) fn on_group_event(&mut self, service: &ServiceId, event: FailoverEvent) {
         let now = self.clock.now();
@@ -51,6 +61,7 @@
             FailoverEvent::Probed { status, .. } => status.is_some(),
             FailoverEvent::Announced { .. } | FailoverEvent::Promoted { .. } => true,
             FailoverEvent::SuspicionHeard { .. }
+            | FailoverEvent::DoubtHeard { .. }
             | FailoverEvent::LivenessHeard { .. }
             | FailoverEvent::Fenced { .. }
             | FailoverEvent::Recorded { .. }
@@ -109,8 +120,13 @@
     fn act(&mut self, service: &ServiceId, actions: Vec<FailoverAction>) {
         for action in actions {
             match &action {
-                FailoverAction::ShareSuspicion { term } => self.share(service, *term, true),
-                FailoverAction::ShareLiveness { term } => self.share(service, *term, false),
+                FailoverAction::ShareSuspicion { term } => {
+                    self.share(service, *term, Kind::Suspicion);
+                }
+                FailoverAction::ShareDoubt { term } => self.share(service, *term, Kind::Doubt),
+                FailoverAction::ShareLiveness { term } => {
+                    self.share(service, *term, Kind::Liveness);
+                }
                 FailoverAction::Announce { term, primary } => {
                     self.report_phases(service);
                     self.announce(service, *term, primary);
@@ -142,22 +158,16 @@
         }
     }
 
-    /// Tells the group's other watchers that its primary is suspected, or that it is alive.
-    fn share(&mut self, service: &ServiceId, term: Term, is_suspected: bool) {
-        use peer::notify_request::Kind;
+    /// Tells the group's other watchers what this host thinks of its primary.
+    fn share(&mut self, service: &ServiceId, term: Term, kind: fn(peer::Suspicion) -> Kind) {
         let Some(group) = self.groups.get(service) else {
             return;
         };
-        let suspicion = peer::Suspicion {
+        let kind = kind(peer::Suspicion {
             service: service.to_string(),
             term,
             primary: group.view().primary.as_deref().unwrap_or_default().into(),
-        };
-        let kind = if is_suspected {
-            Kind::Suspicion(suspicion)
-        } else {
-            Kind::Liveness(suspicion)
-        };
+        });
         let hosts: Vec<_> = group.watchers().iter().map(|w| w.host.clone()).collect();
         for host in hosts {
             self.notify(&host, kind.clone(), HandOn::Keep);
@@ -171,7 +181,7 @@
             term,
             primary: primary.to_string(),
         };
-        let kind = peer::notify_request::Kind::Announcement(record);
+        let kind = Kind::Announcement(record);
         let watchers: Vec<_> = self
             .groups
             .get(service)
--- a/crates/jujubehold_host/src/control/instance_caller.rs
+++ b/crates/jujubehold_host/src/control/instance_caller.rs
@@ -6,6 +6,7 @@
 
 use jujubehold_core::prelude::*;
 use jujubehold_pg::{FrameError, backend, query};
+use metrics::counter;
 use pgwire::messages::data::DataRow;
 
 use crate::pool::UpstreamConnection;
@@ -71,10 +72,13 @@
     connection: &mut UpstreamConnection,
     sql: &str,
 ) -> Result<Option<InstanceStatus>, FrameError> {
-    connection.send(query(sql).bytes()).await?;
+    let question = query(sql);
+    count_bytes("sent", question.bytes().len());
+    connection.send(question.bytes()).await?;
     let mut status = None;
     loop {
         let frame = connection.receive().await?;
+        count_bytes("received", frame.bytes().len());
         match frame.tag() {
             backend::DATA_ROW => status = status_of_row(&frame.decode()?),
             backend::READY_FOR_QUERY => return Ok(status),
@@ -83,6 +87,12 @@
     }
 }
 
+/// Counts what calls of instances cost, the transport's headers left out.
+fn count_bytes(direction: &'static str, bytes: usize) {
+    counter!("jujubehold_instance_call_bytes_total", "direction" => direction)
+        .increment(bytes as u64);
+}
+
 /// Reads a status from a row of one text column.
 fn status_of_row(row: &DataRow) -> Option<InstanceStatus> {
     let text = row.data.get(4..)?;
--- a/crates/jujubehold_host/src/control/spreading.rs
+++ b/crates/jujubehold_host/src/control/spreading.rs
@@ -142,6 +142,7 @@
         Kind::Leaving(host) => format!("leaving/{}/{}", host.id, host.incarnation),
         // These go to a group's watchers and are never passed on.
         Kind::Suspicion(report) => format!("suspicion/{}/{}", report.service, report.term),
+        Kind::Doubt(report) => format!("doubt/{}/{}", report.service, report.term),
         Kind::Liveness(report) => format!("liveness/{}/{}", report.service, report.term),
     }
 }
--- a/crates/jujubehold_host/src/peer/peer_clients.rs
+++ b/crates/jujubehold_host/src/peer/peer_clients.rs
@@ -111,6 +111,7 @@
         Some(Kind::Suspicion(_)) => "suspicion",
         Some(Kind::Announcement(_)) => "announcement",
         Some(Kind::Service(_)) => "service",
+        Some(Kind::Doubt(_)) => "doubt",
         Some(Kind::Liveness(_)) => "liveness",
         Some(Kind::Leaving(_)) => "leaving",
         None => "empty",
--- a/crates/jujubehold_host/tests/control_many_hosts.rs
+++ b/crates/jujubehold_host/tests/control_many_hosts.rs
@@ -4,6 +4,7 @@
 mod control;
 
 use control::{Installation, RunningHost, wait_until};
+use jujubehold_core::ownership::{DomainHosts, WATCHERS_PER_DOMAIN, group_watchers};
 use jujubehold_core::prelude::*;
 use jujubehold_settings::HostSettings;
 use jujubehold_standin::database::Database;
@@ -61,6 +62,22 @@
     assert_eq!(primaries.count(), 1);
 }
 
+#[actix_rt::test]
+async fn a_quiet_group_fails_over_also_when_the_host_that_probes_it_most_dies() {
+    let installation = Installation::start().await;
+    let mut hosts = hosts(&installation, 2).await;
+    let mut live = DomainHosts::new();
+    for host in &hosts {
+        let domain = live.entry(host.domain.clone()).or_default();
+        domain.insert(host.name.clone());
+    }
+    let watchers = group_watchers(&installation.config(1), &live, WATCHERS_PER_DOMAIN);
+    let first = hosts.iter().position(|host| host.name == watchers[0].host);
+    hosts.remove(first.expect("it is one of them")).crash();
+    installation.instances[0].kill();
+    wait_until("all agree", || agree_on_new_primary(&hosts)).await;
+}
+
 #[actix_rt::test]
 async fn every_host_serves_also_those_that_neither_own_nor_watch() {
     let installation = Installation::start().await;
--- /dev/null
+++ b/crates/jujubehold_lab/src/capacity/capacity_part.rs
@@ -0,0 +1,46 @@
+//! The parts of the experiment, each of which can be run alone.
+
+/// What is measured, by the size that grows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CapacityPart {
+    /// Reading and holding a whole configuration, by services.
+    Configuration,
+    /// Picking owners, by hosts of a failure domain.
+    Ownership,
+    /// Quiet hosts, by hosts of one failure domain.
+    Hosts,
+    /// Quiet hosts, by failure domains.
+    Domains,
+    /// Quiet hosts, by services that they watch.
+    Services,
+    /// Idle callers.
+    Callers,
+    /// Changes of configuration a second.
+    Changes,
+}
+
+impl CapacityPart {
+    /// Every part, in the order in which they are run.
+    pub const ALL: [Self; 7] = [
+        Self::Configuration,
+        Self::Ownership,
+        Self::Hosts,
+        Self::Domains,
+        Self::Services,
+        Self::Callers,
+        Self::Changes,
+    ];
+
+    /// The name on the command line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Ownership => "ownership",
+            Self::Hosts => "hosts",
+            Self::Domains => "domains",
+            Self::Services => "services",
+            Self::Callers => "callers",
+            Self::Changes => "changes",
+        }
+    }
+}
--- a/crates/jujubehold_lab/src/capacity/host_slopes.rs
+++ b/crates/jujubehold_lab/src/capacity/host_slopes.rs
@@ -12,40 +12,69 @@
 use crate::load::{idle_memory_bytes, resident_bytes};
 use crate::report::{counter_sum, start_counting};
 
+const DOMAINS: [u32; 5] = [1, 2, 4, 6, 8];
 const HOSTS: [u32; 5] = [3, 6, 12, 24, 36];
 const SERVICES: [u32; 5] = [1, 2, 4, 8, 12];
 const IDLE_CALLERS: [u32; 4] = [250, 500, 1000, 2000];
 const CHANGES_PER_S: [u32; 4] = [1, 2, 5, 10];
 /// 2,400 hosts over 26 failure domains.
 const TARGET_HOSTS_PER_DOMAIN: f64 = 92.0;
+const TARGET_DOMAINS: f64 = 26.0;
+/// In the slope by failure domains.
+const HOSTS_PER_DOMAIN: u32 = 3;
 /// 12,600 instances over 2,400 hosts, each with two owners, in services of three instances.
 const TARGET_SERVICES_PER_HOST: f64 = 10.5;
 /// 5.2 million callers over 2,400 hosts.
 const TARGET_CALLERS: f64 = 2167.0;
 /// 4,400 changes a day, should a day's changes all come within one hour.
 const TARGET_CHANGES_PER_S: f64 = 1.2;
+/// The watchers of a group at the target: two hosts in each of its three failure domains.
+const WATCHERS: usize = 6;
 const SETTLE: Duration = Duration::from_secs(4);
+/// How much longer each host takes to hear the news of all others that started with it.
+const SETTLE_PER_HOST: Duration = Duration::from_millis(700);
 const WATCH: Duration = Duration::from_secs(8);
 
 /// What one host spends on control while nothing happens.
 struct QuietCost {
     processor_percent: f64,
     sent_bytes_per_s: f64,
+    probes_per_s: f64,
+    probe_bytes_per_s: f64,
     memory_mb: f64,
     platform_calls_per_s: f64,
 }
 
-/// Measures quiet hosts, services, idle callers and changes of configuration.
+/// Measures one kind of slopes of whole hosts.
 ///
 /// # Errors
 /// A part could not be started.
-pub(crate) async fn measure() -> Result<Vec<Slope>, LabError> {
+pub(crate) async fn measure(part: HostPart) -> Result<Vec<Slope>, LabError> {
     start_counting();
-    let mut slopes = quiet_slopes("hosts of one domain", &HOSTS, TARGET_HOSTS_PER_DOMAIN).await?;
-    slopes.extend(quiet_slopes("services", &SERVICES, TARGET_SERVICES_PER_HOST).await?);
-    slopes.push(idle_callers().await?);
-    slopes.extend(changes().await?);
-    Ok(slopes)
+    match part {
+        HostPart::Hosts => {
+            quiet_slopes("hosts of one domain", &HOSTS, TARGET_HOSTS_PER_DOMAIN).await
+        }
+        HostPart::Domains => quiet_slopes("failure domains", &DOMAINS, TARGET_DOMAINS).await,
+        HostPart::Services => quiet_slopes("services", &SERVICES, TARGET_SERVICES_PER_HOST).await,
+        HostPart::Callers => Ok(vec![idle_callers().await?]),
+        HostPart::Changes => changes().await,
+    }
+}
+
+/// A size by which whole hosts are measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HostPart {
+    /// Hosts of one failure domain.
+    Hosts,
+    /// Failure domains.
+    Domains,
+    /// Services that a host watches.
+    Services,
+    /// Idle caller connections.
+    Callers,
+    /// Changes of configuration a second.
+    Changes,
 }
 
 async fn quiet_slopes(
@@ -56,19 +85,29 @@
     let names = [
         ("processor of a quiet host", "% of a core"),
         ("control bytes sent by a quiet host", "bytes/s"),
+        ("probes by a quiet host", "1/s"),
+        (
+            "bytes of a quiet host's probes, both ways, without headers",
+            "bytes/s",
+        ),
         ("memory of a quiet host", "MB"),
         ("platform calls of a quiet host", "calls/s"),
     ];
-    let mut points: [Vec<(f64, f64)>; 4] = Default::default();
+    let mut points: [Vec<(f64, f64)>; 6] = Default::default();
     for &size in sizes {
         let settings = match by {
-            "services" => quiet_cluster(3, size as usize, 3),
+            "services" => quiet_cluster(WATCHERS, size as usize, 3),
+            "failure domains" => {
+                quiet_cluster((size * HOSTS_PER_DOMAIN) as usize, 1, size as usize)
+            }
             _ => quiet_cluster(size as usize, 1, 1),
         };
         let cost = quiet_cost(settings).await?;
         let values = [
             cost.processor_percent,
             cost.sent_bytes_per_s,
+            cost.probes_per_s,
+            cost.probe_bytes_per_s,
             cost.memory_mb,
             cost.platform_calls_per_s,
         ];
@@ -119,6 +158,8 @@
     Ok(QuietCost {
         processor_percent: (whole.processor_percent - base.processor_percent).max(0.0) / hosts,
         sent_bytes_per_s: whole.sent_bytes_per_s / hosts,
+        probes_per_s: whole.probes_per_s / hosts,
+        probe_bytes_per_s: whole.probe_bytes_per_s / hosts,
         memory_mb: (whole.memory_mb - base.memory_mb).max(0.0) / hosts,
         platform_calls_per_s: whole.platform_calls_per_s / hosts,
     })
@@ -126,11 +167,13 @@
 
 async fn observe(settings: ClusterSettings) -> Result<QuietCost, LabError> {
     let memory_before = resident_bytes()?;
+    let hosts = u32::try_from(settings.hosts).unwrap_or(u32::MAX);
     let cluster = Cluster::start(settings).await?;
-    actix_rt::time::sleep(SETTLE).await;
+    actix_rt::time::sleep(SETTLE + SETTLE_PER_HOST.saturating_mul(hosts)).await;
     let started_at = Instant::now();
     let processor_before = processor_time()?;
     let bytes_before = control_bytes();
+    let (probes_before, probe_bytes_before) = (probes(), probe_bytes());
     let calls_before: u64 = cluster.platform.counts().values().sum();
     actix_rt::time::sleep(WATCH).await;
     let seconds = started_at.elapsed().as_secs_f64();
@@ -143,6 +186,8 @@
     Ok(QuietCost {
         processor_percent: 100.0 * processor / seconds,
         sent_bytes_per_s: bytes as f64 / seconds,
+        probes_per_s: (probes() - probes_before) as f64 / seconds,
+        probe_bytes_per_s: (probe_bytes() - probe_bytes_before) as f64 / seconds,
         memory_mb: memory as f64 / 1e6,
         platform_calls_per_s: calls as f64 / seconds,
     })
@@ -210,3 +255,13 @@
     counter_sum("jujubehold_control_sent_bytes_total", "")
         + counter_sum("jujubehold_platform_sent_bytes_total", "")
 }
+
+/// How many probes the hosts have sent.
+fn probes() -> u64 {
+    counter_sum("jujubehold_failover_actions_total", "kind=\"probe\"")
+}
+
+/// What the hosts' calls of instances took, in bytes.
+fn probe_bytes() -> u64 {
+    counter_sum("jujubehold_instance_call_bytes_total", "")
+}
--- a/crates/jujubehold_lab/src/capacity/mod.rs
+++ b/crates/jujubehold_lab/src/capacity/mod.rs
@@ -1,5 +1,6 @@
 //! Slopes of cost against size, from which docs/CAPACITY.md works out the target size.
 
+mod capacity_part;
 mod configuration_slopes;
 mod host_slopes;
 mod membership_slopes;
@@ -8,19 +9,22 @@
 
 use std::path::Path;
 
+use crate::capacity::host_slopes::HostPart;
 use crate::error::LabError;
 use crate::report::{Plot, Series, Table};
 
+pub use capacity_part::CapacityPart;
 pub use slope::Slope;
 
-/// Measures every slope, writes a plot for each into `out`, and returns the table.
+/// Measures the slopes of `parts`, writes a plot for each into `out`, and returns the table.
 ///
 /// # Errors
 /// A part could not be started or a report not written.
-pub async fn run_capacity(out: &Path) -> Result<Table, LabError> {
-    let mut slopes = configuration_slopes::measure()?;
-    slopes.extend(membership_slopes::measure());
-    slopes.extend(host_slopes::measure().await?);
+pub async fn run_capacity(parts: &[CapacityPart], out: &Path) -> Result<Table, LabError> {
+    let mut slopes = Vec::new();
+    for part in parts {
+        slopes.extend(measure(*part).await?);
+    }
     let mut table = Table::new(&[
         "what",
         "by",
@@ -47,3 +51,15 @@
     }
     Ok(table)
 }
+
+async fn measure(part: CapacityPart) -> Result<Vec<Slope>, LabError> {
+    match part {
+        CapacityPart::Configuration => configuration_slopes::measure(),
+        CapacityPart::Ownership => Ok(membership_slopes::measure()),
+        CapacityPart::Hosts => host_slopes::measure(HostPart::Hosts).await,
+        CapacityPart::Domains => host_slopes::measure(HostPart::Domains).await,
+        CapacityPart::Services => host_slopes::measure(HostPart::Services).await,
+        CapacityPart::Callers => host_slopes::measure(HostPart::Callers).await,
+        CapacityPart::Changes => host_slopes::measure(HostPart::Changes).await,
+    }
+}
