--- a/crates/jujubehold_core/src/failover.rs
+++ b/crates/jujubehold_core/src/failover.rs
@@ -8,12 +8,14 @@
 mod attempt;
 mod change;
 mod closeness;
+mod leaving;
 mod phases;
 mod probing;
 mod settings;
 mod start;
 mod steps;
 mod suspicion;
+mod unknown_primary;
 
 use std::collections::BTreeMap;
 
@@ -157,6 +159,7 @@
                 sent_at,
                 status,
             } => self.on_probed(now, &instance, sent_at, status, &mut actions),
+            FailoverEvent::Refused { instance, sent_at } => self.on_refused(&instance, sent_at),
             FailoverEvent::SuspicionHeard { host, domain, term } => {
                 self.on_suspicion(now, host, domain, term, &mut actions);
             }
--- a/crates/jujubehold_core/src/failover/closeness.rs
+++ b/crates/jujubehold_core/src/failover/closeness.rs
@@ -76,6 +76,7 @@
             || self.view.primary.is_none()
             || !self.is_undoubted()
             || self.has_doubt(now)
+            || self.is_primary_leaving()
             || self.wish.is_pending()
     }
 
--- a/crates/jujubehold_core/src/failover/probing.rs
+++ b/crates/jujubehold_core/src/failover/probing.rs
@@ -25,7 +25,8 @@
         } else {
             now + self.settings.suspect_after / 2
         };
-        let due = [probe_due, attempt_due, self.doubt_due(), Some(ripens)];
+        let doubt_due = self.doubt_due().filter(|due| *due > now);
+        let due = [probe_due, attempt_due, doubt_due, Some(ripens)];
         due.into_iter().flatten().min().unwrap_or(ripens).max(now)
     }
 
@@ -47,13 +48,14 @@
             return;
         };
         self.note_promoted(now, &status, actions);
+        self.note_growth(&status);
         self.observe(now, sent_at, status.clone());
         let is_serving = self.view.primary.as_ref() == Some(instance)
             && status.is_primary_of(self.view.term)
             && !self.is_term_over();
         if is_serving {
             self.on_alive(now, sent_at);
-        } else if is_primary || self.view.primary.is_none() {
+        } else if is_primary || self.is_leaderless(now) {
             // It answers, but no write can be acknowledged: it is fenced, or a majority is, or it
             // came back as a replica.
             self.count_failure(now, sent_at);
@@ -91,9 +93,12 @@
 
     fn probe_due(&self, now: Monotonic, instance: &InstanceId) -> Monotonic {
         let settings = &self.settings;
-        let is_primary =
-            self.view.primary.is_none() || self.view.primary.as_ref() == Some(instance);
-        let interval = if self.attempt.is_some() || self.has_doubt(now) {
+        let is_primary = self.view.primary.as_ref() == Some(instance);
+        let is_urgent =
+            self.view.primary.is_none() || self.attempt.is_some() || self.has_doubt(now);
+        let interval = if is_primary && self.awaits_open_work(now) {
+            settings.change.leaving_probe_interval
+        } else if is_urgent {
             settings.probe_interval
         } else if is_primary {
             self.close_since
@@ -109,7 +114,7 @@
     }
 
     // An attempt that ended after its fences leaves a primary that can acknowledge nothing.
-    fn is_term_over(&self) -> bool {
+    pub(super) fn is_term_over(&self) -> bool {
         let fenced_past = self
             .view
             .samples
--- a/crates/jujubehold_core/src/replay/record.rs
+++ b/crates/jujubehold_core/src/replay/record.rs
@@ -53,6 +53,10 @@
             milliseconds(*sent_at),
             status_text(status.as_ref())
         ),
+        FailoverEvent::Refused { instance, sent_at } => {
+            let sent_ms = milliseconds(*sent_at);
+            format!("refused {instance} at_ms={at_ms} sent_ms={sent_ms}")
+        }
         FailoverEvent::SuspicionHeard { host, domain, term } => {
             format!("suspicion {host} {domain} at_ms={at_ms} term={term}")
         }
@@ -142,13 +146,14 @@
         return " silent".to_owned();
     };
     format!(
-        " role={} in_term={} log={} applied={} fence={}/{} history={}",
+        " role={} in_term={} log={} applied={} fence={}/{} open={} history={}",
         status.role.as_str(),
         status.term,
         status.received,
         status.applied,
         status.fence_term,
         status.fence_nonce,
+        status.open_transactions,
         status.history,
     )
 }
--- a/crates/jujubehold_host/src/control/group_driver.rs
+++ b/crates/jujubehold_host/src/control/group_driver.rs
@@ -189,6 +189,7 @@
                 self.view.announce(term, &primary);
             }
             FailoverEvent::Probed { status: None, .. }
+            | FailoverEvent::Refused { .. }
             | FailoverEvent::SuspicionHeard { .. }
             | FailoverEvent::DoubtHeard { .. }
             | FailoverEvent::LivenessHeard { .. }
--- a/crates/jujubehold_host/tests/traffic/support.rs
+++ b/crates/jujubehold_host/tests/traffic/support.rs
@@ -48,6 +48,11 @@
 
 impl Bench {
     pub(crate) async fn start(config: ServiceConfig) -> Self {
+        Self::start_with(config, HostSettings::default()).await
+    }
+
+    /// The same with settings of the host's own.
+    pub(crate) async fn start_with(config: ServiceConfig, settings: HostSettings) -> Self {
         let mut databases = Vec::new();
         for name in ["a", "b", "c"] {
             let settings = DatabaseSettings {
@@ -83,7 +88,7 @@
         };
         let settings = HostSettings {
             traffic_threads: 2,
-            ..HostSettings::default()
+            ..settings
         };
         let (table, table_receiver) = watch::channel(Arc::new(RoutingTable::default()));
         let (phase, phase_receiver) = watch::channel(DrainPhase::Serving);
@@ -156,8 +161,11 @@
     }
 
     /// A table with one row, `n` = 0, applied everywhere.
+    ///
+    /// It is written at the primary itself, so that a test's short statement timeout does not
+    /// bear on it.
     pub(crate) async fn create_counter(&mut self) {
-        let client = self.connect().await;
+        let client = connect(self.databases[0].address(), "").await;
         run(&client, "CREATE TABLE counter (n int)").await;
         run(&client, "INSERT INTO counter VALUES (0)").await;
         self.wait_applied().await;
--- a/crates/jujubehold_settings/src/host_settings.rs
+++ b/crates/jujubehold_settings/src/host_settings.rs
@@ -40,12 +40,16 @@
     pub traffic_threads: usize,
     /// How long a shutdown waits for what runs.
     pub drain_timeout: Duration,
+    /// How long the outcome of a named request stays on record in the upstream.
+    pub outcome_kept: Duration,
     /// How often each watched instance is probed when traffic proves nothing.
     pub probe_interval: Duration,
     /// How long a probe may take.
     pub probe_timeout: Duration,
     /// The window in which a proof of a term lets this host acknowledge writes.
     pub authority: Authority,
+    /// How long open transactions on a leaving primary may take to end.
+    pub leaving_grace: Duration,
     /// How many hosts of an instance's failure domain own its connections.
     pub owners_per_instance: usize,
     /// Whether the host may listen off loopback without TLS.
@@ -68,9 +72,11 @@
             token_key: DEVELOPMENT_TOKEN_KEY.into(),
             traffic_threads: 4,
             drain_timeout: Duration::from_secs(30),
+            outcome_kept: Duration::from_hours(24),
             probe_interval: Duration::from_millis(200),
             probe_timeout: Duration::from_millis(300),
             authority: Authority::default(),
+            leaving_grace: Duration::from_secs(2),
             owners_per_instance: 2,
             is_cleartext_allowed: false,
             tls: None,
--- a/crates/jujubehold_settings/src/host_settings_reader.rs
+++ b/crates/jujubehold_settings/src/host_settings_reader.rs
@@ -14,12 +14,15 @@
 
 const MAX_TRAFFIC_THREADS: usize = 64;
 const MAX_DRAIN_MS: u64 = 600_000;
+const MIN_OUTCOME_KEPT_MS: u64 = 1_000;
+const MAX_OUTCOME_KEPT_MS: u64 = 31 * 24 * 3_600_000;
 const MIN_PROBE_MS: u64 = 10;
 const MAX_PROBE_MS: u64 = 5_000;
 const MIN_WINDOW_MS: u64 = 50;
 /// A promotion waits for the window and the drift, and is to be over within 7 s.
 const MAX_WINDOW_MS: u64 = 3_000;
 const MAX_DRIFT_MS: u64 = 1_000;
+const MAX_GRACE_MS: u64 = 60_000;
 const MAX_OWNERS: usize = 5;
 const MIN_TOKEN_KEY_BYTES: usize = 16;
 
@@ -72,6 +75,12 @@
         );
         self.drain_timeout =
             reader.duration_ms_in(s, "drain_timeout_ms", self.drain_timeout, 0..=MAX_DRAIN_MS);
+        self.outcome_kept = reader.duration_ms_in(
+            s,
+            "outcome_kept_ms",
+            self.outcome_kept,
+            MIN_OUTCOME_KEPT_MS..=MAX_OUTCOME_KEPT_MS,
+        );
         self.is_cleartext_allowed = reader.value(
             s,
             "allow_cleartext",
@@ -106,6 +115,7 @@
             MAX_WINDOW_MS,
         );
         self.authority.drift = duration("drift_ms", self.authority.drift, 0, MAX_DRIFT_MS);
+        self.leaving_grace = duration("leaving_grace_ms", self.leaving_grace, 0, MAX_GRACE_MS);
         self.owners_per_instance = reader.number(
             s,
             "owners_per_instance",
--- a/crates/jujubehold_settings/src/known_keys.rs
+++ b/crates/jujubehold_settings/src/known_keys.rs
@@ -18,6 +18,7 @@
     "token_key",
     "traffic_threads",
     "drain_timeout_ms",
+    "outcome_kept_ms",
     "allow_cleartext",
 ];
 
@@ -27,6 +28,7 @@
     "probe_timeout_ms",
     "window_ms",
     "drift_ms",
+    "leaving_grace_ms",
     "owners_per_instance",
 ];
 
