--- a/crates/jujubehold_host/src/control/action_runner.rs
+++ b/crates/jujubehold_host/src/control/action_runner.rs
@@ -86,6 +86,7 @@
                 term,
             } => self.follow(config, instance, primary, *term),
             FailoverAction::ShareSuspicion { .. }
+            | FailoverAction::ShareDoubt { .. }
             | FailoverAction::ShareLiveness { .. }
             | FailoverAction::Announce { .. } => {}
         }
@@ -246,6 +247,7 @@
     let kind = match action {
         FailoverAction::Probe { .. } => "probe",
         FailoverAction::ShareSuspicion { .. } => "share_suspicion",
+        FailoverAction::ShareDoubt { .. } => "share_doubt",
         FailoverAction::ShareLiveness { .. } => "share_liveness",
         FailoverAction::Record { .. } => "record",
         FailoverAction::Fence { .. } => "fence",
