--- a/crates/jujubehold_core/src/failover/change.rs
+++ b/crates/jujubehold_core/src/failover/change.rs
@@ -38,6 +38,11 @@
         self.leaving.clear();
     }
 
+    /// Whether a change is wanted or may soon be.
+    pub(super) fn is_pending(&self) -> bool {
+        self.order.is_some() || self.configured.is_some() || self.stranded_since.is_some()
+    }
+
     fn has_settled(&self, now: Monotonic, min_interval: Duration, settle: Duration) -> bool {
         let is_rested = self
             .changed_at
@@ -100,7 +105,7 @@
         self.wish.leaving.observe(now, sample);
     }
 
-    fn is_primary_leaving(&self) -> bool {
+    pub(super) fn is_primary_leaving(&self) -> bool {
         let primary = self.view.primary.as_ref();
         primary.is_some_and(|primary| !self.is_active(primary))
     }
@@ -153,7 +158,7 @@
             .cloned()
     }
 
-    fn is_active(&self, instance: &InstanceId) -> bool {
+    pub(super) fn is_active(&self, instance: &InstanceId) -> bool {
         self.config
             .instances
             .get(instance)
--- a/crates/jujubehold_core/src/failover/unknown_primary.rs
+++ b/crates/jujubehold_core/src/failover/unknown_primary.rs
@@ -16,6 +16,7 @@
         let is_primary = self.view.primary.as_ref() == Some(instance) && !self.is_term_over();
         if is_primary || self.has_known_no_primary() {
             self.suspicion.note_life(sent_at);
+            self.calm(sent_at);
             self.cancel_false_alarm();
         }
     }
