Count by the former list of instances too while hosts go by different lists

Cause: majorities were counted over the list of a host's own configuration. While a change of the list spreads, a majority fenced by one host need not meet the proof by which another acknowledges: a b of a b c, and c d of a b c d.

Now a host that learns of another list counts by both for a minute: fences, reachability and over-fenced terms by a majority of each, proofs and confirmations by sets that meet every majority of each. Sets take the place of numbers of replicas in the acknowledgement, the term's proof and the writes' check; with one list they say the same.

Ruled out: the new list only between changes of primary, since other hosts' acknowledgements stay apart; one instance at a time, which the example breaks; the list's generation in each fence, which groups would have to keep.

Failing first: the_new_list_alone_would_leave_a_gap shows the fault on the new list alone. All pairs of lists of up to five instances with all sets: no gap between the old list and both.

--- a/crates/jujubehold_core/src/acknowledgement.rs
+++ b/crates/jujubehold_core/src/acknowledgement.rs
@@ -7,13 +7,15 @@
 use crate::authority::Authority;
 use crate::ids::{InstanceId, Monotonic, Position, Term};
 use crate::instance_status::InstanceStatus;
-use crate::service_config::ServiceConfig;
+use crate::service_config::{Confirm, ServiceConfig};
 use crate::value_type;
 use crate::verdict::UnknownReason;
 
 value_type! {
     /// What stands for a commit that the primary of `term` answered.
     pub struct CommitEvidence {
+        /// The instance that committed it.
+        pub primary: InstanceId,
         /// The term in which it was committed.
         pub term: Term,
         /// The position of the commit.
@@ -57,42 +59,50 @@
         authority: &Authority,
         now: Monotonic,
     ) -> AckDecision {
-        let holding_needed = config.confirming_replicas();
-        let proving_needed = config.proving_replicas().max(holding_needed);
-        if self.is_term_over(config, proving_needed) {
+        if self.is_term_over(config) {
             return AckDecision::Unknown(UnknownReason::AuthorityLost);
         }
         if !authority.is_valid(self.primary_asked_at, now) {
             return AckDecision::AskPrimary;
         }
-        let proving: Vec<_> = self
-            .replicas
-            .values()
-            .filter(|answer| authority.is_valid(answer.asked_at, now))
-            .filter(|answer| answer.status.proves(self.term))
-            .collect();
-        let holding = proving
-            .iter()
-            .filter(|answer| self.is_held_by(&answer.status))
-            .count();
-        if proving.len() >= proving_needed && holding >= holding_needed {
+        let proves = |answer: &ReplicaAnswer| {
+            authority.is_valid(answer.asked_at, now) && answer.status.proves(self.term)
+        };
+        let holds = |answer: &ReplicaAnswer| proves(answer) && self.is_held_by(&answer.status);
+        let is_enough = match config.confirm {
+            Confirm::None => self.is_backed(config, proves),
+            Confirm::Replica => self.is_backed(config, holds),
+        };
+        if is_enough {
             AckDecision::Acknowledge
         } else {
             AckDecision::AskReplicas
         }
     }
 
+    // Whether the primary and the replicas whose answers count meet every majority.
+    fn is_backed(&self, config: &ServiceConfig, counts: impl Fn(&ReplicaAnswer) -> bool) -> bool {
+        let is_counted = |name: &InstanceId| self.replicas.get(name).is_some_and(&counts);
+        let replica_count = self.replicas.keys().filter(|name| is_counted(name)).count();
+        replica_count >= config.least_holders()
+            && config.meets_every_majority(|name| *name == self.primary || is_counted(name))
+    }
+
     fn is_held_by(&self, status: &InstanceStatus) -> bool {
         status.received >= self.position && status.history.contains(self.term, self.position)
     }
 
-    fn is_term_over(&self, config: &ServiceConfig, needed: usize) -> bool {
-        let past = self
-            .replicas
-            .values()
-            .filter(|answer| !answer.status.proves(self.term))
-            .count();
-        let replica_count = config.instances.len().saturating_sub(1);
-        past > 0 && past + needed > replica_count
+    // Whether too many replicas know of a higher term for the others ever to prove this one.
+    fn is_term_over(&self, config: &ServiceConfig) -> bool {
+        let is_past = |name: &InstanceId| {
+            let answer = self.replicas.get(name);
+            answer.is_some_and(|answer| !answer.status.proves(self.term))
+        };
+        let can_prove = |name: &InstanceId| config.instances.contains_key(name) && !is_past(name);
+        let replicas = config.instances.keys();
+        let left = replicas.filter(|name| **name != self.primary && can_prove(name));
+        let is_provable = left.count() >= config.least_holders()
+            && config.meets_every_majority(|name| *name == self.primary || can_prove(name));
+        self.replicas.keys().any(is_past) && !is_provable
     }
 }
--- a/crates/jujubehold_core/src/failover/answers.rs
+++ b/crates/jujubehold_core/src/failover/answers.rs
@@ -55,7 +55,6 @@
         status: InstanceStatus,
         actions: &mut Vec<FailoverAction>,
     ) {
-        let majority = self.config.majority();
         let is_member = self.config.instances.contains_key(&status.instance);
         let Some(attempt) = self
             .attempt
@@ -66,7 +65,7 @@
             return;
         };
         if attempt.is_granted(&status) {
-            attempt.grant(now, status, majority);
+            attempt.grant(now, status, &self.config);
             self.advance_attempt(now, actions);
         } else if attempt.is_passed_by(&status) {
             self.highest_term = self.highest_term.max(status.fence_term).max(status.term);
--- a/crates/jujubehold_core/src/failover/attempt.rs
+++ b/crates/jujubehold_core/src/failover/attempt.rs
@@ -72,9 +72,9 @@
     }
 
     /// Takes in the status of an instance that is fenced for this attempt.
-    pub(super) fn grant(&mut self, now: Monotonic, status: InstanceStatus, majority: usize) {
+    pub(super) fn grant(&mut self, now: Monotonic, status: InstanceStatus, config: &ServiceConfig) {
         self.granted.insert(status.instance.clone(), status);
-        if self.granted.len() >= majority {
+        if config.is_majority(|name| self.granted.contains_key(name)) {
             self.majority_at.get_or_insert(now);
         }
     }
--- a/crates/jujubehold_core/src/failover/probing.rs
+++ b/crates/jujubehold_core/src/failover/probing.rs
@@ -115,13 +115,10 @@
 
     // An attempt that ended after its fences leaves a primary that can acknowledge nothing.
     pub(super) fn is_term_over(&self) -> bool {
-        let fenced_past = self
-            .view
-            .samples
-            .values()
-            .filter(|sample| !sample.status.proves(self.view.term))
-            .count();
-        fenced_past >= self.config.majority()
+        self.config.is_majority(|name| {
+            let sample = self.view.samples.get(name);
+            sample.is_some_and(|sample| !sample.status.proves(self.view.term))
+        })
     }
 
     /// Whether an instance that answers is fenced past the present term, so that it can't follow
@@ -134,14 +131,21 @@
             .any(|sample| sample.sent_at >= oldest && sample.status.fence_term > self.view.term)
     }
 
-    /// How many instances, of those that `counts` takes, answered of late.
-    pub(super) fn reachable(&self, now: Monotonic, counts: impl Fn(&InstanceId) -> bool) -> usize {
+    /// Whether a majority, of those instances that `counts` takes, answered of late.
+    pub(super) fn reaches_majority(
+        &self,
+        now: Monotonic,
+        counts: impl Fn(&InstanceId) -> bool,
+    ) -> bool {
+        self.config
+            .is_majority(|name| counts(name) && self.is_reached(now, name))
+    }
+
+    /// Whether the instance answered of late.
+    pub(super) fn is_reached(&self, now: Monotonic, instance: &InstanceId) -> bool {
         let oldest = now.saturating_sub(self.settings.suspect_after);
-        self.view
-            .samples
-            .iter()
-            .filter(|(instance, sample)| counts(instance) && sample.sent_at >= oldest)
-            .count()
+        let sample = self.view.samples.get(instance);
+        sample.is_some_and(|sample| sample.sent_at >= oldest)
     }
 
     fn follow(
--- a/crates/jujubehold_core/src/failover/start.rs
+++ b/crates/jujubehold_core/src/failover/start.rs
@@ -50,18 +50,18 @@
             return;
         }
         // Fencing a minority would take replicas away from a primary that may be serving.
-        let majority = self.config.majority();
-        if self.reachable(now, |_| true) < majority {
+        if !self.reaches_majority(now, |_| true) {
             return;
         }
         let primary = self.view.primary.clone();
-        let reached_others = self.reachable(now, |instance| Some(instance) != primary.as_ref());
+        let reaches_majority_without_primary =
+            self.reaches_majority(now, |instance| Some(instance) != primary.as_ref());
         let rule = QuorumRule {
             own_host: &self.host,
             own_domain: &self.domain,
             watchers: &self.watchers,
             config: &self.config,
-            reaches_majority_without_primary: reached_others >= majority,
+            reaches_majority_without_primary,
         };
         let term = self.view.term;
         let Some(since) = self
--- a/crates/jujubehold_core/src/failover/unknown_primary.rs
+++ b/crates/jujubehold_core/src/failover/unknown_primary.rs
@@ -28,7 +28,8 @@
             return self.view.primary.is_none();
         }
         // An instance that has not answered may be the primary.
-        self.reachable(now, |_| true) == self.config.instances.len()
+        let mut instances = self.config.instances.keys();
+        instances.all(|instance| self.is_reached(now, instance))
     }
 
     /// Takes in a replica's answer before the view does: a log that grows has a primary.
--- a/crates/jujubehold_core/src/group_view.rs
+++ b/crates/jujubehold_core/src/group_view.rs
@@ -6,6 +6,7 @@
 use crate::ids::{InstanceId, Monotonic, Position, Term};
 use crate::instance_status::InstanceStatus;
 use crate::primary_marks::PrimaryMarks;
+use crate::service_config::ServiceConfig;
 use crate::value_type;
 
 value_type! {
@@ -107,19 +108,18 @@
         (sample.status.term == self.term).then_some((sample.sent_at, sample.status.applied))
     }
 
-    /// When the latest proof of the present term was asked for, if `replicas_needed` instances
-    /// beside the primary have given one.
+    /// When the latest proof of the present term was asked for, if so many replicas have given one
+    /// that with the primary they meet every majority.
     ///
-    /// That many instances and the primary meet every majority, so as long as they are not fenced
-    /// past the term no majority is; see docs/notes/authority.md.
-    pub fn term_proof(&self, replicas_needed: usize) -> Option<Monotonic> {
-        self.proof_of(replicas_needed, self.samples.values(), None)
+    /// As long as they are not fenced past the term no majority is; see docs/notes/authority.md.
+    pub fn term_proof(&self, config: &ServiceConfig) -> Option<Monotonic> {
+        self.proof_of(config, self.samples.values(), None)
     }
 
     /// The same, with an answer that the view has not taken in yet.
     pub fn term_proof_with(
         &self,
-        replicas_needed: usize,
+        config: &ServiceConfig,
         sent_at: Monotonic,
         status: &InstanceStatus,
     ) -> Option<Monotonic> {
@@ -127,12 +127,12 @@
             .samples
             .values()
             .filter(|sample| sample.status.instance != status.instance);
-        self.proof_of(replicas_needed, others, Some((sent_at, status)))
+        self.proof_of(config, others, Some((sent_at, status)))
     }
 
     fn proof_of<'a>(
         &'a self,
-        replicas_needed: usize,
+        config: &ServiceConfig,
         samples: impl Iterator<Item = &'a Sample>,
         latest: Option<(Monotonic, &'a InstanceStatus)>,
     ) -> Option<Monotonic> {
@@ -141,10 +141,17 @@
             .chain(latest)
             .filter(|(_, status)| Some(&status.instance) != self.primary.as_ref())
             .filter(|(_, status)| status.proves(self.term))
-            .map(|(sent_at, _)| sent_at)
             .collect();
-        proofs.sort_unstable();
-        let index = proofs.len().checked_sub(replicas_needed.max(1))?;
-        proofs.get(index).copied()
+        proofs.sort_unstable_by_key(|(sent_at, _)| std::cmp::Reverse(*sent_at));
+        // The newest proofs that are enough; the oldest of them tells when.
+        let is_enough = |count: usize| {
+            config.meets_every_majority(|name| {
+                let mut newest = proofs.iter().take(count);
+                Some(name) == self.primary.as_ref()
+                    || newest.any(|(_, status)| status.instance == *name)
+            })
+        };
+        let count = (1..=proofs.len()).find(|count| is_enough(*count))?;
+        proofs.get(count - 1).map(|(sent_at, _)| *sent_at)
     }
 }
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod failover_action;
 pub mod failover_event;
 pub mod floor;
+pub mod former_members;
 pub mod frame_order;
 pub mod group_view;
 pub mod ids;
--- a/crates/jujubehold_core/src/read_policy.rs
+++ b/crates/jujubehold_core/src/read_policy.rs
@@ -140,11 +140,11 @@
     } else {
         view.marks.newest_reached(view.term, status)?
     };
-    let replicas_needed = config.proving_replicas();
-    if replicas_needed == 0 {
+    let is_enough_alone = config.meets_every_majority(|name| Some(name) == view.primary.as_ref());
+    if is_enough_alone {
         return Some(position_as_of);
     }
     // A replica that answers a read stands for the term by that answer.
-    let proof_sent_at = view.term_proof_with(replicas_needed, sent_at, status)?;
+    let proof_sent_at = view.term_proof_with(config, sent_at, status)?;
     Some(position_as_of.min(proof_sent_at + authority.window))
 }
--- a/crates/jujubehold_core/src/replay/request_lines.rs
+++ b/crates/jujubehold_core/src/replay/request_lines.rs
@@ -17,10 +17,11 @@
 use crate::verdict::Refusal;
 
 impl Runner {
-    // commit NAME term= position= sent_ms=
+    // commit NAME INSTANCE term= position= sent_ms=
     pub(super) fn on_commit(&mut self, line: &TraceLine<'_>) -> Outcomes {
         let name = line.word(0, "the write")?;
         let evidence = CommitEvidence {
+            primary: line.word(1, "the primary")?.into(),
             term: line.number("term")?,
             position: line.number("position")?,
             primary_asked_at: line.duration_or("sent_ms", line.at)?,
--- a/crates/jujubehold_core/src/service_config.rs
+++ b/crates/jujubehold_core/src/service_config.rs
@@ -1,6 +1,6 @@
 //! What the operators decided about one service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,6 +18,9 @@
         pub generation: Generation,
         /// The upstream instances by name.
         pub instances: BTreeMap<InstanceId, InstanceConfig>,
+        /// The lists of instances that other hosts may still go by, which no text states; see
+        /// [`FormerMembers`](crate::former_members::FormerMembers).
+        pub former_members: Vec<BTreeSet<InstanceId>>,
         /// Whether a write is acknowledged only after a replica has it.
         pub confirm: Confirm,
         /// How old the data of a read may be when the session has no floor above it; zero asks
@@ -75,6 +78,7 @@
             service: ServiceId::default(),
             generation: 0,
             instances: BTreeMap::new(),
+            former_members: Vec::new(),
             confirm: Confirm::Replica,
             read_age: Duration::ZERO,
             slots: 3,
@@ -87,24 +91,40 @@
 }
 
 impl ServiceConfig {
-    /// How many instances make a majority of the group.
-    pub fn majority(&self) -> usize {
-        self.instances.len() / 2 + 1
+    /// Whether the instances that `counts` takes are a majority, also of each former list.
+    pub fn is_majority(&self, counts: impl Fn(&InstanceId) -> bool) -> bool {
+        self.counted(counts)
+            .all(|(counted, members)| counted > members / 2)
     }
 
-    /// How many replicas must stand for the term beside its primary, so that together they meet
-    /// every majority that could have been fenced.
-    pub fn proving_replicas(&self) -> usize {
-        self.instances.len().saturating_sub(self.majority())
+    /// Whether the instances that `counts` takes meet every majority that could have been fenced,
+    /// also of each former list.
+    ///
+    /// With three instances two do: every majority then contains one of them.
+    pub fn meets_every_majority(&self, counts: impl Fn(&InstanceId) -> bool) -> bool {
+        self.counted(counts)
+            .all(|(counted, members)| counted >= members - members / 2)
     }
 
-    /// How many replicas must hold a write before it is acknowledged.
-    ///
-    /// With three instances one is enough: every majority then contains the primary or it.
-    pub fn confirming_replicas(&self) -> usize {
+    /// The fewest replicas that must hold a write before it is acknowledged, however small the
+    /// group is.
+    pub fn least_holders(&self) -> usize {
         match self.confirm {
             Confirm::None => 0,
-            Confirm::Replica => self.proving_replicas().max(1),
+            Confirm::Replica => 1,
         }
     }
+
+    // How many of each list's members `counts` takes, and how many there are.
+    fn counted(
+        &self,
+        counts: impl Fn(&InstanceId) -> bool,
+    ) -> impl Iterator<Item = (usize, usize)> {
+        let own = self.instances.keys().filter(|name| counts(name)).count();
+        let former = self.former_members.iter().map(move |list| {
+            let counted = list.iter().filter(|name| counts(name)).count();
+            (counted, list.len())
+        });
+        std::iter::once((own, self.instances.len())).chain(former)
+    }
 }
--- a/crates/jujubehold_core/tests/exploration/callers.rs
+++ b/crates/jujubehold_core/tests/exploration/callers.rs
@@ -248,6 +248,7 @@
                     return;
                 };
                 write.evidence = Some(CommitEvidence {
+                    primary: status.instance.clone(),
                     term: status.term,
                     position: status.last_commit,
                     primary_asked_at: asked_at,
--- /dev/null
+++ b/crates/jujubehold_core/tests/member_lists.rs
@@ -0,0 +1,166 @@
+//! A change of a group's instances leaves no majority that another one does not meet.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use jujubehold_core::failover::{Failover, FailoverSettings};
+use jujubehold_core::failover_action::FailoverAction;
+use jujubehold_core::failover_event::FailoverEvent;
+use jujubehold_core::former_members::FormerMembers;
+use jujubehold_core::prelude::*;
+
+use support::{config, ms, status};
+
+const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn with_members(members: &BTreeSet<InstanceId>) -> ServiceConfig {
+    let template = config().instances["a"].clone();
+    let instances = members.iter().map(|name| (name.clone(), template.clone()));
+    ServiceConfig {
+        instances: instances.collect(),
+        ..config()
+    }
+}
+
+/// Every set of the names that are in `members`.
+fn subsets(members: &BTreeSet<InstanceId>) -> Vec<BTreeSet<InstanceId>> {
+    let names: Vec<_> = members.iter().collect();
+    (0..1_u32 << names.len())
+        .map(|bits| {
+            let chosen = names.iter().enumerate();
+            let chosen = chosen.filter(|(index, _)| bits & (1 << index) != 0);
+            chosen.map(|(_, name)| (*name).clone()).collect()
+        })
+        .collect()
+}
+
+/// A fenced majority of one host's list and a proof by another's that don't meet, if there are
+/// such.
+fn gap(fencing: &ServiceConfig, proving: &ServiceConfig) -> Option<String> {
+    let members = |config: &ServiceConfig| config.instances.keys().cloned().collect();
+    for fenced in subsets(&members(fencing)) {
+        if !fencing.is_majority(|name| fenced.contains(name)) {
+            continue;
+        }
+        for proved in subsets(&members(proving)) {
+            let is_proof = proving.meets_every_majority(|name| proved.contains(name));
+            if is_proof && proved.is_disjoint(&fenced) {
+                return Some(format!("{fenced:?} is fenced, {proved:?} proves"));
+            }
+        }
+    }
+    None
+}
+
+/// Every pair of lists of which the second differs from the first.
+fn changes() -> Vec<(BTreeSet<InstanceId>, BTreeSet<InstanceId>)> {
+    let all = NAMES.map(InstanceId::from).into_iter().collect();
+    let lists: Vec<_> = subsets(&all)
+        .into_iter()
+        .filter(|list| !list.is_empty())
+        .collect();
+    let pairs = lists
+        .iter()
+        .flat_map(|old| lists.iter().map(move |new| (old.clone(), new.clone())));
+    pairs.filter(|(old, new)| old != new).collect()
+}
+
+#[test]
+fn majorities_meet_while_hosts_go_by_the_old_list_and_by_both() {
+    for (old, new) in changes() {
+        let (old, new) = (with_members(&old), with_members(&new));
+        let mut former = FormerMembers::default();
+        former.note(ms(0), &old, &new);
+        let both = ServiceConfig {
+            former_members: former.lists(),
+            ..new
+        };
+        for (fencing, proving) in [(&old, &both), (&both, &old), (&both, &both)] {
+            assert_eq!(gap(fencing, proving), None);
+        }
+    }
+}
+
+#[test]
+fn the_new_list_alone_would_leave_a_gap() {
+    let list = |names: &[&str]| names.iter().map(|name| InstanceId::from(*name)).collect();
+    let old = with_members(&list(&["a", "b", "c"]));
+    let new = with_members(&list(&["a", "b", "c", "d"]));
+    let found = gap(&old, &new).expect("a b is a majority that c d does not meet");
+    println!("{found}");
+    let skipped = changes().into_iter().filter(|(old, new)| {
+        let (old, new) = (with_members(old), with_members(new));
+        gap(&old, &new).is_some() || gap(&new, &old).is_some()
+    });
+    assert!(skipped.count() > 0);
+}
+
+#[test]
+fn a_former_list_counts_for_a_while_and_a_change_of_anything_else_adds_none() {
+    let old = config();
+    let mut new = config();
+    new.instances.remove("c");
+    let mut former = FormerMembers::default();
+    let other = ServiceConfig {
+        slots: 9,
+        ..config()
+    };
+    former.note(ms(0), &old, &other);
+    assert!(former.lists().is_empty());
+    former.note(ms(0), &old, &new);
+    former.note(ms(1000), &new, &old);
+    assert_eq!(former.lists().len(), 2);
+    assert!(!former.expire(ms(59_999)));
+    assert!(former.expire(ms(60_000)));
+    assert_eq!(former.lists().len(), 1);
+}
+
+/// Whether a host that can't reach `a` and `b` begins to replace the primary `a`, with the
+/// instances `a c d e` in the place of `a b c`.
+fn begins(former_members: Vec<BTreeSet<InstanceId>>) -> bool {
+    let names = ["a", "c", "d", "e"].map(InstanceId::from);
+    let config = ServiceConfig {
+        former_members,
+        ..with_members(&names.into_iter().collect())
+    };
+    let settings = FailoverSettings::default();
+    let mut failover = Failover::new(settings, &config, "h1".into(), "delta".into(), 7);
+    let mut actions = Vec::new();
+    failover.on_event(
+        ms(0),
+        FailoverEvent::Announced {
+            term: 1,
+            primary: "a".into(),
+        },
+    );
+    for at_ms in (100..=1500).step_by(100) {
+        let now = ms(at_ms);
+        let replicas =
+            ["c", "d", "e"].map(|name| (name, Some(status(name, "replica", 1, 9, "1:0"))));
+        for (name, answer) in [("a", None)].into_iter().chain(replicas) {
+            let probed = FailoverEvent::Probed {
+                instance: name.into(),
+                sent_at: now,
+                status: answer,
+            };
+            actions.extend(failover.on_event(now, probed));
+        }
+        let heard = FailoverEvent::SuspicionHeard {
+            host: "h2".into(),
+            domain: "gulf".into(),
+            term: 1,
+        };
+        actions.extend(failover.on_event(now, heard));
+    }
+    actions
+        .iter()
+        .any(|action| matches!(action, FailoverAction::Record { .. }))
+}
+
+#[test]
+fn a_failover_needs_a_majority_of_the_former_list_too() {
+    let former = ["a", "b", "c"].map(InstanceId::from).into_iter().collect();
+    assert!(!begins(vec![former]), "a and b may have another primary");
+    assert!(begins(Vec::new()));
+}
--- a/crates/jujubehold_host/src/control/configuration.rs
+++ b/crates/jujubehold_host/src/control/configuration.rs
@@ -92,13 +92,13 @@
         let Some(config) = self.store.config(service) else {
             return;
         };
-        let config = Arc::new(config.clone());
+        let config = config.clone();
         info!(service = service.as_str(), generation = config.generation; "configuration");
         let group = self
             .groups
             .entry(service.clone())
-            .or_insert_with(|| GroupDriver::new(Arc::clone(&config)));
-        group.set_config(config);
+            .or_insert_with(|| GroupDriver::new(Arc::new(config.clone())));
+        group.take_config(self.clock.now(), config);
         self.assign(service);
         self.dirty.insert(service.clone());
         self.is_urgent = true;
--- a/crates/jujubehold_host/src/control/group_driver.rs
+++ b/crates/jujubehold_host/src/control/group_driver.rs
@@ -6,6 +6,7 @@
 use jujubehold_core::failover::{Failover, FailoverSettings, Phases};
 use jujubehold_core::failover_action::FailoverAction;
 use jujubehold_core::failover_event::FailoverEvent;
+use jujubehold_core::former_members::FormerMembers;
 use jujubehold_core::ownership::Watcher;
 use jujubehold_core::prelude::*;
 
@@ -16,6 +17,7 @@
 #[derive(Debug)]
 pub(crate) struct GroupDriver {
     config: Arc<ServiceConfig>,
+    former_members: FormerMembers,
     view: GroupView,
     failover: Option<Box<Failover>>,
     watchers: Vec<Watcher>,
@@ -37,6 +39,7 @@
     pub(crate) fn new(config: Arc<ServiceConfig>) -> Self {
         Self {
             config,
+            former_members: FormerMembers::default(),
             view: GroupView::default(),
             failover: None,
             watchers: Vec::new(),
@@ -96,8 +99,16 @@
         }
     }
 
-    /// Takes in a new configuration.
-    pub(crate) fn set_config(&mut self, config: Arc<ServiceConfig>) {
+    /// Takes in a new configuration, by which this host counts beside the former lists of
+    /// instances for a while.
+    pub(crate) fn take_config(&mut self, now: Monotonic, config: ServiceConfig) {
+        self.former_members.note(now, &self.config, &config);
+        self.set_config(config);
+    }
+
+    fn set_config(&mut self, mut config: ServiceConfig) {
+        config.former_members = self.former_members.lists();
+        let config = Arc::new(config);
         if let Some(failover) = &mut self.failover {
             failover.set_config(&config);
         }
@@ -162,6 +173,9 @@
         now: Monotonic,
         event: FailoverEvent,
     ) -> (Vec<FailoverAction>, bool) {
+        if self.former_members.expire(now) {
+            self.set_config(self.config.as_ref().clone());
+        }
         let term = self.view().term;
         let actions = if let Some(failover) = &mut self.failover {
             let actions = failover.on_event(now, event);
--- a/crates/jujubehold_host/src/traffic/acknowledge.rs
+++ b/crates/jujubehold_host/src/traffic/acknowledge.rs
@@ -39,6 +39,7 @@
 ) -> Result<(), UnknownReason> {
     let service = &route.config.service;
     let mut evidence = CommitEvidence {
+        primary: commit.instance.clone(),
         term: commit.term,
         position: commit.position,
         primary_asked_at: commit.asked_at,
@@ -93,7 +94,6 @@
     deadline: Monotonic,
 ) {
     let service = &route.config.service;
-    let needed = route.config.proving_replicas();
     let window = shared.settings.authority.window;
     let mut answers = FuturesUnordered::new();
     for instance in route.config.instances.keys() {
@@ -105,7 +105,7 @@
     loop {
         let now = shared.clock.now();
         let is_proved = view
-            .term_proof(needed)
+            .term_proof(&route.config)
             .is_some_and(|sent_at| sent_at + window > now);
         if is_proved || now >= deadline {
             return;
--- a/crates/jujubehold_host/src/traffic/write_path.rs
+++ b/crates/jujubehold_host/src/traffic/write_path.rs
@@ -265,16 +265,17 @@
 
     fn is_confirmable(&self, route: &ServiceRoute, view: &GroupView) -> bool {
         let now = self.shared.clock.now();
-        let able = view
-            .samples
-            .iter()
-            .filter(|(name, _)| route.config.instances.contains_key(*name))
-            .filter(|(name, _)| view.primary.as_ref() != Some(*name))
-            .filter(|(_, sample)| now.saturating_sub(sample.sent_at) < CONFIRMING_AGE)
-            .filter(|(_, sample)| sample.status.proves(view.term))
-            .count();
-        let needed = route.config.confirming_replicas();
-        able >= needed.max(route.config.proving_replicas())
+        let is_primary = |name: &InstanceId| view.primary.as_ref() == Some(name);
+        let is_able = |name: &InstanceId| {
+            view.samples.get(name).is_some_and(|sample| {
+                now.saturating_sub(sample.sent_at) < CONFIRMING_AGE
+                    && sample.status.proves(view.term)
+            })
+        };
+        let config = &route.config;
+        let replicas = config.instances.keys().filter(|name| !is_primary(name));
+        replicas.filter(|name| is_able(name)).count() >= config.least_holders()
+            && config.meets_every_majority(|name| is_primary(name) || is_able(name))
     }
 
     async fn pin_after(
