Prove named requests under cuts, failovers and changes of owner

Callers name each request, ask again from host to host until it is settled, and every id must be there once. Answers of the primary are cut at growing counts of bytes, for statements and for transactions; two failovers, the first with answers held back; the owners of the primary's connections are killed in turn.

--- a/crates/jujubehold/tests/proofs/harness/mod.rs
+++ b/crates/jujubehold/tests/proofs/harness/mod.rs
@@ -3,11 +3,13 @@
 mod caller;
 mod host_process;
 mod installation;
+mod named_load;
 mod ports;
 mod workload;
 
 pub(crate) use caller::{Answer, Caller};
 pub(crate) use installation::{Installation, Layout};
+pub(crate) use named_load::{Named, NamedLoad};
 pub(crate) use workload::{Report, Workload};
 
 use std::time::Duration;
--- a/crates/jujubehold/tests/proofs/main.rs
+++ b/crates/jujubehold/tests/proofs/main.rs
@@ -9,6 +9,7 @@
 mod graceful_shutdown;
 mod harness;
 mod leaving_upstream;
+mod named_requests;
 mod not_run;
 mod random_faults;
 mod read_your_writes;
