Send a named simple query in one text with its record

The record and a simple query are now one text, of which the upstream runs nothing after a part that failed. Messages of the extended protocol still wait for the record: ruled out was sending them right behind it, since a BEGIN that failed would let them run outside of any transaction.

The code is cut into named_write (what the caller gets) and named_run (the connection's part).

--- a/crates/jujubehold/src/commands/experiment.rs
+++ b/crates/jujubehold/src/commands/experiment.rs
@@ -6,8 +6,8 @@
 use jujubehold_lab::LabError;
 use jujubehold_lab::capacity::run_capacity;
 use jujubehold_lab::experiment::{
-    FailoverGapSettings, GapKind, OverloadSettings, ReplicaReadsSettings, run_failover_gap,
-    run_overload, run_replica_reads,
+    FailoverGapSettings, GapKind, NamedWritesSettings, OverloadSettings, ReplicaReadsSettings,
+    run_failover_gap, run_named_writes, run_overload, run_replica_reads,
 };
 use jujubehold_lab::load::{BenchmarkSettings, run_benchmark};
 use jujubehold_lab::report::Table;
@@ -22,7 +22,8 @@
             NAME is one of\n    failover-gap   how long writes are impossible after a primary is \
             lost\n    replica-reads  the share of reads that replicas serve\n    overload       \
             what callers meet beyond capacity\n    benchmark      one host beside the same load \
-            without it\n    capacity       the slopes of docs/CAPACITY.md",
+            without it\n    named-writes   what naming a write costs\n    capacity       the \
+            slopes of docs/CAPACITY.md",
     exits: &[ExitStatus::Ok, ExitStatus::Failed, ExitStatus::Usage],
     example: "jujubehold experiment failover-gap --runs 10 --out /tmp",
 };
@@ -34,6 +35,7 @@
     ReplicaReads,
     Overload,
     Benchmark,
+    NamedWrites,
     Capacity,
 }
 
@@ -44,6 +46,7 @@
             "replica-reads" => Some(Self::ReplicaReads),
             "overload" => Some(Self::Overload),
             "benchmark" => Some(Self::Benchmark),
+            "named-writes" => Some(Self::NamedWrites),
             "capacity" => Some(Self::Capacity),
             _ => None,
         }
@@ -105,6 +108,7 @@
         Experiment::ReplicaReads => run_replica_reads(&ReplicaReadsSettings::default(), out).await,
         Experiment::Overload => run_overload(&OverloadSettings::default(), out).await,
         Experiment::Benchmark => run_benchmark(&BenchmarkSettings::default()).await,
+        Experiment::NamedWrites => run_named_writes(&NamedWritesSettings::default()).await,
         Experiment::Capacity => run_capacity(out).await,
     }
 }
--- a/crates/jujubehold_host/src/traffic/answer.rs
+++ b/crates/jujubehold_host/src/traffic/answer.rs
@@ -37,6 +37,8 @@
     pub(crate) has_rows: bool,
     /// The last statement's command tag.
     pub(crate) tag: SmolStr,
+    /// The refusal of a statement of the proxy's own, which the caller is not given.
+    pub(crate) own_error: Option<Frame>,
 }
 
 /// Why an answer has no end.
@@ -61,6 +63,7 @@
         is_rolled_back: false,
         has_rows: false,
         tag: SmolStr::default(),
+        own_error: None,
     };
     let mut has_completed = false;
     loop {
@@ -72,6 +75,10 @@
         match plan.take(&frame) {
             Passage::Give => {}
             Passage::Drop => continue,
+            Passage::OwnFailed => {
+                answered.own_error = Some(frame);
+                continue;
+            }
             Passage::Ready(status) => {
                 answered.status = Some(status);
                 continue;
--- a/crates/jujubehold_host/src/traffic/answer_plan.rs
+++ b/crates/jujubehold_host/src/traffic/answer_plan.rs
@@ -27,6 +27,8 @@
     Execute,
     /// A Close of a portal.
     Close,
+    /// A statement of the proxy's own, ahead of the caller's in the same simple query.
+    OwnStatement,
     /// A Sync or a simple query.
     Ready,
 }
@@ -38,6 +40,8 @@
     Give,
     /// It answers what the proxy asked, and is dropped.
     Drop,
+    /// It refuses a statement of the proxy's own; the caller's did not run.
+    OwnFailed,
     /// It is a `ReadyForQuery` with this status.
     Ready(u8),
     /// It answers nothing that was asked: the connection is out of step.
@@ -88,8 +92,13 @@
             backend::NOTICE_RESPONSE | backend::PARAMETER_STATUS => return Passage::Give,
             backend::NOTIFICATION_RESPONSE => return Passage::Drop,
             backend::ERROR_RESPONSE => {
+                let is_own = self.steps.front() == Some(&Step::OwnStatement);
                 self.skip_to_ready();
-                return Passage::Give;
+                return if is_own {
+                    Passage::OwnFailed
+                } else {
+                    Passage::Give
+                };
             }
             _ => {}
         }
@@ -108,7 +117,8 @@
                 | backend::PORTAL_SUSPENDED,
             ) => (true, Passage::Give),
             (Step::ParseUnasked(_), backend::PARSE_COMPLETE)
-            | (Step::CloseUnasked, backend::CLOSE_COMPLETE) => (true, Passage::Drop),
+            | (Step::CloseUnasked, backend::CLOSE_COMPLETE)
+            | (Step::OwnStatement, backend::COMMAND_COMPLETE) => (true, Passage::Drop),
             (Step::Ready, backend::READY_FOR_QUERY) => {
                 let status = frame.body().first().copied().unwrap_or(b'E');
                 (true, Passage::Ready(status))
--- a/crates/jujubehold_host/src/traffic/mod.rs
+++ b/crates/jujubehold_host/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod lane;
 mod listener;
 mod named_request;
+mod named_run;
 mod named_unit;
 mod named_write;
 mod outcome_record;
--- a/crates/jujubehold_host/src/traffic/outcome_record.rs
+++ b/crates/jujubehold_host/src/traffic/outcome_record.rs
@@ -9,13 +9,11 @@
 use jujubehold_pg::{Frame, FrameError, backend, query};
 use smol_str::SmolStr;
 
-use super::answer::sqlstate;
+use super::answer::{Answered, sqlstate};
 use super::lane::Lane;
 use super::named_request::{CREATE_INDEX, CREATE_TABLE, NamedRequest, prune_sql};
 use super::status_answer::{STATUS_QUERY, read_status};
 
-/// How often the table is created anew before its absence is an error.
-const CREATE_TRIES: usize = 3;
 /// Old records are looked for after one in this many named writes of a thread. Each time more are
 /// deleted than were written since, so that the table stays bounded.
 const PRUNE_EVERY: u32 = 64;
@@ -23,6 +21,7 @@
 const PRUNE_LIMIT: Duration = Duration::from_secs(1);
 
 const UNDEFINED_TABLE: &str = "42P01";
+const INSUFFICIENT_PRIVILEGE: &str = "42501";
 const UNIQUE_VIOLATION: &str = "23505";
 
 thread_local! {
@@ -32,10 +31,15 @@
 /// What came of opening a named request's transaction.
 #[derive(Debug)]
 pub(crate) enum Opening {
-    /// It is open, and the record is written in it.
-    Open,
+    /// It is open, and the record is written in it; with the statement's answer where the
+    /// statement went along.
+    Open(Option<Answered>),
     /// The name has a record already; no transaction is open.
     Recorded,
+    /// The connection broke before the caller's statement was sent on it.
+    Lost,
+    /// The table was missing, and was created; no transaction is open.
+    TableCreated,
     /// The upstream refused, and no transaction is open.
     Refused(Refused),
 }
@@ -48,9 +52,17 @@
 }
 
 impl Refused {
-    /// Whether the table is missing and may not be created.
-    pub(crate) fn is_table_missing(&self) -> bool {
-        self.sqlstate == UNDEFINED_TABLE
+    /// A refusal by its message.
+    pub(crate) fn new(error: Frame) -> Self {
+        Self {
+            sqlstate: sqlstate(&error),
+            error,
+        }
+    }
+
+    /// Whether the upstream's user may not do this.
+    pub(crate) fn is_not_allowed(&self) -> bool {
+        self.sqlstate == INSUFFICIENT_PRIVILEGE
     }
 }
 
@@ -70,29 +82,42 @@
     lane: &mut Lane,
     request: &NamedRequest,
 ) -> Result<Opening, FrameError> {
-    let mut tries_left = CREATE_TRIES;
-    loop {
-        let reply = ask(lane, &request.open_sql()).await?;
-        let Some(refused) = reply.refused else {
-            // Without its record the write must not go on.
-            let is_recorded = reply.tag.starts_with("INSERT");
-            let opening = is_recorded.then_some(Opening::Open);
-            return opening.ok_or(FrameError::Truncated);
-        };
-        ask(lane, "ROLLBACK").await?;
-        if refused.sqlstate == UNIQUE_VIOLATION {
-            return Ok(Opening::Recorded);
-        }
-        if !refused.is_table_missing() || tries_left == 0 {
-            return Ok(Opening::Refused(refused));
-        }
-        tries_left -= 1;
-        // Two hosts may do this at once, and one of them is told of an error.
-        ask(lane, CREATE_TABLE).await?;
-        ask(lane, CREATE_INDEX).await?;
+    let reply = ask(lane, &request.open_sql()).await?;
+    match reply.refused {
+        Some(refused) => end_refused_record(lane, refused).await,
+        None if reply.tag.starts_with("INSERT") => Ok(Opening::Open(None)),
+        // Without its record the write must not go on.
+        None => Err(FrameError::Truncated),
     }
 }
 
+/// Ends a transaction whose record was refused.
+///
+/// # Errors
+/// The connection broke.
+pub(crate) async fn end_refused_record(
+    lane: &mut Lane,
+    refused: Refused,
+) -> Result<Opening, FrameError> {
+    ask(lane, "ROLLBACK").await?;
+    match refused.sqlstate.as_str() {
+        UNIQUE_VIOLATION => Ok(Opening::Recorded),
+        UNDEFINED_TABLE => create_table(lane).await,
+        _ => Ok(Opening::Refused(refused)),
+    }
+}
+
+// Two hosts may do this at once, and one of them is told of an error: who comes second finds the
+// table all the same.
+async fn create_table(lane: &mut Lane) -> Result<Opening, FrameError> {
+    let created = ask(lane, CREATE_TABLE).await?;
+    ask(lane, CREATE_INDEX).await?;
+    Ok(match created.refused {
+        Some(refused) if refused.sqlstate == INSUFFICIENT_PRIVILEGE => Opening::Refused(refused),
+        Some(_) | None => Opening::TableCreated,
+    })
+}
+
 /// Reads the record of `request`, and the status after it.
 pub(crate) async fn look_up(
     lane: &mut Lane,
@@ -120,10 +145,7 @@
             backend::COMMAND_COMPLETE => reply.tag = frame.first_text().unwrap_or_default().into(),
             backend::DATA_ROW => reply.row = Some(frame),
             backend::ERROR_RESPONSE if reply.refused.is_none() => {
-                reply.refused = Some(Refused {
-                    sqlstate: sqlstate(&frame),
-                    error: frame,
-                });
+                reply.refused = Some(Refused::new(frame));
             }
             _ => {}
         }
--- a/crates/jujubehold_host/src/traffic/read_path.rs
+++ b/crates/jujubehold_host/src/traffic/read_path.rs
@@ -344,7 +344,9 @@
                 }
                 return status == b'I';
             }
-            super::answer_plan::Passage::OutOfStep => return false,
+            super::answer_plan::Passage::OutOfStep | super::answer_plan::Passage::OwnFailed => {
+                return false;
+            }
             super::answer_plan::Passage::Give | super::answer_plan::Passage::Drop => {}
         }
     }
--- a/crates/jujubehold_host/src/traffic/unit.rs
+++ b/crates/jujubehold_host/src/traffic/unit.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 use jujubehold_core::prelude::*;
 use jujubehold_pg::{
-    Frame, bind_to, close_statement, combine, describe_statement, flush, parse, sync,
+    Frame, bind_to, close_statement, combine, describe_statement, flush, parse, query, sync,
 };
 use smol_str::SmolStr;
 
@@ -104,6 +104,13 @@
                 .any(|prepared| prepared.class == StatementClass::Session)
     }
 
+    /// Writes a simple query with `own` ahead of it, two statements of the proxy's, as one text.
+    pub(crate) fn write_after(&self, own: &str, out: &mut BytesMut) -> AnswerPlan {
+        let text = self.text().unwrap_or_default();
+        out.extend_from_slice(query(&format!("{own};\n{text}")).bytes());
+        AnswerPlan::new(vec![Step::OwnStatement, Step::OwnStatement, Step::Ready])
+    }
+
     /// The text of a simple query.
     pub(crate) fn text(&self) -> Option<&str> {
         match &self.messages {
--- a/crates/jujubehold_lab/src/experiment/mod.rs
+++ b/crates/jujubehold_lab/src/experiment/mod.rs
@@ -2,10 +2,12 @@
 
 mod failover_gap;
 mod gap_kind;
+mod named_writes;
 mod overload;
 mod replica_reads;
 
 pub use failover_gap::{FailoverGapSettings, run_failover_gap};
 pub use gap_kind::GapKind;
+pub use named_writes::{NamedWritesSettings, run_named_writes};
 pub use overload::{OverloadSettings, run_overload};
 pub use replica_reads::{ReplicaReadsSettings, run_replica_reads};
