--- a/crates/jujubehold_core/src/failover/settings.rs
+++ b/crates/jujubehold_core/src/failover/settings.rs
@@ -15,6 +15,12 @@
         pub probe_timeout: Duration,
         /// How often the other instances are probed while the primary is alive.
         pub sample_interval: Duration,
+        /// How often the primary of a quiet group is probed by watchers other than the first.
+        pub far_probe_interval: Duration,
+        /// How often the other instances of a quiet group are probed.
+        pub quiet_sample_interval: Duration,
+        /// For how long after this host's traffic used a group the group is not quiet.
+        pub traffic_lifetime: Duration,
         /// How long the primary must have given no proof of life before it is suspected.
         pub suspect_after: Duration,
         /// How many probes must have failed since the last proof of life.
@@ -58,8 +64,12 @@
         pub min_interval: Duration,
         /// How long the wish must have stood, and the instance answered, before the change.
         pub settle: Duration,
-        /// How long a primary must have been leaving before it is replaced.
+        /// How long a leaving primary must have had no open transaction before it is replaced.
         pub leaving_settle: Duration,
+        /// How long a leaving primary's open transactions may take to end.
+        pub leaving_grace: Duration,
+        /// How often a leaving primary is asked for its open transactions.
+        pub leaving_probe_interval: Duration,
         /// How long an instance may be fenced past the present term before the primary takes a new
         /// one, so that the instance can follow again.
         pub stranded_after: Duration,
@@ -74,6 +84,9 @@
             probe_interval: Duration::from_millis(200),
             probe_timeout: Duration::from_millis(300),
             sample_interval: Duration::from_secs(1),
+            far_probe_interval: Duration::from_secs(3),
+            quiet_sample_interval: Duration::from_secs(10),
+            traffic_lifetime: Duration::from_secs(10),
             suspect_after: Duration::from_millis(700),
             suspect_failures: 2,
             share_interval: Duration::from_millis(200),
@@ -104,6 +117,8 @@
             min_interval: Duration::from_secs(10),
             settle: Duration::from_secs(2),
             leaving_settle: Duration::from_millis(200),
+            leaving_grace: Duration::from_secs(2),
+            leaving_probe_interval: Duration::from_millis(50),
             stranded_after: Duration::from_secs(5),
             max_lag: 1000,
         }
--- a/crates/jujubehold_core/src/replay/record.rs
+++ b/crates/jujubehold_core/src/replay/record.rs
@@ -53,9 +53,14 @@
             milliseconds(*sent_at),
             status_text(status.as_ref())
         ),
+        FailoverEvent::Refused { instance, sent_at } => {
+            let sent_ms = milliseconds(*sent_at);
+            format!("refused {instance} at_ms={at_ms} sent_ms={sent_ms}")
+        }
         FailoverEvent::SuspicionHeard { host, domain, term } => {
             format!("suspicion {host} {domain} at_ms={at_ms} term={term}")
         }
+        FailoverEvent::DoubtHeard { term } => format!("doubt at_ms={at_ms} term={term}"),
         FailoverEvent::LivenessHeard { host, domain, term } => {
             format!("liveness {host} {domain} at_ms={at_ms} term={term}")
         }
@@ -99,14 +104,15 @@
 
 /// The line that states an action as an outcome.
 ///
-/// `None` for probes, which follow from the time alone: a trace would be full of them.
+/// `None` for probes, which follow from the time alone, and for doubts, which only bring other
+/// hosts' probes: a trace would be full of them.
 pub fn action_line(action: &FailoverAction) -> Option<String> {
     action_text(action).map(|text| format!("expect {text}"))
 }
 
 pub(super) fn action_text(action: &FailoverAction) -> Option<String> {
     let text = match action {
-        FailoverAction::Probe { .. } => return None,
+        FailoverAction::Probe { .. } | FailoverAction::ShareDoubt { .. } => return None,
         FailoverAction::ShareSuspicion { term } => format!("share_suspicion term={term}"),
         FailoverAction::ShareLiveness { term } => format!("share_liveness term={term}"),
         FailoverAction::Record { term, nonce } => format!("record term={term} nonce={nonce}"),
@@ -140,13 +146,14 @@
         return " silent".to_owned();
     };
     format!(
-        " role={} in_term={} log={} applied={} fence={}/{} history={}",
+        " role={} in_term={} log={} applied={} fence={}/{} open={} history={}",
         status.role.as_str(),
         status.term,
         status.received,
         status.applied,
         status.fence_term,
         status.fence_nonce,
+        status.open_transactions,
         status.history,
     )
 }
