Give up a replica that answers nothing, and keep reads off it

Cause: a replica that hangs takes connections and answers nothing. Reads went on to it, each until its deadline, since only a broken connection sent a read elsewhere.

Ruled out: a limit on the read's own answer, which would cut long reads. The status that is asked for ahead of the read on the same connection comes at once from any instance that lives.

Now a read gives a replica up when its status is 300 ms late and nothing else was heard of it meanwhile (retry reason instance_silent); later reads rank it after the primary for 1 s, doubled up to 30 s, and then one read at a time tries it.

The new traffic test failed before (a read hung for the test's 30 s) and passes after.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod service_config;
 pub mod session_floor;
 pub mod session_token;
+pub mod silence;
 pub mod statement;
 pub mod term_history;
 pub mod verdict;
--- a/crates/jujubehold_core/src/read_attempts.rs
+++ b/crates/jujubehold_core/src/read_attempts.rs
@@ -112,6 +112,7 @@
         RetryReason::BrokenBeforeSend
         | RetryReason::BrokenDuringRead
         | RetryReason::NotPrimary
-        | RetryReason::ConnectRefused => RefusalReason::UpstreamUnreachable,
+        | RetryReason::ConnectRefused
+        | RetryReason::InstanceSilent => RefusalReason::UpstreamUnreachable,
     }
 }
--- a/crates/jujubehold_core/src/read_candidates.rs
+++ b/crates/jujubehold_core/src/read_candidates.rs
@@ -3,6 +3,7 @@
 //! What is known here is a guess: the answer is judged by the status that the instance gives on
 //! the connection of the read, so a wrong guess costs a retry and never a stale answer.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::floor::FloorCheck;
@@ -24,6 +25,8 @@
         pub now: Monotonic,
         /// How long a replica may be waited for that will soon have what the read needs.
         pub patience: Duration,
+        /// Instances that gave no answer of late.
+        pub avoided: BTreeSet<InstanceId>,
         /// A number that differs from read to read, to spread reads over equal instances.
         pub spread: u64,
     }
@@ -60,7 +63,10 @@
         .iter()
         .filter(|(_, instance)| instance.state == InstanceState::Active)
         .filter_map(|(name, instance)| {
-            let chance = chance(view, need, origin.now + origin.patience, name)?;
+            let mut chance = chance(view, need, origin.now + origin.patience, name)?;
+            if origin.avoided.contains(name) {
+                chance = Chance::Unlikely;
+            }
             let spread = mix(weight("read", name) ^ origin.spread);
             Some((chance, distance(instance, origin), spread, name))
         })
--- a/crates/jujubehold_core/src/retry_reason.rs
+++ b/crates/jujubehold_core/src/retry_reason.rs
@@ -19,18 +19,21 @@
         OwnerMoved,
         /// The upstream refused a new connection.
         ConnectRefused,
+        /// A replica gave no answer in time, and nothing else was heard of it meanwhile.
+        InstanceSilent,
     }
 }
 
 impl RetryReason {
     /// Every reason, in the order of the metrics page.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::ReplicaBehind,
         Self::BrokenBeforeSend,
         Self::BrokenDuringRead,
         Self::NotPrimary,
         Self::OwnerMoved,
         Self::ConnectRefused,
+        Self::InstanceSilent,
     ];
 
     /// The stable name used in metrics and logs.
@@ -42,6 +45,7 @@
             Self::NotPrimary => "not_primary",
             Self::OwnerMoved => "owner_moved",
             Self::ConnectRefused => "connect_refused",
+            Self::InstanceSilent => "instance_silent",
         }
     }
 }
--- a/crates/jujubehold_core/tests/cost.rs
+++ b/crates/jujubehold_core/tests/cost.rs
@@ -73,6 +73,7 @@
         domain: "gulf".into(),
         region: "south".into(),
         now: ms(10),
+        avoided: std::collections::BTreeSet::new(),
         patience: std::time::Duration::ZERO,
         spread: 1,
     };
--- a/crates/jujubehold_core/tests/exploration/callers.rs
+++ b/crates/jujubehold_core/tests/exploration/callers.rs
@@ -168,6 +168,7 @@
         };
         let need = ReadNeed::new(&self.config, knowledge, now);
         let origin = ReadOrigin {
+            avoided: std::collections::BTreeSet::new(),
             domain: self
                 .config
                 .instances
--- a/crates/jujubehold_core/tests/read_policy.rs
+++ b/crates/jujubehold_core/tests/read_policy.rs
@@ -144,6 +144,7 @@
         domain: "piedmont".into(),
         region: "south".into(),
         now: ms(2100),
+        avoided: std::collections::BTreeSet::new(),
         patience: std::time::Duration::ZERO,
         spread: 3,
     };
@@ -190,6 +191,7 @@
         domain: "delta".into(),
         region: "south".into(),
         now: need.as_of,
+        avoided: std::collections::BTreeSet::new(),
         patience: ms(patience_ms),
         spread: 3,
     };
--- a/crates/jujubehold_host/src/shared.rs
+++ b/crates/jujubehold_host/src/shared.rs
@@ -15,7 +15,7 @@
 use crate::pool::Pools;
 use crate::routing_table::{RoutingTable, ServiceRoute};
 use crate::security::{CallerTls, SecurityError};
-use crate::traffic::{AdmissionDesk, CancelKeys, ConfirmDesk, RetryBudgets};
+use crate::traffic::{AdmissionDesk, CancelKeys, ConfirmDesk, RetryBudgets, SilenceDesk};
 
 /// The parts of one host that its threads share.
 #[derive(Debug)]
@@ -38,6 +38,8 @@
     pub retries: RetryBudgets,
     /// The questions that stand behind acknowledgements.
     pub confirms: ConfirmDesk,
+    /// The instances that reads keep off.
+    pub silences: SilenceDesk,
     /// The keys to cancel statements with.
     pub cancels: Arc<CancelKeys>,
     /// What is in flight, which a shutdown waits for.
@@ -67,6 +69,7 @@
             admission: AdmissionDesk::default(),
             retries: RetryBudgets::default(),
             confirms: ConfirmDesk::default(),
+            silences: SilenceDesk::default(),
             cancels: Arc::default(),
             activity: Arc::default(),
             phase,
--- a/crates/jujubehold_host/src/traffic/named_write.rs
+++ b/crates/jujubehold_host/src/traffic/named_write.rs
@@ -20,7 +20,7 @@
 use super::outcome_record::{
     Opening, Refused, ask, finish_and_prune, look_up, open_recorded, read_reply,
 };
-use super::read_path::READ_ONLY_SQLSTATE;
+use super::read_try::READ_ONLY_SQLSTATE;
 use super::replacement::while_primary;
 use super::session::Session;
 use super::status_answer::{STATUS_QUERY, read_status};
--- a/crates/jujubehold_host/src/traffic/read_path.rs
+++ b/crates/jujubehold_host/src/traffic/read_path.rs
@@ -1,52 +1,33 @@
 //! Reads, and the opening of transactions: candidates are tried until one is fresh enough.
 //!
-//! The instance's status is asked for ahead of the read on the same connection, and judged before
-//! a byte of the read's answer goes to the caller; see docs/notes/callers-side.md.
+//! `read_try` is one such try; see docs/notes/callers-side.md.
+
+use std::time::Duration;
 
-use bytes::BytesMut;
 use jujubehold_core::group_view::Sample;
 use jujubehold_core::prelude::*;
 use jujubehold_core::read_attempts::{ReadAttempts, ReadStep};
 use jujubehold_core::read_candidates::{ReadOrigin, read_candidates};
-use jujubehold_core::read_policy::{ReadJudgement, ReadNeed};
+use jujubehold_core::read_policy::ReadNeed;
 use jujubehold_core::route::route_write;
-use jujubehold_pg::{query, ready_for_query};
+use jujubehold_pg::ready_for_query;
 
-use super::acknowledge::prove_term;
-use super::answer::{AnswerError, Answered, Giving, pass_answer};
-use super::answer_plan::AnswerPlan;
+use super::answer::Answered;
 use super::confirm_desk;
-use super::lane::{Lane, LaneError};
+use super::lane::Lane;
+use super::read_try::{SILENCE_LIMIT, Tried};
 use super::retry_budgets::RetryBudgets;
 use super::session::Session;
-use super::status_answer::{STATUS_QUERY, read_status};
 use super::transaction::Pinned;
 use super::unit::Unit;
 use super::unit_error::UnitError;
-use super::write_path::PROOF_LIMIT;
 use crate::observation::Observation;
 use crate::routing_table::ServiceRoute;
 
 /// A status is told to the control thread when the one that it has is older than this.
-const SAMPLE_AGE: std::time::Duration = std::time::Duration::from_millis(20);
+const SAMPLE_AGE: Duration = Duration::from_millis(20);
 /// How long a replica may be waited for before the primary serves a read.
-const REPLICA_PATIENCE: std::time::Duration = std::time::Duration::from_millis(8);
-/// The most bytes of a dropped answer that are read to keep the connection.
-const DRAIN_BYTES: usize = 256 * 1024;
-/// How long reading a dropped answer may take.
-const DRAIN_LIMIT: std::time::Duration = std::time::Duration::from_secs(1);
-/// What an upstream answers to a write on a read-only instance.
-pub(crate) const READ_ONLY_SQLSTATE: &str = "25006";
-
-/// What became of one candidate.
-enum Tried {
-    /// The caller has its answer.
-    Served,
-    /// Nothing was given; another instance may do.
-    Next(RetryReason),
-    /// The statement writes after all.
-    IsWrite,
-}
+const REPLICA_PATIENCE: Duration = Duration::from_millis(8);
 
 impl Session {
     /// Runs a read on the best instance that is fresh enough.
@@ -60,6 +41,12 @@
             domain: self.shared.settings.domain.clone(),
             region: self.shared.settings.region.clone(),
             now: unit.arrived_at,
+            avoided: self.shared.silences.avoided(
+                &self.service,
+                unit.arrived_at,
+                SILENCE_LIMIT,
+                &route.view,
+            ),
             patience: REPLICA_PATIENCE,
             spread: rand::random(),
         };
@@ -150,116 +137,8 @@
         }
     }
 
-    async fn try_read(
-        &mut self,
-        unit: &Unit,
-        route: &ServiceRoute,
-        fresh_view: Option<&GroupView>,
-        need: &ReadNeed,
-        instance: &InstanceId,
-    ) -> Result<Tried, UnitError> {
-        let wait = self.lane_wait(unit);
-        let mut lane = match Lane::open(&self.shared, route, instance, wait).await {
-            Ok(lane) => lane,
-            Err(LaneError::Retry(reason)) => {
-                self.report_unreachable(instance);
-                return Ok(Tried::Next(reason));
-            }
-            Err(LaneError::Busy) => return Err(RefusalReason::DeadlineTooShort.into()),
-        };
-        let mut bytes = BytesMut::new();
-        let has_commands = self.write_settings(&mut lane, &mut bytes);
-        bytes.extend_from_slice(query(STATUS_QUERY).bytes());
-        let plan = unit.write_for(&mut lane, &mut bytes);
-        self.key.running.start(lane.cancel_target());
-        let sent_at = self.shared.clock.now();
-        if lane.send(&bytes).await.is_err() {
-            self.key.running.end();
-            return Ok(Tried::Next(RetryReason::BrokenBeforeSend));
-        }
-        if has_commands && !self.read_settings_answer(&mut lane).await? {
-            return Err(RefusalReason::UnsupportedSessionState.into());
-        }
-        let Ok(Some(status)) = read_status(&mut lane).await else {
-            self.report_unreachable(instance);
-            return Ok(Tried::Next(RetryReason::BrokenDuringRead));
-        };
-        self.report_status(route, sent_at, &status);
-        let judgement = self
-            .judge(unit, route, fresh_view, need, sent_at, &status)
-            .await;
-        match judgement {
-            ReadJudgement::Serve => {}
-            ReadJudgement::Retry => {
-                self.drop_answer(lane, plan);
-                return Ok(Tried::Next(RetryReason::ReplicaBehind));
-            }
-            ReadJudgement::Cut => {
-                self.drop_answer(lane, plan);
-                return Err(RefusalReason::FloorLost.into());
-            }
-        }
-        let answered = match pass_answer(&mut lane, plan, &mut self.io, Giving::AtOnce).await {
-            Ok(answered) => answered,
-            Err(AnswerError::Caller(error)) => return Err(UnitError::Caller(error)),
-            Err(AnswerError::Upstream) if self.io.has_given => {
-                return Err(UnitError::Ended(UnknownReason::ConnectionLost));
-            }
-            Err(AnswerError::Upstream) => {
-                self.io.clear();
-                self.report_unreachable(instance);
-                return Ok(Tried::Next(RetryReason::BrokenDuringRead));
-            }
-        };
-        let is_refused_write = answered.sqlstate.as_deref() == Some(READ_ONLY_SQLSTATE);
-        if is_refused_write && !self.io.has_given && unit.class == StatementClass::Read {
-            self.io.clear();
-            self.finish_lane(lane);
-            return Ok(Tried::IsWrite);
-        }
-        let is_primary = route.view.primary.as_ref() == Some(instance);
-        let reads = if is_primary {
-            &self.metrics.primary_reads
-        } else {
-            &self.metrics.replica_reads
-        };
-        reads.increment(1);
-        self.give_answer(lane, instance, &answered, is_primary)
-            .await?;
-        Ok(Tried::Served)
-    }
-
-    /// Judges an answer by the status asked for ahead of it at `sent_at`.
-    ///
-    /// A primary that no replica has vouched for of late is judged again once replicas were asked.
-    pub(crate) async fn judge(
-        &self,
-        unit: &Unit,
-        route: &ServiceRoute,
-        fresh_view: Option<&GroupView>,
-        need: &ReadNeed,
-        sent_at: Monotonic,
-        status: &InstanceStatus,
-    ) -> ReadJudgement {
-        let authority = &self.shared.settings.authority;
-        // The view may have grown while the answer was under way.
-        let latest = self.shared.route(&self.service);
-        let table_view = latest.as_ref().map_or(&route.view, |route| &route.view);
-        let view = fresh_view
-            .filter(|view| view.term >= table_view.term)
-            .unwrap_or(table_view);
-        let judgement = need.judge(&route.config, view, authority, sent_at, status);
-        if judgement != ReadJudgement::Retry || !status.is_primary_of(view.term) {
-            return judgement;
-        }
-        let mut proved = view.clone();
-        let limit = self.shared.clock.now() + PROOF_LIMIT;
-        prove_term(&self.shared, route, &mut proved, limit.min(unit.deadline)).await;
-        need.judge(&route.config, &proved, authority, sent_at, status)
-    }
-
     /// Gives the end of an answer, and keeps the lane while a transaction is open.
-    async fn give_answer(
+    pub(super) async fn give_answer(
         &mut self,
         lane: Lane,
         instance: &InstanceId,
@@ -316,37 +195,4 @@
             instance: instance.clone(),
         });
     }
-
-    // The answer is read to its end aside, so that the caller does not wait for it.
-    fn drop_answer(&self, mut lane: Lane, plan: AnswerPlan) {
-        let is_uncancelled = self.key.running.end();
-        actix_rt::spawn(async move {
-            let drained = tokio::time::timeout(DRAIN_LIMIT, drain(&mut lane, plan)).await;
-            lane.finish(is_uncancelled && drained == Ok(true));
-        });
-    }
-}
-
-// Whether the connection is clean after it.
-async fn drain(lane: &mut Lane, mut plan: AnswerPlan) -> bool {
-    let mut bytes_read = 0;
-    let mut scratch = BytesMut::new();
-    while bytes_read < DRAIN_BYTES {
-        plan.give_own(&mut scratch);
-        let Ok(frame) = lane.receive().await else {
-            return false;
-        };
-        bytes_read += frame.bytes().len();
-        match plan.take(&frame) {
-            super::answer_plan::Passage::Ready(status) => {
-                for name in plan.failed_statements() {
-                    lane.prepared().remove(name);
-                }
-                return status == b'I';
-            }
-            super::answer_plan::Passage::OutOfStep => return false,
-            super::answer_plan::Passage::Give | super::answer_plan::Passage::Drop => {}
-        }
-    }
-    false
 }
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/silence_desk.rs
@@ -0,0 +1,51 @@
+//! The silent instances of all services, as this host's reads know them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use jujubehold_core::prelude::*;
+use jujubehold_core::silence::SilentInstances;
+
+/// Silent instances by service; empty while all answer.
+#[derive(Debug, Default)]
+pub struct SilenceDesk {
+    services: Mutex<BTreeMap<ServiceId, SilentInstances>>,
+}
+
+impl SilenceDesk {
+    pub(crate) fn note_silent(&self, service: &ServiceId, now: Monotonic, instance: &InstanceId) {
+        let mut services = self.lock();
+        let silent = services.entry(service.clone()).or_default();
+        silent.note_silent(now, instance);
+    }
+
+    pub(crate) fn note_answer(&self, service: &ServiceId, instance: &InstanceId) {
+        if let Some(silent) = self.lock().get_mut(service) {
+            silent.note_answer(instance);
+        }
+    }
+
+    pub(crate) fn is_silent(&self, service: &ServiceId, instance: &InstanceId) -> bool {
+        self.lock()
+            .get(service)
+            .is_some_and(|silent| silent.is_silent(instance))
+    }
+
+    pub(crate) fn avoided(
+        &self,
+        service: &ServiceId,
+        now: Monotonic,
+        trial: Duration,
+        view: &GroupView,
+    ) -> BTreeSet<InstanceId> {
+        self.lock()
+            .get_mut(service)
+            .map(|silent| silent.avoided(now, trial, view))
+            .unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<ServiceId, SilentInstances>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/jujubehold_host/src/traffic/write_path.rs
+++ b/crates/jujubehold_host/src/traffic/write_path.rs
@@ -12,7 +12,7 @@
 use super::acknowledge::{Commit, acknowledge, prove_term};
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
 use super::lane::{Lane, LaneError};
-use super::read_path::READ_ONLY_SQLSTATE;
+use super::read_try::READ_ONLY_SQLSTATE;
 use super::replacement::{open_while_primary, while_primary};
 use super::session::Session;
 use super::session_settings::SESSION_SETTING;
--- a/crates/jujubehold_host/tests/traffic/reads.rs
+++ b/crates/jujubehold_host/tests/traffic/reads.rs
@@ -4,7 +4,7 @@
 
 use jujubehold_core::prelude::*;
 
-use crate::support::{Bench, run, text, try_run};
+use crate::support::{Bench, HANG, SERVICE, run, text, try_run};
 
 #[actix_rt::test]
 async fn a_session_sees_its_own_write_while_replicas_lag() {
@@ -130,3 +130,30 @@
     run(&client, "RESET jujubehold.session").await;
     assert_eq!(text(&client, "SELECT n FROM counter").await, "0");
 }
+
+#[actix_rt::test]
+async fn a_replica_that_answers_nothing_does_not_keep_reads_waiting() {
+    let mut bench = Bench::start(ServiceConfig {
+        read_age: Duration::from_mins(1),
+        statement_timeout: 10 * HANG,
+        ..ServiceConfig::default()
+    })
+    .await;
+    bench.create_counter().await;
+    let client = bench.connect().await;
+    // Both replicas have a connection that is open already.
+    let pools = &bench.shared.pools;
+    let has_idle = |name: &str| pools.idle_count(&SERVICE.into(), &name.into()) > 0;
+    for _ in 0..100 {
+        text(&client, "SELECT n FROM counter").await;
+        if has_idle("b") && has_idle("c") {
+            break;
+        }
+    }
+    bench.stop_probing();
+    bench.databases[1].freeze();
+    for _ in 0..20 {
+        assert_eq!(text(&client, "SELECT n FROM counter").await, "0");
+    }
+    bench.databases[1].thaw();
+}
