--- a/crates/jujubehold_host/src/traffic/read_try.rs
+++ b/crates/jujubehold_host/src/traffic/read_try.rs
@@ -219,7 +219,7 @@
                 }
                 return status == b'I';
             }
-            Passage::OutOfStep => return false,
+            Passage::OutOfStep | Passage::OwnFailed => return false,
             Passage::Give | Passage::Drop => {}
         }
     }
