Measure overload with writes and other callers, and the forwarded path

The experiment of overload now also runs writes, and beside the crowd a caller of the same service and one of another service, each with a session at every host, and counts the retries. The benchmark has a row for a host in another failure domain, which borrows every connection from the owner.

--- a/crates/jujubehold/src/commands/load.rs
+++ b/crates/jujubehold/src/commands/load.rs
@@ -53,6 +53,7 @@
     let count = "a whole number";
     Ok(LoadSettings {
         targets: HELP.addresses(matches, "targets")?,
+        user: default.user,
         service,
         sql: matches.opt_str("sql").unwrap_or(default.sql),
         connections: HELP.value(matches, "connections", default.connections, count)?,
--- a/crates/jujubehold_lab/src/experiment/overload.rs
+++ b/crates/jujubehold_lab/src/experiment/overload.rs
@@ -1,26 +1,31 @@
 //! Useful answers under more load than the slots can finish.
 
+use std::net::SocketAddr;
 use std::path::Path;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use jujubehold_core::prelude::*;
 
 use crate::cluster::{Cluster, ClusterSettings};
 use crate::error::LabError;
-use crate::load::{LoadSettings, run_load};
-use crate::report::{Plot, Series, Table};
+use crate::load::{LoadReport, LoadSettings, run_load};
+use crate::report::{Plot, Series, Table, counter_sum, start_counting};
 use crate::workload::create_ledger;
 
 const START_PATIENCE: Duration = Duration::from_secs(20);
 /// What a statement costs an instance, so that the slots are the limit.
 const SERVICE_TIME: Duration = Duration::from_millis(5);
 const READ_AGE: Duration = Duration::from_mins(1);
+/// The sessions of each caller that the crowd must not starve, one at each host.
+const MODEST_SESSIONS: usize = 3;
+const RETRIES: &str = "jujubehold_retries_total";
 
 /// How overload is brought about.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OverloadSettings {
-    /// The numbers of callers; nine slots in all serve them.
-    pub callers: Vec<usize>,
+    /// The numbers of the crowd's sessions.
+    pub sessions: Vec<usize>,
     /// How long each runs.
     pub duration: Duration,
 }
@@ -28,19 +33,36 @@
 impl Default for OverloadSettings {
     fn default() -> Self {
         Self {
-            callers: vec![6, 9, 18, 45, 90, 180],
+            sessions: vec![6, 9, 18, 45, 90, 180],
             duration: Duration::from_secs(4),
         }
     }
 }
 
-/// Runs every number of callers, then the first again, and writes `overload.svg` into `out`;
-/// returns the table.
+/// What the crowd repeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Work {
+    Reads,
+    Writes,
+}
+
+/// What one load met, and beside it a caller of the same service and one of another.
+struct Measured {
+    crowd: LoadReport,
+    modest: LoadReport,
+    other_service: LoadReport,
+    retries: u64,
+}
+
+/// Runs every size of the crowd, then the first again, with reads and then with writes, and writes
+/// `overload.svg` into `out`; returns the table.
 ///
 /// # Errors
 /// A part could not be started or a report not written.
 pub async fn run_overload(settings: &OverloadSettings, out: &Path) -> Result<Table, LabError> {
+    start_counting();
     let cluster = Cluster::start(ClusterSettings {
+        services: 2,
         service_time: SERVICE_TIME,
         service: ServiceConfig {
             read_age: READ_AGE,
@@ -50,44 +72,122 @@
         ..ClusterSettings::default()
     })
     .await?;
-    let service = Cluster::service_name(0);
-    create_ledger(cluster.caller_address(0), &service, START_PATIENCE).await?;
+    for index in 0..2 {
+        let service = Cluster::service_name(index);
+        create_ledger(cluster.caller_address(0), &service, START_PATIENCE).await?;
+    }
     let targets: Vec<_> = cluster
         .hosts
         .iter()
         .map(|host| host.caller_address)
         .collect();
-    let mut table = Table::new(&["callers", "answers/s", "refused/s", "p50 ms", "p99 ms"]);
-    let mut points = Vec::new();
-    let again = settings.callers.first().copied();
-    for connections in settings.callers.iter().copied().chain(again) {
-        let report = run_load(&LoadSettings {
-            targets: targets.clone(),
-            sql: "SELECT note FROM ledger WHERE id = 1".into(),
-            connections,
-            duration: settings.duration,
-            ..LoadSettings::default()
-        })?;
-        let refused_per_s = report.failed as f64 / report.elapsed.as_secs_f64();
-        points.push((connections as f64, report.rate_per_s()));
-        table.row(vec![
-            connections.to_string(),
-            format!("{:.0}", report.rate_per_s()),
-            format!("{refused_per_s:.0}"),
-            format!("{:.1}", report.percentile_us(50.0) as f64 / 1000.0),
-            format!("{:.1}", report.percentile_us(99.0) as f64 / 1000.0),
-        ]);
+    let mut table = Table::new(&[
+        "work",
+        "sessions",
+        "answers/s",
+        "refused/s",
+        "p50 ms",
+        "p99 ms",
+        "retries",
+        "modest caller answers/s",
+        "p99 ms",
+        "other service answers/s",
+        "p99 ms",
+    ]);
+    let mut series = Vec::new();
+    for work in [Work::Reads, Work::Writes] {
+        let mut points = Vec::new();
+        let again = settings.sessions.first().copied();
+        for sessions in settings.sessions.iter().copied().chain(again) {
+            let measured = measure(settings, &targets, work, sessions)?;
+            points.push((sessions as f64, measured.crowd.rate_per_s()));
+            table.row(row(work, sessions, &measured));
+        }
+        points.pop();
+        series.push(Series {
+            name: work.name().into(),
+            points,
+        });
     }
-    points.pop();
     Plot {
         title: "Useful answers under load".into(),
-        x_label: "callers".into(),
+        x_label: "sessions".into(),
         y_label: "answers a second".into(),
-        series: vec![Series {
-            name: "answers".into(),
-            points,
-        }],
+        series,
     }
     .write(&out.join("overload.svg"))?;
     Ok(table)
 }
+
+impl Work {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Reads => "reads",
+            Self::Writes => "writes",
+        }
+    }
+
+    fn sql(self) -> &'static str {
+        match self {
+            Self::Reads => "SELECT note FROM ledger WHERE id = 1",
+            Self::Writes => "UPDATE ledger SET note = 'entry' WHERE id = 1",
+        }
+    }
+}
+
+fn measure(
+    settings: &OverloadSettings,
+    targets: &[SocketAddr],
+    work: Work,
+    sessions: usize,
+) -> Result<Measured, LabError> {
+    let load = |user: &str, service: usize, connections: usize| LoadSettings {
+        targets: targets.to_vec(),
+        user: user.into(),
+        service: Cluster::service_name(service).to_string(),
+        sql: work.sql().into(),
+        connections,
+        duration: settings.duration,
+        ..LoadSettings::default()
+    };
+    let retries_before = counter_sum(RETRIES, "");
+    let modest = start(load("member", 0, MODEST_SESSIONS));
+    let other_service = start(load("cooper", 1, MODEST_SESSIONS));
+    let crowd = run_load(&load("clerk", 0, sessions))?;
+    Ok(Measured {
+        crowd,
+        modest: finish(modest)?,
+        other_service: finish(other_service)?,
+        retries: counter_sum(RETRIES, "") - retries_before,
+    })
+}
+
+fn start(settings: LoadSettings) -> JoinHandle<Result<LoadReport, LabError>> {
+    std::thread::spawn(move || run_load(&settings))
+}
+
+fn finish(load: JoinHandle<Result<LoadReport, LabError>>) -> Result<LoadReport, LabError> {
+    load.join().expect("a load does not panic")
+}
+
+fn row(work: Work, sessions: usize, measured: &Measured) -> Vec<String> {
+    let crowd = &measured.crowd;
+    let refused_per_s = crowd.failed as f64 / crowd.elapsed.as_secs_f64();
+    let rate = |report: &LoadReport| format!("{:.0}", report.rate_per_s());
+    let ms = |report: &LoadReport, percent: f64| {
+        format!("{:.1}", report.percentile_us(percent) as f64 / 1000.0)
+    };
+    vec![
+        work.name().into(),
+        sessions.to_string(),
+        rate(crowd),
+        format!("{refused_per_s:.0}"),
+        ms(crowd, 50.0),
+        ms(crowd, 99.0),
+        measured.retries.to_string(),
+        rate(&measured.modest),
+        ms(&measured.modest, 99.0),
+        rate(&measured.other_service),
+        ms(&measured.other_service, 99.0),
+    ]
+}
--- a/crates/jujubehold_lab/src/load/benchmark.rs
+++ b/crates/jujubehold_lab/src/load/benchmark.rs
@@ -1,4 +1,5 @@
-//! The speed of one host beside the same load straight to the same instance.
+//! The speed of one host, and of one that forwards to it, beside the same load straight to the same
+//! instance.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -48,8 +49,8 @@
     }
 }
 
-/// Runs every load straight to the instance and through one host, in this process, and returns
-/// the table of figures.
+/// Runs every load straight to the instance, through the host that owns its connections, and
+/// through a host that borrows them, in this process, and returns the table of figures.
 ///
 /// # Errors
 /// A part could not be started or a load failed.
@@ -60,7 +61,8 @@
     // what the configuration states, stays at the wanted number.
     let cluster = Cluster::start(ClusterSettings {
         instances_per_service: 1,
-        hosts: 1,
+        // The second is in another failure domain than the instance.
+        hosts: 2,
         connections: most + SPARE_CONNECTIONS,
         slots: most as usize + SPARE_CONNECTIONS as usize,
         connect_cost: Duration::ZERO,
@@ -85,7 +87,8 @@
         instance.connections = settings.upstream_connections * 3 + WATCHERS;
     }
     cluster.submit(config).await?;
-    let host = cluster.caller_address(0);
+    let owner = cluster.caller_address(0);
+    let borrower = cluster.caller_address(1);
     let straight = cluster
         .group(&service)
         .map(|(_, database)| database.address())
@@ -106,24 +109,22 @@
         "failed",
         "rate to straight",
         "added p50 µs",
+        "added p99 µs",
     ]);
     // Memory that a load has freed would hide the callers' own, so they come first.
-    let idle_bytes = idle_memory_bytes(host, &service, most as usize)?;
+    let idle_bytes = idle_memory_bytes(owner, &service, most as usize)?;
     for &connections in &settings.connections {
         let direct = run_one(settings, straight, connections)?;
-        let through = run_one(settings, host, connections)?;
-        let added_us = through
-            .percentile_us(50.0)
-            .saturating_sub(direct.percentile_us(50.0));
-        let ratio = through.rate_per_s() / direct.rate_per_s().max(f64::EPSILON);
+        let through = run_one(settings, owner, connections)?;
+        let forwarded = run_one(settings, borrower, connections)?;
+        table.row(row(connections, "straight", &direct, &direct));
+        table.row(row(connections, "through a host", &through, &direct));
         table.row(row(
             connections,
-            "straight",
+            "forwarded to an owner",
+            &forwarded,
             &direct,
-            ["1.00".into(), "0".into()],
         ));
-        let rest = [format!("{ratio:.2}"), added_us.to_string()];
-        table.row(row(connections, "through a host", &through, rest));
     }
     table.row(vec![
         most.to_string(),
@@ -134,6 +135,7 @@
         String::new(),
         String::new(),
         String::new(),
+        String::new(),
     ]);
     Ok(table)
 }
@@ -152,8 +154,12 @@
     })
 }
 
-fn row(connections: usize, way: &str, report: &LoadReport, rest: [String; 2]) -> Vec<String> {
-    let [ratio, added_us] = rest;
+fn row(connections: usize, way: &str, report: &LoadReport, direct: &LoadReport) -> Vec<String> {
+    let ratio = report.rate_per_s() / direct.rate_per_s().max(f64::EPSILON);
+    let added_us = |percent| {
+        let direct_us = direct.percentile_us(percent);
+        report.percentile_us(percent).saturating_sub(direct_us)
+    };
     vec![
         connections.to_string(),
         way.to_owned(),
@@ -161,7 +167,8 @@
         report.percentile_us(50.0).to_string(),
         report.percentile_us(99.0).to_string(),
         report.failed.to_string(),
-        ratio,
-        added_us,
+        format!("{ratio:.2}"),
+        added_us(50.0).to_string(),
+        added_us(99.0).to_string(),
     ]
 }
--- a/crates/jujubehold_lab/src/load/connection.rs
+++ b/crates/jujubehold_lab/src/load/connection.rs
@@ -10,6 +10,9 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+/// Whose name a session has that states none.
+pub(crate) const DEFAULT_USER: &str = "clerk";
+
 /// One session that runs simple queries.
 #[derive(Debug)]
 pub struct LoadConnection {
@@ -57,12 +60,25 @@
         address: SocketAddr,
         service: &str,
         token: Option<&str>,
+    ) -> Result<Self, FrameError> {
+        Self::open_as(DEFAULT_USER, address, service, token).await
+    }
+
+    /// The same for the caller `user`.
+    ///
+    /// # Errors
+    /// The host can't be reached or refuses the session.
+    pub async fn open_as(
+        user: &str,
+        address: SocketAddr,
+        service: &str,
+        token: Option<&str>,
     ) -> Result<Self, FrameError> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let (read_half, mut writer) = stream.into_split();
         let mut parameters = BTreeMap::from([
-            ("user".to_owned(), "clerk".to_owned()),
+            ("user".to_owned(), user.to_owned()),
             ("database".to_owned(), service.to_owned()),
         ]);
         if let Some(token) = token {
--- a/crates/jujubehold_lab/src/load/load_run.rs
+++ b/crates/jujubehold_lab/src/load/load_run.rs
@@ -6,7 +6,7 @@
 use jujubehold_pg::query;
 
 use crate::error::LabError;
-use crate::load::connection::LoadConnection;
+use crate::load::connection::{DEFAULT_USER, LoadConnection};
 use crate::load::load_report::LoadReport;
 
 /// How a load is made.
@@ -14,6 +14,8 @@
 pub struct LoadSettings {
     /// The hosts, or the instance, that the connections go to in turn.
     pub targets: Vec<SocketAddr>,
+    /// The caller's name, by which the hosts share the slots.
+    pub user: String,
     /// The service.
     pub service: String,
     /// The statement that each connection repeats.
@@ -30,6 +32,7 @@
     fn default() -> Self {
         Self {
             targets: vec![SocketAddr::from(([127, 0, 0, 1], 6432))],
+            user: DEFAULT_USER.into(),
             service: "service-0".into(),
             sql: "SELECT 1".into(),
             connections: 32,
@@ -68,7 +71,8 @@
     let mut connections = Vec::new();
     for index in own {
         let target = settings.targets[index % settings.targets.len()];
-        connections.push(LoadConnection::open(target, &settings.service, None).await?);
+        connections
+            .push(LoadConnection::open_as(&settings.user, target, &settings.service, None).await?);
     }
     let started_at = Instant::now();
     let deadline = started_at + settings.duration;
--- a/crates/jujubehold_lab/src/workload/reader.rs
+++ b/crates/jujubehold_lab/src/workload/reader.rs
@@ -16,7 +16,7 @@
     pub failed: u64,
 }
 
-/// Reads until `deadline`, with `pause` between two reads.
+/// Reads until `deadline`, with `pause` between two reads; it comes back when a refusal says.
 pub async fn read_until(
     target: SocketAddr,
     service: String,
@@ -36,7 +36,11 @@
         };
         match open.run("SELECT note FROM ledger WHERE id = 1").await {
             Ok(answer) if answer.is_ok() => log.answered += 1,
-            Ok(_) => log.failed += 1,
+            Ok(answer) => {
+                log.failed += 1;
+                let wait = answer.retry_after_ms().map(Duration::from_millis);
+                actix_rt::time::sleep(wait.unwrap_or_default()).await;
+            }
             Err(_) => {
                 log.failed += 1;
                 connection = None;
