Keep rare paths out of an idle caller's task

Writes, transactions and session commands are boxed now, so that the task has the room of a read; each of them costs an allocation beside at least one round trip. Also, a named request waits for the primary's slots, which it takes whatever its class.

--- a/crates/jujubehold_host/src/traffic/read_path.rs
+++ b/crates/jujubehold_host/src/traffic/read_path.rs
@@ -144,7 +144,7 @@
             match tried {
                 Tried::Served => return Ok(()),
                 Tried::Next(reason) => last_reason = Some(reason),
-                Tried::IsWrite => return self.run_write(unit, route).await,
+                Tried::IsWrite => return Box::pin(self.run_write(unit, route)).await,
             }
         }
         Err(no_candidate(last_reason).into())
--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -154,7 +154,7 @@
 
     async fn try_run(&mut self, unit: &mut Unit) -> Result<(), UnitError> {
         if unit.has_session_command() {
-            return self.run_session_unit(unit).await;
+            return Box::pin(self.run_session_unit(unit)).await;
         }
         if unit.class == StatementClass::Unsupported {
             return Err(RefusalReason::UnsupportedSessionState.into());
@@ -165,10 +165,10 @@
             .ok_or(RefusalReason::UnknownService)?;
         unit.deadline = unit.arrived_at + route.config.statement_timeout;
         if let Some(pinned) = self.pinned.take() {
-            return self.run_pinned(pinned, unit, &route).await;
+            return Box::pin(self.run_pinned(pinned, unit, &route)).await;
         }
         self.shared.retries.count_request(&self.service);
-        let target = if unit.ends_with_flush {
+        let target = if unit.ends_with_flush || self.is_named(unit) {
             SlotTarget::Primary
         } else {
             SlotTarget::of(unit.class)
@@ -186,23 +186,25 @@
         result.unwrap_or(Err(UnitError::Unknown(UnknownReason::TimedOut)))
     }
 
+    // What an idle caller's task takes is what its largest path needs, and most callers read most of
+    // the time: the other paths are kept out of the task.
     async fn run_routed(&mut self, unit: &Unit, route: &ServiceRoute) -> Result<(), UnitError> {
         if self.is_named(unit) {
-            return self.run_write(unit, route).await;
+            return Box::pin(self.run_write(unit, route)).await;
         }
         if unit.ends_with_flush {
-            return self.run_begin(unit, route).await;
+            return Box::pin(self.run_begin(unit, route)).await;
         }
         match unit.class {
             StatementClass::Read | StatementClass::BeginReadOnly => {
                 self.run_read(unit, route).await
             }
-            StatementClass::Begin => self.run_begin(unit, route).await,
+            StatementClass::Begin => Box::pin(self.run_begin(unit, route)).await,
             StatementClass::Write
             | StatementClass::Commit
             | StatementClass::Rollback
             | StatementClass::Session
-            | StatementClass::Unsupported => self.run_write(unit, route).await,
+            | StatementClass::Unsupported => Box::pin(self.run_write(unit, route)).await,
         }
     }
 
