Register a pooled connection with the thread that uses it

Cause: the pool meant to give a thread the connections that it is woken for, but noted the thread that put a connection back last, while the system goes on waking the one that opened it. An answer then wakes one thread, which wakes another. It is worst for lent connections: all streams of other hosts are served by one thread, while the connections were opened by the traffic threads. A connection now knows the thread that it is registered with, one of the present thread is taken first, and another thread's is registered anew when it is taken.

--- a/crates/jujubehold_host/src/pool/connection.rs
+++ b/crates/jujubehold_host/src/pool/connection.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::thread::ThreadId;
 
 use bytes::{Buf, Bytes, BytesMut};
 use jujubehold_pg::{Frame, FrameError, FrameReader, backend, startup_message};
@@ -23,6 +24,7 @@
 pub struct UpstreamConnection {
     reader: FrameReader<OwnedReadHalf>,
     writer: OwnedWriteHalf,
+    thread: ThreadId,
     prepared: PreparedNames,
     cancel_target: Option<CancelTarget>,
     settings: SmolStr,
@@ -64,6 +66,7 @@
         let mut connection = Self {
             reader: FrameReader::new(read_half, BytesMut::new()),
             writer,
+            thread: std::thread::current().id(),
             prepared: PreparedNames::default(),
             cancel_target: None,
             settings: SmolStr::default(),
@@ -86,6 +89,35 @@
         }
     }
 
+    /// The thread that the system wakes when something comes on the connection.
+    pub fn thread(&self) -> ThreadId {
+        self.thread
+    }
+
+    /// Has the present thread be woken from here on, so that an answer wakes one thread and not
+    /// two.
+    ///
+    /// # Errors
+    /// The connection can't be moved, and is lost.
+    pub fn move_here(self) -> std::io::Result<Self> {
+        let thread = std::thread::current().id();
+        if self.thread == thread {
+            return Ok(self);
+        }
+        let (read_half, buffered) = self.reader.into_parts();
+        let whole = read_half
+            .reunite(self.writer)
+            .map_err(std::io::Error::other)?;
+        let stream = TcpStream::from_std(whole.into_std()?)?;
+        let (read_half, writer) = stream.into_split();
+        Ok(Self {
+            reader: FrameReader::new(read_half, buffered),
+            writer,
+            thread,
+            ..self
+        })
+    }
+
     /// Sends bytes of whole messages.
     ///
     /// # Errors
--- a/crates/jujubehold_host/src/pool/pools.rs
+++ b/crates/jujubehold_host/src/pool/pools.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::thread::ThreadId;
 use std::time::{Duration, Instant};
 
 use jujubehold_core::backoff::Backoff;
@@ -62,7 +61,6 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: UpstreamConnection,
-    thread: ThreadId,
     since: Instant,
 }
 
@@ -210,7 +208,6 @@
     fn add_idle(&self, connection: UpstreamConnection) {
         lock(&self.idle).push(IdleConnection {
             connection,
-            thread: std::thread::current().id(),
             since: Instant::now(),
         });
     }
@@ -242,7 +239,7 @@
         Ok(opened?)
     }
 
-    // A connection that was last used on this thread is polled without waking another one.
+    // A connection of this thread is taken first, since another one's has to be moved here.
     fn take_idle(&self) -> Option<UpstreamConnection> {
         let mut idle = lock(&self.idle);
         idle.retain(|entry| entry.since.elapsed() < IDLE_LIMIT);
@@ -250,11 +247,13 @@
         loop {
             let index = idle
                 .iter()
-                .rposition(|entry| entry.thread == thread)
+                .rposition(|entry| entry.connection.thread() == thread)
                 .or_else(|| idle.len().checked_sub(1))?;
             let entry = idle.remove(index);
-            if entry.connection.is_healthy() {
-                return Some(entry.connection);
+            if entry.connection.is_healthy()
+                && let Ok(connection) = entry.connection.move_here()
+            {
+                return Some(connection);
             }
         }
     }
--- a/crates/jujubehold_host/tests/traffic/pools.rs
+++ b/crates/jujubehold_host/tests/traffic/pools.rs
@@ -1,8 +1,10 @@
 //! Connections to upstreams are few, shared, and never more than allowed.
 
 use jujubehold_core::prelude::*;
+use jujubehold_host::pool::UpstreamConnection;
+use jujubehold_pg::{backend, query};
 
-use crate::support::{Bench, run, text, try_run};
+use crate::support::{Bench, HANG, SERVICE, run, text, try_run};
 
 #[actix_rt::test]
 async fn many_callers_share_few_connections() {
@@ -143,3 +145,30 @@
     connection.connection().send(query.bytes()).await.unwrap();
     connection.connection().receive().await.unwrap();
 }
+
+#[actix_rt::test]
+async fn a_connection_that_was_moved_needs_the_thread_that_opened_it_no_more() {
+    let bench = Bench::start(ServiceConfig::default()).await;
+    let address = bench.databases[0].address();
+    let opening = std::thread::spawn(move || {
+        actix_rt::System::new().block_on(UpstreamConnection::open(address, SERVICE))
+    });
+    let opened = opening.join().expect("no panic").expect("it opens");
+    assert_ne!(opened.thread(), std::thread::current().id());
+    let mut moved = opened.move_here().expect("it moves");
+    assert_eq!(moved.thread(), std::thread::current().id());
+    moved
+        .send(query("SELECT 1").bytes())
+        .await
+        .expect("it is sent");
+    let mut has_row = false;
+    loop {
+        let answer = tokio::time::timeout(HANG, moved.receive()).await;
+        let frame = answer.expect("no hang").expect("it answers");
+        has_row |= frame.tag() == backend::DATA_ROW;
+        if frame.tag() == backend::READY_FOR_QUERY {
+            break;
+        }
+    }
+    assert!(has_row);
+}
