Prove named requests under random pairs of failures and a lost primary

A named request whose write was lost with its primary, unreplicated, runs on the next primary, once.

--- a/crates/jujubehold/tests/proofs/at_most_once.rs
+++ b/crates/jujubehold/tests/proofs/at_most_once.rs
@@ -102,3 +102,44 @@
     futures_util::future::join(ask, installation.wait_for_failover("a")).await;
     assert_eq!(installation.rows().await.get(&1), Some(&1));
 }
+
+#[actix_rt::test]
+async fn a_named_request_that_was_lost_with_its_primary_runs_on_the_next_one() {
+    let installation = Installation::start(Layout::default()).await;
+    let held = LinkFaults {
+        is_stalled: true,
+        ..LinkFaults::default()
+    };
+    // The primary commits, and no replica gets it.
+    installation
+        .faults
+        .set("replication", Direction::Down, held)
+        .expect("the route stands");
+    let old = &installation.databases["a"];
+    let before = old.status().applied;
+    let mut caller = installation.caller(0);
+    let ask = async {
+        let first = write_named(&mut caller, "order-1", 1).await;
+        assert!(matches!(first, Answer::Unknown(_)), "{first:?}");
+    };
+    let lose = async {
+        // The table, its index, and then the write with its record.
+        until("the primary has the write", async || {
+            old.status().applied >= before + 3
+        })
+        .await;
+        old.kill();
+    };
+    futures_util::future::join(ask, lose).await;
+    installation.wait_for_failover("a").await;
+    caller.move_to(installation.caller_address(1));
+    // A token of the cut history would be refused, and this session has been told of no write.
+    caller.token = None;
+    for _ in 0..2 {
+        until("the request is settled", async || {
+            is_already_ran(&write_named(&mut caller, "order-1", 1).await)
+        })
+        .await;
+    }
+    assert_eq!(installation.rows().await.get(&1), Some(&1));
+}
--- a/crates/jujubehold/tests/proofs/harness/mod.rs
+++ b/crates/jujubehold/tests/proofs/harness/mod.rs
@@ -9,7 +9,7 @@
 
 pub(crate) use caller::{Answer, Caller};
 pub(crate) use installation::{Installation, Layout};
-pub(crate) use named_load::{Named, NamedLoad};
+pub(crate) use named_load::{Named, NamedLoad, check_settled};
 pub(crate) use workload::{Report, Workload};
 
 use std::time::Duration;
--- a/crates/jujubehold/tests/proofs/harness/named_load.rs
+++ b/crates/jujubehold/tests/proofs/harness/named_load.rs
@@ -1,7 +1,7 @@
 //! Callers that name each request and ask again, from host to host, until it is settled.
 
 use std::cell::Cell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -79,6 +79,14 @@
     }
 }
 
+/// Holds that every settled request is among the group's rows, and nothing is there twice.
+pub(crate) fn check_settled(settled: &BTreeSet<i64>, rows: &BTreeMap<i64, i64>) {
+    let lost: Vec<_> = settled.iter().filter(|id| !rows.contains_key(id)).collect();
+    assert!(lost.is_empty(), "settled and lost: {lost:?}");
+    let doubled: Vec<_> = rows.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(doubled.is_empty(), "ran more than once: {doubled:?}");
+}
+
 struct Task {
     number: i64,
     addresses: Vec<SocketAddr>,
--- a/crates/jujubehold/tests/proofs/named_requests.rs
+++ b/crates/jujubehold/tests/proofs/named_requests.rs
@@ -1,23 +1,13 @@
 //! A named request runs once, whatever happens while its caller asks again from host to host.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use jujubehold_faults::{Direction, LinkFaults};
 
-use crate::harness::{Installation, Layout, Named, NamedLoad};
+use crate::harness::{Installation, Layout, Named, NamedLoad, check_settled};
 
 const CALLERS: i64 = 6;
 
-/// Holds that every settled request is there, and nothing is there twice.
-async fn check(installation: &Installation, settled: &BTreeSet<i64>) {
-    let rows = installation.rows().await;
-    let lost: Vec<_> = settled.iter().filter(|id| !rows.contains_key(id)).collect();
-    assert!(lost.is_empty(), "settled and lost: {lost:?}");
-    let doubled: Vec<_> = rows.iter().filter(|(_, count)| **count > 1).collect();
-    assert!(doubled.is_empty(), "ran more than once: {doubled:?}");
-}
-
 /// Cuts the connections to the primary after growing counts of bytes of its answers.
 async fn run_once_while_answers_are_cut(named: Named) {
     let installation = Installation::start(Layout::default()).await;
@@ -41,7 +31,7 @@
         step += 1;
     }
     let settled = load.stop().await;
-    check(&installation, &settled).await;
+    check_settled(&settled, &installation.rows().await);
 }
 
 #[actix_rt::test]
@@ -78,7 +68,7 @@
     installation.wait_for_failover(second).await;
     load.wait_for(20).await;
     let settled = load.stop().await;
-    check(&installation, &settled).await;
+    check_settled(&settled, &installation.rows().await);
 }
 
 #[actix_rt::test]
@@ -99,5 +89,5 @@
         installation.wait_for_host(round % 2).await;
     }
     let settled = load.stop().await;
-    check(&installation, &settled).await;
+    check_settled(&settled, &installation.rows().await);
 }
--- a/crates/jujubehold/tests/proofs/random_faults.rs
+++ b/crates/jujubehold/tests/proofs/random_faults.rs
@@ -9,7 +9,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::harness::{Installation, Layout, Workload};
+use crate::harness::{Installation, Layout, Named, NamedLoad, Workload, check_settled};
 
 const ROUNDS_IN_CI: u64 = 3;
 const SEED_IN_CI: u64 = 1;
@@ -92,29 +92,44 @@
         .unwrap_or(default)
 }
 
-#[actix_rt::test]
-async fn pairs_of_failures_break_no_promise() {
+/// Lets each pair of failures last for a while, and waits after each until writes go on.
+async fn run_pairs(installation: &Installation, writes_go_on: impl AsyncFn()) {
     let seed = number_from("JUJUBEHOLD_PROOF_SEED", SEED_IN_CI);
     let rounds = number_from("JUJUBEHOLD_PROOF_ROUNDS", ROUNDS_IN_CI);
     let mut random = StdRng::seed_from_u64(seed);
-    let installation = Installation::start(Layout::default()).await;
-    let workload = Workload::start(6, &installation.caller_addresses());
-    workload.wait_for(20).await;
     for round in 0..rounds {
         let pair: [Failure; 2] =
             std::array::from_fn(|_| Failure::ALL[random.random_range(0..Failure::ALL.len())]);
         eprintln!("seed {seed} round {round}: {pair:?}");
         let primary = installation.primary();
         for failure in pair {
-            failure.begin(&installation, primary);
+            failure.begin(installation, primary);
         }
         tokio::time::sleep(FAILURE_TIME).await;
         for failure in pair {
-            failure.end(&installation, primary);
+            failure.end(installation, primary);
         }
-        // Writes go on once the failures are over.
-        workload.wait_for(10).await;
+        writes_go_on().await;
     }
+}
+
+#[actix_rt::test]
+async fn pairs_of_failures_break_no_promise() {
+    let installation = Installation::start(Layout::default()).await;
+    let workload = Workload::start(6, &installation.caller_addresses());
+    workload.wait_for(20).await;
+    run_pairs(&installation, async || workload.wait_for(10).await).await;
     let report = workload.stop().await;
     report.check(&installation.rows().await);
 }
+
+#[actix_rt::test]
+async fn pairs_of_failures_run_no_named_request_twice() {
+    let installation = Installation::start(Layout::default()).await;
+    let addresses = installation.caller_addresses();
+    let load = NamedLoad::start(6, &addresses, Named::Statement);
+    load.wait_for(20).await;
+    run_pairs(&installation, async || load.wait_for(10).await).await;
+    let settled = load.stop().await;
+    check_settled(&settled, &installation.rows().await);
+}
