Tell a caller at once when its commit's primary is replaced

Cause: a commit that waits for its confirmation did not watch the routing table, as a commit within a transaction and a statement under way do. After the primary was lost with the replicas cut off from it, the caller waited until its deadline for a confirmation that could not come any more.

A test of the host's traffic alone failed first (no answer within its 30 s): a_commit_that_waits_for_its_confirmation_is_told_of_before_its_deadline.

--- a/crates/jujubehold_host/src/traffic/write_path.rs
+++ b/crates/jujubehold_host/src/traffic/write_path.rs
@@ -3,6 +3,8 @@
 //! The status that is asked for right after the write tells the commit's position; the answer
 //! waits until [`acknowledge`] lets it go. See docs/notes/write-path.md.
 
+use std::pin::pin;
+
 use bytes::BytesMut;
 use jujubehold_core::prelude::*;
 use jujubehold_core::route::route_write;
@@ -74,7 +76,8 @@
         route: &ServiceRoute,
     ) -> Result<Tried, UnitError> {
         if self.writes_named(unit) {
-            return self.try_named(unit, route).await;
+            // A session that names nothing does not pay for the room that this takes.
+            return Box::pin(self.try_named(unit, route)).await;
         }
         self.try_write(unit, route).await
     }
@@ -194,8 +197,7 @@
         let (term, position) = (commit.term, commit.position);
         let token = self.token_raised_to(term, position);
         let started_at = self.shared.clock.now();
-        let acknowledged = acknowledge(&self.shared, route, commit, unit.deadline).await;
-        acknowledged.map_err(UnitError::Unknown)?;
+        self.wait_for_acknowledgement(unit, route, commit).await?;
         self.raise_floor(term, position);
         // Nothing waits between the decision and the write to the caller's socket.
         self.io.put(&parameter_status(SESSION_SETTING, &token));
@@ -209,6 +211,21 @@
         Ok(())
     }
 
+    async fn wait_for_acknowledgement(
+        &self,
+        unit: &Unit,
+        route: &ServiceRoute,
+        commit: Commit,
+    ) -> Result<(), UnitError> {
+        let primary = commit.instance.clone();
+        // Pinned here, it is not kept twice in each session.
+        let acknowledged = pin!(async {
+            let acknowledged = acknowledge(&self.shared, route, commit, unit.deadline).await;
+            acknowledged.map_err(UnitError::Unknown)
+        });
+        while_primary(&self.shared, &self.service, &primary, acknowledged).await
+    }
+
     /// Turns a broken answer into what the caller is told.
     pub(crate) fn check_passed(
         &mut self,
--- a/crates/jujubehold_host/tests/traffic/writes.rs
+++ b/crates/jujubehold_host/tests/traffic/writes.rs
@@ -225,6 +225,36 @@
     );
 }
 
+#[actix_rt::test]
+async fn a_commit_that_waits_for_its_confirmation_is_told_of_before_its_deadline() {
+    let config = ServiceConfig {
+        statement_timeout: 10 * HANG,
+        ..ServiceConfig::default()
+    };
+    let mut bench = Bench::start(config).await;
+    bench.create_counter().await;
+    let client = bench.connect().await;
+    let before = bench.databases[0].status().applied;
+    bench.databases[1].freeze();
+    bench.databases[2].freeze();
+    let write = try_run(&client, "UPDATE counter SET n = 1");
+    let replacement = async {
+        wait_until(|| bench.databases[0].status().applied > before).await;
+        bench.edit_view(|view| {
+            view.announce(2, &"b".into());
+        });
+    };
+    let (outcome, ()) = tokio::time::timeout(HANG, async { tokio::join!(write, replacement) })
+        .await
+        .expect("the caller is told while its deadline is far");
+    let (sqlstate, detail) = outcome.unwrap_err();
+    assert_eq!(sqlstate, "08007");
+    assert!(
+        detail.contains("verdict=unknown reason=authority_lost"),
+        "{detail}"
+    );
+}
+
 #[actix_rt::test]
 async fn a_write_that_waits_for_a_replaced_primary_is_refused_before_its_deadline() {
     let config = ServiceConfig {
