--- a/crates/jujubehold_core/src/failover_event.rs
+++ b/crates/jujubehold_core/src/failover_event.rs
@@ -16,6 +16,14 @@
             /// The answer; `None` when there was none in time.
             status: Option<InstanceStatus>,
         },
+        /// An instance refused a connection because it has as many as it takes: it is alive, but
+        /// says nothing of its role.
+        Refused {
+            /// The instance asked.
+            instance: InstanceId,
+            /// When the question left this host.
+            sent_at: Monotonic,
+        },
         /// Another host can't reach the primary of `term`.
         SuspicionHeard {
             /// The host that says so.
@@ -25,6 +33,12 @@
             /// The term of the primary it suspects.
             term: Term,
         },
+        /// Another host finds the primary of `term` late; it says no more than that this host
+        /// should look for itself.
+        DoubtHeard {
+            /// The term of the primary it doubts.
+            term: Term,
+        },
         /// Another host has proof that the primary of `term` is alive.
         LivenessHeard {
             /// The host that says so.
--- a/crates/jujubehold_core/src/group_view.rs
+++ b/crates/jujubehold_core/src/group_view.rs
@@ -1,10 +1,12 @@
 //! What a host knows of one database group.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::ids::{InstanceId, Monotonic, Position, Term};
 use crate::instance_status::InstanceStatus;
 use crate::primary_marks::PrimaryMarks;
+use crate::service_config::ServiceConfig;
 use crate::value_type;
 
 value_type! {
@@ -27,6 +29,8 @@
         pub sent_at: Monotonic,
         /// What the instance answered.
         pub status: InstanceStatus,
+        /// How far the instance is thought to be behind the primary, by this and earlier statuses.
+        pub lag: Duration,
     }
 }
 
@@ -54,12 +58,30 @@
             .get(&status.instance)
             .is_none_or(|sample| sample.sent_at <= sent_at);
         if is_newer {
-            self.samples
-                .insert(status.instance.clone(), Sample { sent_at, status });
+            let sample = Sample {
+                sent_at,
+                lag: self.lag(sent_at, &status),
+                status,
+            };
+            self.samples.insert(sample.status.instance.clone(), sample);
         }
         is_changed
     }
 
+    // A status that shows an instance up to date tells little of its lag when the primary wrote
+    // nothing of late, so the earlier estimate stays as far as the status allows it.
+    fn lag(&self, sent_at: Monotonic, status: &InstanceStatus) -> Duration {
+        let earlier = self
+            .samples
+            .get(&status.instance)
+            .map_or(Duration::ZERO, |sample| sample.lag);
+        let Some(bounds) = self.marks.lag_bounds(self.term, sent_at, status) else {
+            return earlier;
+        };
+        let at_most = bounds.most.map_or(earlier, |most| earlier.min(most));
+        at_most.max(bounds.least)
+    }
+
     // A primary's log only grows within its term. One that shrank came back without it, and what
     // replicas hold of the lost log would falsely confirm its new commits.
     fn has_lost_log(&self, sent_at: Monotonic, status: &InstanceStatus) -> bool {
@@ -86,19 +108,18 @@
         (sample.status.term == self.term).then_some((sample.sent_at, sample.status.applied))
     }
 
-    /// When the latest proof of the present term was asked for, if `replicas_needed` instances
-    /// beside the primary have given one.
+    /// When the latest proof of the present term was asked for, if so many replicas have given one
+    /// that with the primary they meet every majority.
     ///
-    /// That many instances and the primary meet every majority, so as long as they are not fenced
-    /// past the term no majority is; see docs/notes/authority.md.
-    pub fn term_proof(&self, replicas_needed: usize) -> Option<Monotonic> {
-        self.proof_of(replicas_needed, self.samples.values(), None)
+    /// As long as they are not fenced past the term no majority is; see docs/notes/authority.md.
+    pub fn term_proof(&self, config: &ServiceConfig) -> Option<Monotonic> {
+        self.proof_of(config, self.samples.values(), None)
     }
 
     /// The same, with an answer that the view has not taken in yet.
     pub fn term_proof_with(
         &self,
-        replicas_needed: usize,
+        config: &ServiceConfig,
         sent_at: Monotonic,
         status: &InstanceStatus,
     ) -> Option<Monotonic> {
@@ -106,12 +127,12 @@
             .samples
             .values()
             .filter(|sample| sample.status.instance != status.instance);
-        self.proof_of(replicas_needed, others, Some((sent_at, status)))
+        self.proof_of(config, others, Some((sent_at, status)))
     }
 
     fn proof_of<'a>(
         &'a self,
-        replicas_needed: usize,
+        config: &ServiceConfig,
         samples: impl Iterator<Item = &'a Sample>,
         latest: Option<(Monotonic, &'a InstanceStatus)>,
     ) -> Option<Monotonic> {
@@ -120,10 +141,17 @@
             .chain(latest)
             .filter(|(_, status)| Some(&status.instance) != self.primary.as_ref())
             .filter(|(_, status)| status.proves(self.term))
-            .map(|(sent_at, _)| sent_at)
             .collect();
-        proofs.sort_unstable();
-        let index = proofs.len().checked_sub(replicas_needed.max(1))?;
-        proofs.get(index).copied()
+        proofs.sort_unstable_by_key(|(sent_at, _)| std::cmp::Reverse(*sent_at));
+        // The newest proofs that are enough; the oldest of them tells when.
+        let is_enough = |count: usize| {
+            config.meets_every_majority(|name| {
+                let mut newest = proofs.iter().take(count);
+                Some(name) == self.primary.as_ref()
+                    || newest.any(|(_, status)| status.instance == *name)
+            })
+        };
+        let count = (1..=proofs.len()).find(|count| is_enough(*count))?;
+        proofs.get(count - 1).map(|(sent_at, _)| *sent_at)
     }
 }
--- a/crates/jujubehold_core/tests/exploration/callers.rs
+++ b/crates/jujubehold_core/tests/exploration/callers.rs
@@ -168,6 +168,7 @@
         };
         let need = ReadNeed::new(&self.config, knowledge, now);
         let origin = ReadOrigin {
+            avoided: std::collections::BTreeSet::new(),
             domain: self
                 .config
                 .instances
@@ -248,6 +249,7 @@
                     return;
                 };
                 write.evidence = Some(CommitEvidence {
+                    primary: status.instance.clone(),
                     term: status.term,
                     position: status.last_commit,
                     primary_asked_at: asked_at,
--- a/crates/jujubehold_host/src/control/configuration.rs
+++ b/crates/jujubehold_host/src/control/configuration.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jujubehold_core::config_store::{ConfigRecord, Offer, PlatformAction, PlatformValue};
+use jujubehold_core::failover_event::FailoverEvent;
 use jujubehold_core::ownership::{CONFIG_WATCHERS, config_watchers};
 use jujubehold_core::prelude::*;
 use jujubehold_wire::peer;
@@ -26,7 +27,7 @@
         self.restores.clear();
         let lost: Vec<_> = self
             .store
-            .generations()
+            .versions()
             .into_keys()
             .filter(|service| !services.contains_key(service))
             .collect();
@@ -45,6 +46,9 @@
     /// Takes in what the platform's service shows for one service.
     pub(super) fn on_shown(&mut self, service: &ServiceId, value: PlatformValue) {
         self.restores.drop_service(service);
+        if let Some(record) = &value.record {
+            self.count_conflict(service, record);
+        }
         match self.store.on_platform(service, value) {
             PlatformAction::Nothing => {}
             PlatformAction::HandOn => {
@@ -63,16 +67,23 @@
     /// Takes in a record that a peer has; returns whether it was new.
     pub(super) fn offer(&mut self, record: ConfigRecord) -> bool {
         let service = record.config.service.clone();
+        self.count_conflict(&service, &record);
         match self.store.offer(record) {
-            Offer::Applied => {
+            Offer::Applied | Offer::Outranks => {
                 self.apply(&service);
                 true
             }
-            Offer::Differs => {
-                counter!("jujubehold_configuration_conflicts_total").increment(1);
-                false
-            }
-            Offer::Same | Offer::Older { .. } => false,
+            Offer::Differs | Offer::Same | Offer::Older { .. } => false,
+        }
+    }
+
+    /// Tells of another text of the generation that is in force.
+    fn count_conflict(&self, service: &ServiceId, record: &ConfigRecord) {
+        let (ours, theirs) = (self.store.version(service), record.version());
+        if ours.generation == theirs.generation && ours.digest != theirs.digest {
+            counter!("jujubehold_configuration_conflicts_total").increment(1);
+            warn!(service = service.as_str(), generation = ours.generation;
+                "two texts of one generation");
         }
     }
 
@@ -81,16 +92,18 @@
         let Some(config) = self.store.config(service) else {
             return;
         };
-        let config = Arc::new(config.clone());
+        let config = config.clone();
         info!(service = service.as_str(), generation = config.generation; "configuration");
         let group = self
             .groups
             .entry(service.clone())
-            .or_insert_with(|| GroupDriver::new(Arc::clone(&config)));
-        group.set_config(config);
+            .or_insert_with(|| GroupDriver::new(Arc::new(config.clone())));
+        group.take_config(self.clock.now(), config);
         self.assign(service);
         self.dirty.insert(service.clone());
         self.is_urgent = true;
+        // A change may ask for another primary, which a quiet group would look at late.
+        self.on_group_event(service, FailoverEvent::Tick);
     }
 
     /// Hands a service's configuration on to the hosts of this failure domain, if this host is
@@ -112,6 +125,7 @@
             service: service.to_string(),
             generation: record.config.generation,
             text: record.text.to_string(),
+            text_digest: self.store.version(service).digest,
         })
     }
 
--- a/crates/jujubehold_host/src/traffic/write_path.rs
+++ b/crates/jujubehold_host/src/traffic/write_path.rs
@@ -3,6 +3,8 @@
 //! The status that is asked for right after the write tells the commit's position; the answer
 //! waits until [`acknowledge`] lets it go. See docs/notes/write-path.md.
 
+use std::pin::pin;
+
 use bytes::BytesMut;
 use jujubehold_core::prelude::*;
 use jujubehold_core::route::route_write;
@@ -12,7 +14,7 @@
 use super::acknowledge::{Commit, acknowledge, prove_term};
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
 use super::lane::{Lane, LaneError};
-use super::read_path::READ_ONLY_SQLSTATE;
+use super::read_try::READ_ONLY_SQLSTATE;
 use super::replacement::{open_while_primary, while_primary};
 use super::session::Session;
 use super::session_settings::SESSION_SETTING;
@@ -74,7 +76,8 @@
         route: &ServiceRoute,
     ) -> Result<Tried, UnitError> {
         if self.writes_named(unit) {
-            return self.try_named(unit, route).await;
+            // A session that names nothing does not pay for the room that this takes.
+            return Box::pin(self.try_named(unit, route)).await;
         }
         self.try_write(unit, route).await
     }
@@ -194,8 +197,7 @@
         let (term, position) = (commit.term, commit.position);
         let token = self.token_raised_to(term, position);
         let started_at = self.shared.clock.now();
-        let acknowledged = acknowledge(&self.shared, route, commit, unit.deadline).await;
-        acknowledged.map_err(UnitError::Unknown)?;
+        self.wait_for_acknowledgement(unit, route, commit).await?;
         self.raise_floor(term, position);
         // Nothing waits between the decision and the write to the caller's socket.
         self.io.put(&parameter_status(SESSION_SETTING, &token));
@@ -209,6 +211,21 @@
         Ok(())
     }
 
+    async fn wait_for_acknowledgement(
+        &self,
+        unit: &Unit,
+        route: &ServiceRoute,
+        commit: Commit,
+    ) -> Result<(), UnitError> {
+        let primary = commit.instance.clone();
+        // Pinned here, it is not kept twice in each session.
+        let acknowledged = pin!(async {
+            let acknowledged = acknowledge(&self.shared, route, commit, unit.deadline).await;
+            acknowledged.map_err(UnitError::Unknown)
+        });
+        while_primary(&self.shared, &self.service, &primary, acknowledged).await
+    }
+
     /// Turns a broken answer into what the caller is told.
     pub(crate) fn check_passed(
         &mut self,
@@ -265,16 +282,17 @@
 
     fn is_confirmable(&self, route: &ServiceRoute, view: &GroupView) -> bool {
         let now = self.shared.clock.now();
-        let able = view
-            .samples
-            .iter()
-            .filter(|(name, _)| route.config.instances.contains_key(*name))
-            .filter(|(name, _)| view.primary.as_ref() != Some(*name))
-            .filter(|(_, sample)| now.saturating_sub(sample.sent_at) < CONFIRMING_AGE)
-            .filter(|(_, sample)| sample.status.proves(view.term))
-            .count();
-        let needed = route.config.confirming_replicas();
-        able >= needed.max(route.config.proving_replicas())
+        let is_primary = |name: &InstanceId| view.primary.as_ref() == Some(name);
+        let is_able = |name: &InstanceId| {
+            view.samples.get(name).is_some_and(|sample| {
+                now.saturating_sub(sample.sent_at) < CONFIRMING_AGE
+                    && sample.status.proves(view.term)
+            })
+        };
+        let config = &route.config;
+        let replicas = config.instances.keys().filter(|name| !is_primary(name));
+        replicas.filter(|name| is_able(name)).count() >= config.least_holders()
+            && config.meets_every_majority(|name| is_primary(name) || is_able(name))
     }
 
     async fn pin_after(
