Say with an unknown outcome of a named transaction to ask by its name

Cause: the FATAL error that ends a session within a transaction said to look at the data, also where the transaction had a name and asking again is safe.

--- a/crates/jujubehold_host/src/traffic/mod.rs
+++ b/crates/jujubehold_host/src/traffic/mod.rs
@@ -36,6 +36,7 @@
 mod unit;
 mod unit_error;
 mod upstream_error;
+mod write_checks;
 mod write_path;
 
 pub use admission_desk::AdmissionDesk;
--- a/crates/jujubehold_host/src/traffic/named_write.rs
+++ b/crates/jujubehold_host/src/traffic/named_write.rs
@@ -66,6 +66,7 @@
                 self.io.flush().await.map_err(UnitError::Caller)?;
             }
             NamedEnd::Open => {
+                self.is_transaction_named = true;
                 self.io.put(&ready_for_query(b'T'));
                 self.pinned = Some(Pinned {
                     lane,
--- a/crates/jujubehold_host/src/traffic/read_try.rs
+++ b/crates/jujubehold_host/src/traffic/read_try.rs
@@ -18,7 +18,7 @@
 use super::status_answer::{STATUS_QUERY, read_status};
 use super::unit::Unit;
 use super::unit_error::UnitError;
-use super::write_path::PROOF_LIMIT;
+use super::write_checks::PROOF_LIMIT;
 use crate::routing_table::ServiceRoute;
 /// How long a replica may keep a read waiting for its status when nothing else is heard of it.
 pub(super) const SILENCE_LIMIT: Duration = Duration::from_millis(300);
--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -43,6 +43,8 @@
     pub(crate) floor: FloorKnowledge,
     pub(crate) carried: CarriedSettings,
     pub(crate) pinned: Option<Pinned>,
+    /// Whether the transaction that is open has a name.
+    pub(crate) is_transaction_named: bool,
     /// The name of the next write.
     pub(crate) request: Option<RequestName>,
     pub(crate) metrics: SessionMetrics,
@@ -81,6 +83,7 @@
             floor,
             carried: startup.carried,
             pinned: None,
+            is_transaction_named: false,
             request: startup.request,
             metrics,
             phase,
--- a/crates/jujubehold_host/src/traffic/transaction.rs
+++ b/crates/jujubehold_host/src/traffic/transaction.rs
@@ -52,6 +52,9 @@
         let result = tokio::time::timeout(limit, run)
             .await
             .unwrap_or(Err(UnitError::Unknown(UnknownReason::TimedOut)));
+        if result.is_ok() && self.pinned.is_none() {
+            self.is_transaction_named = false;
+        }
         match result {
             Err(UnitError::Unknown(reason)) => Err(UnitError::Ended(reason)),
             other => other,
--- a/crates/jujubehold_host/src/traffic/unit_error.rs
+++ b/crates/jujubehold_host/src/traffic/unit_error.rs
@@ -77,15 +77,13 @@
             }
             UnitError::Unknown(reason) => {
                 counter!(UNKNOWNS, "service" => service, "reason" => reason.as_str()).increment(1);
-                let is_named = self.request.is_some();
-                let hint = if is_named { ASK_BY_NAME } else { LOOK_FIRST };
-                self.io.put(&unknown_error(reason, hint));
+                self.io.put(&unknown_error(reason, self.unknown_hint()));
             }
             UnitError::Ended(reason) => {
                 counter!(UNKNOWNS, "service" => service, "reason" => reason.as_str()).increment(1);
                 self.pinned = None;
                 self.io.clear();
-                self.io.put(&fatal_error(reason));
+                self.io.put(&fatal_error(reason, self.unknown_hint()));
                 self.io.flush().await?;
                 return Err(FrameError::Truncated);
             }
@@ -130,6 +128,14 @@
         self.io.put(&error);
     }
 
+    fn unknown_hint(&self) -> &'static str {
+        if self.request.is_some() || self.is_transaction_named {
+            ASK_BY_NAME
+        } else {
+            LOOK_FIRST
+        }
+    }
+
     fn count_refusal(&self, refusal: &Refusal) {
         counter!(REFUSALS, "service" => self.service.to_string(),
             "reason" => refusal.reason.as_str())
--- a/crates/jujubehold_host/src/traffic/upstream_error.rs
+++ b/crates/jujubehold_host/src/traffic/upstream_error.rs
@@ -43,8 +43,8 @@
 }
 
 /// The error that ends a session in which a request may have run, or half an answer was given.
-pub(crate) fn fatal_error(reason: UnknownReason) -> Frame {
-    unknown_with_severity(reason, "FATAL", LOOK_FIRST)
+pub(crate) fn fatal_error(reason: UnknownReason, hint: &str) -> Frame {
+    unknown_with_severity(reason, "FATAL", hint)
 }
 
 /// The error that tells a caller that its named transaction has committed before.
--- /dev/null
+++ b/crates/jujubehold_host/src/traffic/write_checks.rs
@@ -0,0 +1,71 @@
+//! What is asked of a write before anything of it is sent.
+//!
+//! See docs/notes/write-path.md.
+
+use jujubehold_core::prelude::*;
+use jujubehold_core::session_floor::FloorKnowledge;
+
+use super::acknowledge::prove_term;
+use super::session::Session;
+use super::unit_error::UnitError;
+use crate::routing_table::ServiceRoute;
+
+/// How old the last status of a replica may be for it to count as able to confirm.
+const CONFIRMING_AGE: std::time::Duration = std::time::Duration::from_secs(3);
+
+/// How long replicas may take to say that they could confirm.
+pub(crate) const PROOF_LIMIT: std::time::Duration = std::time::Duration::from_millis(500);
+
+impl Session {
+    /// Refuses a write of a session that knows of a later term, or of a history that was cut.
+    pub(crate) fn check_floor(&self, route: &ServiceRoute) -> Result<(), UnitError> {
+        let view = &route.view;
+        if let FloorKnowledge::Floor(floor) = &self.floor {
+            let sample = view
+                .primary
+                .as_ref()
+                .and_then(|name| view.samples.get(name));
+            let is_cut = sample.is_some_and(|sample| {
+                sample.status.is_primary_of(view.term)
+                    && floor.check(&sample.status) == FloorCheck::Cut
+            });
+            if is_cut {
+                return Err(RefusalReason::FloorLost.into());
+            }
+            if floor.term > view.term {
+                return Err(RefusalReason::NoPrimary.into());
+            }
+        }
+        Ok(())
+    }
+
+    /// Refuses a write that no replica can confirm.
+    pub(crate) async fn check_confirmable(&self, route: &ServiceRoute) -> Result<(), UnitError> {
+        if self.is_confirmable(route, &route.view) {
+            return Ok(());
+        }
+        // What is known here may only be old.
+        let mut asked = route.view.clone();
+        let deadline = self.shared.clock.now() + PROOF_LIMIT;
+        prove_term(&self.shared, route, &mut asked, deadline).await;
+        if self.is_confirmable(route, &asked) {
+            return Ok(());
+        }
+        Err(RefusalReason::NoConfirmingReplica.into())
+    }
+
+    fn is_confirmable(&self, route: &ServiceRoute, view: &GroupView) -> bool {
+        let now = self.shared.clock.now();
+        let is_primary = |name: &InstanceId| view.primary.as_ref() == Some(name);
+        let is_able = |name: &InstanceId| {
+            view.samples.get(name).is_some_and(|sample| {
+                now.saturating_sub(sample.sent_at) < CONFIRMING_AGE
+                    && sample.status.proves(view.term)
+            })
+        };
+        let config = &route.config;
+        let replicas = config.instances.keys().filter(|name| !is_primary(name));
+        replicas.filter(|name| is_able(name)).count() >= config.least_holders()
+            && config.meets_every_majority(|name| is_primary(name) || is_able(name))
+    }
+}
--- a/crates/jujubehold_host/src/traffic/write_path.rs
+++ b/crates/jujubehold_host/src/traffic/write_path.rs
@@ -8,10 +8,9 @@
 use bytes::BytesMut;
 use jujubehold_core::prelude::*;
 use jujubehold_core::route::route_write;
-use jujubehold_core::session_floor::FloorKnowledge;
 use jujubehold_pg::{parameter_status, query, ready_for_query};
 
-use super::acknowledge::{Commit, acknowledge, prove_term};
+use super::acknowledge::{Commit, acknowledge};
 use super::answer::{AnswerError, Answered, Giving, pass_answer};
 use super::lane::{Lane, LaneError};
 use super::read_try::READ_ONLY_SQLSTATE;
@@ -25,12 +24,6 @@
 use crate::pool::SendFailure;
 use crate::routing_table::ServiceRoute;
 
-/// How old the last status of a replica may be for it to count as able to confirm.
-const CONFIRMING_AGE: std::time::Duration = std::time::Duration::from_secs(3);
-
-/// How long replicas may take to say that they could confirm.
-pub(crate) const PROOF_LIMIT: std::time::Duration = std::time::Duration::from_millis(500);
-
 /// What became of one attempt at a write.
 pub(crate) enum Tried {
     /// The caller has its answer.
@@ -242,59 +235,6 @@
         }
     }
 
-    // A write of a session that knows of a later term, or of a history that was cut, is refused
-    // before anything is sent.
-    fn check_floor(&self, route: &ServiceRoute) -> Result<(), UnitError> {
-        let view = &route.view;
-        if let FloorKnowledge::Floor(floor) = &self.floor {
-            let sample = view
-                .primary
-                .as_ref()
-                .and_then(|name| view.samples.get(name));
-            let is_cut = sample.is_some_and(|sample| {
-                sample.status.is_primary_of(view.term)
-                    && floor.check(&sample.status) == FloorCheck::Cut
-            });
-            if is_cut {
-                return Err(RefusalReason::FloorLost.into());
-            }
-            if floor.term > view.term {
-                return Err(RefusalReason::NoPrimary.into());
-            }
-        }
-        Ok(())
-    }
-
-    // A write that no replica can confirm is refused before anything is sent.
-    async fn check_confirmable(&self, route: &ServiceRoute) -> Result<(), UnitError> {
-        if self.is_confirmable(route, &route.view) {
-            return Ok(());
-        }
-        // What is known here may only be old.
-        let mut asked = route.view.clone();
-        let deadline = self.shared.clock.now() + PROOF_LIMIT;
-        prove_term(&self.shared, route, &mut asked, deadline).await;
-        if self.is_confirmable(route, &asked) {
-            return Ok(());
-        }
-        Err(RefusalReason::NoConfirmingReplica.into())
-    }
-
-    fn is_confirmable(&self, route: &ServiceRoute, view: &GroupView) -> bool {
-        let now = self.shared.clock.now();
-        let is_primary = |name: &InstanceId| view.primary.as_ref() == Some(name);
-        let is_able = |name: &InstanceId| {
-            view.samples.get(name).is_some_and(|sample| {
-                now.saturating_sub(sample.sent_at) < CONFIRMING_AGE
-                    && sample.status.proves(view.term)
-            })
-        };
-        let config = &route.config;
-        let replicas = config.instances.keys().filter(|name| !is_primary(name));
-        replicas.filter(|name| is_able(name)).count() >= config.least_holders()
-            && config.meets_every_majority(|name| is_primary(name) || is_able(name))
-    }
-
     async fn pin_after(
         &mut self,
         mut lane: Lane,
--- a/crates/jujubehold_host/tests/traffic/named.rs
+++ b/crates/jujubehold_host/tests/traffic/named.rs
@@ -105,6 +105,31 @@
     assert_eq!(records(&bench).await, 1);
 }
 
+#[actix_rt::test]
+async fn an_unknown_outcome_says_whether_to_ask_again_by_name() {
+    let config = ServiceConfig {
+        statement_timeout: Duration::from_secs(1),
+        ..ServiceConfig::default()
+    };
+    let mut bench = Bench::start(config).await;
+    bench.create_counter().await;
+    let unnamed = bench.connect().await;
+    run(&unnamed, "BEGIN").await;
+    let named = bench.connect().await;
+    name(&named, "order-1").await;
+    run(&named, "BEGIN").await;
+    bench.databases[0].freeze();
+    for (client, hint) in [
+        (unnamed, "Look at the data"),
+        (named, "under the same name"),
+    ] {
+        let error = client.simple_query(ADD).await.unwrap_err();
+        let told = error.as_db_error().and_then(|known| known.hint());
+        assert!(told.is_some_and(|told| told.contains(hint)), "{error:?}");
+    }
+    bench.databases[0].thaw();
+}
+
 #[actix_rt::test]
 async fn a_prepared_write_runs_once_for_each_name_and_parameters() {
     let bench = start().await;
