--- a/crates/jujubehold_host/src/traffic/read_path.rs
+++ b/crates/jujubehold_host/src/traffic/read_path.rs
@@ -128,7 +128,7 @@
             let view = fresh_view.as_ref();
             match self.try_read(unit, route, view, need, &instance).await? {
                 Tried::Served => return Ok(()),
-                Tried::IsWrite => return self.run_write(unit, route).await,
+                Tried::IsWrite => return Box::pin(self.run_write(unit, route)).await,
                 Tried::Next(reason) => {
                     let take_retry = || self.shared.retries.try_retry(&self.service, reason);
                     step = attempts.next(reason, take_retry);
