Test that an open transaction takes no name

SET within a transaction was refused already, and a name must not be an exception to it. A change of the code was tried and reverted, as the test passed without it.

--- a/crates/jujubehold_host/tests/traffic/named.rs
+++ b/crates/jujubehold_host/tests/traffic/named.rs
@@ -105,6 +105,20 @@
     assert_eq!(records(&bench).await, 1);
 }
 
+#[actix_rt::test]
+async fn a_transaction_that_is_open_takes_no_name() {
+    let bench = start().await;
+    let client = bench.connect().await;
+    run(&client, "BEGIN").await;
+    let (sqlstate, _) = try_run(&client, "SET jujubehold.request = 'order-1'")
+        .await
+        .unwrap_err();
+    assert_eq!(sqlstate, "0A000");
+    run(&client, ADD).await;
+    run(&client, "COMMIT").await;
+    assert_eq!(counter(&client).await, "1");
+}
+
 #[actix_rt::test]
 async fn an_unknown_outcome_says_whether_to_ask_again_by_name() {
     let config = ServiceConfig {
