Prove the promises over cut and disturbed links between hosts

The proofs' fault proxy stood before instances, platform and hosts' callers, but on no link between hosts, and all hosts shared one route to an instance. A host can now be told where it reaches an address that others name ([address IP:PORT], for networks that translate addresses); the harness uses this to give each link between two hosts, and between each host and each instance, a route of its own.

New proofs: links between hosts cut whole and in one direction; the primary's failure domain cut off from the others and the platform with callers in it; late, doubled and reordered datagrams; owners that wake with answers after they were replaced; COMMIT cut before, within and after; tokens of another service and of an earlier key; hosts that leave at once and one by one under load.

The proxy's reset after N bytes dropped the whole piece that exceeds N, so that no answer was ever cut within a message; it now passes the bytes in front of the cut on.

Found: with every link between hosts cut (bytes lost, no reset) no write was acknowledged for 60 s, though each host reaches each instance. Cause: an owner that is silent is waited for up to 2 s and more, and the question to a replica ends before the direct connection is tried.

--- a/crates/jujubehold/tests/proofs/acknowledged_writes.rs
+++ b/crates/jujubehold/tests/proofs/acknowledged_writes.rs
@@ -3,51 +3,34 @@
 
 use jujubehold_faults::{Direction, LinkFaults};
 
-use crate::harness::{Answer, Installation, Layout, Workload};
+use crate::harness::{Answer, Installation, Layout};
 
 #[actix_rt::test]
 async fn a_killed_primary_is_replaced_and_no_acknowledged_write_is_lost() {
-    let installation = Installation::start(Layout::default()).await;
-    let workload = Workload::start(6, &installation.caller_addresses());
-    workload.wait_for(40).await;
+    let (installation, workload) = Installation::start_under_load(Layout::default()).await;
     installation.databases["a"].kill();
     installation.wait_for_failover("a").await;
-    workload.wait_for(40).await;
-    let report = workload.stop().await;
-    report.check(&installation.rows().await);
+    let report = installation.check(workload).await;
     assert!(report.read_back > 0);
 }
 
 #[actix_rt::test]
 async fn a_primary_that_is_cut_off_and_comes_back_acknowledges_nothing_more() {
-    let installation = Installation::start(Layout::default()).await;
-    let workload = Workload::start(6, &installation.caller_addresses());
-    workload.wait_for(40).await;
+    let (installation, workload) = Installation::start_under_load(Layout::default()).await;
     installation.faults.stall("a").expect("the route stands");
     installation.wait_for_failover("a").await;
     // What was under way towards the old primary arrives now.
     installation.faults.heal("a").expect("the route stands");
-    workload.wait_for(40).await;
-    let report = workload.stop().await;
-    report.check(&installation.rows().await);
+    installation.check(workload).await;
 }
 
 #[actix_rt::test]
 async fn a_failover_needs_no_platform() {
-    let installation = Installation::start(Layout::default()).await;
-    let workload = Workload::start(4, &installation.caller_addresses());
-    workload.wait_for(20).await;
-    for number in 0..installation.hosts.len() {
-        installation
-            .faults
-            .cut(&format!("platform-{number}"))
-            .expect("the route stands");
-    }
+    let (installation, workload) = Installation::start_under_load(Layout::default()).await;
+    installation.cut_platform();
     installation.databases["a"].kill();
     installation.wait_for_failover("a").await;
-    workload.wait_for(20).await;
-    let report = workload.stop().await;
-    report.check(&installation.rows().await);
+    installation.check(workload).await;
 }
 
 #[actix_rt::test]
@@ -101,19 +84,10 @@
         instance_domains: ["east", "west", "north"],
         ..Layout::default()
     };
-    let installation = Installation::start(layout).await;
-    let workload = Workload::start(6, &installation.caller_addresses());
-    workload.wait_for(20).await;
+    let (installation, workload) = Installation::start_under_load(layout).await;
     // Without the platform, nothing but the group's own fences keeps the hosts apart.
-    for number in 0..installation.hosts.len() {
-        installation
-            .faults
-            .cut(&format!("platform-{number}"))
-            .expect("the route stands");
-    }
+    installation.cut_platform();
     installation.databases["a"].kill();
     installation.wait_for_failover("a").await;
-    workload.wait_for(30).await;
-    let report = workload.stop().await;
-    report.check(&installation.rows().await);
+    installation.check(workload).await;
 }
--- a/crates/jujubehold/tests/proofs/answers.rs
+++ b/crates/jujubehold/tests/proofs/answers.rs
@@ -1,5 +1,6 @@
 //! Each caller gets the whole answer to its own request.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use jujubehold_faults::{Direction, LinkFaults};
@@ -12,6 +13,8 @@
 const CALLERS: usize = 8;
 /// How often each asks.
 const ROUNDS: usize = 6;
+/// Longer than a host that does not answer is taken for dead.
+const FREEZE: Duration = Duration::from_secs(4);
 
 /// Asks for an answer that names the caller in each row; returns whether it came.
 async fn ask(caller: &mut Caller, number: usize, round: usize) -> bool {
@@ -100,3 +103,57 @@
     })
     .await;
 }
+
+#[actix_rt::test]
+async fn answers_that_arrive_late_between_hosts_stay_whole_and_apart() {
+    let installation = Installation::start(Layout::default()).await;
+    let late = LinkFaults {
+        delay: Duration::from_millis(5),
+        jitter: Duration::from_millis(20),
+        ..LinkFaults::default()
+    };
+    installation.set_between_hosts(&late);
+    assert!(ask_all(&installation).await > 0);
+}
+
+#[actix_rt::test]
+async fn a_forwarded_answer_of_an_owner_that_was_replaced_reaches_nobody_else() {
+    // The host in the west has no connections to the primary of its own.
+    let layout = Layout {
+        host_domains: vec!["east", "east", "west"],
+        ..Layout::default()
+    };
+    let installation = Installation::start(layout).await;
+    let is_over = Cell::new(false);
+    let callers = (0..CALLERS).map(|number| {
+        let mut caller = installation.caller(2);
+        let is_over = &is_over;
+        async move {
+            let mut answered = 0;
+            for round in 0.. {
+                if is_over.get() {
+                    return answered;
+                }
+                caller.run("BEGIN").await;
+                answered += usize::from(ask(&mut caller, number, round).await);
+                if !caller.run("COMMIT").await.is_ran() {
+                    caller.vanish();
+                }
+            }
+            answered
+        }
+    });
+    let replace_owners = async {
+        for number in [0, 1] {
+            installation.hosts[number].freeze();
+            tokio::time::sleep(FREEZE).await;
+            installation.hosts[number].wake();
+            tokio::time::sleep(FREEZE / 4).await;
+        }
+        is_over.set(true);
+    };
+    let (answered, ()) =
+        futures_util::future::join(futures_util::future::join_all(callers), replace_owners).await;
+    assert!(answered.iter().sum::<usize>() > 0);
+    assert!(ask(&mut installation.caller(2), CALLERS, 0).await);
+}
--- a/crates/jujubehold/tests/proofs/at_most_once.rs
+++ b/crates/jujubehold/tests/proofs/at_most_once.rs
@@ -4,7 +4,7 @@
 
 use jujubehold_faults::{Direction, LinkFaults};
 
-use crate::harness::{Answer, Caller, Installation, Layout, Workload, until};
+use crate::harness::{Answer, Caller, Installation, Layout, until};
 
 /// Names the request before the write, as a caller does that may have to ask again.
 async fn write_named(caller: &mut Caller, request: &str, id: i64) -> Answer {
@@ -30,9 +30,7 @@
 
 #[actix_rt::test]
 async fn the_hosts_never_send_a_write_again_on_their_own() {
-    let installation = Installation::start(Layout::default()).await;
-    let workload = Workload::start(6, &installation.caller_addresses());
-    workload.wait_for(20).await;
+    let (installation, workload) = Installation::start_under_load(Layout::default()).await;
     for _ in 0..5 {
         installation
             .faults
--- a/crates/jujubehold/tests/proofs/graceful_shutdown.rs
+++ b/crates/jujubehold/tests/proofs/graceful_shutdown.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::harness::{HANG, Installation, Layout, Workload};
+use crate::harness::{HANG, Installation, Layout, Report};
 
 #[actix_rt::test]
 async fn open_transactions_and_running_statements_end_before_the_host_does() {
@@ -34,16 +34,59 @@
     assert_eq!(installation.rows().await.len(), 2);
 }
 
+/// Asks a host to leave and waits for its own end.
+async fn leave(installation: &mut Installation, number: usize) {
+    installation.hosts[number].terminate();
+    let ended = tokio::time::timeout(HANG, installation.hosts[number].ended()).await;
+    assert!(ended.expect("the host ends by itself").success());
+}
+
+/// Checks that a caller met nothing but hosts that are not there, which a balancer would pass by.
+fn check_no_errors(report: &Report) {
+    assert!(report.unknown.is_empty(), "cut: {:?}", report.unknown);
+    let mut refused = report.not_run.values();
+    let error = refused.find(|reason| !reason.starts_with("connect "));
+    assert_eq!(error, None, "an error was seen");
+}
+
 #[actix_rt::test]
 async fn a_shutdown_under_load_leaves_no_request_without_an_answer() {
-    let mut installation = Installation::start(Layout::default()).await;
-    let workload = Workload::start(6, &installation.caller_addresses());
-    workload.wait_for(40).await;
-    installation.hosts[0].terminate();
-    let ended = tokio::time::timeout(HANG, installation.hosts[0].ended()).await;
-    assert!(ended.expect("the host ends by itself").success());
-    workload.wait_for(40).await;
-    let report = workload.stop().await;
-    report.check(&installation.rows().await);
+    let (mut installation, workload) = Installation::start_under_load(Layout::default()).await;
+    leave(&mut installation, 0).await;
+    let report = installation.check(workload).await;
     assert!(report.unknown.is_empty(), "cut: {:?}", report.unknown);
 }
+
+#[actix_rt::test]
+async fn hosts_that_leave_at_once_under_load_cut_nothing() {
+    let layout = Layout {
+        host_domains: vec!["east", "west", "east", "west"],
+        ..Layout::default()
+    };
+    let (mut installation, workload) = Installation::start_under_load(layout).await;
+    for number in [0, 1, 2] {
+        installation.hosts[number].terminate();
+    }
+    for number in [0, 1, 2] {
+        let ended = tokio::time::timeout(HANG, installation.hosts[number].ended()).await;
+        assert!(ended.expect("the host ends by itself").success());
+    }
+    let report = installation.check(workload).await;
+    assert!(report.unknown.is_empty(), "cut: {:?}", report.unknown);
+}
+
+#[actix_rt::test]
+async fn hosts_that_are_replaced_one_by_one_under_load_show_no_error() {
+    let layout = Layout {
+        host_domains: vec!["east", "west", "east", "west"],
+        ..Layout::default()
+    };
+    let (mut installation, workload) = Installation::start_under_load(layout).await;
+    for number in 0..installation.hosts.len() {
+        leave(&mut installation, number).await;
+        installation.start_host(number);
+        installation.wait_for_host(number).await;
+    }
+    let report = installation.check(workload).await;
+    check_no_errors(&report);
+}
--- a/crates/jujubehold/tests/proofs/harness/caller.rs
+++ b/crates/jujubehold/tests/proofs/harness/caller.rs
@@ -41,6 +41,7 @@
 #[derive(Debug)]
 pub(crate) struct Caller {
     pub(crate) address: SocketAddr,
+    service: &'static str,
     client: Option<Client>,
     /// The session's token, presented on each new connection.
     pub(crate) token: Option<String>,
@@ -51,12 +52,18 @@
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            service: SERVICE,
             client: None,
             token: None,
             last_note: String::new(),
         }
     }
 
+    /// The same for another service.
+    pub(crate) fn of_service(self, service: &'static str) -> Self {
+        Self { service, ..self }
+    }
+
     /// Goes on at another host with the session's token.
     pub(crate) fn move_to(&mut self, address: SocketAddr) {
         self.address = address;
@@ -136,7 +143,7 @@
     /// The client below, with the token presented.
     pub(crate) async fn client(&mut self) -> Option<&Client> {
         if self.client.as_ref().is_none_or(Client::is_closed) {
-            self.client = open(self.address, self.token.as_deref()).await;
+            self.client = open(self.address, self.service, self.token.as_deref()).await;
         }
         self.client.as_ref()
     }
@@ -163,9 +170,9 @@
     }
 }
 
-async fn open(address: SocketAddr, token: Option<&str>) -> Option<Client> {
+async fn open(address: SocketAddr, service: &str, token: Option<&str>) -> Option<Client> {
     let text = format!(
-        "host={} port={} user=clerk dbname={SERVICE} connect_timeout=5",
+        "host={} port={} user=clerk dbname={service} connect_timeout=5",
         address.ip(),
         address.port()
     );
--- a/crates/jujubehold/tests/proofs/harness/host_process.rs
+++ b/crates/jujubehold/tests/proofs/harness/host_process.rs
@@ -1,5 +1,6 @@
 //! One entry host as a process of its own.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::fs::File;
 use std::net::SocketAddr;
@@ -18,6 +19,10 @@
     pub(crate) peer_address: SocketAddr,
     pub(crate) metrics_address: SocketAddr,
     pub(crate) platform_address: SocketAddr,
+    /// Where the host reaches the addresses that others name.
+    pub(crate) reached_at: BTreeMap<SocketAddr, SocketAddr>,
+    /// The key that signs tokens; the development key if there is none.
+    pub(crate) token_key: Option<&'static str>,
 }
 
 impl HostPlace {
@@ -29,6 +34,8 @@
             peer_address: free_address(),
             metrics_address: free_address(),
             platform_address,
+            reached_at: BTreeMap::new(),
+            token_key: None,
         }
     }
 
@@ -44,6 +51,12 @@
             self.metrics_address,
             self.platform_address,
         );
+        if let Some(key) = self.token_key {
+            let _ = writeln!(text, "token_key = {key}");
+        }
+        for (address, reached_at) in &self.reached_at {
+            let _ = write!(text, "\n[address {address}]\nreached_at = {reached_at}\n");
+        }
         for peer in peers.iter().filter(|peer| peer.name != self.name) {
             let _ = write!(
                 text,
--- a/crates/jujubehold/tests/proofs/harness/installation.rs
+++ b/crates/jujubehold/tests/proofs/harness/installation.rs
@@ -18,12 +18,16 @@
 use super::caller::Caller;
 use super::host_process::{HostPlace, HostProcess};
 use super::until;
+use super::workload::{Report, Workload};
 
 /// The service that every test uses.
 pub(crate) const SERVICE: &str = "ledger";
 /// The group's instances; the first is the primary of term 1.
 pub(crate) const INSTANCES: [&str; 3] = ["a", "b", "c"];
 
+/// How many callers are at work under load.
+const CALLERS: i64 = 6;
+
 /// A read that any instance may serve.
 const READ: &str = "SELECT count(*) FROM orders";
 
@@ -55,7 +59,7 @@
 ///
 /// The routes of the fault proxy are named `a`, `b` and `c` in front of the instances,
 /// `replication` between the first primary and its replicas, `platform-N` between host N and the
-/// platform, and `callers-N` in front of host N.
+/// platform, and `callers-N` in front of host N. Those of the links are named in `links`.
 #[derive(Debug)]
 pub(crate) struct Installation {
     pub(crate) hosts: Vec<HostProcess>,
@@ -64,7 +68,7 @@
     pub(crate) platform: Platform,
     pub(crate) config: ServiceConfig,
     directory: PathBuf,
-    places: Vec<HostPlace>,
+    pub(super) places: Vec<HostPlace>,
 }
 
 fn loopback() -> SocketAddr {
@@ -101,6 +105,7 @@
         };
         installation.create_table().await;
         installation.submit(1).await;
+        installation.open_links().await;
         for number in 0..installation.places.len() {
             installation.start_host(number);
         }
@@ -110,6 +115,38 @@
         installation
     }
 
+    /// Starts an installation whose callers are at work.
+    pub(crate) async fn start_under_load(layout: Layout) -> (Self, Workload) {
+        let installation = Self::start(layout).await;
+        let workload = Workload::start(CALLERS, &installation.caller_addresses());
+        workload.wait_for(20).await;
+        (installation, workload)
+    }
+
+    /// Lets the callers write some more, stops them and checks what they were told.
+    pub(crate) async fn check(&self, workload: Workload) -> Report {
+        workload.wait_for(30).await;
+        let report = workload.stop().await;
+        report.check(&self.rows().await);
+        report
+    }
+
+    /// Cuts every host off from the platform.
+    pub(crate) fn cut_platform(&self) {
+        for number in 0..self.places.len() {
+            let route = format!("platform-{number}");
+            self.faults.cut(&route).expect("the route stands");
+        }
+    }
+
+    /// Replaces a host by one whose tokens are signed with another key.
+    pub(crate) async fn change_token_key(&mut self, number: usize, key: &'static str) {
+        self.hosts[number].kill();
+        self.places[number].token_key = Some(key);
+        self.start_host(number);
+        self.wait_for_host(number).await;
+    }
+
     /// Starts the host of this number, or starts it anew after it has ended.
     pub(crate) fn start_host(&mut self, number: usize) {
         let place = self.places[number].clone();
@@ -160,12 +197,13 @@
 
     /// Writes a configuration and returns the platform's revision after it.
     pub(crate) async fn put_configuration(&self, config: &ServiceConfig) -> i64 {
+        let service = &config.service;
         let address = format!("http://{}", self.platform.address());
         let mut kv = KvClient::connect(address)
             .await
             .expect("the platform takes calls");
         let put = PutRequest {
-            key: format!("/jujubehold/services/{SERVICE}").into_bytes(),
+            key: format!("/jujubehold/services/{service}").into_bytes(),
             value: format_service(config).into_bytes(),
             ..PutRequest::default()
         };
@@ -308,7 +346,7 @@
     client
 }
 
-async fn add_route(faults: &FaultProxy, name: &str, target: SocketAddr) -> SocketAddr {
+pub(super) async fn add_route(faults: &FaultProxy, name: &str, target: SocketAddr) -> SocketAddr {
     let route = RouteSettings {
         name: name.into(),
         protocol: Protocol::Tcp,
--- a/crates/jujubehold/tests/proofs/harness/mod.rs
+++ b/crates/jujubehold/tests/proofs/harness/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod host_process;
 mod installation;
+mod links;
 mod ports;
 mod workload;
 
--- a/crates/jujubehold/tests/proofs/main.rs
+++ b/crates/jujubehold/tests/proofs/main.rs
@@ -5,11 +5,14 @@
 mod acknowledged_writes;
 mod answers;
 mod at_most_once;
+mod commit;
 mod configuration;
 mod graceful_shutdown;
 mod harness;
 mod leaving_upstream;
 mod not_run;
+mod partitions;
 mod random_faults;
 mod read_your_writes;
+mod tokens;
 mod transactions;
--- a/crates/jujubehold/tests/proofs/not_run.rs
+++ b/crates/jujubehold/tests/proofs/not_run.rs
@@ -4,14 +4,12 @@
 
 use jujubehold_faults::{Direction, LinkFaults};
 
-use crate::harness::{Installation, Layout, Report, Workload};
+use crate::harness::{Installation, Layout, Report};
 
 /// Runs a workload while the connections to the primary are reset after growing counts of bytes,
 /// so that some are cut before the statement, some after it, and some within the answer.
 async fn cut_in(direction: Direction) -> (Installation, Report) {
-    let installation = Installation::start(Layout::default()).await;
-    let workload = Workload::start(6, &installation.caller_addresses());
-    workload.wait_for(20).await;
+    let (installation, workload) = Installation::start_under_load(Layout::default()).await;
     for step in 0..12 {
         let route = installation.primary();
         let faults = LinkFaults {
@@ -49,15 +47,11 @@
 
 #[actix_rt::test]
 async fn a_lost_answer_of_the_platform_makes_no_verdict_false() {
-    let installation = Installation::start(Layout::default()).await;
-    let workload = Workload::start(6, &installation.caller_addresses());
-    workload.wait_for(20).await;
+    let (installation, workload) = Installation::start_under_load(Layout::default()).await;
     installation.platform.lose_answers(4);
     installation.databases["a"].kill();
     installation.wait_for_failover("a").await;
-    workload.wait_for(20).await;
-    let report = workload.stop().await;
-    report.check(&installation.rows().await);
+    installation.check(workload).await;
 }
 
 #[actix_rt::test]
--- a/crates/jujubehold_faults/src/link_faults.rs
+++ b/crates/jujubehold_faults/src/link_faults.rs
@@ -18,7 +18,7 @@
     pub is_stalled: bool,
     /// Bytes are lost. A connection that lost some is reset once this ends.
     pub is_cut: bool,
-    /// How many more bytes pass before the connection that would exceed them is reset.
+    /// How many more bytes pass; a connection with more is reset behind the last one that does.
     pub reset_after_bytes: Option<u64>,
     /// The share of datagrams that are lost, of a thousand.
     pub loss_per_mille: u32,
--- a/crates/jujubehold_faults/src/route.rs
+++ b/crates/jujubehold_faults/src/route.rs
@@ -68,19 +68,18 @@
         let _ = self.faults.subscribe().wait_for(is_so).await;
     }
 
-    /// Takes `count` bytes from what may still pass; false when the connection is to be reset.
-    pub(crate) fn may_pass(&self, direction: Direction, count: usize) -> bool {
-        let mut may_pass = true;
+    /// Takes `count` bytes from what may still pass; returns how many of them do.
+    pub(crate) fn passing(&self, direction: Direction, count: usize) -> usize {
+        let mut passing = count;
         self.faults.send_if_modified(|faults| {
             let Some(left) = &mut faults.link_mut(direction).reset_after_bytes else {
                 return false;
             };
-            let count = count as u64;
-            may_pass = *left >= count;
-            *left = left.saturating_sub(count);
+            passing = usize::try_from(*left).unwrap_or(count).min(count);
+            *left -= passing as u64;
             false
         });
-        may_pass
+        passing
     }
 }
 
--- a/crates/jujubehold_faults/src/tcp_pump.rs
+++ b/crates/jujubehold_faults/src/tcp_pump.rs
@@ -120,10 +120,11 @@
         let is_closed = shut_down(to).is_ok();
         return Some(if is_closed { End::Closed } else { End::Reset });
     }
-    if !route.may_pass(direction, piece.bytes.len()) {
-        return Some(End::Reset);
-    }
-    write_all(to, piece.bytes).await.err().map(|_| End::Reset)
+    // A cut may fall within a message: what is in front of it arrives.
+    let passing = route.passing(direction, piece.bytes.len());
+    let is_whole = passing == piece.bytes.len();
+    let is_written = write_all(to, piece.bytes.slice(..passing)).await.is_ok();
+    (!is_whole || !is_written).then_some(End::Reset)
 }
 
 async fn write_all(to: &TcpStream, mut bytes: Bytes) -> std::io::Result<()> {
--- a/crates/jujubehold_host/src/control/action_runner.rs
+++ b/crates/jujubehold_host/src/control/action_runner.rs
@@ -8,6 +8,7 @@
 use jujubehold_core::failover_action::FailoverAction;
 use jujubehold_core::failover_event::FailoverEvent;
 use jujubehold_core::prelude::*;
+use jujubehold_settings::AddressTranslation;
 use log::info;
 use metrics::counter;
 
@@ -31,6 +32,7 @@
     kv: KvClient,
     events: ControlSender,
     callers: BTreeMap<(ServiceId, InstanceId), Rc<InstanceCaller>>,
+    translation: AddressTranslation,
 }
 
 impl ActionRunner {
@@ -49,6 +51,15 @@
             kv,
             events,
             callers: BTreeMap::new(),
+            translation: AddressTranslation::default(),
+        }
+    }
+
+    /// The same with addresses that are reached under another one.
+    pub(crate) fn with_translation(self, translation: AddressTranslation) -> Self {
+        Self {
+            translation,
+            ..self
         }
     }
 
@@ -227,6 +238,7 @@
         instance: &InstanceId,
     ) -> Option<Rc<InstanceCaller>> {
         let address = config.instances.get(instance)?.address;
+        let address = self.translation.translate(address);
         let key = (config.service.clone(), instance.clone());
         let known = self.callers.get(&key);
         if let Some(caller) = known.filter(|caller| caller.address() == address) {
--- a/crates/jujubehold_host/src/control/control_loop.rs
+++ b/crates/jujubehold_host/src/control/control_loop.rs
@@ -13,7 +13,7 @@
 };
 use jujubehold_core::ownership::DomainHosts;
 use jujubehold_core::prelude::*;
-use jujubehold_settings::{HostSettings, PeerSeed};
+use jujubehold_settings::{AddressTranslation, HostSettings, PeerSeed};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -70,6 +70,8 @@
     pub(super) runner: ActionRunner,
     pub(super) peers: PeerClients,
     pub(super) seeds: Vec<PeerSeed>,
+    /// Where the addresses that others name are reached.
+    pub(super) translation: AddressTranslation,
     pub(super) socket: Rc<UdpSocket>,
     pub(super) kv: KvClient,
     pub(super) platform_watch: Option<JoinHandle<()>>,
@@ -126,6 +128,7 @@
             kv.clone(),
             parts.events_sender.clone(),
         );
+        let runner = runner.with_translation(settings.address_translation.clone());
         let membership = new_membership(settings, parts.peer_address);
         Ok(Self {
             clock: parts.clock,
@@ -152,6 +155,7 @@
             runner,
             peers: PeerClients::new(parts.connector),
             seeds: settings.peer_seeds.clone(),
+            translation: settings.address_translation.clone(),
             socket: Rc::new(UdpSocket::from_std(parts.socket)?),
             kv,
             platform_watch: None,
--- a/crates/jujubehold_host/src/control/hosts.rs
+++ b/crates/jujubehold_host/src/control/hosts.rs
@@ -66,7 +66,8 @@
         let text = datagram.to_string();
         count_sent("datagram", text.len());
         // A datagram that can't be sent now is as good as a lost one.
-        let _ = self.socket.try_send_to(text.as_bytes(), to);
+        let reached_at = self.translation.translate(to);
+        let _ = self.socket.try_send_to(text.as_bytes(), reached_at);
     }
 
     /// Stops to wait for other hosts' words after a while.
--- a/crates/jujubehold_host/src/control/publishing.rs
+++ b/crates/jujubehold_host/src/control/publishing.rs
@@ -6,6 +6,7 @@
 
 use jujubehold_core::ownership::{instance_key, owners};
 use jujubehold_core::prelude::*;
+use jujubehold_settings::AddressTranslation;
 
 use super::control_loop::Control;
 use super::group_driver::GroupDriver;
@@ -40,7 +41,7 @@
     pub(super) fn next_table(&mut self) -> RoutingTable {
         for service in std::mem::take(&mut self.dirty) {
             if let Some(group) = self.groups.get(&service) {
-                let route = Arc::new(route(group));
+                let route = Arc::new(route(group, &self.translation));
                 self.routes.insert(service, route);
             }
         }
@@ -86,10 +87,24 @@
     }
 }
 
-fn route(group: &GroupDriver) -> ServiceRoute {
+fn route(group: &GroupDriver, translation: &AddressTranslation) -> ServiceRoute {
     ServiceRoute {
-        config: Arc::clone(group.config()),
+        config: reached(group.config(), translation),
         view: group.view().clone(),
         owners: group.owners().clone(),
     }
 }
+
+/// The configuration with the addresses under which this host reaches the instances.
+///
+/// Traffic uses the addresses for nothing but its connections.
+fn reached(config: &Arc<ServiceConfig>, translation: &AddressTranslation) -> Arc<ServiceConfig> {
+    if translation.is_empty() {
+        return Arc::clone(config);
+    }
+    let mut config = ServiceConfig::clone(config);
+    for instance in config.instances.values_mut() {
+        instance.address = translation.translate(instance.address);
+    }
+    Arc::new(config)
+}
--- a/crates/jujubehold_host/src/peer/peer_connector.rs
+++ b/crates/jujubehold_host/src/peer/peer_connector.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use jujubehold_core::prelude::*;
-use jujubehold_settings::HostSettings;
+use jujubehold_settings::{AddressTranslation, HostSettings};
 use tonic::transport::{Channel, Endpoint, ServerTlsConfig};
 
 use crate::security::{PeerTls, SecurityError};
@@ -16,6 +16,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct PeerConnector {
     tls: Option<PeerTls>,
+    translation: AddressTranslation,
 }
 
 impl PeerConnector {
@@ -25,7 +26,8 @@
     /// A file of the identity can't be used.
     pub fn load(settings: &HostSettings) -> Result<Self, SecurityError> {
         let tls = settings.tls.as_ref().map(PeerTls::load).transpose()?;
-        Ok(Self { tls })
+        let translation = settings.address_translation.clone();
+        Ok(Self { tls, translation })
     }
 
     /// How this host takes other hosts' calls; `None` in the clear.
@@ -46,6 +48,7 @@
         address: SocketAddr,
     ) -> Result<Channel, tonic::transport::Error> {
         let scheme = if self.tls.is_some() { "https" } else { "http" };
+        let address = self.translation.translate(address);
         let mut endpoint = Endpoint::from_shared(format!("{scheme}://{address}"))
             .expect("an address is a good URI")
             .connect_timeout(CONNECT_TIMEOUT)
--- a/crates/jujubehold_settings/src/host_settings.rs
+++ b/crates/jujubehold_settings/src/host_settings.rs
@@ -7,6 +7,7 @@
 use jujubehold_core::prelude::*;
 use smol_str::SmolStr;
 
+use crate::address_translation::AddressTranslation;
 use crate::peer_seed::PeerSeed;
 use crate::tls_settings::TlsSettings;
 
@@ -34,6 +35,8 @@
     pub platform_addresses: Vec<SocketAddr>,
     /// Hosts to ask first, before the platform's list of hosts is known.
     pub peer_seeds: Vec<PeerSeed>,
+    /// The addresses that this host reaches under another one.
+    pub address_translation: AddressTranslation,
     /// The key that signs session tokens, the same on every host.
     pub token_key: SmolStr,
     /// How many threads carry traffic.
@@ -65,6 +68,7 @@
             metrics_address: None,
             platform_addresses: vec![SocketAddr::from(([127, 0, 0, 1], 2379))],
             peer_seeds: Vec::new(),
+            address_translation: AddressTranslation::default(),
             token_key: DEVELOPMENT_TOKEN_KEY.into(),
             traffic_threads: 4,
             drain_timeout: Duration::from_secs(30),
--- a/crates/jujubehold_settings/src/host_settings_reader.rs
+++ b/crates/jujubehold_settings/src/host_settings_reader.rs
@@ -4,11 +4,14 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use crate::address_translation::AddressTranslation;
 use crate::host_settings::{DEVELOPMENT_TOKEN_KEY, HostSettings};
 use crate::ini_fault::IniFaults;
 use crate::ini_reader::IniReader;
 use crate::ini_section::IniSection;
-use crate::known_keys::{FAILOVER_KEYS, HOST_KEYS, HOST_SECTIONS, PEER_KEYS, TLS_KEYS};
+use crate::known_keys::{
+    ADDRESS_KEYS, FAILOVER_KEYS, HOST_KEYS, HOST_SECTIONS, PEER_KEYS, TLS_KEYS,
+};
 use crate::peer_seed::PeerSeed;
 use crate::tls_settings::TlsSettings;
 
@@ -36,6 +39,7 @@
         let has_tls = reader.has_section("tls");
         settings.tls = read_tls(&mut reader);
         settings.peer_seeds = read_peers(&mut reader);
+        settings.address_translation = read_translation(&mut reader);
         settings.check_whole(&mut reader, has_tls);
         reader.finish(HOST_SECTIONS)?;
         Ok(settings)
@@ -199,6 +203,24 @@
     seeds
 }
 
+fn read_translation(reader: &mut IniReader) -> AddressTranslation {
+    let mut translation = AddressTranslation::default();
+    for (name, mut section) in reader.take_kind("address") {
+        let address = name.parse::<SocketAddr>().ok();
+        if address.is_none() {
+            let problem = format!("{name:?} is not an address");
+            let advice = "write [address IP:PORT], such as [address 127.0.0.1:6433]";
+            reader.fault_in(&section, "", &problem, advice);
+        }
+        let reached_at = required(reader, &mut section, "reached_at", IniReader::address);
+        reader.finish_section(section, ADDRESS_KEYS);
+        if let (Some(address), Some(reached_at)) = (address, reached_at) {
+            translation.add(address, reached_at);
+        }
+    }
+    translation
+}
+
 /// Reads a key by `read`, and notes when it is not there.
 pub(crate) fn required<T>(
     reader: &mut IniReader,
--- a/crates/jujubehold_settings/src/known_keys.rs
+++ b/crates/jujubehold_settings/src/known_keys.rs
@@ -4,7 +4,8 @@
 //! them.
 
 /// The sections of a host's settings.
-pub(crate) const HOST_SECTIONS: &[&str] = &["host", "failover", "tls", "peer NAME"];
+pub(crate) const HOST_SECTIONS: &[&str] =
+    &["host", "failover", "tls", "peer NAME", "address IP:PORT"];
 
 /// Keys of a settings file's `[host]` section.
 pub(crate) const HOST_KEYS: &[&str] = &[
@@ -36,6 +37,9 @@
 /// Keys of a settings file's `[peer NAME]` sections.
 pub(crate) const PEER_KEYS: &[&str] = &["domain", "peer_address"];
 
+/// Keys of a settings file's `[address IP:PORT]` sections.
+pub(crate) const ADDRESS_KEYS: &[&str] = &["reached_at"];
+
 /// The sections of a service's configuration.
 pub(crate) const SERVICE_SECTIONS: &[&str] = &["service", "instance NAME", "callers"];
 
@@ -61,6 +65,7 @@
         ("failover", FAILOVER_KEYS),
         ("tls", TLS_KEYS),
         ("peer NAME", PEER_KEYS),
+        ("address IP:PORT", ADDRESS_KEYS),
         ("service", SERVICE_KEYS),
         ("instance NAME", INSTANCE_KEYS),
     ]
--- a/crates/jujubehold_settings/src/lib.rs
+++ b/crates/jujubehold_settings/src/lib.rs
@@ -4,6 +4,7 @@
 //! operators, lives in the platform's service and changes while hosts run. Both are checked whole,
 //! and every fault is named together with its place. See docs/CONFIGURATION.md.
 
+mod address_translation;
 mod host_settings;
 mod host_settings_reader;
 mod ini_fault;
@@ -19,6 +20,7 @@
 mod tls_settings;
 mod unit_hint;
 
+pub use address_translation::AddressTranslation;
 pub use host_settings::HostSettings;
 pub use ini_fault::{IniFault, IniFaults};
 pub use ini_reader::IniReader;
