--- a/crates/jujubehold/tests/proofs/harness/links.rs
+++ b/crates/jujubehold/tests/proofs/harness/links.rs
@@ -37,17 +37,23 @@
     }
 
     async fn open_host_link(&self, from: usize, to: usize, target: SocketAddr) -> SocketAddr {
-        let listen = free_address();
-        for (kind, protocol) in [("calls", Protocol::Tcp), ("datagrams", Protocol::Udp)] {
-            let route = RouteSettings {
-                name: format!("{kind}-{from}-{to}").into(),
-                protocol,
-                listen,
-                target,
-            };
-            self.faults.add_route(route).await.expect("the route opens");
+        // Another process may take a free address first.
+        loop {
+            let listen = free_address();
+            let mut is_open = true;
+            for (kind, protocol) in [("calls", Protocol::Tcp), ("datagrams", Protocol::Udp)] {
+                let route = RouteSettings {
+                    name: format!("{kind}-{from}-{to}").into(),
+                    protocol,
+                    listen,
+                    target,
+                };
+                is_open &= self.faults.add_route(route).await.is_ok();
+            }
+            if is_open {
+                return listen;
+            }
         }
-        listen
     }
 
     /// Sets the faults of everything that host `from` sends to host `to`, answers included.
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod refusal_reason;
 pub mod relay_tree;
 pub mod replay;
+pub mod request_name;
 pub mod retry_budget;
 pub mod retry_reason;
 pub mod route;
