Measure with delays between failure domains, and count false changes of primary

The experiments ran on loopback without delay.

The proofs' callers opened a new connection within a transaction when theirs had been closed, so that a COMMIT of nothing counted as acknowledged. Seen as one "acknowledged and lost" in a run on a machine under load; such a transaction now counts as unknown, which the proofs of graceful shutdown don't allow.

--- a/crates/jujubehold/src/commands/experiment.rs
+++ b/crates/jujubehold/src/commands/experiment.rs
@@ -1,13 +1,16 @@
 //! `jujubehold experiment`: measurements that anyone can run again.
 
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use getopts::{Matches, Options};
 use jujubehold_lab::LabError;
 use jujubehold_lab::capacity::run_capacity;
+use jujubehold_lab::cluster::LinkDelays;
 use jujubehold_lab::experiment::{
-    FailoverGapSettings, GapKind, OverloadSettings, ReplicaReadsSettings, run_failover_gap,
-    run_overload, run_replica_reads,
+    FailoverGapSettings, FalseChangesSettings, GapKind, OverloadSettings, ReplicaReadsSettings,
+    WriteLatencySettings, run_failover_gap, run_false_changes, run_overload, run_replica_reads,
+    run_write_latency,
 };
 use jujubehold_lab::load::{BenchmarkSettings, run_benchmark};
 use jujubehold_lab::report::Table;
@@ -17,10 +20,13 @@
 use crate::options::{CommandHelp, Parsed};
 
 const HELP: CommandHelp = CommandHelp {
-    usage: "experiment NAME [--out DIRECTORY] [--runs N] [--kinds KINDS]",
+    usage: "experiment NAME [--out DIRECTORY] [--runs N] [--kinds KINDS] [--minutes N] \
+            [--delay-ms N] [--caller-delay-ms N]",
     about: "Runs an experiment on loopback, prints its table in Markdown and writes its plots. \
             NAME is one of\n    failover-gap   how long writes are impossible after a primary is \
-            lost\n    replica-reads  the share of reads that replicas serve\n    overload       \
+            lost\n    false-changes  changes of primary under delay spikes and loss\n    replica-reads  \
+            the share of reads that replicas serve\n    write-latency  writes with and without \
+            confirmation by a replica\n    overload       \
             what callers meet beyond capacity\n    benchmark      one host beside the same load \
             without it\n    capacity       the slopes of docs/CAPACITY.md",
     exits: &[ExitStatus::Ok, ExitStatus::Failed, ExitStatus::Usage],
@@ -31,16 +37,28 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Experiment {
     FailoverGap,
+    FalseChanges,
     ReplicaReads,
+    WriteLatency,
     Overload,
     Benchmark,
     Capacity,
 }
 
+/// What the options say of an experiment's sizes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Sizes {
+    gap: FailoverGapSettings,
+    minutes: u64,
+    delays: LinkDelays,
+}
+
 impl Experiment {
     fn from_name(name: &str) -> Option<Self> {
         match name {
             "failover-gap" => Some(Self::FailoverGap),
+            "false-changes" => Some(Self::FalseChanges),
+            "write-latency" => Some(Self::WriteLatency),
             "replica-reads" => Some(Self::ReplicaReads),
             "overload" => Some(Self::Overload),
             "benchmark" => Some(Self::Benchmark),
@@ -60,6 +78,19 @@
         "kinds of loss of failover-gap, with commas between them (crash,freeze,crash-in-outage,ordered)",
         "KINDS",
     );
+    options.optopt("m", "minutes", "length of false-changes (60)", "N");
+    options.optopt(
+        "d",
+        "delay-ms",
+        "one-way delay between failure domains, of the first four (0)",
+        "N",
+    );
+    options.optopt(
+        "c",
+        "caller-delay-ms",
+        "one-way delay to callers, of the first four (0)",
+        "N",
+    );
     let matches = match HELP.parse(options, arguments)? {
         Parsed::Help(text) => return Ok(text),
         Parsed::Run(matches) => matches,
@@ -70,11 +101,23 @@
     let experiment = Experiment::from_name(name)
         .ok_or_else(|| HELP.usage_error(&format!("there is no experiment {name:?}")))?;
     let out = PathBuf::from(matches.opt_str("out").unwrap_or_else(|| ".".into()));
-    let gap = gap_settings(&matches)?;
-    let table = actix_rt::System::new().block_on(measure(experiment, &gap, &out))?;
+    let sizes = Sizes {
+        gap: gap_settings(&matches)?,
+        minutes: HELP.value(&matches, "minutes", 60, "a whole number")?,
+        delays: delays(&matches)?,
+    };
+    let table = actix_rt::System::new().block_on(measure(experiment, &sizes, &out))?;
     Ok(table.to_string())
 }
 
+fn delays(matches: &Matches) -> Result<LinkDelays, CliError> {
+    let ms = |name| HELP.value(matches, name, 0, "a whole number");
+    Ok(LinkDelays {
+        between_domains: Duration::from_millis(ms("delay-ms")?),
+        to_callers: Duration::from_millis(ms("caller-delay-ms")?),
+    })
+}
+
 fn gap_settings(matches: &Matches) -> Result<FailoverGapSettings, CliError> {
     let default = FailoverGapSettings::default();
     let kinds = match matches.opt_str("kinds") {
@@ -84,7 +127,8 @@
     Ok(FailoverGapSettings {
         runs: HELP.value(matches, "runs", default.runs, "a whole number")?,
         kinds,
-        writers: default.writers,
+        delays: delays(matches)?,
+        ..default
     })
 }
 
@@ -95,14 +139,30 @@
         .ok_or_else(|| HELP.usage_error(&format!("there is no kind of loss {name:?}")))
 }
 
-async fn measure(
-    experiment: Experiment,
-    gap: &FailoverGapSettings,
-    out: &Path,
-) -> Result<Table, LabError> {
+async fn measure(experiment: Experiment, sizes: &Sizes, out: &Path) -> Result<Table, LabError> {
     match experiment {
-        Experiment::FailoverGap => run_failover_gap(gap, out).await,
-        Experiment::ReplicaReads => run_replica_reads(&ReplicaReadsSettings::default(), out).await,
+        Experiment::FailoverGap => run_failover_gap(&sizes.gap, out).await,
+        Experiment::FalseChanges => {
+            let settings = FalseChangesSettings {
+                duration: Duration::from_mins(sizes.minutes),
+                ..FalseChangesSettings::default()
+            };
+            run_false_changes(&settings.with_delays(sizes.delays), out).await
+        }
+        Experiment::WriteLatency => {
+            let settings = WriteLatencySettings {
+                delays: sizes.delays,
+                ..WriteLatencySettings::default()
+            };
+            run_write_latency(&settings, out).await
+        }
+        Experiment::ReplicaReads => {
+            let settings = ReplicaReadsSettings {
+                delays: sizes.delays,
+                ..ReplicaReadsSettings::default()
+            };
+            run_replica_reads(&settings, out).await
+        }
         Experiment::Overload => run_overload(&OverloadSettings::default(), out).await,
         Experiment::Benchmark => run_benchmark(&BenchmarkSettings::default()).await,
         Experiment::Capacity => run_capacity(out).await,
--- a/crates/jujubehold/tests/proofs/harness/caller.rs
+++ b/crates/jujubehold/tests/proofs/harness/caller.rs
@@ -87,6 +87,15 @@
         answer
     }
 
+    /// Runs a simple query of a transaction, which a connection that was lost has ended.
+    pub(crate) async fn run_in_transaction(&mut self, sql: &str) -> Answer {
+        if self.client.as_ref().is_none_or(Client::is_closed) {
+            self.client = None;
+            return Answer::Unknown(format!("the connection was closed before {sql}"));
+        }
+        self.run(sql).await
+    }
+
     /// Prints what a failed test's output needs: each answer that is new.
     fn note(&mut self, sql: &str, answer: &Answer) {
         let text = match answer {
--- a/crates/jujubehold/tests/proofs/harness/host_process.rs
+++ b/crates/jujubehold/tests/proofs/harness/host_process.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
-use super::ports::free_address;
+use jujubehold_lab::cluster::free_address;
 
 /// Where a host's addresses and its place are.
 #[derive(Debug, Clone)]
@@ -30,9 +30,9 @@
         Self {
             name: name.to_owned(),
             domain: domain.to_owned(),
-            caller_address: free_address(),
-            peer_address: free_address(),
-            metrics_address: free_address(),
+            caller_address: free_address().expect("a port is free"),
+            peer_address: free_address().expect("a port is free"),
+            metrics_address: free_address().expect("a port is free"),
             platform_address,
             reached_at: BTreeMap::new(),
             token_key: None,
--- a/crates/jujubehold/tests/proofs/harness/links.rs
+++ b/crates/jujubehold/tests/proofs/harness/links.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 
 use jujubehold_faults::{Direction, LinkFaults, Protocol, RouteSettings};
+use jujubehold_lab::cluster::free_address;
 
 use super::installation::{INSTANCES, Installation, add_route};
-use super::ports::free_address;
 
 /// A link that loses everything.
 fn lost() -> LinkFaults {
@@ -39,7 +39,7 @@
     async fn open_host_link(&self, from: usize, to: usize, target: SocketAddr) -> SocketAddr {
         // Another process may take a free address first.
         loop {
-            let listen = free_address();
+            let listen = free_address().expect("a port is free");
             let mut is_open = true;
             for (kind, protocol) in [("calls", Protocol::Tcp), ("datagrams", Protocol::Udp)] {
                 let route = RouteSettings {
--- a/crates/jujubehold/tests/proofs/harness/mod.rs
+++ b/crates/jujubehold/tests/proofs/harness/mod.rs
@@ -4,7 +4,6 @@
 mod host_process;
 mod installation;
 mod links;
-mod ports;
 mod workload;
 
 pub(crate) use caller::{Answer, Caller};
--- a/crates/jujubehold/tests/proofs/harness/workload.rs
+++ b/crates/jujubehold/tests/proofs/harness/workload.rs
@@ -190,14 +190,19 @@
     if !begun.is_ran() {
         return begun;
     }
-    let inserted = caller.run(insert).await;
+    let inserted = caller.run_in_transaction(insert).await;
+    if let Answer::Unknown(_) = inserted {
+        caller.vanish();
+        return inserted;
+    }
     if !inserted.is_ran() {
         // Without a commit, nothing can have taken effect.
         caller.vanish();
         return Answer::Failed(format!("before the commit: {inserted:?}"));
     }
-    let committed = caller.write("COMMIT").await;
+    let committed = caller.run_in_transaction("COMMIT").await;
     if committed.is_ran() {
+        caller.keep_token().await;
         return committed;
     }
     caller.vanish();
--- a/crates/jujubehold_lab/src/cluster/cluster_settings.rs
+++ b/crates/jujubehold_lab/src/cluster/cluster_settings.rs
@@ -5,6 +5,8 @@
 use jujubehold_core::prelude::*;
 use jujubehold_settings::HostSettings;
 
+use crate::cluster::link_delays::LinkDelays;
+
 /// The parts of an installation and the sizes that matter to a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClusterSettings {
@@ -30,6 +32,8 @@
     pub service_time: Duration,
     /// How much later than received a replica's readers see a commit.
     pub apply_lag: Duration,
+    /// What the links add; the fault proxy stands between the parts unless it is nothing.
+    pub delays: LinkDelays,
 }
 
 impl Default for ClusterSettings {
@@ -49,6 +53,7 @@
             connect_cost: Duration::from_millis(12),
             service_time: Duration::ZERO,
             apply_lag: Duration::ZERO,
+            delays: LinkDelays::default(),
         }
     }
 }
--- a/crates/jujubehold_lab/src/cluster/installation.rs
+++ b/crates/jujubehold_lab/src/cluster/installation.rs
@@ -12,6 +12,7 @@
 
 use crate::cluster::cluster_settings::ClusterSettings;
 use crate::cluster::free_address::free_address;
+use crate::cluster::links::Links;
 use crate::cluster::running_host::RunningHost;
 use crate::error::LabError;
 
@@ -28,6 +29,8 @@
     pub platform: Platform,
     /// The configuration of each service, as submitted.
     pub configs: BTreeMap<ServiceId, ServiceConfig>,
+    /// The links between the parts; none without delays.
+    pub links: Links,
     settings: ClusterSettings,
     host_settings: Vec<HostSettings>,
 }
@@ -41,11 +44,13 @@
         let platform = Platform::start(PlatformSettings::default())
             .await
             .map_err(|error| start_error("the platform", &error))?;
+        let links = Links::start(settings.delays).await?;
         let mut cluster = Self {
             hosts: Vec::new(),
             instances: BTreeMap::new(),
             platform,
             configs: BTreeMap::new(),
+            links,
             settings,
             host_settings: Vec::new(),
         };
@@ -53,8 +58,12 @@
             cluster.start_service(index).await?;
         }
         cluster.host_settings = cluster.lay_out_hosts()?;
+        if !cluster.settings.delays.is_zero() {
+            cluster.lay_links().await?;
+        }
         for settings in cluster.host_settings.clone() {
-            cluster.hosts.push(RunningHost::start(settings)?);
+            let host = cluster.start_host(settings).await?;
+            cluster.hosts.push(host);
         }
         Ok(cluster)
     }
@@ -98,9 +107,9 @@
     ///
     /// # Errors
     /// The host could not start.
-    pub fn replace_host(&mut self, index: usize) -> Result<(), LabError> {
+    pub async fn replace_host(&mut self, index: usize) -> Result<(), LabError> {
         self.hosts.remove(index).stop();
-        let host = RunningHost::start(self.host_settings[index].clone())?;
+        let host = self.start_host(self.host_settings[index].clone()).await?;
         self.hosts.insert(index, host);
         Ok(())
     }
@@ -159,10 +168,15 @@
             })
             .await
             .map_err(|error| start_error("an instance", &error))?;
-            primary.get_or_insert(database.address());
             let domain = self.domain(number + index);
+            let address = if self.settings.delays.is_zero() {
+                database.address()
+            } else {
+                self.links.to_instance(database.address()).await?
+            };
+            primary.get_or_insert(address);
             let instance = InstanceConfig {
-                address: database.address(),
+                address,
                 domain,
                 region: "south".into(),
                 state: InstanceState::Active,
@@ -175,6 +189,40 @@
         Ok(())
     }
 
+    async fn start_host(&mut self, settings: HostSettings) -> Result<RunningHost, LabError> {
+        let mut host = RunningHost::start(settings)?;
+        if !self.settings.delays.is_zero() {
+            host.caller_address = self.links.to_callers(host.caller_address).await?;
+        }
+        Ok(host)
+    }
+
+    /// Has each host reach the hosts of other failure domains by links, and the instances of its
+    /// own without.
+    async fn lay_links(&mut self) -> Result<(), LabError> {
+        let others: Vec<_> = self.host_settings.iter().map(seed_of).collect();
+        for settings in &mut self.host_settings {
+            let translation = &mut settings.address_translation;
+            for other in others
+                .iter()
+                .filter(|other| other.domain != settings.domain)
+            {
+                let reached_at = self
+                    .links
+                    .to_host(&settings.host, other.peer_address)
+                    .await?;
+                translation.add(other.peer_address, reached_at);
+            }
+            for ((service, name), database) in &self.instances {
+                let instance = &self.configs[service].instances[name];
+                if instance.domain == settings.domain {
+                    translation.add(instance.address, database.address());
+                }
+            }
+        }
+        Ok(())
+    }
+
     fn lay_out_hosts(&self) -> Result<Vec<HostSettings>, LabError> {
         let mut all = Vec::new();
         for index in 0..self.settings.hosts {
--- /dev/null
+++ b/crates/jujubehold_lab/src/cluster/link_delays.rs
@@ -0,0 +1,19 @@
+//! What the links of an installation add to each message.
+
+use std::time::Duration;
+
+/// One-way delays; the default is loopback's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LinkDelays {
+    /// Between two failure domains: hosts, instances and replication.
+    pub between_domains: Duration,
+    /// Between a caller and its host.
+    pub to_callers: Duration,
+}
+
+impl LinkDelays {
+    /// Whether nothing is added.
+    pub fn is_zero(&self) -> bool {
+        self.between_domains.is_zero() && self.to_callers.is_zero()
+    }
+}
--- a/crates/jujubehold_lab/src/experiment/failover_gap.rs
+++ b/crates/jujubehold_lab/src/experiment/failover_gap.rs
@@ -7,7 +7,7 @@
 use jujubehold_standin::platform::Outage;
 use log::info;
 
-use crate::cluster::{Cluster, ClusterSettings};
+use crate::cluster::{Cluster, ClusterSettings, LinkDelays};
 use crate::demo::{gap_after_change, surviving_ids};
 use crate::error::LabError;
 use crate::experiment::gap_kind::GapKind;
@@ -35,6 +35,8 @@
     pub runs: u64,
     /// How many callers write.
     pub writers: u64,
+    /// What the links add.
+    pub delays: LinkDelays,
 }
 
 impl Default for FailoverGapSettings {
@@ -43,6 +45,7 @@
             kinds: GapKind::ALL.to_vec(),
             runs: 50,
             writers: 6,
+            delays: LinkDelays::default(),
         }
     }
 }
@@ -103,7 +106,11 @@
 }
 
 async fn run_kind(settings: &FailoverGapSettings, kind: GapKind) -> Result<KindResult, LabError> {
-    let mut cluster = Cluster::start(ClusterSettings::default()).await?;
+    let mut cluster = Cluster::start(ClusterSettings {
+        delays: settings.delays,
+        ..ClusterSettings::default()
+    })
+    .await?;
     let service = Cluster::service_name(0);
     create_ledger(cluster.caller_address(0), &service, START_PATIENCE).await?;
     let mut result = KindResult::default();
--- a/crates/jujubehold_lab/src/experiment/mod.rs
+++ b/crates/jujubehold_lab/src/experiment/mod.rs
@@ -1,11 +1,15 @@
 //! Experiments that anyone can run again; each writes a table and a plot.
 
 mod failover_gap;
+mod false_changes;
 mod gap_kind;
 mod overload;
 mod replica_reads;
+mod write_latency;
 
 pub use failover_gap::{FailoverGapSettings, run_failover_gap};
+pub use false_changes::{FalseChangesSettings, run_false_changes};
 pub use gap_kind::GapKind;
 pub use overload::{OverloadSettings, run_overload};
 pub use replica_reads::{ReplicaReadsSettings, run_replica_reads};
+pub use write_latency::{WriteLatencySettings, run_write_latency};
--- a/crates/jujubehold_lab/src/experiment/replica_reads.rs
+++ b/crates/jujubehold_lab/src/experiment/replica_reads.rs
@@ -5,7 +5,7 @@
 
 use jujubehold_core::prelude::*;
 
-use crate::cluster::{Cluster, ClusterSettings};
+use crate::cluster::{Cluster, ClusterSettings, LinkDelays};
 use crate::error::LabError;
 use crate::load::LoadConnection;
 use crate::report::{Plot, Series, Table, read_counts, start_counting};
@@ -29,6 +29,8 @@
     pub reads_per_write: u32,
     /// How long each pair of lag and age runs.
     pub duration: Duration,
+    /// What the links add.
+    pub delays: LinkDelays,
 }
 
 impl Default for ReplicaReadsSettings {
@@ -40,6 +42,7 @@
             sessions: 12,
             reads_per_write: 40,
             duration: Duration::from_secs(4),
+            delays: LinkDelays::default(),
         }
     }
 }
@@ -125,6 +128,7 @@
 ) -> Result<ShareResult, LabError> {
     let cluster = Cluster::start(ClusterSettings {
         apply_lag: lag,
+        delays: settings.delays,
         service: ServiceConfig {
             read_age: age,
             ..ServiceConfig::default()
