--- a/crates/jujubehold/src/commands/experiment.rs
+++ b/crates/jujubehold/src/commands/experiment.rs
@@ -5,12 +5,12 @@
 
 use getopts::{Matches, Options};
 use jujubehold_lab::LabError;
-use jujubehold_lab::capacity::run_capacity;
+use jujubehold_lab::capacity::{CapacityPart, run_capacity};
 use jujubehold_lab::cluster::LinkDelays;
 use jujubehold_lab::experiment::{
-    FailoverGapSettings, FalseChangesSettings, GapKind, OverloadSettings, ReplicaReadsSettings,
-    WriteLatencySettings, run_failover_gap, run_false_changes, run_overload, run_replica_reads,
-    run_write_latency,
+    FailoverGapSettings, FalseChangesSettings, GapKind, NamedWritesSettings, OverloadSettings,
+    ReplicaReadsSettings, WriteLatencySettings, run_failover_gap, run_false_changes,
+    run_named_writes, run_overload, run_replica_reads, run_write_latency,
 };
 use jujubehold_lab::load::{BenchmarkSettings, run_benchmark};
 use jujubehold_lab::report::Table;
@@ -20,15 +20,16 @@
 use crate::options::{CommandHelp, Parsed};
 
 const HELP: CommandHelp = CommandHelp {
-    usage: "experiment NAME [--out DIRECTORY] [--runs N] [--kinds KINDS] [--minutes N] \
-            [--delay-ms N] [--caller-delay-ms N]",
+    usage: "experiment NAME [--out DIRECTORY] [--runs N] [--kinds KINDS] [--parts PARTS] \
+            [--minutes N] [--delay-ms N] [--caller-delay-ms N]",
     about: "Runs an experiment on loopback, prints its table in Markdown and writes its plots. \
             NAME is one of\n    failover-gap   how long writes are impossible after a primary is \
             lost\n    false-changes  changes of primary under delay spikes and loss\n    replica-reads  \
             the share of reads that replicas serve\n    write-latency  writes with and without \
             confirmation by a replica\n    overload       \
             what callers meet beyond capacity\n    benchmark      one host beside the same load \
-            without it\n    capacity       the slopes of docs/CAPACITY.md",
+            without it\n    named-writes   what naming a write costs\n    capacity       the \
+            slopes of docs/CAPACITY.md",
     exits: &[ExitStatus::Ok, ExitStatus::Failed, ExitStatus::Usage],
     example: "jujubehold experiment failover-gap --runs 10 --out /tmp",
 };
@@ -42,6 +43,7 @@
     WriteLatency,
     Overload,
     Benchmark,
+    NamedWrites,
     Capacity,
 }
 
@@ -51,6 +53,7 @@
     gap: FailoverGapSettings,
     minutes: u64,
     delays: LinkDelays,
+    parts: Vec<CapacityPart>,
 }
 
 impl Experiment {
@@ -62,6 +65,7 @@
             "replica-reads" => Some(Self::ReplicaReads),
             "overload" => Some(Self::Overload),
             "benchmark" => Some(Self::Benchmark),
+            "named-writes" => Some(Self::NamedWrites),
             "capacity" => Some(Self::Capacity),
             _ => None,
         }
@@ -78,6 +82,12 @@
         "kinds of loss of failover-gap, with commas between them (crash,freeze,crash-in-outage,ordered)",
         "KINDS",
     );
+    options.optopt(
+        "p",
+        "parts",
+        "parts of capacity, with commas between them (configuration,ownership,hosts,domains,services,callers,changes)",
+        "PARTS",
+    );
     options.optopt("m", "minutes", "length of false-changes (60)", "N");
     options.optopt(
         "d",
@@ -105,6 +115,7 @@
         gap: gap_settings(&matches)?,
         minutes: HELP.value(&matches, "minutes", 60, "a whole number")?,
         delays: delays(&matches)?,
+        parts: capacity_parts(&matches)?,
     };
     let table = actix_rt::System::new().block_on(measure(experiment, &sizes, &out))?;
     Ok(table.to_string())
@@ -132,6 +143,20 @@
     })
 }
 
+fn capacity_parts(matches: &Matches) -> Result<Vec<CapacityPart>, CliError> {
+    let Some(names) = matches.opt_str("parts") else {
+        return Ok(CapacityPart::ALL.to_vec());
+    };
+    names.split(',').map(capacity_part).collect()
+}
+
+fn capacity_part(name: &str) -> Result<CapacityPart, CliError> {
+    CapacityPart::ALL
+        .into_iter()
+        .find(|part| part.as_str() == name.trim())
+        .ok_or_else(|| HELP.usage_error(&format!("there is no part {name:?}")))
+}
+
 fn gap_kind(name: &str) -> Result<GapKind, CliError> {
     GapKind::ALL
         .into_iter()
@@ -165,6 +190,7 @@
         }
         Experiment::Overload => run_overload(&OverloadSettings::default(), out).await,
         Experiment::Benchmark => run_benchmark(&BenchmarkSettings::default()).await,
-        Experiment::Capacity => run_capacity(out).await,
+        Experiment::NamedWrites => run_named_writes(&NamedWritesSettings::default()).await,
+        Experiment::Capacity => run_capacity(&sizes.parts, out).await,
     }
 }
--- a/crates/jujubehold/tests/proofs/harness/host_process.rs
+++ b/crates/jujubehold/tests/proofs/harness/host_process.rs
@@ -23,6 +23,7 @@
     pub(crate) reached_at: BTreeMap<SocketAddr, SocketAddr>,
     /// The key that signs tokens; the development key if there is none.
     pub(crate) token_key: Option<&'static str>,
+    pub(crate) leaving_grace: Duration,
 }
 
 impl HostPlace {
@@ -36,6 +37,7 @@
             platform_address,
             reached_at: BTreeMap::new(),
             token_key: None,
+            leaving_grace: Duration::from_secs(2),
         }
     }
 
@@ -43,13 +45,14 @@
         let mut text = format!(
             "[host]\nname = {}\ndomain = {}\nregion = local\ncaller_address = {}\n\
              peer_address = {}\nmetrics_address = {}\nplatform_addresses = {}\n\
-             traffic_threads = 2\ndrain_timeout_ms = 20000\n",
+             traffic_threads = 2\ndrain_timeout_ms = 20000\n\n[failover]\nleaving_grace_ms = {}\n",
             self.name,
             self.domain,
             self.caller_address,
             self.peer_address,
             self.metrics_address,
             self.platform_address,
+            self.leaving_grace.as_millis(),
         );
         if let Some(key) = self.token_key {
             let _ = writeln!(text, "token_key = {key}");
--- a/crates/jujubehold/tests/proofs/main.rs
+++ b/crates/jujubehold/tests/proofs/main.rs
@@ -10,6 +10,7 @@
 mod graceful_shutdown;
 mod harness;
 mod leaving_upstream;
+mod named_requests;
 mod not_run;
 mod partitions;
 mod random_faults;
--- a/crates/jujubehold_core/src/failover/suspicion.rs
+++ b/crates/jujubehold_core/src/failover/suspicion.rs
@@ -51,6 +51,11 @@
         self.last_alive
     }
 
+    /// Whether a probe failed since the last proof of life.
+    pub(super) fn has_failures(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Whether the primary gave proof of life at or after `since`.
     pub(super) fn has_proof_since(&self, since: Monotonic) -> bool {
         self.proved_alive_at.is_some_and(|at| at >= since)
@@ -63,8 +68,15 @@
 
     pub(super) fn prove_alive(&mut self, sent_at: Monotonic) {
         if sent_at >= self.last_alive {
-            self.last_alive = sent_at;
             self.proved_alive_at = Some(sent_at);
+            self.note_life(sent_at);
+        }
+    }
+
+    /// Notes a sign of life that says nothing of the instance's role.
+    pub(super) fn note_life(&mut self, sent_at: Monotonic) {
+        if sent_at >= self.last_alive {
+            self.last_alive = sent_at;
             self.failures = 0;
             self.quorum_since = None;
         }
--- a/crates/jujubehold_host/tests/traffic/main.rs
+++ b/crates/jujubehold_host/tests/traffic/main.rs
@@ -7,6 +7,7 @@
 mod extended;
 mod malformed;
 mod named;
+mod overload;
 mod pools;
 mod reads;
 mod session_state;
--- a/crates/jujubehold_lab/src/experiment/mod.rs
+++ b/crates/jujubehold_lab/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 mod failover_gap;
 mod false_changes;
 mod gap_kind;
+mod named_writes;
 mod overload;
 mod replica_reads;
 mod write_latency;
@@ -10,6 +11,7 @@
 pub use failover_gap::{FailoverGapSettings, run_failover_gap};
 pub use false_changes::{FalseChangesSettings, run_false_changes};
 pub use gap_kind::GapKind;
+pub use named_writes::{NamedWritesSettings, run_named_writes};
 pub use overload::{OverloadSettings, run_overload};
 pub use replica_reads::{ReplicaReadsSettings, run_replica_reads};
 pub use write_latency::{WriteLatencySettings, run_write_latency};
