Write the proofs' token key into the hosts' own section

The settings of the proofs' hosts end with [failover] since the merge, so that the key behind it was refused and the test of a changed key failed in a whole run.

--- a/crates/jujubehold/tests/proofs/harness/host_process.rs
+++ b/crates/jujubehold/tests/proofs/harness/host_process.rs
@@ -42,10 +42,13 @@
     }
 
     fn settings(&self, peers: &[Self]) -> String {
+        let key_line = self
+            .token_key
+            .map_or_else(String::new, |key| format!("token_key = {key}\n"));
         let mut text = format!(
             "[host]\nname = {}\ndomain = {}\nregion = local\ncaller_address = {}\n\
              peer_address = {}\nmetrics_address = {}\nplatform_addresses = {}\n\
-             traffic_threads = 2\ndrain_timeout_ms = 20000\n\n[failover]\nleaving_grace_ms = {}\n",
+             traffic_threads = 2\ndrain_timeout_ms = 20000\n{key_line}\n[failover]\nleaving_grace_ms = {}\n",
             self.name,
             self.domain,
             self.caller_address,
@@ -54,9 +57,6 @@
             self.platform_address,
             self.leaving_grace.as_millis(),
         );
-        if let Some(key) = self.token_key {
-            let _ = writeln!(text, "token_key = {key}");
-        }
         for (address, reached_at) in &self.reached_at {
             let _ = write!(text, "\n[address {address}]\nreached_at = {reached_at}\n");
         }
