Read the notice of a host that leaves also when no request waits for it

The proofs' client library ends a connection at a notice that no request waits for, and tells the next request only "connection closed". The harness took this for an unknown outcome: seen once in the proof of a shutdown under load, on a busy machine. Ruled out: that the proxy drops what was sent ahead of a reset (a test of this passes, and stays). The harness now keeps the notice and counts such a request as not run, which the check against the rows holds it to.

--- a/crates/jujubehold/tests/proofs/harness/caller.rs
+++ b/crates/jujubehold/tests/proofs/harness/caller.rs
@@ -1,6 +1,8 @@
 //! A caller of one host, which reads the verdict out of what it is told.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
@@ -10,6 +12,12 @@
 /// After how long a caller gives up, as if its own patience were over.
 const PATIENCE: Duration = Duration::from_secs(15);
 
+/// The SQLSTATE with which a host that leaves ends a session between transactions.
+const SHUTTING_DOWN: &str = "57P01";
+
+/// The detail of that notice, once it came.
+type Notice = Rc<RefCell<Option<String>>>;
+
 /// What a caller was told of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Answer {
@@ -43,6 +51,8 @@
     pub(crate) address: SocketAddr,
     service: &'static str,
     client: Option<Client>,
+    /// What ended the connection, once it has ended.
+    notice: Notice,
     /// The session's token, presented on each new connection.
     pub(crate) token: Option<String>,
     last_note: String,
@@ -54,6 +64,7 @@
             address,
             service: SERVICE,
             client: None,
+            notice: Notice::default(),
             token: None,
             last_note: String::new(),
         }
@@ -152,7 +163,10 @@
     /// The client below, with the token presented.
     pub(crate) async fn client(&mut self) -> Option<&Client> {
         if self.client.as_ref().is_none_or(Client::is_closed) {
-            self.client = open(self.address, self.service, self.token.as_deref()).await;
+            self.notice = Notice::default();
+            let notice = Rc::clone(&self.notice);
+            let token = self.token.as_deref();
+            self.client = open(self.address, self.service, token, notice).await;
         }
         self.client.as_ref()
     }
@@ -165,7 +179,11 @@
     fn read_error(&mut self, error: &tokio_postgres::Error) -> Answer {
         let Some(known) = error.as_db_error() else {
             self.client = None;
-            return Answer::Unknown(error.to_string());
+            // The library tells a request that came after the notice only that it was closed.
+            return match self.notice.take() {
+                Some(detail) => Answer::NotRun(SHUTTING_DOWN.to_owned(), detail),
+                None => Answer::Unknown(error.to_string()),
+            };
         };
         let code = known.code().code().to_owned();
         let detail = known.detail().unwrap_or_default().to_owned();
@@ -179,7 +197,12 @@
     }
 }
 
-async fn open(address: SocketAddr, service: &str, token: Option<&str>) -> Option<Client> {
+async fn open(
+    address: SocketAddr,
+    service: &str,
+    token: Option<&str>,
+    notice: Notice,
+) -> Option<Client> {
     let text = format!(
         "host={} port={} user=clerk dbname={service} connect_timeout=5",
         address.ip(),
@@ -188,8 +211,12 @@
     let connect = tokio_postgres::connect(&text, NoTls);
     let (client, connection) = tokio::time::timeout(PATIENCE, connect).await.ok()?.ok()?;
     actix_rt::spawn(async move {
-        // A connection that a test cuts ends with an error.
-        let _ = connection.await;
+        // A connection that a test cuts ends with an error of another kind.
+        let end = connection.await.err();
+        let told = end.as_ref().and_then(tokio_postgres::Error::as_db_error);
+        if let Some(told) = told.filter(|told| told.code().code() == SHUTTING_DOWN) {
+            notice.replace(Some(told.detail().unwrap_or_default().to_owned()));
+        }
     });
     if let Some(token) = token {
         let sql = format!("SET jujubehold.session = '{token}'");
--- a/crates/jujubehold_faults/tests/proxy.rs
+++ b/crates/jujubehold_faults/tests/proxy.rs
@@ -291,3 +291,27 @@
     let mut stream = TcpStream::connect(opened).await.unwrap();
     assert!(round_trip(&mut stream).await.is_ok());
 }
+
+#[actix_rt::test]
+async fn what_was_sent_ahead_of_a_reset_arrives_ahead_of_it() {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let target = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.readable().await.unwrap();
+        stream.write_all(b"notice").await.unwrap();
+        // What was not read makes the end a reset.
+        drop(stream);
+    });
+    let proxy = proxy(Protocol::Tcp, target).await;
+    let late = LinkFaults {
+        delay: Duration::from_millis(50),
+        ..LinkFaults::default()
+    };
+    proxy.set(ROUTE, Direction::Down, late).unwrap();
+    let mut stream = connect(&proxy).await;
+    stream.write_all(b"request").await.unwrap();
+    let mut notice = [0; 6];
+    stream.read_exact(&mut notice).await.unwrap();
+    assert_eq!(&notice, b"notice");
+}
