--- a/crates/jujubehold_faults/src/tcp.rs
+++ b/crates/jujubehold_faults/src/tcp.rs
@@ -43,13 +43,14 @@
     let _ = far.set_nodelay(true);
     let up = pump(route, Direction::Up, near, &far, number);
     let down = pump(route, Direction::Down, &far, near, number);
-    if run_both(up, down).await == End::Reset {
+    if run_both(up, down).await != End::Closed {
         reset(near);
         reset(&far);
     }
 }
 
-/// Runs both directions to their ends; a reset of one ends the other.
+/// Runs both directions to their ends; a reset of one ends the other, unless it only lost its
+/// receiver.
 async fn run_both(up: impl Future<Output = End>, down: impl Future<Output = End>) -> End {
     tokio::pin!(up, down);
     let (first, is_up) = tokio::select! {
@@ -59,7 +60,12 @@
     if first == End::Reset {
         return End::Reset;
     }
-    if is_up { down.await } else { up.await }
+    let second = if is_up { down.await } else { up.await };
+    if first == End::Closed {
+        second
+    } else {
+        End::Reset
+    }
 }
 
 /// Lets the peer see a reset once the stream is dropped.
--- a/crates/jujubehold_faults/tests/proxy.rs
+++ b/crates/jujubehold_faults/tests/proxy.rs
@@ -311,6 +311,9 @@
     proxy.set(ROUTE, Direction::Down, late).unwrap();
     let mut stream = connect(&proxy).await;
     stream.write_all(b"request").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    // This meets the reset while the notice is on its way.
+    stream.write_all(b"request").await.unwrap();
     let mut notice = [0; 6];
     stream.read_exact(&mut notice).await.unwrap();
     assert_eq!(&notice, b"notice");
