Name the key of a service's configuration in one place

The command line, the lab and two places of the host each put it together from a prefix of their own, and the lab listed a range where it wanted one key.

--- a/crates/jujubehold/src/config_record.rs
+++ b/crates/jujubehold/src/config_record.rs
@@ -4,8 +4,6 @@
 use jujubehold_settings::{IniFaults, format_service, parse_service};
 use jujubehold_wire::kv::KeyValue;
 
-/// What every service's key starts with.
-pub(crate) const PREFIX: &str = "/jujubehold/services/";
 /// The name that stands for the change before a service's first.
 pub(crate) const NO_CHANGE: &str = "none";
 const CHANGE_MARK: &str = "; change = ";
@@ -39,11 +37,6 @@
     }
 }
 
-/// The key that holds `service`.
-pub(crate) fn service_key(service: &ServiceId) -> String {
-    format!("{PREFIX}{service}")
-}
-
 /// The text of a record, with the name of its change and of the one before.
 pub(crate) fn format_record(config: &ServiceConfig, change: &str, previous: &str) -> String {
     format!(
--- a/crates/jujubehold/src/config_store.rs
+++ b/crates/jujubehold/src/config_store.rs
@@ -8,11 +8,9 @@
 use std::time::{Duration, Instant};
 
 use jujubehold_core::prelude::*;
-use jujubehold_host::platform::{KvClient, KvError};
+use jujubehold_host::platform::{KvClient, KvError, SERVICES_PREFIX, service_key};
 
-use crate::config_record::{
-    ConfigRecord, NO_CHANGE, PREFIX, format_record, parse_record, service_key,
-};
+use crate::config_record::{ConfigRecord, NO_CHANGE, format_record, parse_record};
 use crate::service_diff::service_differences;
 use crate::store_error::StoreError;
 
@@ -65,7 +63,11 @@
     /// # Errors
     /// The platform's service can't be reached, or a record holds faults.
     pub async fn read_all(&self) -> Result<Vec<ConfigRecord>, StoreError> {
-        let (values, _) = self.client().list(PREFIX).await.map_err(unavailable)?;
+        let (values, _) = self
+            .client()
+            .list(SERVICES_PREFIX)
+            .await
+            .map_err(unavailable)?;
         Ok(values.iter().map(parse_record).collect::<Result<_, _>>()?)
     }
 
--- a/crates/jujubehold_host/src/control/configuration.rs
+++ b/crates/jujubehold_host/src/control/configuration.rs
@@ -16,7 +16,7 @@
 use super::control_loop::Control;
 use super::group_driver::GroupDriver;
 use super::restore_queue::Restore;
-use crate::platform::{SERVICES_PREFIX, watch_platform};
+use crate::platform::{service_key, watch_platform};
 
 /// The longest wait before a lost configuration is written back, in milliseconds: the hosts that
 /// see the loss at the same time spread out over it.
@@ -175,7 +175,7 @@
         let wait = Duration::from_millis(rand::random_range(0..RESTORE_SPREAD_MS));
         actix_rt::spawn(async move {
             tokio::time::sleep(wait).await;
-            let key = format!("{SERVICES_PREFIX}{service}");
+            let key = service_key(&service);
             let value = restore.text.as_bytes().to_vec();
             // Whether it was written or not, the watch shows what stands then.
             match kv.put_if(&key, restore.mod_revision, value).await {
--- a/crates/jujubehold_host/src/platform/config_watch.rs
+++ b/crates/jujubehold_host/src/platform/config_watch.rs
@@ -21,6 +21,11 @@
 /// Where the platform's service holds the configuration of services.
 pub const SERVICES_PREFIX: &str = "/jujubehold/services/";
 
+/// The key that holds the configuration of `service`.
+pub fn service_key(service: &ServiceId) -> String {
+    format!("{SERVICES_PREFIX}{service}")
+}
+
 /// The waits between tries while the service is out: many hosts ask again when it comes back.
 const BACKOFF: Backoff = Backoff {
     base: std::time::Duration::from_millis(200),
--- a/crates/jujubehold_host/src/platform/mod.rs
+++ b/crates/jujubehold_host/src/platform/mod.rs
@@ -5,7 +5,7 @@
 mod host_list;
 mod kv_client;
 
-pub use config_watch::SERVICES_PREFIX;
+pub use config_watch::{SERVICES_PREFIX, service_key};
 pub use group_record::GroupRecord;
 pub use host_list::{HOSTS_PREFIX, parse_host};
 pub use kv_client::{KvClient, KvError};
--- a/crates/jujubehold_host/tests/control_configuration.rs
+++ b/crates/jujubehold_host/tests/control_configuration.rs
@@ -7,7 +7,7 @@
 
 use control::{Installation, RunningHost, SERVICE, wait_until};
 use jujubehold_core::prelude::*;
-use jujubehold_host::platform::SERVICES_PREFIX;
+use jujubehold_host::platform::service_key;
 use jujubehold_settings::{HostSettings, parse_service};
 use jujubehold_standin::platform::{CallKind, Outage};
 
@@ -55,7 +55,7 @@
     installation.submit(&installation.config(2)).await;
     wait_until("it has the second", || host.generation() == 2).await;
     installation.platform.restore(older);
-    let key = format!("{SERVICES_PREFIX}{SERVICE}");
+    let key = service_key(&SERVICE.into());
     let reading = async {
         loop {
             let shown = installation.kv().get(&key).await.expect("it answers");
@@ -106,7 +106,7 @@
             read_age(&first).is_some() && read_age(&first) == read_age(&second)
         })
         .await;
-        let key = format!("{SERVICES_PREFIX}{SERVICE}");
+        let key = service_key(&SERVICE.into());
         let reading = async {
             loop {
                 let shown = installation.kv().get(&key).await.expect("it answers");
--- a/crates/jujubehold_host/tests/support/control.rs
+++ b/crates/jujubehold_host/tests/support/control.rs
@@ -8,7 +8,7 @@
 
 use jujubehold_core::prelude::*;
 use jujubehold_host::peer::PeerTarget;
-use jujubehold_host::platform::{HOSTS_PREFIX, KvClient, SERVICES_PREFIX};
+use jujubehold_host::platform::{HOSTS_PREFIX, KvClient, service_key};
 use jujubehold_host::routing_table::RoutingTable;
 use jujubehold_host::{Host, HostError};
 use jujubehold_settings::{HostSettings, PeerSeed, format_service};
@@ -99,7 +99,7 @@
 
     /// Submits a configuration over whatever stands.
     pub(crate) async fn submit(&self, config: &ServiceConfig) {
-        let key = format!("{SERVICES_PREFIX}{}", config.service);
+        let key = service_key(&config.service);
         let mut kv = self.kv();
         let shown = kv.get(&key).await.expect("the platform answers");
         let revision = shown.map_or(0, |entry| entry.mod_revision);
--- a/crates/jujubehold_lab/src/cluster/installation.rs
+++ b/crates/jujubehold_lab/src/cluster/installation.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use jujubehold_core::prelude::*;
-use jujubehold_host::platform::KvClient;
+use jujubehold_host::platform::{KvClient, service_key};
 use jujubehold_settings::{HostSettings, PeerSeed, format_service};
 use jujubehold_standin::database::{Database, DatabaseSettings};
 use jujubehold_standin::platform::{Platform, PlatformSettings};
@@ -15,7 +15,6 @@
 use crate::cluster::running_host::RunningHost;
 use crate::error::LabError;
 
-const SERVICES_PREFIX: &str = "/jujubehold/services/";
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A running installation; its parts stop when it is dropped.
@@ -110,20 +109,17 @@
     /// # Errors
     /// The platform's service did not take it.
     pub async fn submit(&mut self, mut config: ServiceConfig) -> Result<Generation, LabError> {
-        let key = format!("{SERVICES_PREFIX}{}", config.service);
+        let key = service_key(&config.service);
         let mut kv = KvClient::new(self.platform.address(), PLATFORM_TIMEOUT);
         let failed = |detail: String| LabError::Start {
             part: "a configuration",
             detail,
         };
-        let (records, _) = kv
-            .list(&key)
+        let record = kv
+            .get(&key)
             .await
             .map_err(|error| failed(error.to_string()))?;
-        let expected = records
-            .iter()
-            .find(|record| record.key == key.as_bytes())
-            .map_or(0, |record| record.mod_revision);
+        let expected = record.map_or(0, |record| record.mod_revision);
         config.generation += 1;
         let text = format_service(&config).into_bytes();
         let is_written = kv
