Count reads of sessions that roam, look up and meet an outage

The experiment had sessions that stay on one connection only. Now a session can go on at the next host after each write, with its token or with nothing, make each read on a connection of its own, or stay while the platform's service hangs.

--- a/crates/jujubehold/src/commands/experiment.rs
+++ b/crates/jujubehold/src/commands/experiment.rs
@@ -7,7 +7,7 @@
 use jujubehold_lab::capacity::{CapacityPart, run_capacity};
 use jujubehold_lab::experiment::{
     FailoverGapSettings, GapKind, NamedWritesSettings, OverloadSettings, ReplicaReadsSettings,
-    run_failover_gap, run_named_writes, run_overload, run_replica_reads,
+    SessionKind, run_failover_gap, run_named_writes, run_overload, run_replica_reads,
 };
 use jujubehold_lab::load::{BenchmarkSettings, run_benchmark};
 use jujubehold_lab::report::Table;
@@ -17,7 +17,8 @@
 use crate::options::{CommandHelp, Parsed};
 
 const HELP: CommandHelp = CommandHelp {
-    usage: "experiment NAME [--out DIRECTORY] [--runs N] [--kinds KINDS] [--parts PARTS]",
+    usage: "experiment NAME [--out DIRECTORY] [--runs N] [--kinds KINDS] \
+            [--sessions KINDS] [--parts PARTS]",
     about: "Runs an experiment on loopback, prints its table in Markdown and writes its plots. \
             NAME is one of\n    failover-gap   how long writes are impossible after a primary is \
             lost\n    replica-reads  the share of reads that replicas serve\n    overload       \
@@ -63,6 +64,12 @@
         "kinds of loss of failover-gap, with commas between them (crash,freeze,crash-in-outage,ordered)",
         "KINDS",
     );
+    options.optopt(
+        "s",
+        "sessions",
+        "kinds of sessions of replica-reads, with commas between them (stays); stays,token,nothing,lookups,outage",
+        "KINDS",
+    );
     options.optopt(
         "p",
         "parts",
@@ -81,7 +88,9 @@
     let out = PathBuf::from(matches.opt_str("out").unwrap_or_else(|| ".".into()));
     let gap = gap_settings(&matches)?;
     let parts = capacity_parts(&matches)?;
-    let table = actix_rt::System::new().block_on(measure(experiment, &gap, &parts, &out))?;
+    let reads = reads_settings(&matches)?;
+    let table =
+        actix_rt::System::new().block_on(measure(experiment, &gap, &reads, &parts, &out))?;
     Ok(table.to_string())
 }
 
@@ -98,6 +107,27 @@
     })
 }
 
+fn reads_settings(matches: &Matches) -> Result<ReplicaReadsSettings, CliError> {
+    let default = ReplicaReadsSettings::default();
+    let Some(names) = matches.opt_str("sessions") else {
+        return Ok(default);
+    };
+    Ok(ReplicaReadsSettings {
+        kinds: names
+            .split(',')
+            .map(session_kind)
+            .collect::<Result<_, _>>()?,
+        ..default
+    })
+}
+
+fn session_kind(name: &str) -> Result<SessionKind, CliError> {
+    SessionKind::ALL
+        .into_iter()
+        .find(|kind| kind.as_str() == name.trim())
+        .ok_or_else(|| HELP.usage_error(&format!("there is no kind of session {name:?}")))
+}
+
 fn capacity_parts(matches: &Matches) -> Result<Vec<CapacityPart>, CliError> {
     let Some(names) = matches.opt_str("parts") else {
         return Ok(CapacityPart::ALL.to_vec());
@@ -122,12 +152,13 @@
 async fn measure(
     experiment: Experiment,
     gap: &FailoverGapSettings,
+    reads: &ReplicaReadsSettings,
     parts: &[CapacityPart],
     out: &Path,
 ) -> Result<Table, LabError> {
     match experiment {
         Experiment::FailoverGap => run_failover_gap(gap, out).await,
-        Experiment::ReplicaReads => run_replica_reads(&ReplicaReadsSettings::default(), out).await,
+        Experiment::ReplicaReads => run_replica_reads(reads, out).await,
         Experiment::Overload => run_overload(&OverloadSettings::default(), out).await,
         Experiment::Benchmark => run_benchmark(&BenchmarkSettings::default()).await,
         Experiment::NamedWrites => run_named_writes(&NamedWritesSettings::default()).await,
--- a/crates/jujubehold_lab/src/experiment/mod.rs
+++ b/crates/jujubehold_lab/src/experiment/mod.rs
@@ -5,9 +5,11 @@
 mod named_writes;
 mod overload;
 mod replica_reads;
+mod session_kind;
 
 pub use failover_gap::{FailoverGapSettings, run_failover_gap};
 pub use gap_kind::GapKind;
 pub use named_writes::{NamedWritesSettings, run_named_writes};
 pub use overload::{OverloadSettings, run_overload};
 pub use replica_reads::{ReplicaReadsSettings, run_replica_reads};
+pub use session_kind::SessionKind;
--- a/crates/jujubehold_lab/src/experiment/replica_reads.rs
+++ b/crates/jujubehold_lab/src/experiment/replica_reads.rs
@@ -1,12 +1,16 @@
 //! The share of reads that replicas serve.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
 use jujubehold_core::prelude::*;
+use jujubehold_pg::FrameError;
+use jujubehold_standin::platform::Outage;
 
 use crate::cluster::{Cluster, ClusterSettings};
 use crate::error::LabError;
+use crate::experiment::session_kind::SessionKind;
 use crate::load::LoadConnection;
 use crate::report::{Plot, Series, Table, read_counts, start_counting};
 use crate::workload::{create_ledger, insert_sql};
@@ -19,6 +23,8 @@
 /// How the share is measured.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaReadsSettings {
+    /// The kinds of sessions.
+    pub kinds: Vec<SessionKind>,
     /// How far the replicas' readers lag.
     pub lags: Vec<Duration>,
     /// How old the data of a read may be.
@@ -35,6 +41,7 @@
     fn default() -> Self {
         let ms = Duration::from_millis;
         Self {
+            kinds: vec![SessionKind::Stays],
             lags: vec![ms(0), ms(20), ms(100), ms(500)],
             ages: vec![ms(0), ms(200), ms(1000)],
             sessions: 12,
@@ -66,7 +73,7 @@
     failed: u64,
 }
 
-/// Runs every pair of lag and age, and writes `replica-reads.svg` into `out`; returns the table.
+/// Runs every kind of session at every pair of lag and age, and writes `replica-reads.svg` into `out`; returns the table.
 ///
 /// The best possible share is worked out on the same trace, with perfect knowledge of a replica
 /// that has each write exactly one lag after its acknowledgement. Such a replica may serve a read
@@ -80,6 +87,7 @@
 ) -> Result<Table, LabError> {
     start_counting();
     let mut table = Table::new(&[
+        "session",
         "lag ms",
         "age ms",
         "reads",
@@ -94,12 +102,17 @@
         y_label: "share, %".into(),
         series: Vec::new(),
     };
-    for &age in &settings.ages {
+    let kinds_and_ages = settings
+        .kinds
+        .iter()
+        .flat_map(|kind| settings.ages.iter().map(move |age| (*kind, *age)));
+    for (kind, age) in kinds_and_ages {
         let mut points = Vec::new();
         for &lag in &settings.lags {
-            let result = run_pair(settings, lag, age).await?;
+            let result = run_pair(settings, kind, lag, age).await?;
             points.push((lag.as_millis() as f64, result.share_percent()));
             table.row(vec![
+                kind.as_str().to_owned(),
                 lag.as_millis().to_string(),
                 age.as_millis().to_string(),
                 result.all.to_string(),
@@ -110,7 +123,7 @@
             ]);
         }
         plot.series.push(Series {
-            name: format!("age {} ms", age.as_millis()),
+            name: format!("{}, age {} ms", kind.as_str(), age.as_millis()),
             points,
         });
     }
@@ -120,6 +133,7 @@
 
 async fn run_pair(
     settings: &ReplicaReadsSettings,
+    kind: SessionKind,
     lag: Duration,
     age: Duration,
 ) -> Result<ShareResult, LabError> {
@@ -135,16 +149,25 @@
     let service = Cluster::service_name(0);
     create_ledger(cluster.caller_address(0), &service, START_PATIENCE).await?;
     actix_rt::time::sleep(SETTLE + lag).await;
+    if kind == SessionKind::StaysInOutage {
+        cluster.platform.set_outage(Outage::Hang);
+        actix_rt::time::sleep(SETTLE).await;
+    }
     let before = read_counts();
     let deadline = Instant::now() + settings.duration;
     let sessions: Vec<_> = (0..settings.sessions)
         .map(|index| {
-            let target = cluster.caller_address(index);
+            let targets = (0..cluster.hosts.len())
+                .map(|step| cluster.caller_address(index + step))
+                .collect();
             let session = Session {
+                kind,
+                targets,
+                service: service.to_string(),
                 first_id: (index as u64 + 1) * 1_000_000,
                 reads_per_write: settings.reads_per_write,
             };
-            actix_rt::spawn(session.run(target, service.to_string(), deadline))
+            actix_rt::spawn(session.run(deadline))
         })
         .collect();
     let mut traces = Vec::new();
@@ -159,19 +182,19 @@
 }
 
 struct Session {
+    kind: SessionKind,
+    /// Where the hosts take callers, the session's first host first.
+    targets: Vec<SocketAddr>,
+    service: String,
     first_id: u64,
     reads_per_write: u32,
 }
 
 impl Session {
-    async fn run(
-        self,
-        target: std::net::SocketAddr,
-        service: String,
-        deadline: Instant,
-    ) -> SessionTrace {
+    async fn run(self, deadline: Instant) -> SessionTrace {
         let mut trace = SessionTrace::default();
-        let Ok(mut connection) = LoadConnection::open(target, &service, None).await else {
+        let first = LoadConnection::open(self.targets[0], &self.service, None).await;
+        let Ok(mut connection) = first else {
             trace.failed += 1;
             return trace;
         };
@@ -184,7 +207,20 @@
                 continue;
             }
             trace.writes.push(Instant::now());
+            let Ok(open) = self.go_on(connection, trace.writes.len()).await else {
+                trace.failed += 1;
+                return trace;
+            };
+            connection = open;
             for _ in 0..self.reads_per_write {
+                if self.kind == SessionKind::Lookups {
+                    let target = self.targets[trace.reads.len() % self.targets.len()];
+                    let Ok(open) = LoadConnection::open(target, &self.service, None).await else {
+                        trace.failed += 1;
+                        continue;
+                    };
+                    connection = open;
+                }
                 trace.reads.push(Instant::now());
                 let sql = format!("SELECT id FROM ledger WHERE id = {id}");
                 match connection.run(&sql).await {
@@ -198,6 +234,23 @@
         }
         trace
     }
+
+    /// The connection for the reads after the write with the number `write`.
+    async fn go_on(
+        &self,
+        connection: LoadConnection,
+        write: usize,
+    ) -> Result<LoadConnection, FrameError> {
+        let token = match self.kind {
+            SessionKind::Stays | SessionKind::Lookups | SessionKind::StaysInOutage => {
+                return Ok(connection);
+            }
+            SessionKind::RoamsWithToken => connection.token,
+            SessionKind::RoamsWithNothing => None,
+        };
+        let target = self.targets[write % self.targets.len()];
+        LoadConnection::open(target, &self.service, token.as_deref()).await
+    }
 }
 
 /// The reads that a replica with perfect knowledge could have served.
