--- a/crates/jujubehold_core/tests/exploration.rs
+++ b/crates/jujubehold_core/tests/exploration.rs
@@ -2,6 +2,8 @@
 //!
 //! A failure prints its seed; see [`seeds`] for longer runs.
 
+#[path = "exploration/caller_reads.rs"]
+mod caller_reads;
 #[path = "exploration/callers.rs"]
 mod callers;
 #[path = "exploration/faults.rs"]
--- a/crates/jujubehold_core/tests/exploration/callers.rs
+++ b/crates/jujubehold_core/tests/exploration/callers.rs
@@ -1,6 +1,6 @@
-//! Callers that write and read, and what must hold for them.
+//! Callers that write, and what must hold for them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use jujubehold_core::acknowledgement::{AckDecision, CommitEvidence, ReplicaAnswer};
 use jujubehold_core::authority::Authority;
@@ -8,10 +8,8 @@
     AttemptProgress, OutcomeLookup, RequestHistory, RerunDecision, decide_rerun,
 };
 use jujubehold_core::prelude::*;
-use jujubehold_core::read_candidates::{ReadOrigin, read_candidates};
-use jujubehold_core::read_policy::{ReadJudgement, ReadNeed};
-use jujubehold_core::session_floor::FloorKnowledge;
 
+use crate::caller_reads::Read;
 use crate::instance::{Instance, WriteId};
 use crate::message::{Answer, Ask, Tag};
 use crate::world::{At, Planted, World};
@@ -25,10 +23,10 @@
 pub(crate) struct Callers {
     next: u64,
     writes: BTreeMap<Tag, Write>,
-    reads: BTreeMap<Tag, Read>,
+    pub(crate) reads: BTreeMap<Tag, Read>,
     /// Each session's last acknowledged write, as its token states it.
-    floors: BTreeMap<u64, (Floor, WriteId)>,
-    acknowledged: BTreeMap<WriteId, Ack>,
+    pub(crate) floors: BTreeMap<u64, (Floor, WriteId)>,
+    pub(crate) acknowledged: BTreeMap<WriteId, Ack>,
     pub(crate) counts: Counts,
     pub(crate) violations: Vec<String>,
 }
@@ -47,9 +45,9 @@
     pub(crate) promotions: u64,
 }
 
-struct Ack {
-    term: Term,
-    at: At,
+pub(crate) struct Ack {
+    pub(crate) term: Term,
+    pub(crate) at: At,
 }
 
 struct Write {
@@ -62,15 +60,6 @@
     started_at: At,
 }
 
-struct Read {
-    host: usize,
-    need: ReadNeed,
-    /// The write of the session's floor.
-    floor_write: Option<WriteId>,
-    arrived_at: At,
-    candidates: Vec<InstanceId>,
-}
-
 impl Callers {
     /// With confirmed writes, a new primary holds all that lower terms acknowledged.
     ///
@@ -152,66 +141,6 @@
         );
     }
 
-    fn start_read(&mut self, host: usize, session: u64, tag: Tag) {
-        let now = self.clock(host);
-        let floor = self.callers.floors.get(&session).cloned();
-        let knowledge = match &floor {
-            Some((floor, _)) => FloorKnowledge::Floor(floor.clone()),
-            None => FloorKnowledge::Unknown,
-        };
-        // Every second read asks for the data as of the request, whatever its session knows.
-        let is_as_of_request = tag.is_multiple_of(2);
-        let knowledge = if is_as_of_request {
-            FloorKnowledge::Unknown
-        } else {
-            knowledge
-        };
-        let need = ReadNeed::new(&self.config, knowledge, now);
-        let origin = ReadOrigin {
-            avoided: std::collections::BTreeSet::new(),
-            domain: self
-                .config
-                .instances
-                .values()
-                .nth(host)
-                .expect("three")
-                .domain
-                .clone(),
-            region: "south".into(),
-            now,
-            patience: std::time::Duration::ZERO,
-            spread: tag,
-        };
-        let view = self.hosts[host].failover.view();
-        let mut candidates = read_candidates(&self.config, view, &need, &origin);
-        candidates.reverse();
-        let floor_write = floor
-            .map(|(_, write)| write)
-            .filter(|_| need.floor.is_some());
-        let read = Read {
-            host,
-            need,
-            floor_write,
-            arrived_at: self.now,
-            candidates,
-        };
-        self.callers.reads.insert(tag, read);
-        self.try_next_read(tag);
-    }
-
-    fn try_next_read(&mut self, tag: Tag) {
-        let Some(read) = self.callers.reads.get_mut(&tag) else {
-            return;
-        };
-        let host = read.host;
-        match read.candidates.pop() {
-            Some(instance) => self.ask(host, &instance, Ask::Read { tag }),
-            None => {
-                self.callers.reads.remove(&tag);
-            }
-        }
-    }
-
     pub(crate) fn on_caller_answer(
         &mut self,
         host: usize,
@@ -435,66 +364,4 @@
             RerunDecision::StillUnknown => {}
         }
     }
-
-    fn on_read(&mut self, tag: Tag, asked_at: Monotonic, answer: Option<(InstanceStatus, Answer)>) {
-        let Some((status, Answer::Data(data))) = answer else {
-            self.try_next_read(tag);
-            return;
-        };
-        let Some(read) = self.callers.reads.get(&tag) else {
-            return;
-        };
-        let view = self.hosts[read.host].failover.view();
-        let authority = Authority::default();
-        let judgement = if self.planted == Planted::FloorCheckIgnored {
-            ReadJudgement::Serve
-        } else {
-            read.need
-                .judge(&self.config, view, &authority, asked_at, &status)
-        };
-        match judgement {
-            ReadJudgement::Serve => self.check_read(tag, &status, &data),
-            ReadJudgement::Retry => {
-                self.callers.counts.read_retries += 1;
-                self.try_next_read(tag);
-            }
-            ReadJudgement::Cut => {
-                self.callers.counts.floors_cut += 1;
-                self.callers.reads.remove(&tag);
-            }
-        }
-    }
-
-    fn check_read(&mut self, tag: Tag, status: &InstanceStatus, data: &[WriteId]) {
-        let Some(read) = self.callers.reads.remove(&tag) else {
-            return;
-        };
-        if status.role == Role::Primary {
-            self.callers.counts.primary_reads += 1;
-        } else {
-            self.callers.counts.replica_reads += 1;
-        }
-        let data: BTreeSet<_> = data.iter().copied().collect();
-        if let Some(write) = read.floor_write.filter(|write| !data.contains(write)) {
-            let message = format!("a session read at {} without its write {write}", self.now);
-            self.callers.violations.push(message);
-        }
-        // Without confirmation a failover may drop what was acknowledged, which only a floor
-        // tells.
-        if self.config.confirm == Confirm::None {
-            return;
-        }
-        let missing = self
-            .callers
-            .acknowledged
-            .iter()
-            .find(|(id, ack)| ack.at < read.arrived_at && !data.contains(id));
-        if let Some((id, ack)) = missing {
-            let message = format!(
-                "a read of {} lacks write {id}, acknowledged at {} in term {}",
-                read.arrived_at, ack.at, ack.term
-            );
-            self.callers.violations.push(message);
-        }
-    }
 }
