Break the connection for certain before the proof's COMMIT is sent

The proxy resets a connection on its own thread, so that a COMMIT could pass ahead of it; it was then acknowledged rightly, and the proof failed (once in about twelve runs). It now waits until the primary has no open transaction.

--- a/crates/jujubehold/tests/proofs/commit.rs
+++ b/crates/jujubehold/tests/proofs/commit.rs
@@ -2,7 +2,7 @@
 
 use jujubehold_faults::{Direction, LinkFaults};
 
-use crate::harness::{Answer, Installation, Layout};
+use crate::harness::{Answer, Installation, Layout, until};
 
 /// Where the link to the primary breaks.
 #[derive(Debug, Clone, Copy)]
@@ -15,10 +15,15 @@
 }
 
 impl Cut {
-    fn apply(self, installation: &Installation) {
+    async fn apply(self, installation: &Installation) {
         let (direction, bytes) = match self {
             Self::BeforeSend => {
                 installation.faults.reset("a-0").expect("the route stands");
+                let primary = &installation.databases["a"];
+                until("the primary sees the break", async || {
+                    primary.status().open_transactions == 0
+                })
+                .await;
                 return;
             }
             Self::WithinRequest(bytes) => (Direction::Up, bytes),
@@ -41,7 +46,7 @@
     caller.must_begin().await;
     let insert = format!("INSERT INTO orders (id, caller) VALUES ({id}, 1)");
     caller.must_run(&insert).await;
-    cut.apply(installation);
+    cut.apply(installation).await;
     let answer = caller.run("COMMIT").await;
     installation.faults.heal("a-0").expect("the route stands");
     let is_there = installation.rows().await.contains_key(&id);
