Give notifications a file of their own

Cause: control/exchange.rs had grown to 312 lines with what hosts tell each other at once and what they tell by exchanges.

--- a/crates/jujubehold_host/src/control/mod.rs
+++ b/crates/jujubehold_host/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod hosts;
 mod instance_caller;
 mod instance_reply;
+mod notifications;
 mod publishing;
 mod restore_queue;
 mod spreading;
