Tell an upstream's refusal of a session from a malformed message

A refusal came as FrameError::Malformed with the error's raw fields as its text, in which the failover's probes then looked for 53300. `OpenError` names the SQLSTATE and the message, and the pools and the probes ask it. Behaviour is unchanged: 53300 alone counts as full, and any refusal makes a pool pause.

--- a/crates/jujubehold_host/src/control/instance_caller.rs
+++ b/crates/jujubehold_host/src/control/instance_caller.rs
@@ -10,7 +10,7 @@
 use pgwire::messages::data::DataRow;
 
 use super::instance_reply::InstanceReply;
-use crate::pool::UpstreamConnection;
+use crate::pool::{OpenError, UpstreamConnection};
 
 /// Asks one instance, over one connection that it keeps while nothing goes wrong.
 ///
@@ -60,26 +60,19 @@
                 None => UpstreamConnection::open(self.address, &self.database).await?,
             };
             let status = ask_on(&mut connection, sql).await?;
-            Ok::<_, FrameError>((connection, status))
+            Ok::<_, OpenError>((connection, status))
         });
         match answer.await {
             Ok(Ok((connection, status))) => {
                 self.kept.replace(Some(connection));
                 status.map_or(InstanceReply::Nothing, InstanceReply::Status)
             }
-            Ok(Err(FrameError::Malformed(detail))) if says_too_many_connections(&detail) => {
-                InstanceReply::Full
-            }
+            Ok(Err(error)) if error.is_full() => InstanceReply::Full,
             Ok(Err(_)) | Err(_) => InstanceReply::Nothing,
         }
     }
 }
 
-/// Whether an error's fields name the SQLSTATE `too_many_connections`.
-fn says_too_many_connections(detail: &str) -> bool {
-    detail.split('\0').any(|field| field == "C53300")
-}
-
 /// Runs one of the group's functions on `connection` and reads the status it answers with.
 async fn ask_on(
     connection: &mut UpstreamConnection,
--- a/crates/jujubehold_host/src/pool/connection.rs
+++ b/crates/jujubehold_host/src/pool/connection.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use super::open_error::OpenError;
 use super::prepared_names::PreparedNames;
 
 /// The name under which the proxy connects to upstreams.
@@ -54,15 +55,17 @@
     ///
     /// # Errors
     /// The upstream can't be reached or refuses the session.
-    pub async fn open(address: SocketAddr, database: &str) -> Result<Self, FrameError> {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        let (read_half, mut writer) = stream.into_split();
+    pub async fn open(address: SocketAddr, database: &str) -> Result<Self, OpenError> {
+        let (read_half, mut writer) = connect(address)
+            .await
+            .map_err(FrameError::from)?
+            .into_split();
         let parameters = BTreeMap::from([
             ("user".to_owned(), UPSTREAM_USER.to_owned()),
             ("database".to_owned(), database.to_owned()),
         ]);
-        writer.write_all(&startup_message(parameters)).await?;
+        let start = startup_message(parameters);
+        writer.write_all(&start).await.map_err(FrameError::from)?;
         let mut connection = Self {
             reader: FrameReader::new(read_half, BytesMut::new()),
             writer,
@@ -81,8 +84,7 @@
                     connection.cancel_target = Some(CancelTarget { address, key });
                 }
                 backend::ERROR_RESPONSE => {
-                    let detail = String::from_utf8_lossy(frame.body()).into_owned();
-                    return Err(FrameError::Malformed(detail));
+                    return Err(OpenError::refused(&frame));
                 }
                 _ => {}
             }
@@ -187,3 +189,9 @@
         self.foreign_statements < MAX_FOREIGN_STATEMENTS
     }
 }
+
+async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- a/crates/jujubehold_host/src/pool/pools.rs
+++ b/crates/jujubehold_host/src/pool/pools.rs
@@ -7,12 +7,12 @@
 
 use jujubehold_core::backoff::Backoff;
 use jujubehold_core::prelude::*;
-use jujubehold_pg::FrameError;
 use metrics::{Histogram, counter, histogram};
 use thiserror::Error;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::connection::UpstreamConnection;
+use super::open_error::OpenError;
 use crate::metric_names::{UPSTREAM_OPENS, WAIT_SECONDS};
 
 /// How long a connection may lie idle before it is closed.
@@ -32,7 +32,7 @@
     Refused,
     /// The upstream can't be reached or refuses a connection.
     #[error("no connection could be opened: {0}")]
-    Open(#[from] FrameError),
+    Open(#[from] OpenError),
 }
 
 /// Pools by service and instance.
@@ -229,7 +229,7 @@
         let opened = tokio::time::timeout(wait, opening).await;
         let opened = opened.map_err(|_| PoolError::Busy)?;
         let mut refusals = lock(&self.refusals);
-        if let Err(FrameError::Malformed(_)) = opened {
+        if let Err(OpenError::Refused { .. }) = opened {
             let delay = Backoff::default().delay(refusals.count, rand::random());
             refusals.count = refusals.count.saturating_add(1);
             refusals.until = Some(Instant::now() + delay);
--- a/crates/jujubehold_host/src/traffic/answer.rs
+++ b/crates/jujubehold_host/src/traffic/answer.rs
@@ -1,6 +1,5 @@
 //! Takes an upstream's answer and puts it for the caller.
 
-use bytes::Bytes;
 use jujubehold_pg::{Frame, FrameError, backend};
 use smol_str::SmolStr;
 
@@ -120,10 +119,5 @@
 
 /// The SQLSTATE of an error.
 pub(crate) fn sqlstate(error: &Frame) -> SmolStr {
-    let body: Bytes = error.bytes().slice(5..);
-    body.split(|byte| *byte == 0)
-        .find_map(|field| field.strip_prefix(b"C"))
-        .and_then(|code| std::str::from_utf8(code).ok())
-        .unwrap_or_default()
-        .into()
+    error.error_field(b'C').unwrap_or_default().into()
 }
--- a/crates/jujubehold_pg/src/frame.rs
+++ b/crates/jujubehold_pg/src/frame.rs
@@ -172,6 +172,14 @@
             .map_err(|error| FrameError::Malformed(error.to_string()))
     }
 
+    /// The field of an error's or a notice's body that `code` names, such as `C` for the SQLSTATE.
+    pub fn error_field(&self, code: u8) -> Option<&str> {
+        self.body()
+            .split(|byte| *byte == 0)
+            .find_map(|field| field.strip_prefix(&[code]))
+            .and_then(|field| std::str::from_utf8(field).ok())
+    }
+
     /// The first text of the body, up to its closing zero; `None` when it is not text.
     pub fn first_text(&self) -> Option<&str> {
         let body = self.body();
