--- a/crates/jujubehold/tests/proofs/harness/host_process.rs
+++ b/crates/jujubehold/tests/proofs/harness/host_process.rs
@@ -1,5 +1,6 @@
 //! One entry host as a process of its own.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::fs::File;
 use std::net::SocketAddr;
@@ -7,7 +8,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
-use super::ports::free_address;
+use jujubehold_lab::cluster::free_address;
 
 /// Where a host's addresses and its place are.
 #[derive(Debug, Clone)]
@@ -18,6 +19,10 @@
     pub(crate) peer_address: SocketAddr,
     pub(crate) metrics_address: SocketAddr,
     pub(crate) platform_address: SocketAddr,
+    /// Where the host reaches the addresses that others name.
+    pub(crate) reached_at: BTreeMap<SocketAddr, SocketAddr>,
+    /// The key that signs tokens; the development key if there is none.
+    pub(crate) token_key: Option<&'static str>,
     pub(crate) leaving_grace: Duration,
 }
 
@@ -26,19 +31,24 @@
         Self {
             name: name.to_owned(),
             domain: domain.to_owned(),
-            caller_address: free_address(),
-            peer_address: free_address(),
-            metrics_address: free_address(),
+            caller_address: free_address().expect("a port is free"),
+            peer_address: free_address().expect("a port is free"),
+            metrics_address: free_address().expect("a port is free"),
             platform_address,
+            reached_at: BTreeMap::new(),
+            token_key: None,
             leaving_grace: Duration::from_secs(2),
         }
     }
 
     fn settings(&self, peers: &[Self]) -> String {
+        let key_line = self
+            .token_key
+            .map_or_else(String::new, |key| format!("token_key = {key}\n"));
         let mut text = format!(
             "[host]\nname = {}\ndomain = {}\nregion = local\ncaller_address = {}\n\
              peer_address = {}\nmetrics_address = {}\nplatform_addresses = {}\n\
-             traffic_threads = 2\ndrain_timeout_ms = 20000\n\n[failover]\nleaving_grace_ms = {}\n",
+             traffic_threads = 2\ndrain_timeout_ms = 20000\n{key_line}\n[failover]\nleaving_grace_ms = {}\n",
             self.name,
             self.domain,
             self.caller_address,
@@ -47,6 +57,9 @@
             self.platform_address,
             self.leaving_grace.as_millis(),
         );
+        for (address, reached_at) in &self.reached_at {
+            let _ = write!(text, "\n[address {address}]\nreached_at = {reached_at}\n");
+        }
         for peer in peers.iter().filter(|peer| peer.name != self.name) {
             let _ = write!(
                 text,
--- a/crates/jujubehold/tests/proofs/harness/mod.rs
+++ b/crates/jujubehold/tests/proofs/harness/mod.rs
@@ -3,8 +3,8 @@
 mod caller;
 mod host_process;
 mod installation;
+mod links;
 mod named_load;
-mod ports;
 mod workload;
 
 pub(crate) use caller::{Answer, Caller};
--- a/crates/jujubehold_faults/src/tcp_pump.rs
+++ b/crates/jujubehold_faults/src/tcp_pump.rs
@@ -22,6 +22,8 @@
 pub(crate) enum End {
     /// The sender closed its side, and this was passed on.
     Closed,
+    /// The receiver is gone; what it sent before may still be on its way back.
+    ReceiverGone,
     /// The connection is to be reset.
     Reset,
 }
@@ -43,7 +45,11 @@
     let mut random = route.random(number, direction);
     let mut on_the_way: VecDeque<Piece> = VecDeque::new();
     let mut is_at_end = false;
+    let mut is_broken = false;
     loop {
+        if is_broken && on_the_way.is_empty() {
+            return End::Reset;
+        }
         let due_at = on_the_way.front().map(|piece| piece.due_at);
         let can_read = !is_at_end && on_the_way.len() < MAX_PIECES;
         tokio::select! {
@@ -55,7 +61,12 @@
                 }
             }
             read = read_some(from), if can_read => {
-                let Ok(bytes) = read else { return End::Reset };
+                // What came ahead of a reset arrives ahead of it.
+                let Ok(bytes) = read else {
+                    is_at_end = true;
+                    is_broken = true;
+                    continue;
+                };
                 is_at_end = bytes.is_empty();
                 let due_at = next_due(route, direction, &on_the_way, &mut random);
                 on_the_way.push_back(Piece { due_at, bytes });
@@ -118,12 +129,19 @@
     }
     if piece.bytes.is_empty() {
         let is_closed = shut_down(to).is_ok();
-        return Some(if is_closed { End::Closed } else { End::Reset });
+        return Some(if is_closed {
+            End::Closed
+        } else {
+            End::ReceiverGone
+        });
     }
-    if !route.may_pass(direction, piece.bytes.len()) {
-        return Some(End::Reset);
+    // A cut may fall within a message: what is in front of it arrives.
+    let passing = route.passing(direction, piece.bytes.len());
+    let is_whole = passing == piece.bytes.len();
+    if write_all(to, piece.bytes.slice(..passing)).await.is_err() {
+        return Some(End::ReceiverGone);
     }
-    write_all(to, piece.bytes).await.err().map(|_| End::Reset)
+    (!is_whole).then_some(End::Reset)
 }
 
 async fn write_all(to: &TcpStream, mut bytes: Bytes) -> std::io::Result<()> {
--- a/crates/jujubehold_lab/src/experiment/replica_reads.rs
+++ b/crates/jujubehold_lab/src/experiment/replica_reads.rs
@@ -8,7 +8,7 @@
 use jujubehold_pg::FrameError;
 use jujubehold_standin::platform::Outage;
 
-use crate::cluster::{Cluster, ClusterSettings};
+use crate::cluster::{Cluster, ClusterSettings, LinkDelays};
 use crate::error::LabError;
 use crate::experiment::session_kind::SessionKind;
 use crate::load::LoadConnection;
@@ -35,6 +35,8 @@
     pub reads_per_write: u32,
     /// How long each pair of lag and age runs.
     pub duration: Duration,
+    /// What the links add.
+    pub delays: LinkDelays,
 }
 
 impl Default for ReplicaReadsSettings {
@@ -47,6 +49,7 @@
             sessions: 12,
             reads_per_write: 40,
             duration: Duration::from_secs(4),
+            delays: LinkDelays::default(),
         }
     }
 }
@@ -139,6 +142,7 @@
 ) -> Result<ShareResult, LabError> {
     let cluster = Cluster::start(ClusterSettings {
         apply_lag: lag,
+        delays: settings.delays,
         service: ServiceConfig {
             read_age: age,
             ..ServiceConfig::default()
