--- a/crates/jujubehold_host/tests/traffic/writes.rs
+++ b/crates/jujubehold_host/tests/traffic/writes.rs
@@ -13,6 +13,40 @@
     }
 }
 
+/// A bench whose callers' deadlines are far.
+async fn start_patient() -> Bench {
+    let config = ServiceConfig {
+        statement_timeout: 10 * HANG,
+        ..ServiceConfig::default()
+    };
+    let mut bench = Bench::start(config).await;
+    bench.create_counter().await;
+    bench
+}
+
+/// The host hears that `b` is the primary of the next term.
+fn announce_another_primary(bench: &Bench) {
+    bench.edit_view(|view| {
+        view.announce(2, &"b".into());
+    });
+}
+
+/// The write's caller is told at once that its outcome is unknown, while `replacement` goes on.
+async fn assert_told_of_lost_authority(
+    write: impl Future<Output = Result<String, (String, String)>>,
+    replacement: impl Future<Output = ()>,
+) {
+    let (outcome, ()) = tokio::time::timeout(HANG, async { tokio::join!(write, replacement) })
+        .await
+        .expect("the caller is told while its deadline is far");
+    let (sqlstate, detail) = outcome.unwrap_err();
+    assert_eq!(sqlstate, "08007");
+    assert!(
+        detail.contains("verdict=unknown reason=authority_lost"),
+        "{detail}"
+    );
+}
+
 #[actix_rt::test]
 async fn an_acknowledged_write_is_on_a_replica() {
     let mut bench = Bench::start(ServiceConfig::default()).await;
@@ -195,12 +229,7 @@
 
 #[actix_rt::test]
 async fn a_write_at_a_replaced_primary_is_told_of_before_its_deadline() {
-    let config = ServiceConfig {
-        statement_timeout: 10 * HANG,
-        ..ServiceConfig::default()
-    };
-    let mut bench = Bench::start(config).await;
-    bench.create_counter().await;
+    let bench = start_patient().await;
     let client = bench.connect().await;
     // The write goes out on a connection that is open already.
     run(&client, "UPDATE counter SET n = 1").await;
@@ -210,29 +239,14 @@
     let write = try_run(&client, "UPDATE counter SET n = 1");
     let replacement = async {
         tokio::time::sleep(Duration::from_millis(100)).await;
-        bench.edit_view(|view| {
-            view.announce(2, &"b".into());
-        });
+        announce_another_primary(&bench);
     };
-    let (outcome, ()) = tokio::time::timeout(HANG, async { tokio::join!(write, replacement) })
-        .await
-        .expect("the caller is told while its deadline is far");
-    let (sqlstate, detail) = outcome.unwrap_err();
-    assert_eq!(sqlstate, "08007");
-    assert!(
-        detail.contains("verdict=unknown reason=authority_lost"),
-        "{detail}"
-    );
+    assert_told_of_lost_authority(write, replacement).await;
 }
 
 #[actix_rt::test]
 async fn a_commit_that_waits_for_its_confirmation_is_told_of_before_its_deadline() {
-    let config = ServiceConfig {
-        statement_timeout: 10 * HANG,
-        ..ServiceConfig::default()
-    };
-    let mut bench = Bench::start(config).await;
-    bench.create_counter().await;
+    let bench = start_patient().await;
     let client = bench.connect().await;
     let before = bench.databases[0].status().applied;
     bench.databases[1].freeze();
@@ -240,29 +254,14 @@
     let write = try_run(&client, "UPDATE counter SET n = 1");
     let replacement = async {
         wait_until(|| bench.databases[0].status().applied > before).await;
-        bench.edit_view(|view| {
-            view.announce(2, &"b".into());
-        });
+        announce_another_primary(&bench);
     };
-    let (outcome, ()) = tokio::time::timeout(HANG, async { tokio::join!(write, replacement) })
-        .await
-        .expect("the caller is told while its deadline is far");
-    let (sqlstate, detail) = outcome.unwrap_err();
-    assert_eq!(sqlstate, "08007");
-    assert!(
-        detail.contains("verdict=unknown reason=authority_lost"),
-        "{detail}"
-    );
+    assert_told_of_lost_authority(write, replacement).await;
 }
 
 #[actix_rt::test]
 async fn a_write_that_waits_for_a_replaced_primary_is_refused_before_its_deadline() {
-    let config = ServiceConfig {
-        statement_timeout: 10 * HANG,
-        ..ServiceConfig::default()
-    };
-    let mut bench = Bench::start(config).await;
-    bench.create_counter().await;
+    let bench = start_patient().await;
     // The primary has 20 connections for this host, and more callers than that.
     let mut clients = Vec::new();
     for _ in 0..16 {
@@ -285,9 +284,7 @@
         .map(|client| try_run(client, "UPDATE counter SET n = 1"));
     let replacement = async {
         tokio::time::sleep(Duration::from_millis(100)).await;
-        bench.edit_view(|view| {
-            view.announce(2, &"b".into());
-        });
+        announce_another_primary(&bench);
     };
     let all = async { tokio::join!(futures_util::future::join_all(writes), replacement) };
     let (outcomes, ()) = tokio::time::timeout(HANG, all)
