--- a/crates/jujubehold/tests/proofs/harness/installation.rs
+++ b/crates/jujubehold/tests/proofs/harness/installation.rs
@@ -233,6 +233,14 @@
         primaries.max().expect("some instance is a primary").1
     }
 
+    /// Whether no instance was fenced or promoted past the first term.
+    pub(crate) fn is_in_first_term(&self) -> bool {
+        self.databases
+            .values()
+            .map(Database::status)
+            .all(|status| status.term <= 1 && status.fence_term <= 1)
+    }
+
     /// Waits until another instance than `old` is the primary.
     pub(crate) async fn wait_for_failover(&self, old: &str) {
         until("another primary", async || self.primary() != old).await;
