Drop a condition that always holds, and say plainly that an idle connection is given back

A silence is only kept with a count of at least one, so asking for that beside its end was needless. The desk gave its kept connection back by iterating over an option.

--- a/crates/jujubehold_core/src/silence.rs
+++ b/crates/jujubehold_core/src/silence.rs
@@ -35,7 +35,7 @@
     /// Those that were under way to it together count as one.
     pub fn note_silent(&mut self, now: Monotonic, instance: &InstanceId) {
         let earlier = self.silences.get(instance);
-        if earlier.is_some_and(|silence| silence.count > 0 && now < silence.until) {
+        if earlier.is_some_and(|silence| now < silence.until) {
             return;
         }
         let count = earlier.map_or(0, |silence| silence.count);
--- a/crates/jujubehold_host/src/traffic/confirm_desk.rs
+++ b/crates/jujubehold_host/src/traffic/confirm_desk.rs
@@ -149,7 +149,9 @@
             Ok(Some(question)) => question,
             Ok(None) => return,
             Err(_) => {
-                kept.take().into_iter().for_each(KeptLane::finish);
+                if let Some(idle) = kept.take() {
+                    idle.finish();
+                }
                 match questions.recv().await {
                     Some(question) => question,
                     None => return,
