Run entry hosts on the users' platform: a whole path, traits first

The users run the product on their own platform, whose callers and instances speak another protocol and whose store has other calls than the product's own.

Ruled out: a proof by the host's lease alone, since a key can be taken away while renewals hold; marks on replicas, since each proof would cost a slot.

--- a/crates/jujubehold/src/command.rs
+++ b/crates/jujubehold/src/command.rs
@@ -4,7 +4,7 @@
 
 use crate::cli_error::CliError;
 use crate::commands::{
-    check, demo, drain, experiment, faults, host, load, replay, show, standin_database,
+    check, demo, drain, entry, experiment, faults, host, load, replay, show, standin_database,
     standin_platform, status, submit,
 };
 
@@ -13,6 +13,8 @@
 pub enum Command {
     /// Runs an entry host.
     Host,
+    /// Runs an entry host on the users' platform.
+    Entry,
     /// Checks settings and configuration files.
     Check,
     /// Submits a service's configuration.
@@ -43,8 +45,9 @@
 
 impl Command {
     /// Every command, in the order of the overview.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Host,
+        Self::Entry,
         Self::Check,
         Self::Submit,
         Self::Show,
@@ -64,6 +67,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Host => "host",
+            Self::Entry => "entry",
             Self::Check => "check",
             Self::Submit => "submit",
             Self::Show => "show",
@@ -88,6 +92,7 @@
     fn summary(self) -> &'static str {
         match self {
             Self::Host => "run an entry host",
+            Self::Entry => "run an entry host on the users' platform",
             Self::Check => "check settings and configuration files, naming every fault",
             Self::Submit => "submit a service's configuration",
             Self::Show => "show the configuration in force",
@@ -111,6 +116,7 @@
     pub fn run(self, arguments: &[String]) -> Result<String, CliError> {
         match self {
             Self::Host => host::run(arguments),
+            Self::Entry => entry::run(arguments),
             Self::Check => check::run(arguments),
             Self::Submit => submit::run(arguments),
             Self::Show => show::run(arguments),
--- a/crates/jujubehold/src/commands/mod.rs
+++ b/crates/jujubehold/src/commands/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod check;
 pub(crate) mod demo;
 pub(crate) mod drain;
+pub(crate) mod entry;
 pub(crate) mod experiment;
 pub(crate) mod faults;
 pub(crate) mod host;
--- a/crates/jujubehold/src/json_log.rs
+++ b/crates/jujubehold/src/json_log.rs
@@ -1,20 +1,34 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines, on standard error or, for a host that must never wait for its log, aside on
+//! standard output.
 
 use std::io::Write;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use env_logger::{Builder, Env};
+use env_logger::{Builder, Env, Target};
 use log::Record;
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::{Map, json};
 
+use crate::log_pipe::LogPipe;
+
 const FILTER_VARIABLE: &str = "JUJUBEHOLD_LOG";
 
-/// Starts the logger; a second start changes nothing.
+/// Starts the logger on standard error; a second start changes nothing.
 pub(crate) fn start() {
-    let _ = Builder::from_env(Env::new().filter_or(FILTER_VARIABLE, "info"))
-        .format(|out, record| writeln!(out, "{}", line(record, now_ms())))
-        .try_init();
+    let _ = builder().try_init();
+}
+
+/// Starts the logger on standard output, written by a thread of its own; a second start changes
+/// nothing.
+pub(crate) fn start_aside() {
+    let pipe = Target::Pipe(Box::new(LogPipe::start()));
+    let _ = builder().target(pipe).try_init();
+}
+
+fn builder() -> Builder {
+    let mut builder = Builder::from_env(Env::new().filter_or(FILTER_VARIABLE, "info"));
+    builder.format(|out, record| writeln!(out, "{}", line(record, now_ms())));
+    builder
 }
 
 /// One record as a JSON object: its time in milliseconds since 1970, level, target and message, and
--- a/crates/jujubehold/src/lib.rs
+++ b/crates/jujubehold/src/lib.rs
@@ -12,6 +12,7 @@
 mod config_store;
 mod exit_status;
 mod json_log;
+mod log_pipe;
 mod options;
 mod service_diff;
 mod store_error;
@@ -28,7 +29,14 @@
 
 /// Runs the command that `arguments` name, and returns the process's exit code.
 pub fn run(arguments: Vec<String>) -> ExitCode {
-    json_log::start();
+    if arguments
+        .first()
+        .is_some_and(|name| name == Command::Entry.name())
+    {
+        json_log::start_aside();
+    } else {
+        json_log::start();
+    }
     match dispatch(arguments) {
         Ok(text) => {
             print!("{text}");
--- a/crates/jujubehold_core/src/primary_marks.rs
+++ b/crates/jujubehold_core/src/primary_marks.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// The term of the marks; 0 without any.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
     /// When the newest mark of `term` was asked for.
     pub fn newest(&self, term: Term) -> Option<Monotonic> {
         let mark = self.marks.back()?;
--- /dev/null
+++ b/crates/jujubehold_core/tests/entry_load.rs
@@ -0,0 +1,161 @@
+//! What waits, is placed and is refused under load on an entry host.
+
+use std::time::Duration;
+
+use jujubehold_core::connection_queue::{ConnectionQueue, ConnectionRequest};
+use jujubehold_core::log_position::LogPosition;
+use jujubehold_core::prelude::*;
+use jujubehold_core::primary_marks::PrimaryMarks;
+use jujubehold_core::read_floor::{Consistency, ReadFloor, read_floor};
+use jujubehold_core::read_placement::{PlacementOption, ReadPlacementSettings, placement_order};
+use jujubehold_core::upstream_health::UpstreamHealth;
+use jujubehold_core::wait_policy::WaitPolicy;
+
+fn ms(value: u64) -> Monotonic {
+    Duration::from_millis(value)
+}
+
+fn option(instance: &str, is_primary: bool, is_near: bool, answer_ms: u64) -> PlacementOption {
+    let mut health = UpstreamHealth::default();
+    health.note_answer(ms(1_000), ms(answer_ms));
+    PlacementOption {
+        instance: instance.into(),
+        is_primary,
+        is_near,
+        in_flight: 0,
+        slots: 3,
+        health,
+    }
+}
+
+fn order(options: Vec<PlacementOption>) -> Vec<String> {
+    let order = placement_order(&ReadPlacementSettings::default(), ms(1_000), options);
+    order.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn the_near_replica_comes_first_and_the_primary_last() {
+    let options = vec![
+        option("primary", true, false, 50),
+        option("far", false, false, 50),
+        option("near", false, true, 10),
+    ];
+    assert_eq!(order(options), ["near", "far", "primary"]);
+}
+
+#[test]
+fn a_near_replica_with_a_long_queue_gives_way() {
+    let mut near = option("near", false, true, 40);
+    near.in_flight = 9;
+    let options = vec![near, option("far", false, false, 80)];
+    assert_eq!(order(options), ["far", "near"]);
+}
+
+#[test]
+fn a_silent_replica_is_left_out() {
+    let mut near = option("near", false, true, 10);
+    near.health.note_silent(ms(1_000), ms(1_000));
+    let options = vec![near, option("primary", true, false, 50)];
+    assert_eq!(order(options), ["primary"]);
+}
+
+#[test]
+fn a_replica_that_lacked_a_position_stands_behind_the_primary_for_a_while() {
+    let mut near = option("near", false, true, 10);
+    near.health.note_behind(ms(1_000));
+    let options = vec![near.clone(), option("primary", true, false, 50)];
+    assert_eq!(order(options), ["primary", "near"]);
+    near.health.note_fresh();
+    let options = vec![near, option("primary", true, false, 50)];
+    assert_eq!(order(options), ["near", "primary"]);
+}
+
+#[test]
+fn an_answer_to_a_later_request_is_a_sign_of_life() {
+    let mut health = UpstreamHealth::default();
+    health.note_answer(ms(2_000), ms(20));
+    health.note_silent(ms(2_100), ms(1_900));
+    assert_eq!(health.silent_since(), None);
+    health.note_silent(ms(2_600), ms(2_050));
+    assert_eq!(health.silent_since(), Some(ms(2_050)));
+}
+
+#[test]
+fn a_free_connection_goes_to_the_highest_priority_that_is_in_time() {
+    let mut queue = ConnectionQueue::default();
+    let request = |ticket, priority, give_up_ms| ConnectionRequest {
+        ticket,
+        priority,
+        asked_at: ms(ticket),
+        give_up_at: ms(give_up_ms),
+    };
+    queue.push(&request(1, 2, 500));
+    queue.push(&request(2, 1, 100));
+    queue.push(&request(3, 1, 500));
+    assert_eq!(queue.pop(ms(200)), Some(3));
+    assert_eq!(queue.pop(ms(200)), Some(1));
+    assert_eq!(queue.pop(ms(200)), None);
+}
+
+#[test]
+fn the_expected_wait_grows_with_the_queue_and_the_time_that_connections_are_held() {
+    let mut queue = ConnectionQueue::default();
+    queue.note_held(ms(300));
+    assert_eq!(queue.expected_wait(1, 3), ms(100));
+    for ticket in 0..5 {
+        queue.push(&ConnectionRequest {
+            ticket,
+            priority: 1,
+            asked_at: ms(ticket),
+            give_up_at: ms(1_000),
+        });
+    }
+    assert_eq!(queue.expected_wait(1, 3), ms(600));
+    assert_eq!(queue.expected_wait(0, 3), ms(100));
+}
+
+#[test]
+fn what_can_not_be_served_soon_is_refused_at_once() {
+    let policy = WaitPolicy::default();
+    let give_up_at = policy.give_up_at(ms(1_000), ms(1_000));
+    assert!(policy.is_worth_waiting(ms(1_000), give_up_at, ms(200)));
+    assert!(!policy.is_worth_waiting(ms(1_000), give_up_at, ms(300)));
+    let refusal = policy.refuse(RefusalReason::QueueFull, ms(300));
+    assert_eq!(refusal.retry_after, Some(ms(300)));
+}
+
+#[test]
+fn a_bounded_read_needs_the_oldest_position_that_is_young_enough() {
+    let mut marks = PrimaryMarks::default();
+    marks.add(3, ms(1_000), 10);
+    marks.add(3, ms(1_600), 20);
+    marks.add(3, ms(2_200), 30);
+    let bounded = Consistency::BoundedStaleness(ms(1_000));
+    let floor = |began_ms| read_floor(bounded, &marks, None, ms(began_ms));
+    let at = |position| ReadFloor::AtLeast(LogPosition { term: 3, position });
+    assert_eq!(floor(2_400), at(20));
+    assert_eq!(floor(2_700), at(30));
+    assert_eq!(floor(3_300), ReadFloor::NeedsMark);
+}
+
+#[test]
+fn a_session_sees_its_own_commits_until_a_change_of_primary_settles_them() {
+    let mut marks = PrimaryMarks::default();
+    marks.add(3, ms(1_000), 10);
+    let own = Some(LogPosition {
+        term: 3,
+        position: 17,
+    });
+    let kind = Consistency::ReadYourWrites(ms(2_000));
+    let at = |term, position| ReadFloor::AtLeast(LogPosition { term, position });
+    assert_eq!(read_floor(kind, &marks, own, ms(1_100)), at(3, 17));
+    marks.add(4, ms(1_200), 12);
+    assert_eq!(read_floor(kind, &marks, own, ms(1_300)), at(4, 12));
+}
+
+#[test]
+fn a_read_of_the_newest_data_goes_to_the_primary_alone() {
+    let marks = PrimaryMarks::default();
+    let floor = read_floor(Consistency::Primary, &marks, None, ms(1_000));
+    assert_eq!(floor, ReadFloor::PrimaryOnly);
+}
--- /dev/null
+++ b/crates/jujubehold_core/tests/primary_replacement.rs
@@ -0,0 +1,116 @@
+//! When a primary counts as lost, and which replica takes over.
+
+use std::time::Duration;
+
+use jujubehold_core::candidate_choice::{CandidateChoice, CandidateStatus, choose_candidate};
+use jujubehold_core::lead_table::{Lead, LeadChange, LeadTable};
+use jujubehold_core::log_position::LogPosition;
+use jujubehold_core::prelude::*;
+use jujubehold_core::primary_votes::{PrimaryVoteSettings, PrimaryVotes};
+
+fn ms(value: u64) -> Monotonic {
+    Duration::from_millis(value)
+}
+
+fn status(instance: &str, role: Role, term: u64, position: u64) -> CandidateStatus {
+    CandidateStatus {
+        instance: instance.into(),
+        role,
+        received: LogPosition { term, position },
+        is_leaving: false,
+        asked_at: ms(0),
+    }
+}
+
+#[test]
+fn half_of_the_hosts_lose_a_primary() {
+    let mut votes = PrimaryVotes::new(PrimaryVoteSettings::default());
+    votes.note(ms(100), &"a".into(), &"p".into());
+    votes.note(ms(100), &"b".into(), &"p".into());
+    assert!(!votes.is_lost(ms(200), &"p".into(), 6));
+    votes.note(ms(200), &"c".into(), &"p".into());
+    assert!(votes.is_lost(ms(200), &"p".into(), 6));
+}
+
+#[test]
+fn votes_are_for_one_instance_and_do_not_last() {
+    let mut votes = PrimaryVotes::new(PrimaryVoteSettings::default());
+    votes.note(ms(100), &"a".into(), &"p".into());
+    assert!(!votes.is_lost(ms(200), &"q".into(), 1));
+    assert!(votes.is_lost(ms(200), &"p".into(), 1));
+    assert!(!votes.is_lost(ms(2_000), &"p".into(), 1));
+}
+
+#[test]
+fn a_host_votes_after_the_whole_silence() {
+    let votes = PrimaryVotes::new(PrimaryVoteSettings {
+        silence: ms(500),
+        ..PrimaryVoteSettings::default()
+    });
+    assert!(!votes.is_missed(None, ms(9_000)));
+    assert!(!votes.is_missed(Some(ms(1_000)), ms(1_499)));
+    assert!(votes.is_missed(Some(ms(1_000)), ms(1_500)));
+}
+
+#[test]
+fn the_replica_that_received_most_takes_over() {
+    let statuses = [
+        status("b", Role::Replica, 3, 1_200),
+        status("c", Role::Replica, 3, 1_207),
+    ];
+    let choice = choose_candidate(&"a".into(), &statuses);
+    assert_eq!(choice, CandidateChoice::Promote("c".into()));
+}
+
+#[test]
+fn a_leaving_replica_takes_over_only_without_another() {
+    let mut leaving = status("c", Role::Replica, 3, 1_207);
+    leaving.is_leaving = true;
+    let statuses = [leaving.clone(), status("b", Role::Replica, 3, 1_200)];
+    let choice = choose_candidate(&"a".into(), &statuses);
+    assert_eq!(choice, CandidateChoice::Promote("b".into()));
+    let choice = choose_candidate(&"a".into(), &[leaving]);
+    assert_eq!(choice, CandidateChoice::Promote("c".into()));
+}
+
+#[test]
+fn an_earlier_promotion_that_took_effect_is_kept() {
+    let statuses = [
+        status("b", Role::Primary, 4, 1_190),
+        status("c", Role::Replica, 3, 1_207),
+    ];
+    let choice = choose_candidate(&"a".into(), &statuses);
+    assert_eq!(choice, CandidateChoice::Leads("b".into()));
+}
+
+#[test]
+fn the_old_primary_is_not_chosen() {
+    let statuses = [status("a", Role::Primary, 3, 1_207)];
+    let choice = choose_candidate(&"a".into(), &statuses);
+    assert_eq!(choice, CandidateChoice::None);
+}
+
+#[test]
+fn a_primary_that_is_replaced_is_not_usable() {
+    let lead = |change| Lead {
+        primary: "a".into(),
+        change,
+    };
+    let mut table = LeadTable {
+        revision: 7,
+        ..LeadTable::default()
+    };
+    table.leads.insert("s".into(), lead(None));
+    assert_eq!(table.usable_primary("s"), Some(&"a".into()));
+    let change = LeadChange {
+        by: "h".into(),
+        is_planned: false,
+    };
+    let newer = LeadTable {
+        revision: 8,
+        ..table.with_lead(&"s".into(), lead(Some(change)))
+    };
+    assert!(!newer.clone().adopt(table.clone()));
+    assert!(table.adopt(newer));
+    assert_eq!(table.usable_primary("s"), None);
+}
--- /dev/null
+++ b/crates/jujubehold_entry/src/callers/attempt.rs
@@ -0,0 +1,50 @@
+//! One attempt to run a statement at one instance.
+
+use crate::pool::{ConnectionLease, SessionValues, Statement, UpstreamError};
+use crate::prelude::*;
+use crate::protocol::{ErrorCode, UpstreamReply};
+
+/// Runs a statement on a lent connection and notes what that tells of the instance.
+///
+/// After an error the connection can't be used any more.
+pub(crate) async fn run_on<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    lease: &mut ConnectionLease<P>,
+    statement: &Statement,
+    after: Option<LogPosition>,
+    values: &SessionValues,
+    timeout: Duration,
+) -> Result<UpstreamReply, UpstreamError> {
+    let upstream = Rc::clone(lease.upstream());
+    let _in_flight = upstream.begin_request();
+    let sent_at = shared.now();
+    let running = lease.run(statement, after, values);
+    let result = match tokio::time::timeout(timeout, running).await {
+        Ok(result) => result,
+        Err(_) => Err(UpstreamError::Silent),
+    };
+    let now = shared.now();
+    let mut health = upstream.health.borrow_mut();
+    match &result {
+        Ok(reply) => match reply.error() {
+            Some(ErrorCode::Behind) => {
+                health.note_alive(now);
+                health.note_behind(now);
+            }
+            Some(_) => health.note_alive(now),
+            None => {
+                health.note_answer(now, now.saturating_sub(sent_at));
+                if after.is_some() {
+                    health.note_fresh();
+                }
+            }
+        },
+        Err(_) => health.note_silent(now, sent_at),
+    }
+    drop(health);
+    if let Ok(reply) = &result {
+        let entry = upstream.entry();
+        shared.note_position(&entry.service, &entry.id, sent_at, reply.position);
+    }
+    result
+}
--- /dev/null
+++ b/crates/jujubehold_entry/src/callers/mod.rs
@@ -0,0 +1,14 @@
+//! Callers' sessions.
+
+mod attempt;
+mod caller_io;
+mod failure;
+mod listener;
+mod operation;
+mod prepared;
+mod primary_use;
+mod session;
+mod single;
+mod transaction;
+
+pub(crate) use listener::accept_callers;
--- /dev/null
+++ b/crates/jujubehold_entry/src/callers/single.rs
@@ -0,0 +1,445 @@
+//! Statements outside a transaction.
+
+use jujubehold_core::read_floor::{ReadFloor, read_floor};
+use jujubehold_core::read_placement::{ReadPlacementSettings, placement_order};
+use log::info;
+use metrics::counter;
+
+use super::attempt::run_on;
+use super::failure::Failure;
+use super::operation::{Operation, refuse};
+use super::primary_use::PrimaryUse;
+use super::session::Session;
+use crate::metric_names::RETRIES;
+use crate::pool::{AcquireError, ConnectionLease, Statement, Upstream, UpstreamError};
+use crate::prelude::*;
+use crate::protocol::{ErrorCode, UpstreamOutcome, UpstreamReply};
+use crate::shared::millis;
+
+/// How long an attempt at a replica may take while another instance is left to try.
+const REPLICA_PATIENCE: Duration = Duration::from_millis(450);
+/// How many times its usual answer time an instance may take before another one is tried.
+const PATIENCE_FACTOR: u32 = 4;
+/// How long an acknowledgement may wait for the proof that the primary still leads.
+const PROOF_PATIENCE: Duration = Duration::from_millis(1_500);
+/// What a caller is asked to wait for a primary to be replaced.
+const CHANGE_EXPECTED: Duration = Duration::from_millis(600);
+/// How long a read waits for a newer position of the primary.
+const MARK_PATIENCE: Duration = Duration::from_millis(120);
+
+/// An instance that a statement may try, and the floor that it has to check there.
+pub(crate) struct Candidate<P: Platform> {
+    pub(crate) upstream: Rc<Upstream<P>>,
+    pub(crate) is_primary: bool,
+    pub(crate) after: Option<LogPosition>,
+}
+
+impl<P: Platform> Session<P> {
+    /// Runs a read outside a transaction.
+    pub(crate) async fn run_read(
+        &mut self,
+        operation: &Operation,
+        statement: &Statement,
+        arrived_at: Monotonic,
+    ) -> Result<UpstreamReply, Failure> {
+        let mut failure = None;
+        let mut candidates = self
+            .read_candidates(operation, arrived_at)
+            .await?
+            .into_iter()
+            .peekable();
+        while let Some(candidate) = candidates.next() {
+            let is_last = candidates.peek().is_none();
+            match self
+                .try_read(operation, statement, arrived_at, &candidate, is_last)
+                .await
+            {
+                Ok(reply) => return Ok(reply),
+                Err(TryError::Final(failure)) => return Err(failure),
+                Err(TryError::Next(reason)) => {
+                    self.log_retry(statement, &candidate.upstream, &reason);
+                    failure = Some(reason);
+                }
+            }
+            if self.shared.now() >= operation.deadline(arrived_at) {
+                break;
+            }
+        }
+        Err(failure
+            .unwrap_or_else(|| refuse(RefusalReason::NoFreshReplica, CHANGE_EXPECTED).into()))
+    }
+
+    async fn try_read(
+        &mut self,
+        operation: &Operation,
+        statement: &Statement,
+        arrived_at: Monotonic,
+        candidate: &Candidate<P>,
+        is_last: bool,
+    ) -> Result<UpstreamReply, TryError> {
+        let service = &operation.route.service;
+        let _use = candidate
+            .is_primary
+            .then(|| PrimaryUse::begin(&self.shared, service));
+        let mut lease = self
+            .acquire(operation, &candidate.upstream, arrived_at)
+            .await?;
+        let timeout = self.patience(operation, arrived_at, &candidate.upstream, is_last);
+        let result = run_on(
+            &self.shared,
+            &mut lease,
+            statement,
+            candidate.after,
+            &self.values,
+            timeout,
+        )
+        .await;
+        let reply = match result {
+            Ok(reply) => reply,
+            // A read may run twice.
+            Err(error) if is_last => return Err(TryError::Final(lost_read(&error))),
+            Err(error) => return Err(TryError::Next(lost_read(&error))),
+        };
+        lease.finish();
+        if let Some(code) = reply.error() {
+            let failure = told(&reply);
+            return Err(if code.is_not_run() {
+                TryError::Next(failure)
+            } else {
+                TryError::Final(failure)
+            });
+        }
+        if candidate.is_primary && !self.is_confirmed(service, &candidate.upstream.id()).await {
+            let refusal = refuse(RefusalReason::NoPrimary, CHANGE_EXPECTED);
+            return Err(TryError::Next(refusal.into()));
+        }
+        self.count_read(service, candidate.is_primary, arrived_at);
+        Ok(reply)
+    }
+
+    /// Runs a write outside a transaction.
+    pub(crate) async fn run_write(
+        &mut self,
+        operation: &Operation,
+        statement: &Statement,
+        arrived_at: Monotonic,
+    ) -> Result<UpstreamReply, Failure> {
+        let service = operation.route.service.clone();
+        let mut is_retry = false;
+        loop {
+            let upstream = self.primary(operation, arrived_at).await?;
+            let _use = PrimaryUse::begin(&self.shared, &service);
+            let mut lease = self
+                .acquire(operation, &upstream, arrived_at)
+                .await
+                .map_err(TryError::into_failure)?;
+            let deadline = operation.deadline(arrived_at);
+            let timeout = deadline.saturating_sub(self.shared.now());
+            let result = run_on(
+                &self.shared,
+                &mut lease,
+                statement,
+                None,
+                &self.values,
+                timeout,
+            )
+            .await;
+            let reply = result.map_err(|error| Failure::Unknown(unknown_reason(&error)))?;
+            lease.finish();
+            match reply.error() {
+                Some(ErrorCode::ReadOnly) if !is_retry => {
+                    // The instance lost the lead before the table said so.
+                    self.log_retry(statement, &upstream, &told(&reply));
+                    is_retry = true;
+                    self.shared.wait_for_change(Duration::from_millis(40)).await;
+                }
+                Some(_) => return Err(told(&reply)),
+                None => {
+                    return self
+                        .acknowledge(&service, &upstream, reply, arrived_at)
+                        .await;
+                }
+            }
+        }
+    }
+
+    /// Tells a commit only while its primary surely leads.
+    pub(crate) async fn acknowledge(
+        &mut self,
+        service: &ServiceId,
+        upstream: &Rc<Upstream<P>>,
+        reply: UpstreamReply,
+        arrived_at: Monotonic,
+    ) -> Result<UpstreamReply, Failure> {
+        if !self.is_confirmed(service, &upstream.id()).await {
+            return Err(Failure::Unknown(UnknownReason::AuthorityLost));
+        }
+        self.floor = self.floor.max(reply.position);
+        let seconds = self.shared.now().saturating_sub(arrived_at).as_secs_f64();
+        self.shared.with_group(service, |group| {
+            group.metrics.writes.increment(1);
+            group.metrics.write_seconds.record(seconds);
+        });
+        Ok(reply)
+    }
+
+    /// Whether `instance` led until now, as far as can be found out soon.
+    pub(crate) async fn is_confirmed(&self, service: &ServiceId, instance: &InstanceId) -> bool {
+        let give_up_at = self.shared.now() + PROOF_PATIENCE;
+        loop {
+            if self.shared.may_acknowledge(service, instance) {
+                return true;
+            }
+            let now = self.shared.now();
+            if now >= give_up_at || !self.shared.may_be_proved(service, instance) {
+                return false;
+            }
+            self.shared
+                .wait_for_change(give_up_at.saturating_sub(now))
+                .await;
+        }
+    }
+
+    /// The primary, waited for while it is being replaced.
+    pub(crate) async fn primary(
+        &self,
+        operation: &Operation,
+        arrived_at: Monotonic,
+    ) -> Result<Rc<Upstream<P>>, Failure> {
+        let give_up_at = operation.wait_limits(arrived_at).give_up_at;
+        loop {
+            if let Some(upstream) = self.shared.usable_primary(&operation.route.service) {
+                return Ok(upstream);
+            }
+            let now = self.shared.now();
+            if now >= give_up_at {
+                return Err(refuse(RefusalReason::NoPrimary, CHANGE_EXPECTED).into());
+            }
+            self.shared
+                .wait_for_change(give_up_at.saturating_sub(now))
+                .await;
+        }
+    }
+
+    /// The instances that a read or a read-only transaction may try, in order.
+    pub(crate) async fn read_candidates(
+        &self,
+        operation: &Operation,
+        arrived_at: Monotonic,
+    ) -> Result<Vec<Candidate<P>>, Failure> {
+        let mut floor = self.read_floor(operation);
+        if operation.route.consistency.max_age().is_some() {
+            self.shared.with_group(&operation.route.service, |group| {
+                group.mark_wanted_at = Some(arrived_at);
+            });
+        }
+        if floor == ReadFloor::NeedsMark {
+            if self
+                .shared
+                .usable_primary(&operation.route.service)
+                .is_none()
+            {
+                self.shared.wait_for_change(MARK_PATIENCE).await;
+            }
+            floor = self.read_floor(operation);
+        }
+        let candidates = self.candidates_at(operation, floor);
+        if !candidates.is_empty() {
+            return Ok(candidates);
+        }
+        let upstream = self.primary(operation, arrived_at).await?;
+        Ok(vec![Candidate {
+            upstream,
+            is_primary: true,
+            after: None,
+        }])
+    }
+
+    fn candidates_at(&self, operation: &Operation, floor: ReadFloor) -> Vec<Candidate<P>> {
+        let shared = &self.shared;
+        let service = &operation.route.service;
+        let primary = shared.usable_primary(service).map(|upstream| upstream.id());
+        let lead = {
+            let lead = shared.lead.borrow();
+            lead.table
+                .leads
+                .get(service)
+                .map(|lead| lead.primary.clone())
+        };
+        let after = match floor {
+            ReadFloor::AtLeast(position) => Some(position),
+            ReadFloor::PrimaryOnly | ReadFloor::NeedsMark => None,
+        };
+        let options = shared
+            .upstreams_of(service)
+            .iter()
+            .filter(|upstream| {
+                let id = upstream.id();
+                let is_usable_primary = primary.as_ref() == Some(&id);
+                // A primary that may not be used now can't serve as a replica either: the position
+                // that it is asked for may be one that it alone has.
+                let is_replica = lead.as_ref() != Some(&id);
+                is_usable_primary || (is_replica && after.is_some() && upstream.takes_work())
+            })
+            .map(|upstream| {
+                let is_primary = primary.as_ref() == Some(&upstream.id());
+                upstream.placement_option(is_primary, &shared.settings.domain)
+            })
+            .collect();
+        let order = placement_order(&ReadPlacementSettings::default(), shared.now(), options);
+        order
+            .into_iter()
+            .filter_map(|id| {
+                let is_primary = primary.as_ref() == Some(&id);
+                Some(Candidate {
+                    upstream: shared.upstream(&id)?,
+                    is_primary,
+                    after: after.filter(|_| !is_primary),
+                })
+            })
+            .collect()
+    }
+
+    fn read_floor(&self, operation: &Operation) -> ReadFloor {
+        let route = &operation.route;
+        self.shared.with_group(&route.service, |group| {
+            read_floor(
+                route.consistency,
+                &group.marks,
+                self.floor,
+                operation.began_at,
+            )
+        })
+    }
+
+    /// Lends a connection to an instance.
+    pub(crate) async fn acquire(
+        &self,
+        operation: &Operation,
+        upstream: &Rc<Upstream<P>>,
+        arrived_at: Monotonic,
+    ) -> Result<ConnectionLease<P>, TryError> {
+        let asked_at = self.shared.now();
+        let limits = operation.wait_limits(arrived_at);
+        let result = upstream.acquire(&self.values, limits).await;
+        let waited = self.shared.now().saturating_sub(asked_at);
+        self.shared.with_group(&operation.route.service, |group| {
+            group
+                .metrics
+                .connection_wait_seconds
+                .record(waited.as_secs_f64());
+        });
+        result.map_err(|error| {
+            let refusal = match &error {
+                AcquireError::NoneFree { expected_wait } => {
+                    refuse(RefusalReason::QueueFull, *expected_wait)
+                }
+                AcquireError::Upstream(UpstreamError::ConnectionLimit) => {
+                    refuse(RefusalReason::QueueFull, Duration::ZERO)
+                }
+                AcquireError::Upstream(_) => {
+                    refuse(RefusalReason::UpstreamUnreachable, CHANGE_EXPECTED)
+                }
+            };
+            TryError::Next(refusal.into())
+        })
+    }
+
+    fn patience(
+        &self,
+        operation: &Operation,
+        arrived_at: Monotonic,
+        upstream: &Upstream<P>,
+        is_last: bool,
+    ) -> Duration {
+        let now = self.shared.now();
+        let left = operation.deadline(arrived_at).saturating_sub(now);
+        if is_last {
+            return left;
+        }
+        let usual = upstream.health.borrow().expected_time(now);
+        left.min(REPLICA_PATIENCE.max(usual * PATIENCE_FACTOR))
+    }
+
+    fn count_read(&self, service: &ServiceId, is_primary: bool, arrived_at: Monotonic) {
+        let seconds = self.shared.now().saturating_sub(arrived_at).as_secs_f64();
+        self.shared.with_group(service, |group| {
+            let metrics = &group.metrics;
+            let role = if is_primary {
+                &metrics.primary_reads
+            } else {
+                &metrics.replica_reads
+            };
+            role.increment(1);
+            metrics.read_seconds.record(seconds);
+        });
+    }
+
+    pub(crate) fn log_retry(&self, statement: &Statement, upstream: &Upstream<P>, why: &Failure) {
+        let now = self.shared.now();
+        let service = upstream.entry().service.to_string();
+        let reason = why.reason().to_string();
+        counter!(RETRIES, "service" => service, "reason" => reason).increment(1);
+        if self.shared.log.allows(now) {
+            info!(request = statement.id(), instance = upstream.id().as_str(),
+                reason = why.reason().as_str(), now_ms = millis(now);
+                "trying another instance");
+        }
+    }
+}
+
+/// How an attempt ended without an answer for the caller.
+#[derive(Debug)]
+pub(crate) enum TryError {
+    /// Another instance may be tried.
+    Next(Failure),
+    /// The caller is told.
+    Final(Failure),
+}
+
+impl TryError {
+    pub(crate) fn into_failure(self) -> Failure {
+        match self {
+            Self::Next(failure) | Self::Final(failure) => failure,
+        }
+    }
+}
+
+/// The upstream's own error.
+pub(crate) fn told(reply: &UpstreamReply) -> Failure {
+    match &reply.outcome {
+        Some(UpstreamOutcome::Error { code, detail }) => Failure::Told {
+            code: *code,
+            detail: detail.clone(),
+        },
+        Some(UpstreamOutcome::Complete { .. }) | None => {
+            Failure::told(ErrorCode::Other, "the upstream said nothing")
+        }
+    }
+}
+
+/// Why it is not known whether a statement ran whose connection failed.
+pub(crate) fn unknown_reason(error: &UpstreamError) -> UnknownReason {
+    match error {
+        UpstreamError::Silent => UnknownReason::TimedOut,
+        UpstreamError::Unreachable(_)
+        | UpstreamError::ConnectionLimit
+        | UpstreamError::Refused(_)
+        | UpstreamError::Broken(_)
+        | UpstreamError::Malformed => UnknownReason::ConnectionLost,
+    }
+}
+
+// A read leaves nothing behind, so that its caller may be told to come back.
+fn lost_read(error: &UpstreamError) -> Failure {
+    match error {
+        UpstreamError::Silent => Failure::Unknown(UnknownReason::TimedOut),
+        UpstreamError::Unreachable(_)
+        | UpstreamError::ConnectionLimit
+        | UpstreamError::Refused(_)
+        | UpstreamError::Broken(_)
+        | UpstreamError::Malformed => {
+            refuse(RefusalReason::UpstreamUnreachable, CHANGE_EXPECTED).into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_entry/src/control/lead_document.rs
@@ -0,0 +1,50 @@
+//! The lead table as it stands in the store and goes between hosts.
+//!
+//! One line a service: its name, its primary, and while a change is under way the host that makes
+//! it and `planned` or `lost`. The table is read often, so it is kept short.
+
+use std::fmt::Write;
+
+use bytes::Bytes;
+use jujubehold_core::lead_table::{Lead, LeadChange, LeadTable, Revision};
+
+const PLANNED: &str = "planned";
+const LOST: &str = "lost";
+
+/// Writes a table.
+pub(crate) fn format_leads(table: &LeadTable) -> Bytes {
+    let mut text = String::new();
+    for (service, lead) in &table.leads {
+        // Writing to a string can't fail.
+        let _ = write!(text, "{service} {}", lead.primary);
+        if let Some(change) = &lead.change {
+            let kind = if change.is_planned { PLANNED } else { LOST };
+            let _ = write!(text, " {} {kind}", change.by);
+        }
+        text.push('\n');
+    }
+    Bytes::from(text)
+}
+
+/// Reads a table that stands at `revision`; `None` when it can't be read.
+pub(crate) fn parse_leads(value: &[u8], revision: Revision) -> Option<LeadTable> {
+    let text = std::str::from_utf8(value).ok()?;
+    let mut table = LeadTable {
+        revision,
+        ..LeadTable::default()
+    };
+    for line in text.lines() {
+        let mut words = line.split(' ');
+        let service = words.next()?;
+        let primary = words.next()?.into();
+        let change = match words.next() {
+            Some(by) => Some(LeadChange {
+                by: by.into(),
+                is_planned: words.next()? == PLANNED,
+            }),
+            None => None,
+        };
+        table.leads.insert(service.into(), Lead { primary, change });
+    }
+    Some(table)
+}
--- /dev/null
+++ b/crates/jujubehold_entry/src/pool/mod.rs
@@ -0,0 +1,9 @@
+//! Connections to instances, shared by the sessions of this host.
+
+mod connection;
+mod lease;
+mod upstream;
+
+pub(crate) use connection::{SessionValues, Statement, UpstreamError};
+pub(crate) use lease::ConnectionLease;
+pub(crate) use upstream::{AcquireError, Upstream, WaitLimits};
--- /dev/null
+++ b/crates/jujubehold_entry/src/readiness.rs
@@ -0,0 +1,48 @@
+//! Whether the host should be given new callers.
+
+use std::cell::Cell;
+
+use log::info;
+
+use crate::phase::Phase;
+use crate::prelude::*;
+use crate::shared::millis;
+
+/// How long a host that can prove nothing still says that it is ready: a store that is back soon
+/// should not move all callers.
+const UNPROVED_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Whether the host is ready.
+#[derive(Debug, Default)]
+pub(crate) struct Readiness {
+    unproved_since: Cell<Option<Monotonic>>,
+    was_ready: Cell<bool>,
+}
+
+impl Readiness {
+    /// Whether the host should be given new callers now.
+    pub(crate) fn is_ready<P: Platform>(&self, shared: &Shared<P>) -> bool {
+        let now = shared.now();
+        let is_proved = {
+            let lead = shared.lead.borrow();
+            lead.is_proved(&shared.settings.host, now)
+        };
+        let since = if is_proved {
+            None
+        } else {
+            Some(self.unproved_since.get().unwrap_or(now))
+        };
+        self.unproved_since.set(since);
+        let is_unproved_long =
+            since.is_some_and(|since| now.saturating_sub(since) > UNPROVED_LIMIT);
+        let has_configuration = shared.configuration.borrow().is_some();
+        let has_proof = shared.lead.borrow().proof.read_asked_at().is_some();
+        let is_serving = *shared.phase.borrow() == Phase::Serving;
+        let is_ready = has_configuration && has_proof && is_serving && !is_unproved_long;
+        if self.was_ready.replace(is_ready) != is_ready {
+            info!(is_ready, has_configuration, is_proved, is_serving, now_ms = millis(now);
+                "readiness changed");
+        }
+        is_ready
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_settings/src/entry_settings.rs
@@ -0,0 +1,131 @@
+//! The settings of an entry host on a platform.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubehold_core::prelude::*;
+
+use crate::ini_fault::IniFaults;
+use crate::ini_reader::IniReader;
+use crate::ini_section::IniSection;
+use crate::known_keys::{ENTRY_KEYS, ENTRY_SECTIONS};
+
+const MIN_LEASE_MS: u64 = 1_000;
+const MAX_LEASE_MS: u64 = 60_000;
+const MAX_DRAIN_S: f64 = 600.0;
+const MAX_LOG_LINES: u32 = 10_000;
+
+/// What one entry host on a platform learns from its settings file. See docs/CONFIGURATION.md.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// The host's name; unique in the installation.
+    pub host: HostId,
+    /// The failure domain that the host is in.
+    pub domain: DomainId,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the platform asks whether the host takes new callers.
+    pub readiness_address: SocketAddr,
+    /// Where other hosts send datagrams.
+    pub peer_address: SocketAddr,
+    /// Where a scraper reads the metrics page; `None` leaves it out.
+    pub metrics_address: Option<SocketAddr>,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// Where promotions are ordered.
+    pub promotion_address: SocketAddr,
+    /// How long the process may take to end after it was asked to.
+    pub drain_timeout: Duration,
+    /// How long a host that gives no sign of life stays a member.
+    pub membership_lease: Duration,
+    /// How many lines a second the log may have.
+    pub log_lines_per_second: u32,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        Self {
+            host: "host-1".into(),
+            domain: "local".into(),
+            caller_address: local(6432),
+            readiness_address: local(6434),
+            peer_address: local(6433),
+            metrics_address: None,
+            store_address: local(2379),
+            promotion_address: local(2380),
+            drain_timeout: Duration::from_secs(6),
+            membership_lease: Duration::from_secs(3),
+            log_lines_per_second: 50,
+        }
+    }
+}
+
+impl EntrySettings {
+    /// Reads settings from `text`, which came from `file`.
+    ///
+    /// # Errors
+    /// Names every fault with its section, its key and what to write instead.
+    pub fn parse(file: &str, text: &str) -> Result<Self, IniFaults> {
+        let mut reader = IniReader::parse(file, text)?;
+        let mut settings = Self::default();
+        let mut section = reader.take_section("entry");
+        settings.read_names(&mut reader, &mut section);
+        settings.read_addresses(&mut reader, &mut section);
+        settings.read_limits(&mut reader, &mut section);
+        reader.finish_section(section, ENTRY_KEYS);
+        reader.finish(ENTRY_SECTIONS)?;
+        Ok(settings)
+    }
+
+    fn read_names(&mut self, reader: &mut IniReader, section: &mut IniSection) {
+        if let Some(name) = reader.name(section, "name") {
+            self.host = name;
+        }
+        if let Some(domain) = reader.name(section, "domain") {
+            self.domain = domain;
+        }
+    }
+
+    fn read_addresses(&mut self, reader: &mut IniReader, section: &mut IniSection) {
+        let mut read = |key: &str, address: &mut SocketAddr| {
+            if let Some(value) = reader.address(section, key) {
+                *address = value;
+            }
+        };
+        read("caller_address", &mut self.caller_address);
+        read("readiness_address", &mut self.readiness_address);
+        read("peer_address", &mut self.peer_address);
+        read("store_address", &mut self.store_address);
+        read("promotion_address", &mut self.promotion_address);
+        self.metrics_address = reader.address(section, "metrics_address");
+    }
+
+    fn read_limits(&mut self, reader: &mut IniReader, section: &mut IniSection) {
+        let drain_s = reader.value(
+            section,
+            "drain_timeout_s",
+            self.drain_timeout.as_secs_f64(),
+            "a number of seconds",
+        );
+        if (0.0..=MAX_DRAIN_S).contains(&drain_s) {
+            self.drain_timeout = Duration::from_secs_f64(drain_s);
+        } else {
+            let problem = format!("{drain_s} is out of range");
+            let advice = format!("write a number from 0 to {MAX_DRAIN_S}");
+            reader.fault_in(section, "drain_timeout_s", &problem, &advice);
+        }
+        self.membership_lease = reader.duration_ms_in(
+            section,
+            "membership_lease_ms",
+            self.membership_lease,
+            MIN_LEASE_MS..=MAX_LEASE_MS,
+        );
+        self.log_lines_per_second = reader.number(
+            section,
+            "log_lines_per_second",
+            self.log_lines_per_second,
+            0..=MAX_LOG_LINES,
+        );
+    }
+}
--- a/crates/jujubehold_settings/src/known_keys.rs
+++ b/crates/jujubehold_settings/src/known_keys.rs
@@ -42,6 +42,24 @@
 /// Keys of a settings file's `[address IP:PORT]` sections.
 pub(crate) const ADDRESS_KEYS: &[&str] = &["reached_at"];
 
+/// The sections of the settings of an entry host on a platform.
+pub(crate) const ENTRY_SECTIONS: &[&str] = &["entry"];
+
+/// Keys of an entry host's `[entry]` section.
+pub(crate) const ENTRY_KEYS: &[&str] = &[
+    "name",
+    "domain",
+    "caller_address",
+    "readiness_address",
+    "peer_address",
+    "metrics_address",
+    "store_address",
+    "promotion_address",
+    "drain_timeout_s",
+    "membership_lease_ms",
+    "log_lines_per_second",
+];
+
 /// The sections of a service's configuration.
 pub(crate) const SERVICE_SECTIONS: &[&str] = &["service", "instance NAME", "callers"];
 
@@ -68,6 +86,7 @@
         ("tls", TLS_KEYS),
         ("peer NAME", PEER_KEYS),
         ("address IP:PORT", ADDRESS_KEYS),
+        ("entry", ENTRY_KEYS),
         ("service", SERVICE_KEYS),
         ("instance NAME", INSTANCE_KEYS),
     ]
--- a/crates/jujubehold_settings/src/lib.rs
+++ b/crates/jujubehold_settings/src/lib.rs
@@ -5,6 +5,7 @@
 //! and every fault is named together with its place. See docs/CONFIGURATION.md.
 
 mod address_translation;
+mod entry_settings;
 mod host_settings;
 mod host_settings_reader;
 mod ini_fault;
@@ -21,6 +22,7 @@
 mod unit_hint;
 
 pub use address_translation::AddressTranslation;
+pub use entry_settings::EntrySettings;
 pub use host_settings::HostSettings;
 pub use ini_fault::{IniFault, IniFaults};
 pub use ini_reader::IniReader;
