Let the replicas' word stand in for the store, in place of hosts' promises

Promises among hosts can't help a host that reaches no other, and they left a gap: a host that joined late is unknown to one that was cut off before.

Change: whoever replaces a primary marks the replica that takes over and waits for the windows from then on; a host without the store asks all replicas for a mark every 600 ms. Promises and their datagrams are gone. A host that has just started holds new sessions until it has a configuration, where it had told 89 requests that their database does not exist.

--- a/crates/jujubehold_core/src/candidate_choice.rs
+++ b/crates/jujubehold_core/src/candidate_choice.rs
@@ -1,6 +1,6 @@
 //! Which replica takes over from a primary.
 
-use crate::ids::{InstanceId, Monotonic};
+use crate::ids::{InstanceId, Monotonic, Term};
 use crate::instance_status::Role;
 use crate::log_position::LogPosition;
 use crate::value_type;
@@ -12,8 +12,12 @@
         pub instance: InstanceId,
         /// Whether it leads.
         pub role: Role,
+        /// The term that it serves or follows.
+        pub term: Term,
         /// The last commit that it received.
         pub received: LogPosition,
+        /// Whether it is a replica that was not marked to take over.
+        pub is_unmarked: bool,
         /// Whether it is about to leave.
         pub is_leaving: bool,
         /// When it was asked.
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod refusal_reason;
 pub mod relay_tree;
 pub mod replay;
+pub mod replica_evidence;
 pub mod request_name;
 pub mod retry_budget;
 pub mod retry_reason;
--- a/crates/jujubehold_core/tests/lead_proof.rs
+++ b/crates/jujubehold_core/tests/lead_proof.rs
@@ -5,12 +5,13 @@
 
 use jujubehold_core::lead_proof::{LeadProof, LeadProofSettings};
 use jujubehold_core::prelude::*;
+use jujubehold_core::replica_evidence::{ReplicaEvidence, is_unmarked_replica};
 use jujubehold_core::stop_wait::StopWait;
 
 const SETTINGS: LeadProofSettings = LeadProofSettings {
     window: Duration::from_secs(2),
     drift: Duration::from_millis(50),
-    promise_limit: Duration::from_secs(8),
+    evidence_limit: Duration::from_secs(8),
 };
 
 fn ms(value: u64) -> Monotonic {
@@ -21,88 +22,127 @@
     names.iter().map(|name| HostId::from(*name)).collect()
 }
 
+fn replicas(names: &[&str]) -> BTreeSet<InstanceId> {
+    names.iter().map(|name| InstanceId::from(*name)).collect()
+}
+
 fn listed_proof() -> LeadProof {
-    let mut proof = LeadProof::new(SETTINGS);
+    let mut proof = LeadProof::new(SETTINGS, false);
     proof.note_listed_until(ms(60_000));
     proof
 }
 
+fn is_valid(proof: &LeadProof, evidence: &ReplicaEvidence, now: Monotonic) -> bool {
+    let until = proof.valid_until(evidence, &replicas(&["r", "s"]));
+    until.is_some_and(|until| now < until)
+}
+
+fn evidence(r_ms: u64, s_ms: u64) -> ReplicaEvidence {
+    let mut evidence = ReplicaEvidence::default();
+    evidence.note(&"r".into(), ms(r_ms), true);
+    evidence.note(&"s".into(), ms(s_ms), true);
+    evidence
+}
+
 #[test]
 fn a_host_that_has_read_nothing_relies_on_nothing() {
-    let proof = listed_proof();
-    assert!(!proof.is_valid(&hosts(&["b"]), ms(0)));
+    assert!(!is_valid(&listed_proof(), &evidence(10, 10), ms(20)));
 }
 
 #[test]
 fn a_read_holds_for_one_window_from_when_it_was_asked_for() {
     let mut proof = listed_proof();
     proof.note_read(ms(1_000));
-    assert!(proof.is_valid(&hosts(&["b"]), ms(2_999)));
-    assert!(!proof.is_valid(&hosts(&["b"]), ms(3_000)));
+    let none = ReplicaEvidence::default();
+    assert!(is_valid(&proof, &none, ms(2_999)));
+    assert!(!is_valid(&proof, &none, ms(3_000)));
 }
 
 #[test]
 fn a_read_holds_no_longer_than_the_hosts_place_in_the_list() {
-    let mut proof = LeadProof::new(SETTINGS);
+    let mut proof = LeadProof::new(SETTINGS, false);
     proof.note_listed_until(ms(1_500));
     proof.note_read(ms(1_000));
-    assert!(proof.is_valid(&hosts(&["b"]), ms(1_499)));
-    assert!(!proof.is_valid(&hosts(&["b"]), ms(1_500)));
+    let none = ReplicaEvidence::default();
+    assert!(is_valid(&proof, &none, ms(1_499)));
+    assert!(!is_valid(&proof, &none, ms(1_500)));
 }
 
 #[test]
-fn promises_of_all_others_stand_in_for_the_store() {
+fn the_word_of_all_replicas_stands_in_for_the_store() {
     let mut proof = listed_proof();
     proof.note_read(ms(1_000));
-    proof.note_promise(&"b".into(), ms(2_500));
-    assert!(!proof.is_valid(&hosts(&["b", "c"]), ms(3_500)));
-    proof.note_promise(&"c".into(), ms(2_600));
-    assert!(proof.is_valid(&hosts(&["b", "c"]), ms(4_499)));
-    assert!(!proof.is_valid(&hosts(&["b", "c"]), ms(4_500)));
+    let mut one = ReplicaEvidence::default();
+    one.note(&"r".into(), ms(2_500), true);
+    assert!(!is_valid(&proof, &one, ms(3_500)));
+    let both = evidence(2_500, 2_600);
+    assert!(is_valid(&proof, &both, ms(4_499)));
+    assert!(!is_valid(&proof, &both, ms(4_500)));
 }
 
 #[test]
-fn a_promise_taken_back_counts_no_more() {
+fn a_marked_replica_ends_the_evidence() {
     let mut proof = listed_proof();
     proof.note_read(ms(1_000));
-    proof.note_promise(&"b".into(), ms(2_500));
-    proof.forget_promise("b");
-    assert!(!proof.is_valid(&hosts(&["b"]), ms(3_500)));
+    let mut both = evidence(2_500, 2_600);
+    both.note(
+        &"s".into(),
+        ms(3_100),
+        is_unmarked_replica(Role::Replica, 3, 4),
+    );
+    assert!(!is_valid(&proof, &both, ms(3_200)));
 }
 
 #[test]
-fn promises_end_with_the_limit_after_the_last_read() {
+fn a_replica_that_leads_ends_the_evidence() {
+    assert!(!is_unmarked_replica(Role::Primary, 4, 0));
+    assert!(is_unmarked_replica(Role::Replica, 4, 4));
+    assert!(is_unmarked_replica(Role::Replica, 4, 0));
+}
+
+#[test]
+fn the_replicas_word_ends_with_the_limit_after_the_last_read() {
     let mut proof = listed_proof();
     proof.note_read(ms(1_000));
-    proof.note_promise(&"b".into(), ms(8_500));
-    assert!(proof.is_valid(&hosts(&["b"]), ms(8_999)));
-    assert!(!proof.is_valid(&hosts(&["b"]), ms(9_000)));
+    let late = evidence(8_500, 8_500);
+    assert!(is_valid(&proof, &late, ms(8_999)));
+    assert!(!is_valid(&proof, &late, ms(9_000)));
 }
 
 #[test]
-fn a_host_without_others_needs_the_store() {
+fn a_primary_without_replicas_needs_the_store() {
     let mut proof = listed_proof();
     proof.note_read(ms(1_000));
-    assert!(!proof.is_valid(&hosts(&[]), ms(3_500)));
+    let until = proof.valid_until(&evidence(2_500, 2_500), &replicas(&[]));
+    assert_eq!(until, Some(ms(3_000)));
 }
 
 #[test]
-fn only_a_host_that_followed_the_list_for_a_window_knows_all_hosts() {
+fn only_a_host_that_followed_the_list_long_enough_knows_all_hosts() {
     let mut proof = listed_proof();
-    for asked_at_ms in [1_000, 1_800, 2_600] {
+    for asked_at_ms in (1_000..11_000).step_by(800) {
         proof.note_read(ms(asked_at_ms));
     }
-    assert!(!proof.knows_all_hosts(ms(3_000)));
-    proof.note_read(ms(3_100));
-    assert!(proof.knows_all_hosts(ms(3_200)));
+    assert!(!proof.knows_all_hosts(ms(11_000)));
+    proof.note_read(ms(11_200));
+    assert!(proof.knows_all_hosts(ms(11_200)));
     // A gap begins it anew.
+    proof.note_read(ms(13_000));
+    assert!(!proof.knows_all_hosts(ms(13_100)));
+}
+
+#[test]
+fn at_the_first_start_there_is_no_host_to_be_missed() {
+    let mut proof = LeadProof::new(SETTINGS, true);
+    proof.note_read(ms(1_000));
+    assert!(proof.knows_all_hosts(ms(1_100)));
     proof.note_read(ms(5_000));
     assert!(!proof.knows_all_hosts(ms(5_100)));
 }
 
 #[test]
 fn a_change_goes_on_when_every_host_has_stopped() {
-    let mut wait = StopWait::new(SETTINGS, ms(1_000), hosts(&["b", "c"]), true, true);
+    let mut wait = StopWait::new(SETTINGS, ms(1_000), hosts(&["b", "c"]), true);
     wait.note_stopped("b");
     assert!(!wait.is_over(ms(1_100)));
     wait.note_stopped("c");
@@ -111,7 +151,7 @@
 
 #[test]
 fn a_silent_host_is_waited_for_until_its_window_lapses() {
-    let wait = StopWait::new(SETTINGS, ms(1_000), hosts(&["b"]), true, true);
+    let wait = StopWait::new(SETTINGS, ms(1_000), hosts(&["b"]), true);
     assert!(!wait.is_over(ms(3_049)));
     assert!(wait.is_over(ms(3_050)));
 }
@@ -120,33 +160,23 @@
 // first replaced a primary that five hosts still used by their last answer of the store.
 #[test]
 fn hosts_that_may_be_unknown_are_waited_out() {
-    let wait = StopWait::new(SETTINGS, ms(1_000), hosts(&[]), false, true);
+    let wait = StopWait::new(SETTINGS, ms(1_000), hosts(&[]), false);
     assert!(!wait.is_over(ms(3_049)));
     assert!(wait.is_over(ms(3_050)));
 }
 
 #[test]
 fn a_host_that_left_the_list_may_use_its_window() {
-    let mut wait = StopWait::new(SETTINGS, ms(1_000), hosts(&["b"]), true, true);
+    let mut wait = StopWait::new(SETTINGS, ms(1_000), hosts(&["b"]), true);
     wait.note_gone("b");
     assert!(!wait.is_over(ms(2_000)));
     assert!(wait.is_over(ms(3_050)));
 }
 
 #[test]
-fn a_host_that_was_promised_and_not_asked_is_waited_out() {
-    let mut wait = StopWait::new(SETTINGS, ms(1_000), hosts(&["b"]), true, true);
-    wait.note_stopped("b");
-    wait.note_promised("b", true);
-    assert!(wait.is_over(ms(1_100)));
-    wait.note_promised("d", false);
-    assert!(!wait.is_over(ms(1_100)));
-}
-
-#[test]
-fn a_host_that_joined_lately_hears_from_every_other_one() {
-    let mut wait = StopWait::new(SETTINGS, ms(1_000), hosts(&["b"]), true, false);
-    assert!(!wait.is_over(ms(60_000)));
-    wait.note_stopped("b");
-    assert!(wait.is_over(ms(60_000)));
+fn a_replica_that_is_marked_later_is_waited_for_from_then() {
+    let mut wait = StopWait::new(SETTINGS, ms(1_000), hosts(&["b"]), true);
+    wait.begin_again(ms(1_500));
+    assert!(!wait.is_over(ms(3_100)));
+    assert!(wait.is_over(ms(3_550)));
 }
--- a/crates/jujubehold_core/tests/primary_replacement.rs
+++ b/crates/jujubehold_core/tests/primary_replacement.rs
@@ -16,7 +16,9 @@
     CandidateStatus {
         instance: instance.into(),
         role,
+        term,
         received: LogPosition { term, position },
+        is_unmarked: true,
         is_leaving: false,
         asked_at: ms(0),
     }
--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -22,6 +22,8 @@
 
 /// Values that one session may set; a bound on its memory.
 const MAX_VALUES: usize = 200;
+/// How long the start of a session waits for the first configuration; callers wait 2 s.
+const CONFIGURATION_PATIENCE: Duration = Duration::from_millis(1_700);
 /// How long a connection may stand open before its session begins.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -84,6 +86,7 @@
             self.io.flush().await?;
             return Ok(false);
         };
+        self.wait_for_configuration().await;
         let is_known = self.shared.route(&database).is_some();
         self.database = database;
         if is_known {
@@ -97,6 +100,18 @@
         Ok(is_known)
     }
 
+    // A host that has just started knows no database yet, which is not the caller's fault.
+    async fn wait_for_configuration(&self) {
+        let give_up_at = self.shared.now() + CONFIGURATION_PATIENCE;
+        while self.shared.configuration.borrow().is_none() {
+            let left = give_up_at.saturating_sub(self.shared.now());
+            if left.is_zero() {
+                return;
+            }
+            self.shared.wait_for_change(left).await;
+        }
+    }
+
     /// The caller's next message; `None` when the host ends the session.
     async fn next_message(&mut self) -> Result<Option<CallerMessage>, CallerGone> {
         let is_idle = self.transaction.is_none();
--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -5,7 +5,6 @@
 
 use super::instances::take_members;
 use super::lead_document::parse_leads;
-use super::peers::Peers;
 use super::store_calls::within;
 use super::{LEAD_KEY, OWN_PREFIX};
 use crate::prelude::*;
@@ -13,13 +12,13 @@
 
 /// How often the table is read: a third of the window, so that two reads may fail.
 const READ_INTERVAL: Duration = Duration::from_millis(800);
-/// How soon it is read again after a failure, and how often promises are asked for.
+/// How soon it is read again after a failure.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// How long one read may take: longer than a slow store's answer.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Reads the table again and again, and asks the other hosts while the store gives no answer.
-pub(crate) async fn keep_proof<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<Peers>) {
+/// Reads the table again and again.
+pub(crate) async fn keep_proof<P: Platform>(shared: Rc<Shared<P>>) {
     loop {
         let pause = match read(&shared).await {
             Ok(()) => READ_INTERVAL,
@@ -28,13 +27,6 @@
                 RETRY_INTERVAL
             }
         };
-        let wants_promises = {
-            let lead = shared.lead.borrow();
-            lead.proof.wants_promises(shared.now())
-        };
-        if wants_promises {
-            peers.ask_promises(&shared);
-        }
         // A host that has just joined needs its proof at once.
         let joined = shared.membership_changed.notified();
         let _ = tokio::time::timeout(pause, joined).await;
--- a/crates/jujubehold_entry/src/control/mod.rs
+++ b/crates/jujubehold_entry/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod primary_change;
 mod primary_keeper;
 mod primary_probe;
+mod replica_questions;
 mod status_calls;
 mod store_calls;
 mod store_watch;
@@ -27,7 +28,8 @@
         Rc::clone(shared),
         peers.address(),
     ));
-    actix_rt::spawn(lead_reader::keep_proof(Rc::clone(shared), Rc::clone(peers)));
+    actix_rt::spawn(lead_reader::keep_proof(Rc::clone(shared)));
+    actix_rt::spawn(replica_questions::keep_evidence(Rc::clone(shared)));
     actix_rt::spawn(peers::receive(Rc::clone(shared), Rc::clone(peers)));
     actix_rt::spawn(pool_keeper::keep_pools(Rc::clone(shared)));
     actix_rt::spawn(primary_probe::keep_marks(Rc::clone(shared)));
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -15,21 +15,15 @@
     /// That table, where the receiver may not have it.
     #[prost(bytes = "vec", optional, tag = "4")]
     pub(crate) table: Option<Vec<u8>>,
-    /// The number of a question, given back with its answer.
+    /// The revision of the announcement that is answered.
     #[prost(uint64, tag = "5")]
-    pub(crate) sequence: u64,
+    pub(crate) announcement: u64,
     /// The service that it is about.
     #[prost(string, tag = "6")]
     pub(crate) service: String,
     /// The instance that it is about.
     #[prost(string, tag = "7")]
     pub(crate) instance: String,
-    /// Whether the sender replaces a primary.
-    #[prost(bool, tag = "8")]
-    pub(crate) is_changing: bool,
-    /// The hosts that the sender gave its promise lately.
-    #[prost(string, repeated, tag = "9")]
-    pub(crate) promised: Vec<String>,
 }
 
 /// What a datagram is for.
@@ -38,14 +32,10 @@
 pub(crate) enum PeerMessageKind {
     /// A newer table of leads.
     Table = 0,
-    /// Asks for the promise that the receiver replaces no primary.
-    AskPromise = 1,
-    /// That promise, or that it can't be given.
-    Promise = 2,
     /// The sender misses a primary.
-    Vote = 3,
+    Vote = 1,
     /// Asks the receiver to stop using a primary.
-    Stop = 4,
+    Stop = 2,
     /// The sender has stopped.
-    Stopped = 5,
+    Stopped = 3,
 }
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -3,11 +3,10 @@
 //! They carry what must be known sooner than the store tells it, or while it tells nothing. Each
 //! may be lost, doubled or late: all are repeated by who needs them, and none undoes another.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use jujubehold_core::lead_proof::LeadProofSettings;
 use jujubehold_core::lead_table::Revision;
 use log::{debug, warn};
 use prost::Message;
@@ -19,33 +18,18 @@
 
 /// The longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
-/// Questions whose time is remembered.
-const MAX_QUESTIONS: usize = 32;
 /// How long the receiver rests after an error of the socket.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
-/// What the other hosts answered to being asked to stop.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct StopAnswers {
-    /// The hosts that stopped.
-    pub(crate) hosts: BTreeSet<HostId>,
-    /// The hosts that these gave a promise lately.
-    pub(crate) promised: BTreeSet<HostId>,
-}
-
 /// The socket to the other hosts, and what they answered.
 #[derive(Debug)]
 pub(crate) struct Peers {
     socket: UdpSocket,
     address: SocketAddr,
-    next_sequence: Cell<u64>,
-    asked_at: RefCell<BTreeMap<u64, Monotonic>>,
     /// The hosts that stopped using a primary, by the change that asked them to.
-    stopped: RefCell<BTreeMap<(ServiceId, Revision), StopAnswers>>,
+    stopped: RefCell<BTreeMap<(ServiceId, Revision), BTreeSet<HostId>>>,
     /// The services whose primary this host is replacing.
     changing: RefCell<BTreeSet<ServiceId>>,
-    /// When this host last gave each other one its promise.
-    promised_at: RefCell<BTreeMap<HostId, Monotonic>>,
 }
 
 impl Peers {
@@ -56,11 +40,8 @@
         Ok(Self {
             socket,
             address,
-            next_sequence: Cell::new(1),
-            asked_at: RefCell::new(BTreeMap::new()),
             stopped: RefCell::new(BTreeMap::new()),
             changing: RefCell::new(BTreeSet::new()),
-            promised_at: RefCell::new(BTreeMap::new()),
         })
     }
 
@@ -84,28 +65,6 @@
         self.changing.borrow().contains(service)
     }
 
-    /// The hosts that this one gave its promise at any time since `since`.
-    pub(crate) fn promised_since(&self, since: Monotonic) -> BTreeSet<HostId> {
-        let mut promised_at = self.promised_at.borrow_mut();
-        promised_at.retain(|_, at| *at >= since);
-        promised_at.keys().cloned().collect()
-    }
-
-    /// Asks every other host for its promise.
-    pub(crate) fn ask_promises<P: Platform>(&self, shared: &Shared<P>) {
-        let sequence = self.next_sequence.get();
-        self.next_sequence.set(sequence + 1);
-        let mut asked_at = self.asked_at.borrow_mut();
-        asked_at.insert(sequence, shared.now());
-        while asked_at.len() > MAX_QUESTIONS {
-            asked_at.pop_first();
-        }
-        drop(asked_at);
-        let mut message = message(shared, PeerMessageKind::AskPromise);
-        message.sequence = sequence;
-        self.send_to_all(shared, &message);
-    }
-
     /// Tells every other host that this one misses a primary.
     pub(crate) fn vote<P: Platform>(&self, shared: &Shared<P>, service: &str, instance: &str) {
         let mut message = message(shared, PeerMessageKind::Vote);
@@ -134,8 +93,8 @@
         }
     }
 
-    /// What was answered for the change at `revision`.
-    pub(crate) fn stopped(&self, service: &ServiceId, revision: Revision) -> StopAnswers {
+    /// The hosts that stopped for the change at `revision`.
+    pub(crate) fn stopped(&self, service: &ServiceId, revision: Revision) -> BTreeSet<HostId> {
         let stopped = self.stopped.borrow();
         stopped
             .get(&(service.clone(), revision))
@@ -195,44 +154,12 @@
     };
     match kind {
         PeerMessageKind::Table => {}
-        PeerMessageKind::AskPromise => answer_promise(shared, peers, message),
-        PeerMessageKind::Promise => take_promise(shared, peers, message),
         PeerMessageKind::Vote => take_vote(shared, message),
         PeerMessageKind::Stop => answer_stop(shared, peers, message),
         PeerMessageKind::Stopped => take_stopped(peers, message),
     }
 }
 
-fn answer_promise<P: Platform>(shared: &Shared<P>, peers: &Peers, question: &PeerMessage) {
-    let mut answer = message(shared, PeerMessageKind::Promise);
-    answer.sequence = question.sequence;
-    answer.is_changing = !peers.changing.borrow().is_empty();
-    if !answer.is_changing {
-        let host = question.from.as_str().into();
-        peers.promised_at.borrow_mut().insert(host, shared.now());
-    }
-    if question.table_revision < answer.table_revision {
-        answer = with_table(shared, answer);
-    }
-    peers.send_to(shared, &question.from, &answer);
-}
-
-fn take_promise<P: Platform>(shared: &Shared<P>, peers: &Peers, answer: &PeerMessage) {
-    let asked_at = peers.asked_at.borrow().get(&answer.sequence).copied();
-    let Some(asked_at) = asked_at else {
-        return;
-    };
-    let host = answer.from.as_str().into();
-    let mut lead = shared.lead.borrow_mut();
-    if answer.is_changing {
-        lead.proof.forget_promise(&answer.from);
-    } else {
-        lead.proof.note_promise(&host, asked_at);
-    }
-    drop(lead);
-    shared.changed.notify_waiters();
-}
-
 fn take_vote<P: Platform>(shared: &Shared<P>, vote: &PeerMessage) {
     let now = shared.now();
     shared.with_group(&vote.service.as_str().into(), |group| {
@@ -250,24 +177,17 @@
     }
     let mut answer = message(shared, PeerMessageKind::Stopped);
     answer.service.clone_from(&question.service);
-    answer.sequence = question.table_revision;
-    let since = shared
-        .now()
-        .saturating_sub(LeadProofSettings::default().lapse());
-    let promised = peers.promised_since(since);
-    answer.promised = promised.iter().map(ToString::to_string).collect();
+    answer.announcement = question.table_revision;
     peers.send_to(shared, &question.from, &answer);
 }
 
 fn take_stopped(peers: &Peers, answer: &PeerMessage) {
-    let key = (answer.service.as_str().into(), answer.sequence);
+    let key = (answer.service.as_str().into(), answer.announcement);
     let mut stopped = peers.stopped.borrow_mut();
     // Only the newest change of a service is waited for.
     stopped.retain(|(service, revision), _| *service != key.0 || *revision >= key.1);
-    let answers = stopped.entry(key).or_default();
-    answers.hosts.insert(answer.from.as_str().into());
-    let promised = answer.promised.iter().map(|host| host.as_str().into());
-    answers.promised.extend(promised);
+    let hosts = stopped.entry(key).or_default();
+    hosts.insert(answer.from.as_str().into());
 }
 
 /// Stops using the primary of `service` that is being replaced, unless what began before still
--- a/crates/jujubehold_entry/src/control/primary_change.rs
+++ b/crates/jujubehold_entry/src/control/primary_change.rs
@@ -1,11 +1,14 @@
 //! Replaces a primary.
 //!
 //! 1. The change is announced in the table of leads. From then on no host begins anything at the
-//!    old primary, and only the host that announced it may order a promotion.
-//! 2. Every host is asked to stop. One that gives no answer is waited for until its proof of the
-//!    old table must have lapsed.
-//! 3. The old primary is made a replica, where it can be reached.
-//! 4. The replica that received most is promoted, and put on record when it leads.
+//!    old primary, and only the host that announced it may order a promotion. Every host is asked
+//!    to stop.
+//! 2. A primary that leaves by plan is made a replica as soon as the hosts have stopped, and a
+//!    replica is waited for that has all of its log.
+//! 3. The replica that received most is marked, which hosts that are cut off from the store see.
+//! 4. Hosts that have not stopped are waited for until their proof of the old table must have
+//!    lapsed.
+//! 5. The marked replica is promoted, and put on record when it leads.
 //!
 //! See docs/notes/platform-path.md.
 
@@ -15,15 +18,17 @@
 use jujubehold_core::candidate_choice::{CandidateChoice, CandidateStatus, choose_candidate};
 use jujubehold_core::lead_proof::LeadProofSettings;
 use jujubehold_core::lead_table::{Lead, LeadChange, LeadTable, Revision};
+use jujubehold_core::replica_evidence::is_unmarked_replica;
 use jujubehold_core::stop_wait::StopWait;
 use log::{info, warn};
 use metrics::counter;
 use smol_str::{SmolStr, format_smolstr};
+use tokio::task::JoinHandle;
 
 use super::lead_document::{format_leads, parse_leads};
 use super::peers::{Peers, stop};
 use super::primary_keeper::{ChangeReason, commit_table, duty_key};
-use super::status_calls::{status, step_down};
+use super::status_calls::{mark, resume, status, step_down};
 use super::store_calls::{CALL_TIMEOUT, within};
 use super::{HOSTS_PREFIX, LEAD_KEY};
 use crate::metric_names::PRIMARY_CHANGES;
@@ -39,6 +44,8 @@
 const STOP_INTERVAL: Duration = Duration::from_millis(60);
 /// How often answers are looked at meanwhile.
 const STOP_LOOK: Duration = Duration::from_millis(10);
+/// How long hosts may take to end what they run at a primary that leaves by plan.
+const END_OF_WORK_WAIT: Duration = Duration::from_millis(1_100);
 /// How long a promotion order may take.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// How old the proof may be that this host still makes the change when it gives the order.
@@ -106,12 +113,49 @@
     peers: &Rc<Peers>,
     announced: &Announced,
 ) -> Option<InstanceId> {
-    wait_for_stop(shared, peers, announced).await?;
-    let least = fence_old(shared, announced).await;
-    let primary = promote_one(shared, announced, least).await?;
+    let asking = AbortOnDrop(actix_rt::spawn(ask_stop(
+        Rc::clone(shared),
+        Rc::clone(peers),
+        announced.service.clone(),
+        announced.revision,
+    )));
+    let least = if announced.is_planned {
+        wait_for_end_of_work(shared, peers, announced).await?;
+        fence_old(shared, announced).await
+    } else {
+        None
+    };
+    let primary = promote_one(shared, peers, announced, least).await?;
+    drop(asking);
     record(shared, peers, announced, primary).await
 }
 
+/// Ends a task with its owner.
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+// Hosts that have not answered are asked again.
+async fn ask_stop<P: Platform>(
+    shared: Rc<Shared<P>>,
+    peers: Rc<Peers>,
+    service: ServiceId,
+    revision: Revision,
+) {
+    loop {
+        let mut hosts = shared.lead.borrow().others(&shared.settings.host);
+        for host in peers.stopped(&service, revision) {
+            hosts.remove(&host);
+        }
+        peers.ask_stop(&shared, &service, &hosts);
+        actix_rt::time::sleep(STOP_INTERVAL).await;
+    }
+}
+
 /// Writes the announcement; `None` when another host was first or this one may not.
 async fn announce<P: Platform>(
     shared: &Rc<Shared<P>>,
@@ -199,30 +243,42 @@
         .map(|item| item.revision))
 }
 
+/// Waits until every host has ended what it runs at a primary that leaves by plan, or until that
+/// has taken too long; `None` when the change was taken over.
+async fn wait_for_end_of_work<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    peers: &Rc<Peers>,
+    announced: &Announced,
+) -> Option<()> {
+    let give_up_at = announced.since + END_OF_WORK_WAIT;
+    while shared.now() < give_up_at {
+        if !is_current(shared, announced) {
+            return None;
+        }
+        let stopped = peers.stopped(&announced.service, announced.revision);
+        let others = shared.lead.borrow().others(&shared.settings.host);
+        if stop(shared, &announced.service) && others.is_subset(&stopped) {
+            return Some(());
+        }
+        actix_rt::time::sleep(STOP_LOOK).await;
+    }
+    Some(())
+}
+
 /// Waits until no host can use the old primary; `None` when the change was taken over.
 async fn wait_for_stop<P: Platform>(
     shared: &Rc<Shared<P>>,
     peers: &Rc<Peers>,
     announced: &Announced,
+    wait: &mut StopWait,
 ) -> Option<()> {
-    let mut wait = begin_wait(shared, peers, announced).await?;
-    let mut asked_at = None;
     loop {
         if !is_current(shared, announced) {
             return None;
         }
         let now = shared.now();
-        if asked_at.is_none_or(|asked_at| now.saturating_sub(asked_at) >= STOP_INTERVAL) {
-            peers.ask_stop(shared, &announced.service, wait.waited_for());
-            asked_at = Some(now);
-        }
-        let answers = peers.stopped(&announced.service, announced.revision);
-        for host in &answers.hosts {
-            wait.note_stopped(host);
-        }
-        for host in &answers.promised {
-            let was_asked = answers.hosts.contains(host) || *host == shared.settings.host;
-            wait.note_promised(host, was_asked);
+        for host in peers.stopped(&announced.service, announced.revision) {
+            wait.note_stopped(&host);
         }
         for host in gone_hosts(shared, wait.waited_for()) {
             wait.note_gone(&host);
@@ -240,34 +296,25 @@
 
 /// The wait for every host that may still use the old primary.
 ///
-/// Those are the hosts that were listed within the last window, and those that this host gave a
-/// promise. Where it can't be sure to know all of them, every window is waited out.
+/// Those are the hosts that were listed at any time from which the replicas' word may have carried
+/// them on. Where this host can't be sure to know all of them, every window is waited out.
 async fn begin_wait<P: Platform>(
     shared: &Rc<Shared<P>>,
-    peers: &Rc<Peers>,
     announced: &Announced,
-) -> Option<StopWait> {
+    begun_at: Monotonic,
+) -> StopWait {
     let settings = LeadProofSettings::default();
-    let announced_at = announced.since;
-    let since = announced_at.saturating_sub(settings.lapse());
-    let knows_before = shared.lead.borrow().proof.knows_all_hosts(announced_at);
+    let since = announced.since.saturating_sub(settings.horizon());
+    let knows_before = {
+        let state = shared.lead.borrow();
+        state.proof.knows_all_hosts(announced.since)
+    };
     let listed = listed_hosts(shared).await;
     let knows_all = knows_before && listed.is_some();
     let mut hosts = listed.unwrap_or_default();
-    let state = shared.lead.borrow();
-    hosts.extend(state.seen_since(since));
+    hosts.extend(shared.lead.borrow().seen_since(since));
     hosts.remove(&shared.settings.host);
-    let knows_promised = peers.promised_since(since).is_subset(&hosts);
-    let joined_at = state.membership.as_ref()?.joined_at;
-    let is_young = announced_at.saturating_sub(joined_at) < settings.least_membership();
-    let knows_all = knows_all && knows_promised;
-    Some(StopWait::new(
-        settings,
-        announced_at,
-        hosts,
-        knows_all,
-        !is_young,
-    ))
+    StopWait::new(settings, begun_at, hosts, knows_all)
 }
 
 // A host that is off the list answers nothing that could be waited for.
@@ -316,41 +363,116 @@
 /// Promotes a replica and waits until it leads; `None` when the change was taken over.
 async fn promote_one<P: Platform>(
     shared: &Rc<Shared<P>>,
+    peers: &Rc<Peers>,
     announced: &Announced,
     least: Option<LogPosition>,
 ) -> Option<InstanceId> {
+    let mut wait = None;
+    let mut marked: Option<InstanceId> = None;
     let catch_up_until = shared.now() + CATCH_UP_WAIT;
     loop {
         if !is_current(shared, announced) {
             return None;
         }
         let statuses = ask_all(shared, announced).await;
-        let is_complete = has_all_answers(shared, announced, &statuses);
-        match choose_candidate(&announced.old, &statuses) {
-            CandidateChoice::Leads(instance) => return Some(instance),
-            CandidateChoice::Promote(instance) => {
-                let has_caught_up = least.is_none_or(|least| {
-                    statuses
-                        .iter()
-                        .any(|status| status.instance == instance && status.received >= least)
-                });
-                if is_complete && (has_caught_up || shared.now() >= catch_up_until) {
-                    if order(shared, announced, &instance).await?
-                        && leads_soon(shared, &instance).await
-                    {
-                        return Some(instance);
-                    }
-                } else {
-                    actix_rt::time::sleep(LEAD_LOOK).await;
-                    continue;
-                }
+        let chosen = match choose_candidate(&announced.old, &statuses) {
+            CandidateChoice::Leads(instance) => {
+                // Whoever promoted it waited for the hosts before it gave the order.
+                return Some(instance);
             }
-            CandidateChoice::None => {}
+            CandidateChoice::Promote(instance) => instance,
+            CandidateChoice::None => {
+                actix_rt::time::sleep(STEP_PAUSE).await;
+                continue;
+            }
+        };
+        // One that is marked receives nothing, and stays the choice while it answers.
+        let chosen = marked
+            .clone()
+            .filter(|marked| statuses.iter().any(|status| status.instance == *marked))
+            .unwrap_or(chosen);
+        let has_caught_up = least.is_none_or(|least| {
+            let received = statuses.iter().find(|status| status.instance == chosen);
+            received.is_some_and(|status| status.received >= least)
+        });
+        let may_go_on = has_all_answers(shared, announced, &statuses)
+            && (has_caught_up || shared.now() >= catch_up_until);
+        if !may_go_on {
+            actix_rt::time::sleep(LEAD_LOOK).await;
+            continue;
+        }
+        let Some(marked_at) = keep_mark(shared, &chosen, &statuses).await else {
+            marked = None;
+            actix_rt::time::sleep(STEP_PAUSE).await;
+            continue;
+        };
+        marked = Some(chosen.clone());
+        let wait = match &mut wait {
+            Some(wait) => wait,
+            None => wait.insert(begin_wait(shared, announced, announced.since).await),
+        };
+        if let Some(marked_at) = marked_at {
+            wait.begin_again(marked_at);
+        }
+        wait_for_stop(shared, peers, announced, wait).await?;
+        if is_marked(shared, &chosen).await
+            && order(shared, announced, &chosen).await?
+            && leads_soon(shared, &chosen).await
+        {
+            resume_others(shared, announced, &chosen);
+            return Some(chosen);
         }
         actix_rt::time::sleep(STEP_PAUSE).await;
     }
 }
 
+/// Marks a replica unless it is marked; when it was marked now, that is when.
+async fn keep_mark<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    instance: &InstanceId,
+    statuses: &[CandidateStatus],
+) -> Option<Option<Monotonic>> {
+    let status = statuses
+        .iter()
+        .find(|status| status.instance == *instance)?;
+    if !status.is_unmarked {
+        return Some(None);
+    }
+    let upstream = shared.upstream(instance)?;
+    let newest_term = statuses.iter().map(|status| status.received.term).max()?;
+    let term = newest_term.max(status.term) + 1;
+    let report = mark(&upstream, term).await?;
+    let is_marked = !is_unmarked_replica(report.role, report.term, report.held_term);
+    is_marked.then(|| Some(shared.now()))
+}
+
+// A replica that was started again has lost its mark, and hosts may have seen it without.
+async fn is_marked<P: Platform>(shared: &Rc<Shared<P>>, instance: &InstanceId) -> bool {
+    let Some(upstream) = shared.upstream(instance) else {
+        return false;
+    };
+    let report = status(&upstream).await;
+    report.is_some_and(|report| !is_unmarked_replica(report.role, report.term, report.held_term))
+}
+
+// Marks of an earlier try would keep replicas from receiving.
+fn resume_others<P: Platform>(shared: &Rc<Shared<P>>, announced: &Announced, primary: &InstanceId) {
+    for upstream in shared.upstreams_of(&announced.service) {
+        if upstream.id() == *primary {
+            continue;
+        }
+        actix_rt::spawn(async move {
+            let report = status(&upstream).await;
+            let is_marked = report.is_some_and(|report| {
+                report.role == Role::Replica && report.held_term > report.term
+            });
+            if is_marked && resume(&upstream).await.is_none() {
+                warn!(instance = upstream.id().as_str(); "a mark could not be taken off");
+            }
+        });
+    }
+}
+
 // Where replicas confirm commits, one that gives no answer may be the only one that has an
 // acknowledged commit.
 fn has_all_answers<P: Platform>(
@@ -409,6 +531,8 @@
         instance: entry.id,
         role: report.role,
         received: report.received,
+        term: report.term,
+        is_unmarked: is_unmarked_replica(report.role, report.term, report.held_term),
         is_leaving: entry.lifecycle == InstanceLifecycle::Leaving,
         asked_at,
     }
--- /dev/null
+++ b/crates/jujubehold_entry/src/control/replica_questions.rs
@@ -0,0 +1,67 @@
+//! Asks replicas whether anybody replaces their primary, while the store does not tell.
+
+use std::collections::BTreeSet;
+
+use jujubehold_core::replica_evidence::is_unmarked_replica;
+
+use super::status_calls::status;
+use crate::pool::Upstream;
+use crate::prelude::*;
+
+/// How often the replicas are asked: a question takes a slot, and several fit in a window.
+const ASK_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Asks again and again while the store gives no answer.
+pub(crate) async fn keep_evidence<P: Platform>(shared: Rc<Shared<P>>) {
+    loop {
+        actix_rt::time::sleep(ASK_INTERVAL).await;
+        let wants_evidence = shared.lead.borrow().proof.wants_evidence(shared.now());
+        if !wants_evidence {
+            continue;
+        }
+        let services: Vec<ServiceId> = {
+            let lead = shared.lead.borrow();
+            lead.table.leads.keys().cloned().collect()
+        };
+        for service in services {
+            ask_replicas(&shared, &service);
+        }
+    }
+}
+
+fn ask_replicas<P: Platform>(shared: &Rc<Shared<P>>, service: &ServiceId) {
+    for upstream in replicas(shared, service) {
+        actix_rt::spawn(ask(Rc::clone(shared), service.clone(), upstream));
+    }
+}
+
+async fn ask<P: Platform>(shared: Rc<Shared<P>>, service: ServiceId, upstream: Rc<Upstream<P>>) {
+    let asked_at = shared.now();
+    let Some(report) = status(&upstream).await else {
+        return;
+    };
+    let is_unmarked = is_unmarked_replica(report.role, report.term, report.held_term);
+    let all: BTreeSet<_> = replicas(&shared, &service)
+        .iter()
+        .map(|upstream| upstream.id())
+        .collect();
+    let id = upstream.id();
+    shared
+        .lead
+        .borrow_mut()
+        .note_evidence(&service, &id, asked_at, is_unmarked, &all);
+    shared.changed.notify_waiters();
+}
+
+fn replicas<P: Platform>(shared: &Shared<P>, service: &ServiceId) -> Vec<Rc<Upstream<P>>> {
+    let primary = {
+        let lead = shared.lead.borrow();
+        lead.table
+            .leads
+            .get(service)
+            .map(|lead| lead.primary.clone())
+    };
+    let mut upstreams = shared.upstreams_of(service);
+    upstreams.retain(|upstream| Some(upstream.id()) != primary);
+    upstreams
+}
--- a/crates/jujubehold_entry/src/control/status_calls.rs
+++ b/crates/jujubehold_entry/src/control/status_calls.rs
@@ -24,6 +24,19 @@
     call(upstream, &UpstreamCommand::StepDown { term }).await
 }
 
+/// Marks a replica with a term above its own; `None` when it gives no answer.
+pub(crate) async fn mark<P: Platform>(
+    upstream: &Rc<Upstream<P>>,
+    term: Term,
+) -> Option<StatusReport> {
+    call(upstream, &UpstreamCommand::Mark { term }).await
+}
+
+/// Takes the mark off a replica; `None` when it gives no answer.
+pub(crate) async fn resume<P: Platform>(upstream: &Rc<Upstream<P>>) -> Option<StatusReport> {
+    call(upstream, &UpstreamCommand::Resume).await
+}
+
 async fn call<P: Platform>(
     upstream: &Rc<Upstream<P>>,
     command: &UpstreamCommand<'_>,
--- a/crates/jujubehold_entry/src/lead_state.rs
+++ b/crates/jujubehold_entry/src/lead_state.rs
@@ -5,6 +5,7 @@
 
 use jujubehold_core::lead_proof::{LeadProof, LeadProofSettings};
 use jujubehold_core::lead_table::{LeadTable, Revision};
+use jujubehold_core::replica_evidence::ReplicaEvidence;
 
 use crate::prelude::*;
 use crate::protocol::LeaseId;
@@ -21,6 +22,10 @@
     /// When each host was last seen in the list.
     pub(crate) seen_at: BTreeMap<HostId, Monotonic>,
     pub(crate) membership: Option<Membership>,
+    /// What the replicas of each service prove.
+    pub(crate) evidence: BTreeMap<ServiceId, ReplicaEvidence>,
+    /// Until when the lead of each service may be relied on by the replicas' word.
+    evidence_until: BTreeMap<ServiceId, Monotonic>,
 }
 
 /// Another host.
@@ -38,14 +43,16 @@
 }
 
 impl LeadState {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(is_first_start: bool) -> Self {
         Self {
             table: LeadTable::default(),
-            proof: LeadProof::new(LeadProofSettings::default()),
+            proof: LeadProof::new(LeadProofSettings::default(), is_first_start),
             members: BTreeMap::new(),
             members_revision: 0,
             seen_at: BTreeMap::new(),
             membership: None,
+            evidence: BTreeMap::new(),
+            evidence_until: BTreeMap::new(),
         }
     }
 
@@ -85,15 +92,43 @@
         true
     }
 
-    /// Whether the table may be relied on at `now`.
-    pub(crate) fn is_proved(&self, host: &str, now: Monotonic) -> bool {
-        self.proof.is_valid(&self.others(host), now)
+    /// Notes what a replica of `service` said that was asked at `asked_at`.
+    pub(crate) fn note_evidence(
+        &mut self,
+        service: &ServiceId,
+        replica: &InstanceId,
+        asked_at: Monotonic,
+        is_unmarked: bool,
+        replicas: &BTreeSet<InstanceId>,
+    ) {
+        let evidence = self.evidence.entry(service.clone()).or_default();
+        evidence.note(replica, asked_at, is_unmarked);
+        let until = if is_unmarked {
+            self.proof.valid_until(evidence, replicas)
+        } else {
+            None
+        };
+        self.evidence_until
+            .insert(service.clone(), until.unwrap_or_default());
+    }
+
+    /// Until when the lead of `service` may be relied on.
+    pub(crate) fn proved_until(&self, service: &str) -> Monotonic {
+        let by_read = self.proof.read_valid_until().unwrap_or_default();
+        let by_replicas = self.evidence_until.get(service).copied();
+        by_read.max(by_replicas.unwrap_or_default())
+    }
+
+    /// Whether the lead of `service` may be relied on at `now`.
+    pub(crate) fn is_proved(&self, service: &str, now: Monotonic) -> bool {
+        now < self.proved_until(service)
     }
 
-    /// Until when the table may be relied on.
-    pub(crate) fn proved_until(&self, host: &str) -> Monotonic {
-        self.proof
-            .valid_until(&self.others(host))
-            .unwrap_or_default()
+    /// Whether any lead may be relied on at `now`.
+    pub(crate) fn is_any_proved(&self, now: Monotonic) -> bool {
+        self.table
+            .leads
+            .keys()
+            .any(|service| self.is_proved(service, now))
     }
 }
--- a/crates/jujubehold_entry/src/protocol/upstream.rs
+++ b/crates/jujubehold_entry/src/protocol/upstream.rs
@@ -88,6 +88,14 @@
     Reset,
     /// Asks what the instance knows of itself.
     Status,
+    /// Marks a replica with a term above its own: it receives nothing until it is promoted or
+    /// resumed.
+    Mark {
+        /// The term.
+        term: Term,
+    },
+    /// Takes the mark off a replica.
+    Resume,
     /// Makes a primary of a term below this one a replica.
     StepDown {
         /// The term.
@@ -144,5 +152,7 @@
         pub term: Term,
         /// The last commit that it received.
         pub received: LogPosition,
+        /// The highest term that it is marked with; 0 without a mark.
+        pub held_term: Term,
     }
 }
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -49,13 +49,13 @@
     pub(crate) fn new(settings: EntrySettings, store: P::Store, promotion: P::Promotion) -> Self {
         Self {
             log: DecisionLog::new(settings.log_lines_per_second),
+            lead: RefCell::new(LeadState::new(settings.is_first_start)),
             settings,
             clock: Clock::start(),
             store,
             store_health: StoreHealth::default(),
             promotion,
             configuration: RefCell::new(None),
-            lead: RefCell::new(LeadState::new()),
             upstreams: RefCell::new(BTreeMap::new()),
             missing: RefCell::new(BTreeMap::new()),
             groups: RefCell::new(BTreeMap::new()),
@@ -93,7 +93,7 @@
     /// The instance that may take new work as the primary of `service` now.
     pub(crate) fn usable_primary(&self, service: &str) -> Option<Rc<Upstream<P>>> {
         let lead = self.lead.borrow();
-        if !lead.is_proved(&self.settings.host, self.now()) {
+        if !lead.is_proved(service, self.now()) {
             return None;
         }
         self.upstream(lead.table.usable_primary(service)?)
@@ -108,7 +108,7 @@
             .usable_primary(service)
             .is_some_and(|id| id == instance)
         {
-            return lead.is_proved(&self.settings.host, now);
+            return lead.is_proved(service, now);
         }
         let groups = self.groups.borrow();
         let leaving = groups.get(service).and_then(|group| group.leaving.as_ref());
@@ -157,21 +157,17 @@
     /// Takes in a table of leads that the store or another host gave.
     pub(crate) fn adopt_table(&self, table: LeadTable) {
         let now = self.now();
-        let (old, proved_until) = {
-            let mut lead = self.lead.borrow_mut();
-            let old = lead.table.clone();
-            let proved_until = lead.proved_until(&self.settings.host);
-            if !lead.table.adopt(table) {
-                return;
-            }
-            (old, proved_until)
-        };
+        let old = self.lead.borrow().table.clone();
+        if !self.lead.borrow_mut().table.adopt(table) {
+            return;
+        }
         let new = self.lead.borrow().table.clone();
         for (service, lead) in &new.leads {
             let before = old.leads.get(service);
             if before == Some(lead) {
                 continue;
             }
+            let proved_until = self.lead.borrow().proved_until(service);
             let by = lead.change.as_ref().map(|change| change.by.as_str());
             info!(service = service.as_str(), primary = lead.primary.as_str(),
                 change_by = by.unwrap_or("nobody"), revision = new.revision,
--- a/crates/jujubehold_settings/src/entry_settings.rs
+++ b/crates/jujubehold_settings/src/entry_settings.rs
@@ -38,6 +38,9 @@
     pub drain_timeout: Duration,
     /// How long a host that gives no sign of life stays a member.
     pub membership_lease: Duration,
+    /// Whether the whole system starts for the first time, so that no other host can have been
+    /// there before.
+    pub is_first_start: bool,
     /// How many lines a second the log may have.
     pub log_lines_per_second: u32,
 }
@@ -56,6 +59,7 @@
             promotion_address: local(2380),
             drain_timeout: Duration::from_secs(6),
             membership_lease: Duration::from_secs(3),
+            is_first_start: false,
             log_lines_per_second: 50,
         }
     }
@@ -121,6 +125,8 @@
             self.membership_lease,
             MIN_LEASE_MS..=MAX_LEASE_MS,
         );
+        self.is_first_start =
+            reader.value(section, "first_start", self.is_first_start, "true or false");
         self.log_lines_per_second = reader.number(
             section,
             "log_lines_per_second",
--- a/crates/jujubehold_settings/src/known_keys.rs
+++ b/crates/jujubehold_settings/src/known_keys.rs
@@ -57,6 +57,7 @@
     "promotion_address",
     "drain_timeout_s",
     "membership_lease_ms",
+    "first_start",
     "log_lines_per_second",
 ];
 
