Give unused connections back at once, and reach hosts that are off the list

Change: connections beyond an allowance are closed after 150 ms; the limit begins at the host's share and is lowered only by a refusal; hosts that were listed lately are asked to stop and told of new leads; reads that all replicas lack the position for wait up to half of their objective for it.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config_store;
 pub mod config_version;
 pub mod connection_queue;
+pub mod connection_share;
 pub mod drain;
 pub mod failover;
 pub mod failover_action;
--- a/crates/jujubehold_core/src/stop_wait.rs
+++ b/crates/jujubehold_core/src/stop_wait.rs
@@ -39,13 +39,6 @@
         self.begun_at = begun_at;
     }
 
-    /// Notes that the store no longer lists `host`: what is left of its rights lapses by itself.
-    pub fn note_gone(&mut self, host: &str) {
-        if self.waited_for.remove(host) {
-            self.knows_all_hosts = false;
-        }
-    }
-
     /// Notes that `host` said that it stopped.
     pub fn note_stopped(&mut self, host: &str) {
         self.waited_for.remove(host);
--- a/crates/jujubehold_core/tests/entry_load.rs
+++ b/crates/jujubehold_core/tests/entry_load.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use jujubehold_core::connection_queue::{ConnectionQueue, ConnectionRequest};
+use jujubehold_core::connection_share::ConnectionShare;
 use jujubehold_core::log_position::LogPosition;
 use jujubehold_core::prelude::*;
 use jujubehold_core::primary_marks::PrimaryMarks;
@@ -159,3 +160,24 @@
     let floor = read_floor(Consistency::Primary, &marks, None, ms(1_000));
     assert_eq!(floor, ReadFloor::PrimaryOnly);
 }
+
+// The day that showed it: 21 connections of a primary were open, 15 of them unused by hosts with few
+// callers, while the host with most callers was refused.
+#[test]
+fn hosts_with_few_callers_leave_room_for_the_busy_one() {
+    let (max, hosts) = (21, 6);
+    let share = ConnectionShare::new(max, hosts);
+    let idle_long = ms(500);
+    let unused = (0..share.limit).filter(|rank| !share.is_spare(*rank, idle_long));
+    let kept_by_others = unused.count() * (hosts - 1);
+    assert!(kept_by_others + share.limit <= max, "{share:?}");
+}
+
+#[test]
+fn a_connection_is_kept_through_short_pauses() {
+    let share = ConnectionShare::new(43, 8);
+    assert!(!share.is_spare(5, ms(100)));
+    assert!(share.is_spare(5, ms(200)));
+    assert!(!share.is_spare(0, ms(1_000)));
+    assert!(share.is_spare(0, ms(2_000)));
+}
--- a/crates/jujubehold_entry/src/callers/operation.rs
+++ b/crates/jujubehold_entry/src/callers/operation.rs
@@ -25,6 +25,12 @@
         }
     }
 
+    /// Until when a request that arrived at `arrived_at` waits for replicas to catch up: half of the
+    /// time in which its answer has its full worth.
+    pub(crate) fn catch_up_until(&self, arrived_at: Monotonic) -> Monotonic {
+        arrived_at + self.route.objective / 2
+    }
+
     /// When a statement that arrived at `arrived_at` must have been answered.
     pub(crate) fn deadline(&self, arrived_at: Monotonic) -> Monotonic {
         arrived_at + self.route.statement_timeout
--- a/crates/jujubehold_entry/src/callers/single.rs
+++ b/crates/jujubehold_entry/src/callers/single.rs
@@ -24,6 +24,8 @@
 const PROOF_PATIENCE: Duration = Duration::from_millis(1_500);
 /// What a caller is asked to wait for a primary to be replaced.
 const CHANGE_EXPECTED: Duration = Duration::from_millis(600);
+/// How long a read waits before it asks again for a position that all replicas lacked.
+const BEHIND_PAUSE: Duration = Duration::from_millis(40);
 /// How long a read waits for a newer position of the primary.
 const MARK_PATIENCE: Duration = Duration::from_millis(120);
 
@@ -41,13 +43,32 @@
         operation: &Operation,
         statement: &Statement,
         arrived_at: Monotonic,
+    ) -> Result<UpstreamReply, Failure> {
+        loop {
+            let result = self.try_instances(operation, statement, arrived_at).await;
+            let Err(failure) = result else {
+                return result;
+            };
+            // Replicas that lack the position soon have it, and the caller can do no better than
+            // to come back for them.
+            let is_behind = failure.reason() == ErrorCode::Behind.as_str();
+            let give_up_at = operation.catch_up_until(arrived_at);
+            if !is_behind || self.shared.now() + BEHIND_PAUSE >= give_up_at {
+                return Err(failure);
+            }
+            self.shared.wait_for_change(BEHIND_PAUSE).await;
+        }
+    }
+
+    async fn try_instances(
+        &mut self,
+        operation: &Operation,
+        statement: &Statement,
+        arrived_at: Monotonic,
     ) -> Result<UpstreamReply, Failure> {
         let mut failure = None;
-        let mut candidates = self
-            .read_candidates(operation, arrived_at)
-            .await?
-            .into_iter()
-            .peekable();
+        let candidates = self.read_candidates(operation, arrived_at).await?;
+        let mut candidates = candidates.into_iter().peekable();
         while let Some(candidate) = candidates.next() {
             let is_last = candidates.peek().is_none();
             match self
@@ -65,8 +86,8 @@
                 break;
             }
         }
-        Err(failure
-            .unwrap_or_else(|| refuse(RefusalReason::NoFreshReplica, CHANGE_EXPECTED).into()))
+        let none = || refuse(RefusalReason::NoFreshReplica, CHANGE_EXPECTED).into();
+        Err(failure.unwrap_or_else(none))
     }
 
     async fn try_read(
--- a/crates/jujubehold_entry/src/control/instances.rs
+++ b/crates/jujubehold_entry/src/control/instances.rs
@@ -16,7 +16,7 @@
 /// How long an entry that was removed while the store was away is waited for after its return.
 const RETURN_WAIT: Duration = Duration::from_secs(2);
 /// Connections to an instance until its service's limit is known.
-const INITIAL_LIMIT: usize = 2;
+const INITIAL_LIMIT: usize = 4;
 
 /// Takes in one item of the store.
 pub(crate) fn apply_item<P: Platform>(shared: &Shared<P>, item: &StoreItem) {
@@ -194,11 +194,9 @@
         return;
     }
     lead.members_revision = revision;
-    lead.seen_at.insert(host.into(), now);
-    let is_new = lead
-        .members
-        .insert(host.into(), Member { peer_address })
-        .is_none();
+    let member = Member { peer_address };
+    lead.note_seen(&host.into(), &member, now);
+    let is_new = lead.members.insert(host.into(), member).is_none();
     if is_new {
         info!(host, peer:? = peer_address; "a host joined the list");
     }
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -103,18 +103,17 @@
     }
 
     fn send_to_all<P: Platform>(&self, shared: &Shared<P>, message: &PeerMessage) {
-        let others = shared.lead.borrow().others(&shared.settings.host);
+        let others = shared
+            .lead
+            .borrow()
+            .others(&shared.settings.host, shared.now());
         for host in &others {
             self.send_to(shared, host, message);
         }
     }
 
     fn send_to<P: Platform>(&self, shared: &Shared<P>, host: &str, message: &PeerMessage) {
-        let address = {
-            let lead = shared.lead.borrow();
-            lead.members.get(host).map(|member| member.peer_address)
-        };
-        let Some(address) = address else {
+        let Some(address) = shared.lead.borrow().peer_address(host) else {
             return;
         };
         // A datagram that can't be sent counts as lost, and is sent again by who needs it.
--- a/crates/jujubehold_entry/src/control/primary_change.rs
+++ b/crates/jujubehold_entry/src/control/primary_change.rs
@@ -147,7 +147,10 @@
     revision: Revision,
 ) {
     loop {
-        let mut hosts = shared.lead.borrow().others(&shared.settings.host);
+        let mut hosts = shared
+            .lead
+            .borrow()
+            .others(&shared.settings.host, shared.now());
         for host in peers.stopped(&service, revision) {
             hosts.remove(&host);
         }
@@ -256,7 +259,10 @@
             return None;
         }
         let stopped = peers.stopped(&announced.service, announced.revision);
-        let others = shared.lead.borrow().others(&shared.settings.host);
+        let others = shared
+            .lead
+            .borrow()
+            .others(&shared.settings.host, shared.now());
         if stop(shared, &announced.service) && others.is_subset(&stopped) {
             return Some(());
         }
@@ -280,9 +286,6 @@
         for host in peers.stopped(&announced.service, announced.revision) {
             wait.note_stopped(&host);
         }
-        for host in gone_hosts(shared, wait.waited_for()) {
-            wait.note_gone(&host);
-        }
         if stop(shared, &announced.service) && wait.is_over(now) {
             let waited_ms = millis(now.saturating_sub(announced.since));
             let silent = wait.waited_for().len();
@@ -304,7 +307,6 @@
     begun_at: Monotonic,
 ) -> StopWait {
     let settings = LeadProofSettings::default();
-    let since = announced.since.saturating_sub(settings.horizon());
     let knows_before = {
         let state = shared.lead.borrow();
         state.proof.knows_all_hosts(announced.since)
@@ -312,18 +314,12 @@
     let listed = listed_hosts(shared).await;
     let knows_all = knows_before && listed.is_some();
     let mut hosts = listed.unwrap_or_default();
-    hosts.extend(shared.lead.borrow().seen_since(since));
+    let state = shared.lead.borrow();
+    hosts.extend(state.others(&shared.settings.host, announced.since));
     hosts.remove(&shared.settings.host);
     StopWait::new(settings, begun_at, hosts, knows_all)
 }
 
-// A host that is off the list answers nothing that could be waited for.
-fn gone_hosts<P: Platform>(shared: &Shared<P>, hosts: &BTreeSet<HostId>) -> Vec<HostId> {
-    let state = shared.lead.borrow();
-    let is_gone = |host: &&HostId| !state.members.contains_key(*host);
-    hosts.iter().filter(is_gone).cloned().collect()
-}
-
 async fn listed_hosts<P: Platform>(shared: &Shared<P>) -> Option<BTreeSet<HostId>> {
     let listing = shared.store.list(HOSTS_PREFIX);
     match within(shared, "list", CALL_TIMEOUT, listing).await {
--- a/crates/jujubehold_entry/src/lead_state.rs
+++ b/crates/jujubehold_entry/src/lead_state.rs
@@ -19,8 +19,9 @@
     pub(crate) members: BTreeMap<HostId, Member>,
     /// The store's revision that the list is of.
     pub(crate) members_revision: Revision,
-    /// When each host was last seen in the list.
-    pub(crate) seen_at: BTreeMap<HostId, Monotonic>,
+    /// Every host that was listed lately, with when that was. One that is off the list may live and
+    /// be reached by the others.
+    pub(crate) seen: BTreeMap<HostId, (Member, Monotonic)>,
     pub(crate) membership: Option<Membership>,
     /// What the replicas of each service prove.
     pub(crate) evidence: BTreeMap<ServiceId, ReplicaEvidence>,
@@ -49,30 +50,39 @@
             proof: LeadProof::new(LeadProofSettings::default(), is_first_start),
             members: BTreeMap::new(),
             members_revision: 0,
-            seen_at: BTreeMap::new(),
+            seen: BTreeMap::new(),
             membership: None,
             evidence: BTreeMap::new(),
             evidence_until: BTreeMap::new(),
         }
     }
 
-    /// The other hosts.
-    pub(crate) fn others(&self, host: &str) -> BTreeSet<HostId> {
-        let others = self.members.keys().filter(|name| *name != host);
-        others.cloned().collect()
-    }
-
     /// The hosts that were listed at any time since `since`, this one too.
     pub(crate) fn seen_since(&self, since: Monotonic) -> BTreeSet<HostId> {
-        let seen = self
-            .seen_at
-            .iter()
-            .filter(|(_, seen_at)| **seen_at >= since);
+        let seen = self.seen.iter().filter(|(_, (_, at))| *at >= since);
         seen.map(|(host, _)| host.clone())
             .chain(self.members.keys().cloned())
             .collect()
     }
 
+    /// The other hosts that may still use a primary at `now`.
+    pub(crate) fn others(&self, host: &str, now: Monotonic) -> BTreeSet<HostId> {
+        let horizon = LeadProofSettings::default().horizon();
+        let mut others = self.seen_since(now.saturating_sub(horizon));
+        others.remove(host);
+        others
+    }
+
+    /// Where a host is reached that is or was listed.
+    pub(crate) fn peer_address(&self, host: &str) -> Option<SocketAddr> {
+        self.seen.get(host).map(|(member, _)| member.peer_address)
+    }
+
+    /// Notes that a host is listed.
+    pub(crate) fn note_seen(&mut self, host: &HostId, member: &Member, at: Monotonic) {
+        self.seen.insert(host.clone(), (member.clone(), at));
+    }
+
     /// Takes in the whole list of hosts as of `revision`, asked for at `asked_at`; whether it is no
     /// older than the one known.
     pub(crate) fn set_members(
@@ -81,8 +91,8 @@
         revision: Revision,
         asked_at: Monotonic,
     ) -> bool {
-        for host in members.keys() {
-            self.seen_at.insert(host.clone(), asked_at);
+        for (host, member) in &members {
+            self.note_seen(host, member, asked_at);
         }
         if revision < self.members_revision {
             return false;
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use jujubehold_core::connection_queue::{ConnectionQueue, ConnectionRequest, WaitTicket};
+use jujubehold_core::connection_share::ConnectionShare;
 use jujubehold_core::prelude::*;
 use jujubehold_core::read_placement::PlacementOption;
 use jujubehold_core::upstream_health::UpstreamHealth;
@@ -22,8 +23,6 @@
 /// How long a connection may take to open: a round trip between regions, the instance's own time
 /// and one retransmission.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
-/// How long an idle connection is kept.
-const IDLE_KEPT: Duration = Duration::from_secs(4);
 /// How often the limit rises by one after the instance refused a connection.
 const LIMIT_RECOVERY: Duration = Duration::from_millis(300);
 
@@ -65,7 +64,8 @@
     idle: Vec<UpstreamConnection<P>>,
     open_count: usize,
     limit: usize,
-    limit_lowered_at: Monotonic,
+    /// When the instance last refused a connection, or the limit rose again after that.
+    limited_at: Option<Monotonic>,
     next_ticket: WaitTicket,
     queue: ConnectionQueue,
     waiters: BTreeMap<WaitTicket, oneshot::Sender<Grant<P>>>,
@@ -90,7 +90,7 @@
                 idle: Vec::new(),
                 open_count: 0,
                 limit,
-                limit_lowered_at: Monotonic::ZERO,
+                limited_at: None,
                 next_ticket: 0,
                 queue: ConnectionQueue::default(),
                 waiters: BTreeMap::new(),
@@ -287,7 +287,7 @@
                 let mut pool = self.pool.borrow_mut();
                 // This connection is still counted and does not exist.
                 pool.limit = (pool.open_count - 1).max(1);
-                pool.limit_lowered_at = now;
+                pool.limited_at = Some(now);
                 drop(pool);
                 self.health.borrow_mut().note_alive(now);
             }
@@ -343,25 +343,20 @@
         pool.offer_room(now);
     }
 
-    /// Sets how many connections this host may have, closes idle ones that nobody needs and lets
+    /// Sets how many connections this host may have, closes idle ones that it need not keep and lets
     /// the limit rise again after a refusal.
-    pub(crate) fn keep(&self, share: usize, keeps_one: bool) {
+    pub(crate) fn keep(&self, share: &ConnectionShare, keeps_one: bool) {
         let now = self.clock.now();
         let mut pool = self.pool.borrow_mut();
-        if pool.limit > share {
-            pool.limit = share;
-        } else if now.saturating_sub(pool.limit_lowered_at) >= LIMIT_RECOVERY {
-            pool.limit = (pool.limit + 1).min(share);
-            pool.limit_lowered_at = now;
-        }
-        let mut removable = pool.idle.len().saturating_sub(usize::from(keeps_one));
+        pool.raise_limit(now, share.limit);
         let before = pool.idle.len();
+        // The one used last stands last.
+        let mut rank = before;
         pool.idle.retain(|connection| {
-            let is_old = now.saturating_sub(connection.idle_since) > IDLE_KEPT && removable > 0;
-            if is_old {
-                removable -= 1;
-            }
-            !is_old && !connection.is_stale()
+            rank -= 1;
+            let idle = now.saturating_sub(connection.idle_since);
+            let is_kept = (keeps_one && rank == 0) || !share.is_spare(rank, idle);
+            is_kept && !connection.is_stale()
         });
         pool.open_count -= before - pool.idle.len();
         pool.offer_room(now);
@@ -376,6 +371,18 @@
 }
 
 impl<P: Platform> PoolState<P> {
+    // After a refusal the limit rises step by step, since all hosts want what becomes free.
+    fn raise_limit(&mut self, now: Monotonic, share: usize) {
+        let Some(limited_at) = self.limited_at else {
+            self.limit = share;
+            return;
+        };
+        if now.saturating_sub(limited_at) >= LIMIT_RECOVERY {
+            self.limit = (self.limit + 1).min(share);
+            self.limited_at = (self.limit < share).then_some(now);
+        }
+    }
+
     fn next_waiter(&mut self, now: Monotonic) -> Option<oneshot::Sender<Grant<P>>> {
         let ticket = self.queue.pop(now)?;
         self.waiters.remove(&ticket)
