Count the votes of hosts that are heard, and give lapsed entries time to return

An instance that is not listed is gone only 2.6 s after the directory was first followed and the store came back.

--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -34,8 +34,10 @@
     Table = 0,
     /// The sender misses a primary.
     Vote = 1,
+    /// The sender reaches a primary that the receiver misses.
+    Reaches = 2,
     /// Asks the receiver to stop using a primary.
-    Stop = 2,
+    Stop = 3,
     /// The sender has stopped.
-    Stopped = 3,
+    Stopped = 4,
 }
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -153,20 +153,43 @@
     };
     match kind {
         PeerMessageKind::Table => {}
-        PeerMessageKind::Vote => take_vote(shared, message),
+        PeerMessageKind::Vote => {
+            take_vote(shared, message, true);
+            answer_vote(shared, peers, message);
+        }
+        PeerMessageKind::Reaches => take_vote(shared, message, false),
         PeerMessageKind::Stop => answer_stop(shared, peers, message),
         PeerMessageKind::Stopped => take_stopped(peers, message),
     }
 }
 
-fn take_vote<P: Platform>(shared: &Shared<P>, vote: &PeerMessage) {
+// A host that the store does not list is cut off, and what it misses says little.
+fn take_vote<P: Platform>(shared: &Shared<P>, vote: &PeerMessage, misses: bool) {
     let now = shared.now();
+    let host: HostId = vote.from.as_str().into();
+    if !shared.lead.borrow().members.contains_key(&host) {
+        return;
+    }
     shared.with_group(&vote.service.as_str().into(), |group| {
-        let host = vote.from.as_str().into();
-        group.votes.note(now, &host, &vote.instance.as_str().into());
+        group
+            .votes
+            .note(now, &host, &vote.instance.as_str().into(), misses);
     });
 }
 
+// A host that reaches what another one misses says so.
+fn answer_vote<P: Platform>(shared: &Shared<P>, peers: &Peers, vote: &PeerMessage) {
+    let reaches = shared
+        .upstream(&vote.instance)
+        .is_some_and(|upstream| upstream.health.borrow().silent_since().is_none());
+    if reaches {
+        let mut answer = message(shared, PeerMessageKind::Reaches);
+        answer.service.clone_from(&vote.service);
+        answer.instance.clone_from(&vote.instance);
+        peers.send_to(shared, &vote.from, &answer);
+    }
+}
+
 // A host that uses the primary still, or replaces it itself, gives no answer and is asked again.
 fn answer_stop<P: Platform>(shared: &Shared<P>, peers: &Peers, question: &PeerMessage) {
     let service: ServiceId = question.service.as_str().into();
--- a/crates/jujubehold_entry/src/control/primary_keeper.rs
+++ b/crates/jujubehold_entry/src/control/primary_keeper.rs
@@ -85,7 +85,7 @@
     let is_missed = shared.with_group(service, |group| {
         let is_missed = group.votes.is_missed(silent_since, now);
         if is_missed {
-            group.votes.note(now, &shared.settings.host, &id);
+            group.votes.note(now, &shared.settings.host, &id, true);
         }
         is_missed
     });
@@ -155,7 +155,7 @@
         return is_orphaned.then_some(ChangeReason::Orphaned);
     }
     let Some(upstream) = shared.upstream(&lead.primary) else {
-        return Some(ChangeReason::Gone);
+        return shared.knows_directory().then_some(ChangeReason::Gone);
     };
     if upstream.entry().lifecycle == InstanceLifecycle::Leaving {
         return Some(ChangeReason::Leaving);
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -84,6 +84,9 @@
             apply_item(shared, item);
         }
     }
+    if shared.directory_since.get().is_none() {
+        shared.directory_since.set(Some(shared.now()));
+    }
     let revision = first.unwrap_or_default();
     // The hosts' own keys are listed again and again for the proof that the leads are the newest.
     for key in listed_keys(shared) {
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -22,6 +22,9 @@
 /// everybody else.
 const LEAVING_LIMIT: Duration = Duration::from_millis(900);
 
+/// How long entries of instances may take to come back after the store did, with some allowance.
+const ENTRIES_RETURN: Duration = Duration::from_millis(2_600);
+
 /// The state of one host.
 #[derive(Debug)]
 pub(crate) struct Shared<P: Platform> {
@@ -34,6 +37,8 @@
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
     pub(crate) lead: RefCell<LeadState>,
     pub(crate) upstreams: RefCell<BTreeMap<InstanceId, Rc<Upstream<P>>>>,
+    /// Since when the directory has been followed; `None` before it was first listed.
+    pub(crate) directory_since: Cell<Option<Monotonic>>,
     /// Instances whose entry was removed, and when that was seen.
     pub(crate) missing: RefCell<BTreeMap<InstanceId, Monotonic>>,
     pub(crate) groups: RefCell<BTreeMap<ServiceId, Group>>,
@@ -57,6 +62,7 @@
             promotion,
             configuration: RefCell::new(None),
             upstreams: RefCell::new(BTreeMap::new()),
+            directory_since: Cell::new(None),
             missing: RefCell::new(BTreeMap::new()),
             groups: RefCell::new(BTreeMap::new()),
             changed: Notify::new(),
@@ -81,6 +87,16 @@
         self.upstreams.borrow().get(id).cloned()
     }
 
+    /// Whether an instance that is not listed is gone: entries that lapsed while the store was away
+    /// come back within two seconds, and a host that has just started may have listed before that.
+    pub(crate) fn knows_directory(&self) -> bool {
+        let now = self.now();
+        let followed_since = self.directory_since.get();
+        let is_followed =
+            followed_since.is_some_and(|since| now.saturating_sub(since) > ENTRIES_RETURN);
+        is_followed && !self.store_health.was_lost_within(now, ENTRIES_RETURN)
+    }
+
     /// Every listed instance of `service`.
     pub(crate) fn upstreams_of(&self, service: &str) -> Vec<Rc<Upstream<P>>> {
         let upstreams = self.upstreams.borrow();
