Have hosts that know all hosts replace a primary first

Back on the list it replaced two primaries, and waited the windows out each time (2.9 and 2.9 s), since it could not know every host; any other one would have asked them.

Change: a host that may not know all hosts acts a second later; the others follow each other by 150 ms in place of 350.

--- a/crates/jujubehold_entry/src/control/primary_keeper.rs
+++ b/crates/jujubehold_entry/src/control/primary_keeper.rs
@@ -21,7 +21,10 @@
 /// How often the services are looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// How much later each further host acts.
-const RANK_PAUSE: Duration = Duration::from_millis(350);
+const RANK_PAUSE: Duration = Duration::from_millis(150);
+/// How much later a host acts that may not know all hosts: it has to wait for windows to lapse,
+/// where another one asks.
+const UNKNOWING_PAUSE: Duration = Duration::from_secs(1);
 /// How often a host repeats that it misses a primary.
 const VOTE_INTERVAL: Duration = Duration::from_millis(200);
 /// For how long a host that is off the list still counts among those that may miss a primary.
@@ -114,7 +117,7 @@
     if entry.0 != reason {
         *entry = (reason, now);
     }
-    let patience = RANK_PAUSE * rank(shared) + least_wait(reason);
+    let patience = turn(shared, now) + least_wait(reason);
     if now.saturating_sub(entry.1) < patience || !peers.begin_change(service) {
         return;
     }
@@ -168,14 +171,20 @@
     is_lost.then_some(ChangeReason::Lost)
 }
 
-/// This host's place in the order in which hosts act.
-fn rank<P: Platform>(shared: &Shared<P>) -> u32 {
+/// How long this host leaves a change to those before it in the order of names.
+fn turn<P: Platform>(shared: &Shared<P>, now: Monotonic) -> Duration {
     let state = shared.lead.borrow();
     let before = state
         .members
         .keys()
-        .filter(|host| **host < shared.settings.host);
-    u32::try_from(before.count()).unwrap_or(u32::MAX)
+        .filter(|host| **host < shared.settings.host)
+        .count();
+    let turn = RANK_PAUSE * u32::try_from(before).unwrap_or(u32::MAX);
+    if state.proof.knows_all_hosts(now) {
+        turn
+    } else {
+        turn + UNKNOWING_PAUSE
+    }
 }
 
 // The instance that the list calls the primary. Where two say so, their terms must tell; that is a
