--- a/crates/jujubehold/src/command.rs
+++ b/crates/jujubehold/src/command.rs
@@ -4,8 +4,8 @@
 
 use crate::cli_error::CliError;
 use crate::commands::{
-    check, demo, drain, entry, experiment, faults, host, load, replay, show, standin_database,
-    standin_platform, status, submit,
+    check, demo, drain, entry, experiment, explain, faults, host, load, replay, show,
+    standin_database, standin_platform, status, submit,
 };
 
 /// One subcommand.
@@ -27,6 +27,8 @@
     Undrain,
     /// Shows a host's counters.
     Status,
+    /// Tells what happened to one request.
+    Explain,
     /// Runs a stand-in of a database instance.
     StandinDatabase,
     /// Runs a stand-in of the platform's service.
@@ -45,7 +47,7 @@
 
 impl Command {
     /// Every command, in the order of the overview.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Host,
         Self::Entry,
         Self::Check,
@@ -54,6 +56,7 @@
         Self::Drain,
         Self::Undrain,
         Self::Status,
+        Self::Explain,
         Self::StandinDatabase,
         Self::StandinPlatform,
         Self::Faults,
@@ -74,6 +77,7 @@
             Self::Drain => "drain",
             Self::Undrain => "undrain",
             Self::Status => "status",
+            Self::Explain => "explain",
             Self::StandinDatabase => "standin-database",
             Self::StandinPlatform => "standin-platform",
             Self::Faults => "faults",
@@ -99,6 +103,7 @@
             Self::Drain => "take an upstream out of service",
             Self::Undrain => "take an upstream back into service",
             Self::Status => "show a host's counters",
+            Self::Explain => "tell what happened to one request, out of hosts' logs",
             Self::StandinDatabase => "run a stand-in of a database instance",
             Self::StandinPlatform => "run a stand-in of the platform's key-value service",
             Self::Faults => "run a proxy that injects faults",
@@ -123,6 +128,7 @@
             Self::Drain => drain::run(arguments, drain::Direction::Out),
             Self::Undrain => drain::run(arguments, drain::Direction::In),
             Self::Status => status::run(arguments),
+            Self::Explain => explain::run(arguments),
             Self::StandinDatabase => standin_database::run(arguments),
             Self::StandinPlatform => standin_platform::run(arguments),
             Self::Faults => faults::run(arguments),
--- a/crates/jujubehold/src/commands/check.rs
+++ b/crates/jujubehold/src/commands/check.rs
@@ -1,7 +1,7 @@
 //! `jujubehold check`: names every fault of settings and configuration files.
 
 use getopts::Options;
-use jujubehold_settings::{HostSettings, IniFaults, parse_service};
+use jujubehold_settings::{EntrySettings, HostSettings, IniFaults, parse_service};
 
 use super::read_file;
 use crate::cli_error::CliError;
@@ -11,7 +11,8 @@
 const HELP: CommandHelp = CommandHelp {
     usage: "check FILE...",
     about: "Checks host settings and service configurations, and names every fault of every file \
-            at once.\nA file with a [service] section is a configuration; any other is settings.",
+            at once.\nA file with a [service] section is a configuration, one with [entry] the settings of \
+            an entry host\non a platform; any other is a host's settings.",
     exits: &[ExitStatus::Ok, ExitStatus::Usage, ExitStatus::BadInput],
     example: "jujubehold check host.ini greenville-shares.ini",
 };
@@ -45,6 +46,9 @@
     if is_service {
         return parse_service(file, text).map(|_| "configuration of a service");
     }
+    if text.lines().any(|line| line.trim() == "[entry]") {
+        return EntrySettings::parse(file, text).map(|_| "settings of an entry host");
+    }
     HostSettings::parse(file, text).map(|_| "settings of a host")
 }
 
--- a/crates/jujubehold/src/commands/mod.rs
+++ b/crates/jujubehold/src/commands/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod drain;
 pub(crate) mod entry;
 pub(crate) mod experiment;
+pub(crate) mod explain;
 pub(crate) mod faults;
 pub(crate) mod host;
 pub(crate) mod load;
--- a/crates/jujubehold_entry/src/entry_host.rs
+++ b/crates/jujubehold_entry/src/entry_host.rs
@@ -1,5 +1,7 @@
 //! An entry host's start and end.
 
+use std::net::SocketAddr;
+
 use jujubehold_settings::EntrySettings;
 use log::info;
 use tokio::net::TcpListener;
@@ -26,7 +28,7 @@
     #[error("{address} can't be listened on: {error}")]
     Listen {
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// What the system says.
         error: std::io::Error,
     },
@@ -37,6 +39,7 @@
 pub struct EntryHost<P: Platform> {
     shared: Rc<Shared<P>>,
     readiness: Rc<Readiness>,
+    caller_address: SocketAddr,
 }
 
 impl<P: Platform> EntryHost<P> {
@@ -64,6 +67,7 @@
                 address: peer_address,
                 error,
             })?;
+        let caller_address = listener.local_addr().unwrap_or(caller_address);
         info!(host = settings.host.as_str(), domain = settings.domain.as_str(),
             callers:? = caller_address, version = env!("CARGO_PKG_VERSION");
             "started");
@@ -73,9 +77,15 @@
         Ok(Self {
             shared,
             readiness: Rc::new(Readiness::default()),
+            caller_address,
         })
     }
 
+    /// Where callers connect; with port 0 in the settings, the port that was free.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
     /// A question for whether the host should be given new callers, for whoever answers the
     /// platform.
     pub fn readiness(&self) -> impl Fn() -> bool + Clone + 'static {
--- a/crates/jujubehold_standin/src/lib.rs
+++ b/crates/jujubehold_standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod database;
 mod own_thread;
 pub mod platform;
+pub mod users_platform;
 
 pub use database::run_database;
 pub use own_thread::OwnThread;
--- /dev/null
+++ b/crates/jujubehold_standin/src/users_platform/handle.rs
@@ -0,0 +1,188 @@
+//! A whole platform that runs.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+use super::faults::StoreFaults;
+use super::group::Group;
+use super::http::{Call, serve};
+use super::instance::Instance;
+use super::instance_server::serve_instance;
+use super::kv_state::KvState;
+use super::store_server::serve_store;
+
+/// How often replicas receive what the primary has.
+const REPLICATION_INTERVAL: Duration = Duration::from_millis(5);
+
+/// One instance to start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InstanceSpec {
+    /// Its name.
+    pub id: &'static str,
+    /// The failure domain that it is in.
+    pub domain: &'static str,
+    /// Whether it leads at the start.
+    pub is_primary: bool,
+}
+
+/// A platform with one service.
+#[derive(Debug)]
+pub struct UsersPlatformHandle {
+    /// The group of the one service.
+    pub group: Rc<RefCell<Group>>,
+    /// Where promotions are ordered.
+    pub promotion_address: SocketAddr,
+    store: Rc<RefCell<KvState>>,
+    domains: Vec<(String, String, SocketAddr)>,
+}
+
+impl UsersPlatformHandle {
+    /// Starts a platform with one service of these instances, on loopback.
+    ///
+    /// # Errors
+    /// No port is free.
+    pub async fn start(service: &str, instances: &[InstanceSpec]) -> std::io::Result<Self> {
+        let group = Group {
+            service: service.to_owned(),
+            instances: instances
+                .iter()
+                .map(|spec| Instance::new(spec.id, spec.is_primary))
+                .collect(),
+            max_connections: 20,
+            ..Group::default()
+        };
+        let group = Rc::new(RefCell::new(group));
+        let promotion = TcpListener::bind("127.0.0.1:0").await?;
+        let mut platform = Self {
+            promotion_address: promotion.local_addr()?,
+            store: Rc::new(RefCell::new(KvState::default())),
+            domains: Vec::new(),
+            group: Rc::clone(&group),
+        };
+        for spec in instances {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let address = listener.local_addr()?;
+            let place = (spec.id.to_owned(), spec.domain.to_owned(), address);
+            platform.domains.push(place);
+            let id = spec.id.to_owned();
+            actix_rt::spawn(serve_instance(listener, Rc::clone(&group), id));
+        }
+        for spec in instances {
+            platform.list_instance(spec.id, "ready");
+        }
+        let promoted = Rc::clone(&group);
+        actix_rt::spawn(serve(promotion, move |call| {
+            std::future::ready(Some(promote(&call, &promoted)))
+        }));
+        actix_rt::spawn(replicate(group));
+        Ok(platform)
+    }
+
+    /// Starts one host's own way to the store.
+    ///
+    /// # Errors
+    /// No port is free.
+    pub async fn store_for_host(&self) -> std::io::Result<(SocketAddr, Rc<RefCell<StoreFaults>>)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let faults = Rc::new(RefCell::new(StoreFaults::default()));
+        let serving = serve_store(listener, Rc::clone(&self.store), Rc::clone(&faults));
+        actix_rt::spawn(serving);
+        Ok((address, faults))
+    }
+
+    /// Writes the operators' configuration.
+    pub fn configure(&self, version: u64, routes: &Value) {
+        let service = self.group.borrow().service.clone();
+        let max_conns = self.group.borrow().max_connections;
+        let configuration = json!({
+            "version": version,
+            "routes": routes,
+            "services": [{"name": service, "max_conns": max_conns, "sync_replicas": 0}],
+            "limits": {"tx_idle_ms": 1_000},
+        });
+        self.put("op/config", &configuration);
+    }
+
+    /// Writes an instance's entry in the state `state`.
+    ///
+    /// # Panics
+    /// The instance was not started.
+    pub fn list_instance(&self, id: &str, state: &str) {
+        let place = self.domains.iter().find(|(name, _, _)| name == id);
+        let (_, domain, address) = place.expect("the instance was started");
+        let mut group = self.group.borrow_mut();
+        let service = group.service.clone();
+        let is_primary = group
+            .instance(id)
+            .is_some_and(|instance| instance.is_primary);
+        let role = if is_primary { "primary" } else { "replica" };
+        let entry = json!({
+            "service": service,
+            "address": address.to_string(),
+            "zone": domain,
+            "version": "v1",
+            "slots": 3,
+            "state": state,
+            "warmup_left_ms": 0,
+            "db_role": role,
+            "sequence": 1,
+            "born": 1_700_000_000_000_u64,
+        });
+        drop(group);
+        self.put(&format!("servers/{id}"), &entry);
+    }
+
+    /// Removes an instance's entry.
+    pub fn unlist_instance(&self, id: &str) {
+        self.store.borrow_mut().remove(&format!("servers/{id}"));
+    }
+
+    /// Writes any value under any key, as another writer may.
+    pub fn put(&self, key: &str, value: &Value) {
+        let text = STANDARD.encode(value.to_string());
+        self.store.borrow_mut().put(key, text, 0);
+    }
+
+    /// Removes any key, as when a lease is revoked behind its holder's back.
+    pub fn remove(&self, key: &str) {
+        self.store.borrow_mut().remove(key);
+    }
+
+    /// Forgets the store's history.
+    pub fn compact(&self) {
+        self.store.borrow_mut().compact();
+    }
+
+    /// Whether leases stand still.
+    pub fn pause_leases(&self, are_paused: bool) {
+        self.store.borrow_mut().are_leases_paused = are_paused;
+    }
+
+    /// The value under a key, as text.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let store = self.store.borrow();
+        let value = STANDARD.decode(&store.items.get(key)?.value).ok()?;
+        String::from_utf8(value).ok()
+    }
+}
+
+fn promote(call: &Call, group: &Rc<RefCell<Group>>) -> (u16, Value) {
+    let id = call.body["id"].as_str().unwrap_or_default();
+    let is_taken = group.borrow_mut().promote(id, call.fencing_token);
+    (if is_taken { 200 } else { 409 }, json!({}))
+}
+
+async fn replicate(group: Rc<RefCell<Group>>) {
+    loop {
+        actix_rt::time::sleep(REPLICATION_INTERVAL).await;
+        group.borrow_mut().replicate();
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_standin/src/users_platform/instance_server.rs
@@ -0,0 +1,398 @@
+//! What instances speak.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::group::{Group, Run};
+
+/// How often a connection looks whether its instance died.
+const DEATH_LOOK: Duration = Duration::from_millis(5);
+
+/// Serves the connections of the instance called `id`.
+pub(crate) async fn serve_instance(listener: TcpListener, group: Rc<RefCell<Group>>, id: String) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let connection = Connection::new(Rc::clone(&group), id.clone());
+        actix_rt::spawn(connection.serve(stream));
+    }
+}
+
+#[derive(Debug)]
+struct Connection {
+    group: Rc<RefCell<Group>>,
+    id: String,
+    values: BTreeMap<String, String>,
+    statements: BTreeMap<String, (bool, String)>,
+    transaction: Option<Transaction>,
+    is_counted: bool,
+}
+
+#[derive(Debug)]
+struct Transaction {
+    is_read_only: bool,
+    writes: Vec<(String, String)>,
+    has_failed: bool,
+}
+
+/// What a statement brings.
+enum Outcome {
+    Rows(Vec<String>),
+    Error(&'static str),
+}
+
+/// A connection that ends without an answer.
+struct AnswerLost;
+
+impl Connection {
+    fn new(group: Rc<RefCell<Group>>, id: String) -> Self {
+        Self {
+            group,
+            id,
+            values: BTreeMap::new(),
+            statements: BTreeMap::new(),
+            transaction: None,
+            is_counted: false,
+        }
+    }
+
+    async fn serve(mut self, stream: TcpStream) {
+        if self.is_dead() {
+            return;
+        }
+        let (read, write) = stream.into_split();
+        let group = Rc::clone(&self.group);
+        let id = self.id.clone();
+        let dies = async {
+            while !is_dead(&group, &id) {
+                actix_rt::time::sleep(DEATH_LOOK).await;
+            }
+        };
+        tokio::select! {
+            () = self.converse(BufReader::new(read), write) => {}
+            () = dies => {}
+        }
+        self.close();
+    }
+
+    async fn converse(&mut self, mut read: BufReader<OwnedReadHalf>, mut write: OwnedWriteHalf) {
+        let mut line = String::new();
+        while let Ok(1..) = read.read_line(&mut line).await {
+            while self.is_dark() {
+                actix_rt::time::sleep(DEATH_LOOK).await;
+            }
+            let message = line.trim_end_matches(['\r', '\n']).to_owned();
+            line.clear();
+            let Ok(answer) = self.answer(&message) else {
+                return;
+            };
+            let is_refused = answer.starts_with("ERROR") && !answer.contains("READY");
+            if write.write_all(answer.as_bytes()).await.is_err() || is_refused {
+                return;
+            }
+        }
+    }
+
+    fn answer(&mut self, message: &str) -> Result<String, AnswerLost> {
+        if self.is_dead() {
+            return Err(AnswerLost);
+        }
+        let (word, rest) = message.split_once(' ').unwrap_or((message, ""));
+        match word {
+            "START" => Ok(self.start(rest)),
+            "QUERY" => {
+                let (id, text) = rest.split_once(' ').unwrap_or((rest, ""));
+                self.query(id, text)
+            }
+            _ => Err(AnswerLost),
+        }
+    }
+
+    fn start(&mut self, fields: &str) -> String {
+        let words: Vec<&str> = fields.split(' ').collect();
+        let group = self.group.borrow();
+        let service = group.service.clone();
+        let max = group.max_connections;
+        drop(group);
+        if words.first() != Some(&service.as_str()) || words.get(2) != Some(&self.id.as_str()) {
+            return "ERROR WRONGNODE\r\n".to_owned();
+        }
+        let mut group = self.group.borrow_mut();
+        let Some(instance) = group.instance(&self.id) else {
+            return "ERROR WRONGNODE\r\n".to_owned();
+        };
+        if instance.connections.get() >= max {
+            return "ERROR CONNLIMIT\r\n".to_owned();
+        }
+        instance.connections.set(instance.connections.get() + 1);
+        self.is_counted = true;
+        format!("READY I {}\r\n", instance.position())
+    }
+
+    fn query(&mut self, id: &str, text: &str) -> Result<String, AnswerLost> {
+        let outcome = self.run(id, text);
+        let is_change = matches!(text.split(' ').next(), Some("WRITE" | "COMMIT"));
+        let loses = self
+            .with_instance(|instance| instance.faults.loses_answers)
+            .unwrap_or(false);
+        if is_change && loses {
+            return Err(AnswerLost);
+        }
+        let mut answer = String::new();
+        // Writing to a string can't fail.
+        let _ = match outcome {
+            Outcome::Rows(rows) => {
+                for row in rows {
+                    let _ = write!(answer, "ROW {row}\r\n");
+                }
+                let proof = if id == "-" {
+                    "-".to_owned()
+                } else {
+                    format!("{}.{id}", self.id)
+                };
+                write!(answer, "COMPLETE {proof}\r\n")
+            }
+            Outcome::Error(code) => write!(answer, "ERROR {code} {}\r\n", self.id),
+        };
+        let position = self
+            .with_instance(|instance| instance.position())
+            .unwrap_or_default();
+        let _ = write!(answer, "READY {} {position}\r\n", self.state());
+        Ok(answer)
+    }
+
+    fn state(&self) -> &'static str {
+        match &self.transaction {
+            None => "I",
+            Some(transaction) if transaction.has_failed => "E",
+            Some(_) => "T",
+        }
+    }
+
+    fn run(&mut self, id: &str, text: &str) -> Outcome {
+        let (after, text) = match text.strip_prefix("AFTER ") {
+            Some(rest) => rest.split_once(' ').unwrap_or((rest, "")),
+            None => ("", text),
+        };
+        if !after.is_empty() && !self.has(after) {
+            return Outcome::Error("LAGGING");
+        }
+        let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
+        match word {
+            "BEGIN" => self.begin(rest == "READ"),
+            "COMMIT" => self.commit(id),
+            "ROLLBACK" => {
+                self.transaction = None;
+                Outcome::Rows(Vec::new())
+            }
+            "READ" => self.read(id, text, rest),
+            "WRITE" => self.write(id, text, rest),
+            "EXECUTE" => self.execute(id, text, rest),
+            "SET" => {
+                let (name, value) = rest.split_once(' ').unwrap_or((rest, ""));
+                self.values.insert(name.to_owned(), value.to_owned());
+                Outcome::Rows(Vec::new())
+            }
+            "PREPARE" => {
+                let words: Vec<&str> = rest.split(' ').collect();
+                let is_write = words.get(1) == Some(&"WRITE");
+                let shape = words.get(2).copied().unwrap_or_default();
+                let statement = (is_write, shape.to_owned());
+                self.statements.insert(words[0].to_owned(), statement);
+                Outcome::Rows(Vec::new())
+            }
+            "RESET" => {
+                self.values.clear();
+                self.statements.clear();
+                Outcome::Rows(Vec::new())
+            }
+            "STATUS" | "PAUSE" | "RESUME" | "STEPDOWN" => self.control(word, rest),
+            _ => Outcome::Error("MALFORMED"),
+        }
+    }
+
+    fn begin(&mut self, is_read_only: bool) -> Outcome {
+        let is_primary = self.with_instance(|instance| instance.is_primary);
+        if !is_read_only && is_primary != Some(true) {
+            return Outcome::Error("RDONLY");
+        }
+        self.transaction = Some(Transaction {
+            is_read_only,
+            writes: Vec::new(),
+            has_failed: false,
+        });
+        Outcome::Rows(Vec::new())
+    }
+
+    // A plain transaction whose instance has lost the lead fails.
+    fn has_lost_lead(&mut self) -> bool {
+        let is_primary = self.with_instance(|instance| instance.is_primary);
+        match &mut self.transaction {
+            Some(transaction) if !transaction.is_read_only && is_primary != Some(true) => {
+                transaction.has_failed = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn is_busy(&mut self) -> bool {
+        self.with_instance(|instance| instance.faults.is_busy) == Some(true)
+    }
+
+    fn commit(&mut self, id: &str) -> Outcome {
+        if self.is_busy() {
+            return Outcome::Error("BUSY");
+        }
+        let has_written = self
+            .transaction
+            .as_ref()
+            .is_some_and(|transaction| !transaction.writes.is_empty());
+        if has_written && self.has_lost_lead() {
+            self.transaction = None;
+            return Outcome::Error("RDONLY");
+        }
+        self.note_run(id, "COMMIT");
+        if let Some(transaction) = self.transaction.take() {
+            let group = Rc::clone(&self.group);
+            group.borrow_mut().commit(&self.id, transaction.writes);
+        }
+        Outcome::Rows(Vec::new())
+    }
+
+    fn read(&mut self, id: &str, text: &str, item: &str) -> Outcome {
+        if self.is_busy() {
+            return Outcome::Error("BUSY");
+        }
+        if self.has_lost_lead() {
+            return Outcome::Error("RDONLY");
+        }
+        self.note_run(id, text);
+        let own = self.transaction.as_ref().and_then(|transaction| {
+            let mut writes = transaction.writes.iter().rev();
+            writes
+                .find(|(key, _)| key == item)
+                .map(|(_, value)| value.clone())
+        });
+        let stored = self.with_instance(|instance| instance.value(item).map(str::to_owned));
+        Outcome::Rows(own.or_else(|| stored.flatten()).into_iter().collect())
+    }
+
+    fn write(&mut self, id: &str, text: &str, fields: &str) -> Outcome {
+        if self.is_busy() {
+            return Outcome::Error("BUSY");
+        }
+        let is_primary = self.with_instance(|instance| instance.is_primary);
+        if is_primary != Some(true) || self.has_lost_lead() {
+            if let Some(transaction) = &mut self.transaction {
+                transaction.has_failed = true;
+            }
+            return Outcome::Error("RDONLY");
+        }
+        self.note_run(id, text);
+        let (item, data) = fields.split_once(' ').unwrap_or((fields, ""));
+        let write = (item.to_owned(), data.to_owned());
+        match &mut self.transaction {
+            Some(transaction) => transaction.writes.push(write),
+            None => self.group.borrow_mut().commit(&self.id, vec![write]),
+        }
+        Outcome::Rows(Vec::new())
+    }
+
+    fn execute(&mut self, id: &str, text: &str, fields: &str) -> Outcome {
+        let (name, arguments) = fields.split_once(' ').unwrap_or((fields, ""));
+        let Some((is_write, shape)) = self.statements.get(name).cloned() else {
+            return Outcome::Error("NOSTMT");
+        };
+        let told = format!("{text} of {shape}");
+        if is_write {
+            self.write(id, &told, arguments)
+        } else {
+            self.read(id, &told, arguments)
+        }
+    }
+
+    fn control(&mut self, word: &str, fields: &str) -> Outcome {
+        if self.is_busy() {
+            return Outcome::Error("BUSY");
+        }
+        let term = fields.parse().unwrap_or(0);
+        let row = self.with_instance(|instance| {
+            match word {
+                "PAUSE" if !instance.is_primary => instance.held_term = term,
+                "RESUME" => instance.held_term = 0,
+                "STEPDOWN" if instance.term < term => instance.is_primary = false,
+                _ => {}
+            }
+            let role = if instance.is_primary {
+                "primary"
+            } else {
+                "replica"
+            };
+            let (term, held) = (instance.term, instance.held_term);
+            let connections = instance.connections.get();
+            format!(
+                "{role} {term} {} {held} 0 0 {connections}",
+                instance.position()
+            )
+        });
+        Outcome::Rows(row.into_iter().collect())
+    }
+
+    fn note_run(&mut self, id: &str, text: &str) {
+        let run = Run {
+            id: id.to_owned(),
+            instance: self.id.clone(),
+            text: text.to_owned(),
+            values: self
+                .values
+                .iter()
+                .map(|(name, value)| format!("{name}={value}"))
+                .collect(),
+            in_transaction: self.transaction.is_some(),
+        };
+        self.group.borrow_mut().runs.push(run);
+    }
+
+    fn has(&mut self, position: &str) -> bool {
+        let parsed = position
+            .split_once('.')
+            .and_then(|(term, number)| Some((term.parse().ok()?, number.parse().ok()?)));
+        let Some((term, number)) = parsed else {
+            return false;
+        };
+        self.with_instance(|instance| instance.has(term, number)) == Some(true)
+    }
+
+    fn with_instance<T>(&self, act: impl FnOnce(&mut super::Instance) -> T) -> Option<T> {
+        self.group.borrow_mut().instance(&self.id).map(act)
+    }
+
+    fn is_dead(&self) -> bool {
+        is_dead(&self.group, &self.id)
+    }
+
+    fn is_dark(&self) -> bool {
+        self.with_instance(|instance| instance.faults.is_dark) == Some(true)
+    }
+
+    fn close(&mut self) {
+        if self.is_counted {
+            self.with_instance(|instance| {
+                instance.connections.set(instance.connections.get() - 1);
+            });
+        }
+    }
+}
+
+fn is_dead(group: &Rc<RefCell<Group>>, id: &str) -> bool {
+    let mut group = group.borrow_mut();
+    group
+        .instance(id)
+        .is_none_or(|instance| instance.faults.is_dead)
+}
--- /dev/null
+++ b/crates/jujubehold_standin/src/users_platform/kv_state.rs
@@ -0,0 +1,170 @@
+//! The store's items, their history and leases.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// One item.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Item {
+    /// The value, encoded as it came.
+    pub(crate) value: String,
+    pub(crate) revision: u64,
+    pub(crate) created_rev: u64,
+    pub(crate) lease_id: u64,
+}
+
+/// One change; `item` is `None` for a removal.
+#[derive(Debug, Clone)]
+pub(crate) struct Change {
+    pub(crate) key: String,
+    pub(crate) revision: u64,
+    pub(crate) item: Option<Item>,
+}
+
+#[derive(Debug, Clone)]
+struct Lease {
+    time_to_live: Duration,
+    ends_at: Instant,
+}
+
+/// The whole store.
+#[derive(Debug, Default)]
+pub(crate) struct KvState {
+    pub(crate) items: BTreeMap<String, Item>,
+    pub(crate) revision: u64,
+    pub(crate) history: Vec<Change>,
+    /// Changes up to this revision are forgotten.
+    pub(crate) compacted_to: u64,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
+    /// Whether leases stand still, as while the store is down.
+    pub(crate) are_leases_paused: bool,
+}
+
+impl KvState {
+    /// Writes one key.
+    pub(crate) fn put(&mut self, key: &str, value: String, lease_id: u64) -> u64 {
+        self.revision += 1;
+        self.put_at(key, value, lease_id);
+        self.revision
+    }
+
+    fn put_at(&mut self, key: &str, value: String, lease_id: u64) {
+        let revision = self.revision;
+        let created_rev = self
+            .items
+            .get(key)
+            .map_or(revision, |item| item.created_rev);
+        let item = Item {
+            value,
+            revision,
+            created_rev,
+            lease_id,
+        };
+        self.items.insert(key.to_owned(), item.clone());
+        self.history.push(Change {
+            key: key.to_owned(),
+            revision,
+            item: Some(item),
+        });
+    }
+
+    /// Removes one key.
+    pub(crate) fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            let revision = self.revision;
+            self.history.push(Change {
+                key: key.to_owned(),
+                revision,
+                item: None,
+            });
+        }
+    }
+
+    /// Forgets the history.
+    pub(crate) fn compact(&mut self) {
+        self.history.clear();
+        self.compacted_to = self.revision;
+    }
+
+    /// Changes after `after` to keys that start with `prefix`; `None` when they are forgotten.
+    pub(crate) fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Change>> {
+        if after < self.compacted_to {
+            return None;
+        }
+        let changes = self.history.iter();
+        let wanted =
+            changes.filter(|change| change.revision > after && change.key.starts_with(prefix));
+        Some(wanted.cloned().collect())
+    }
+
+    /// Makes a change if all keys stand as expected; `Err` holds the keys that do not.
+    pub(crate) fn commit(
+        &mut self,
+        expected: &[(String, u64)],
+        writes: Vec<(String, String, u64)>,
+    ) -> Result<u64, Vec<String>> {
+        let differs = |(key, revision): &&(String, u64)| {
+            self.items.get(key).map_or(0, |item| item.revision) != *revision
+        };
+        let wrong: Vec<_> = expected.iter().filter(differs).collect();
+        if !wrong.is_empty() {
+            return Err(wrong.into_iter().map(|(key, _)| key.clone()).collect());
+        }
+        self.revision += 1;
+        for (key, value, lease_id) in writes {
+            self.put_at(&key, value, lease_id);
+        }
+        Ok(self.revision)
+    }
+
+    /// Takes out a lease.
+    pub(crate) fn grant(&mut self, time_to_live: Duration) -> u64 {
+        self.next_lease += 1;
+        let ends_at = Instant::now() + time_to_live;
+        let lease = Lease {
+            time_to_live,
+            ends_at,
+        };
+        self.leases.insert(self.next_lease, lease);
+        self.next_lease
+    }
+
+    /// Whether a lease is there.
+    pub(crate) fn has_lease(&self, lease: u64) -> bool {
+        self.leases.contains_key(&lease)
+    }
+
+    /// Renews a lease; whether it was there.
+    pub(crate) fn renew(&mut self, lease: u64) -> bool {
+        let Some(lease) = self.leases.get_mut(&lease) else {
+            return false;
+        };
+        lease.ends_at = Instant::now() + lease.time_to_live;
+        true
+    }
+
+    /// Ends a lease, and with it its keys.
+    pub(crate) fn end(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let owned = self.items.iter().filter(|(_, item)| item.lease_id == lease);
+        let keys: Vec<String> = owned.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    /// Ends the leases whose time is over.
+    pub(crate) fn expire(&mut self) {
+        if self.are_leases_paused {
+            return;
+        }
+        let now = Instant::now();
+        let over = self.leases.iter().filter(|(_, lease)| lease.ends_at <= now);
+        let over: Vec<u64> = over.map(|(id, _)| *id).collect();
+        for lease in over {
+            self.end(lease);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jujubehold_standin/src/users_platform/store_server.rs
@@ -0,0 +1,180 @@
+//! The store's calls.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+use super::faults::StoreFaults;
+use super::http::{Answer, Call, serve};
+use super::kv_state::{Change, Item, KvState};
+
+/// How often a waiting watch looks for changes.
+const WATCH_LOOK: Duration = Duration::from_millis(5);
+
+/// Serves one host's view of the store.
+pub(crate) async fn serve_store(
+    listener: TcpListener,
+    state: Rc<RefCell<KvState>>,
+    faults: Rc<RefCell<StoreFaults>>,
+) {
+    serve(listener, move |call| {
+        answer(call, Rc::clone(&state), Rc::clone(&faults))
+    })
+    .await;
+}
+
+async fn answer(
+    call: Call,
+    state: Rc<RefCell<KvState>>,
+    faults: Rc<RefCell<StoreFaults>>,
+) -> Answer {
+    let fault = faults.borrow().clone();
+    if fault.is_silent {
+        return None;
+    }
+    if let Some(status) = fault.refusal {
+        return Some((status, json!({})));
+    }
+    actix_rt::time::sleep(fault.delay).await;
+    state.borrow_mut().expire();
+    if call.path == "/-/kv-watch" {
+        return watch(&call, &state, &faults).await;
+    }
+    let answer = run(&call, &mut state.borrow_mut());
+    let is_write = call.path == "/-/kv-txn";
+    if is_write && fault.loses_write_answers {
+        return None;
+    }
+    Some(answer)
+}
+
+fn run(call: &Call, state: &mut KvState) -> (u16, Value) {
+    if call.method == Method::GET && call.path == "/-/kv-key" {
+        return read(call.value("key"), state);
+    }
+    if call.method == Method::GET && call.path == "/-/kv-range" {
+        return range(call.value("prefix"), state);
+    }
+    match call.path.as_str() {
+        "/-/kv-txn" => commit(&call.body, state),
+        "/-/kv-lease" => {
+            let ttl_ms = call.body["ttl_ms"].as_u64().unwrap_or(0);
+            let lease_id = state.grant(Duration::from_millis(ttl_ms));
+            (200, json!({"lease_id": lease_id, "ttl_ms": ttl_ms}))
+        }
+        path => lease_call(path, state),
+    }
+}
+
+fn lease_call(path: &str, state: &mut KvState) -> (u16, Value) {
+    let lease = path
+        .rsplit('/')
+        .next()
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
+    if path.starts_with("/-/kv-lease-end/") {
+        state.end(lease);
+        return (200, json!({}));
+    }
+    let status = if path.starts_with("/-/kv-keep/") && state.renew(lease) {
+        200
+    } else {
+        404
+    };
+    (status, json!({}))
+}
+
+fn read(key: &str, state: &KvState) -> (u16, Value) {
+    match state.items.get(key) {
+        Some(item) => {
+            let mut document = item_document(key, item);
+            document["at_rev"] = json!(state.revision);
+            (200, document)
+        }
+        None => (404, json!({"at_rev": state.revision})),
+    }
+}
+
+fn range(prefix: &str, state: &KvState) -> (u16, Value) {
+    let items = state
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(prefix));
+    let items: Vec<Value> = items.map(|(key, item)| item_document(key, item)).collect();
+    let body = json!({"items": items, "truncated": false, "at_rev": state.revision});
+    (200, body)
+}
+
+fn item_document(key: &str, item: &Item) -> Value {
+    json!({
+        "key": key,
+        "value": item.value,
+        "revision": item.revision,
+        "created_rev": item.created_rev,
+        "lease_id": item.lease_id,
+    })
+}
+
+fn commit(body: &Value, state: &mut KvState) -> (u16, Value) {
+    let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    let text = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_owned();
+    let expected: Vec<_> = rows("expected_rev")
+        .iter()
+        .map(|row| (text(row, "key"), row["revision"].as_u64().unwrap_or(0)))
+        .collect();
+    let writes: Vec<_> = rows("writes")
+        .iter()
+        .map(|row| {
+            let lease = row["lease_id"].as_u64().unwrap_or(0);
+            (text(row, "key"), text(row, "value"), lease)
+        })
+        .collect();
+    let has_leases = writes
+        .iter()
+        .all(|(_, _, lease)| *lease == 0 || state.has_lease(*lease));
+    if !has_leases {
+        return (404, json!({}));
+    }
+    match state.commit(&expected, writes) {
+        Ok(revision) => (200, json!({"revision": revision})),
+        Err(_) => (412, json!({"items": []})),
+    }
+}
+
+async fn watch(
+    call: &Call,
+    state: &Rc<RefCell<KvState>>,
+    faults: &Rc<RefCell<StoreFaults>>,
+) -> Answer {
+    let give_up_at = Instant::now() + Duration::from_millis(call.number("wait_ms"));
+    loop {
+        if faults.borrow().is_silent {
+            return None;
+        }
+        state.borrow_mut().expire();
+        let (changes, revision) = {
+            let state = state.borrow();
+            let changes = state.changes(call.value("prefix"), call.number("after"));
+            (changes, state.revision)
+        };
+        let Some(changes) = changes else {
+            return Some((410, json!({})));
+        };
+        if !changes.is_empty() || Instant::now() >= give_up_at {
+            let events: Vec<Value> = changes.iter().map(change_document).collect();
+            return Some((200, json!({"events": events, "at_rev": revision})));
+        }
+        actix_rt::time::sleep(WATCH_LOOK).await;
+    }
+}
+
+fn change_document(change: &Change) -> Value {
+    match &change.item {
+        Some(item) => item_document(&change.key, item),
+        None => json!({"key": change.key, "revision": change.revision, "removed": true}),
+    }
+}
