Place reads by when a replica should have what they need

After a read that a replica lacked the position for, all reads kept off that replica for up to 1.6 s, also those that may see older data.

Change: each answer tells how late its instance is; a read waits for, or goes past, a replica by when that should have the read's own position.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod relay_tree;
 pub mod replay;
 pub mod replica_evidence;
+pub mod replica_lag;
 pub mod request_name;
 pub mod retry_budget;
 pub mod retry_reason;
--- a/crates/jujubehold_core/src/primary_marks.rs
+++ b/crates/jujubehold_core/src/primary_marks.rs
@@ -117,6 +117,12 @@
         (term == self.term).then_some(mark.first_sent_at)
     }
 
+    /// When the primary was first seen beyond `position`; `None` while it was not.
+    pub fn passed_by_primary(&self, term: Term, position: Position) -> Option<Monotonic> {
+        let mark = self.marks.iter().find(|mark| mark.position > position)?;
+        (term == self.term).then_some(mark.first_sent_at)
+    }
+
     /// The position that makes data surely complete as of `time`, and when the primary was first
     /// seen there, which may be long before `time` when it writes seldom.
     pub fn complete_as_of(&self, term: Term, time: Monotonic) -> Option<(Position, Monotonic)> {
--- a/crates/jujubehold_core/src/read_placement.rs
+++ b/crates/jujubehold_core/src/read_placement.rs
@@ -34,6 +34,8 @@
         pub in_flight: u32,
         /// How many requests it runs at once.
         pub slots: u32,
+        /// How long until it is expected to have what the read needs.
+        pub wait: Duration,
         /// What this host knows of it.
         pub health: UpstreamHealth,
     }
@@ -49,23 +51,22 @@
     }
 }
 
-/// The instances in the order in which a read that needs `is_recent` data tries them.
+/// The instances in the order in which a read tries them, each with how long to wait first.
 ///
-/// Replicas that lately lacked a position stand behind the primary for reads of recent data, since
-/// a try there costs a round trip; silent ones are left out unless nothing else is there.
+/// Silent instances are left out unless nothing else is there.
 pub fn placement_order(
     settings: &ReadPlacementSettings,
     now: Monotonic,
     mut options: Vec<PlacementOption>,
-) -> Vec<InstanceId> {
+) -> Vec<(InstanceId, Duration)> {
     if options.iter().any(|option| !option.health.is_silent(now)) {
         options.retain(|option| !option.health.is_silent(now));
     }
-    options.sort_by_key(|option| {
-        let is_behind = !option.is_primary && option.health.is_behind(now);
-        (is_behind, cost(settings, now, option))
-    });
-    options.into_iter().map(|option| option.instance).collect()
+    options.sort_by_key(|option| cost(settings, now, option));
+    let in_order = options.into_iter();
+    in_order
+        .map(|option| (option.instance, option.wait))
+        .collect()
 }
 
 fn cost(settings: &ReadPlacementSettings, now: Monotonic, option: &PlacementOption) -> Duration {
@@ -73,7 +74,7 @@
     // Requests ahead of the read beyond the free slots make it wait a share of the time each.
     let own = option.health.expected_time(now);
     let waits = own * option.in_flight / slots;
-    let mut cost = own + waits;
+    let mut cost = own + waits + option.wait;
     if option.is_primary {
         cost += settings.primary_penalty;
     }
--- a/crates/jujubehold_core/src/upstream_health.rs
+++ b/crates/jujubehold_core/src/upstream_health.rs
@@ -12,10 +12,6 @@
 const SMOOTHING: u32 = 8;
 /// What an instance is taken to need until it has answered once.
 const INITIAL_ANSWER_TIME: Duration = Duration::from_millis(40);
-/// For how long reads keep off a replica that lacked their position; doubled while it goes on.
-const FIRST_LAG_PAUSE: Duration = Duration::from_millis(100);
-/// The longest pause after a lack, so that a replica that caught up is found again soon.
-const LONGEST_LAG_PAUSE: Duration = Duration::from_millis(1_600);
 /// For how long nothing new goes to an instance that gave no answer; doubled while it goes on.
 const FIRST_SILENCE_PAUSE: Duration = Duration::from_millis(300);
 /// The longest pause after silence.
@@ -31,7 +27,6 @@
         answered_at: Option<Monotonic>,
         /// Since when requests have had no answer; `None` while the last one had.
         silent_since: Option<Monotonic>,
-        lag: Pause,
         silence: Pause,
     }
 
@@ -75,16 +70,6 @@
         self.silence.end();
     }
 
-    /// Notes that a read had all that it needed here.
-    pub fn note_fresh(&mut self) {
-        self.lag.end();
-    }
-
-    /// Notes that the instance lacked the position that a read needs.
-    pub fn note_behind(&mut self, now: Monotonic) {
-        self.lag.extend(now, FIRST_LAG_PAUSE, LONGEST_LAG_PAUSE);
-    }
-
     /// Notes that a request or a connection that was begun at `begun_at` had no answer.
     pub fn note_silent(&mut self, now: Monotonic, begun_at: Monotonic) {
         // An answer that came after the request began says that the instance lives.
@@ -112,11 +97,6 @@
         now < self.silence.until
     }
 
-    /// Whether reads that need a recent position should go elsewhere for now.
-    pub fn is_behind(&self, now: Monotonic) -> bool {
-        now < self.lag.until
-    }
-
     /// How long a request is expected to take, without others of this host in its way.
     pub fn expected_time(&self, now: Monotonic) -> Duration {
         let is_known = self
--- a/crates/jujubehold_entry/src/callers/attempt.rs
+++ b/crates/jujubehold_entry/src/callers/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to run a statement at one instance.
 
-use crate::pool::{ConnectionLease, SessionValues, Statement, UpstreamError};
+use crate::pool::{ConnectionLease, SessionValues, Statement, Upstream, UpstreamError};
 use crate::prelude::*;
 use crate::protocol::{ErrorCode, UpstreamReply};
 
@@ -27,17 +27,8 @@
     let mut health = upstream.health.borrow_mut();
     match &result {
         Ok(reply) => match reply.error() {
-            Some(ErrorCode::Behind) => {
-                health.note_alive(now);
-                health.note_behind(now);
-            }
             Some(_) => health.note_alive(now),
-            None => {
-                health.note_answer(now, now.saturating_sub(sent_at));
-                if after.is_some() {
-                    health.note_fresh();
-                }
-            }
+            None => health.note_answer(now, now.saturating_sub(sent_at)),
         },
         Err(_) => health.note_silent(now, sent_at),
     }
@@ -45,6 +36,28 @@
     if let Ok(reply) = &result {
         let entry = upstream.entry();
         shared.note_position(&entry.service, &entry.id, sent_at, reply.position);
+        note_lag(shared, &upstream, sent_at, after, reply);
     }
     result
 }
+
+// Every answer tells how late its instance is.
+fn note_lag<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    upstream: &Upstream<P>,
+    sent_at: Monotonic,
+    after: Option<LogPosition>,
+    reply: &UpstreamReply,
+) {
+    let now = shared.now();
+    let service = upstream.entry().service;
+    let mut lag = upstream.lag.borrow_mut();
+    if let Some(position) = reply.position {
+        shared.with_group(&service, |group| {
+            lag.note(now, sent_at, position, &group.marks);
+        });
+    }
+    if let (Some(ErrorCode::Behind), Some(floor)) = (reply.error(), after) {
+        lag.note_lacked(floor);
+    }
+}
--- a/crates/jujubehold_entry/src/callers/failure.rs
+++ b/crates/jujubehold_entry/src/callers/failure.rs
@@ -27,6 +27,17 @@
         }
     }
 
+    /// Whether the instance lacked the position that was asked for.
+    pub(crate) fn is_behind(&self) -> bool {
+        matches!(
+            self,
+            Self::Told {
+                code: ErrorCode::Behind,
+                ..
+            }
+        )
+    }
+
     /// The code and the words that the caller gets.
     ///
     /// A refusal says that nothing ran and when to come back.
--- a/crates/jujubehold_entry/src/callers/single.rs
+++ b/crates/jujubehold_entry/src/callers/single.rs
@@ -1,5 +1,7 @@
 //! Statements outside a transaction.
 
+use std::collections::BTreeSet;
+
 use jujubehold_core::read_floor::{ReadFloor, read_floor};
 use jujubehold_core::read_placement::{ReadPlacementSettings, placement_order};
 use log::info;
@@ -24,8 +26,6 @@
 const PROOF_PATIENCE: Duration = Duration::from_millis(1_500);
 /// What a caller is asked to wait for a primary to be replaced.
 const CHANGE_EXPECTED: Duration = Duration::from_millis(600);
-/// How long a read waits before it asks again for a position that all replicas lacked.
-const BEHIND_PAUSE: Duration = Duration::from_millis(40);
 /// How long a read waits for a newer position of the primary.
 const MARK_PATIENCE: Duration = Duration::from_millis(120);
 
@@ -34,60 +34,74 @@
     pub(crate) upstream: Rc<Upstream<P>>,
     pub(crate) is_primary: bool,
     pub(crate) after: Option<LogPosition>,
+    /// How long until it is expected to have that.
+    pub(crate) wait: Duration,
 }
 
 impl<P: Platform> Session<P> {
     /// Runs a read outside a transaction.
+    ///
+    /// A replica that lacks the position is asked again when it should have it; an instance that
+    /// failed otherwise is passed over.
     pub(crate) async fn run_read(
         &mut self,
         operation: &Operation,
         statement: &Statement,
         arrived_at: Monotonic,
     ) -> Result<UpstreamReply, Failure> {
+        let mut failed = BTreeSet::new();
+        let mut last_failure = None;
+        let give_up_at = operation.catch_up_until(arrived_at);
         loop {
-            let result = self.try_instances(operation, statement, arrived_at).await;
-            let Err(failure) = result else {
-                return result;
+            let mut candidates = self.read_candidates(operation, arrived_at).await?;
+            candidates.retain(|candidate| !failed.contains(&candidate.upstream.id()));
+            let is_last = candidates.len() == 1;
+            let Some(candidate) = candidates.into_iter().next() else {
+                break;
             };
-            // Replicas that lack the position soon have it, and the caller can do no better than
-            // to come back for them.
-            let is_behind = failure.reason() == ErrorCode::Behind.as_str();
-            let give_up_at = operation.catch_up_until(arrived_at);
-            if !is_behind || self.shared.now() + BEHIND_PAUSE >= give_up_at {
-                return Err(failure);
+            if !self.wait_for_candidate(&candidate, give_up_at).await {
+                break;
             }
-            self.shared.wait_for_change(BEHIND_PAUSE).await;
-        }
-    }
-
-    async fn try_instances(
-        &mut self,
-        operation: &Operation,
-        statement: &Statement,
-        arrived_at: Monotonic,
-    ) -> Result<UpstreamReply, Failure> {
-        let mut failure = None;
-        let candidates = self.read_candidates(operation, arrived_at).await?;
-        let mut candidates = candidates.into_iter().peekable();
-        while let Some(candidate) = candidates.next() {
-            let is_last = candidates.peek().is_none();
-            match self
+            let result = self
                 .try_read(operation, statement, arrived_at, &candidate, is_last)
-                .await
-            {
+                .await;
+            let failure = match result {
                 Ok(reply) => return Ok(reply),
                 Err(TryError::Final(failure)) => return Err(failure),
-                Err(TryError::Next(reason)) => {
-                    self.log_retry(statement, &candidate.upstream, &reason);
-                    failure = Some(reason);
-                }
+                Err(TryError::Next(failure)) => failure,
+            };
+            self.log_retry(statement, &candidate.upstream, &failure);
+            if !failure.is_behind() {
+                failed.insert(candidate.upstream.id());
             }
+            last_failure = Some(failure);
             if self.shared.now() >= operation.deadline(arrived_at) {
                 break;
             }
         }
         let none = || refuse(RefusalReason::NoFreshReplica, CHANGE_EXPECTED).into();
-        Err(failure.unwrap_or_else(none))
+        Err(last_failure.unwrap_or_else(none))
+    }
+
+    // Whether the candidate is expected to have what the read needs by `give_up_at`.
+    pub(crate) async fn wait_for_candidate(
+        &self,
+        candidate: &Candidate<P>,
+        give_up_at: Monotonic,
+    ) -> bool {
+        let now = self.shared.now();
+        if now + candidate.wait > give_up_at {
+            return false;
+        }
+        if !candidate.wait.is_zero() {
+            actix_rt::time::sleep(candidate.wait).await;
+        }
+        candidate
+            .upstream
+            .lag
+            .borrow_mut()
+            .begin_trial(self.shared.now());
+        true
     }
 
     async fn try_read(
@@ -273,6 +287,7 @@
             upstream,
             is_primary: true,
             after: None,
+            wait: Duration::ZERO,
         }])
     }
 
@@ -304,23 +319,35 @@
             })
             .map(|upstream| {
                 let is_primary = primary.as_ref() == Some(&upstream.id());
-                upstream.placement_option(is_primary, &shared.settings.domain)
+                let floor = after.filter(|_| !is_primary);
+                let wait = floor.map_or(Duration::ZERO, |floor| self.lag_wait(upstream, floor));
+                upstream.placement_option(is_primary, &shared.settings.domain, wait)
             })
             .collect();
         let order = placement_order(&ReadPlacementSettings::default(), shared.now(), options);
         order
             .into_iter()
-            .filter_map(|id| {
+            .filter_map(|(id, wait)| {
                 let is_primary = primary.as_ref() == Some(&id);
                 Some(Candidate {
                     upstream: shared.upstream(&id)?,
                     is_primary,
                     after: after.filter(|_| !is_primary),
+                    wait,
                 })
             })
             .collect()
     }
 
+    fn lag_wait(&self, upstream: &Upstream<P>, floor: LogPosition) -> Duration {
+        let now = self.shared.now();
+        let service = upstream.entry().service;
+        self.shared.with_group(&service, |group| {
+            let lag = upstream.lag.borrow();
+            lag.expected_wait(now, floor, &group.marks)
+        })
+    }
+
     fn read_floor(&self, operation: &Operation) -> ReadFloor {
         let route = &operation.route;
         self.shared.with_group(&route.service, |group| {
--- a/crates/jujubehold_entry/src/callers/transaction.rs
+++ b/crates/jujubehold_entry/src/callers/transaction.rs
@@ -257,6 +257,7 @@
                 upstream: self.primary(&operation, arrived_at).await?,
                 is_primary: true,
                 after: None,
+                wait: Duration::ZERO,
             }]
         };
         let begin = text_of(&transaction.begin);
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -9,6 +9,7 @@
 use jujubehold_core::connection_share::ConnectionShare;
 use jujubehold_core::prelude::*;
 use jujubehold_core::read_placement::PlacementOption;
+use jujubehold_core::replica_lag::ReplicaLag;
 use jujubehold_core::upstream_health::UpstreamHealth;
 use jujubehold_core::wait_policy::WaitPolicy;
 use metrics::counter;
@@ -55,6 +56,8 @@
     entry: RefCell<InstanceEntry>,
     /// What this host's traffic tells of the instance.
     pub(crate) health: RefCell<UpstreamHealth>,
+    /// How late it is as a replica.
+    pub(crate) lag: RefCell<ReplicaLag>,
     pool: RefCell<PoolState<P>>,
     in_flight: Cell<u32>,
 }
@@ -86,6 +89,7 @@
             host,
             entry: RefCell::new(entry),
             health: RefCell::new(UpstreamHealth::default()),
+            lag: RefCell::new(ReplicaLag::default()),
             pool: RefCell::new(PoolState {
                 idle: Vec::new(),
                 open_count: 0,
@@ -120,7 +124,12 @@
     }
 
     /// What placement goes by.
-    pub(crate) fn placement_option(&self, is_primary: bool, domain: &str) -> PlacementOption {
+    pub(crate) fn placement_option(
+        &self,
+        is_primary: bool,
+        domain: &str,
+        wait: Duration,
+    ) -> PlacementOption {
         let entry = self.entry.borrow();
         let waiting = u32::try_from(self.pool.borrow().queue.len()).unwrap_or(u32::MAX);
         PlacementOption {
@@ -129,6 +138,7 @@
             is_near: entry.domain == domain,
             in_flight: self.in_flight.get().saturating_add(waiting),
             slots: entry.slots,
+            wait,
             health: self.health.borrow().clone(),
         }
     }
