--- a/crates/jujubehold_core/src/upstream_health.rs
+++ b/crates/jujubehold_core/src/upstream_health.rs
@@ -87,6 +87,12 @@
             .extend(now, FIRST_SILENCE_PAUSE, LONGEST_SILENCE_PAUSE);
     }
 
+    /// Whether the instance has answered anything after `since`.
+    pub fn has_answered_since(&self, since: Monotonic) -> bool {
+        self.answered_at
+            .is_some_and(|answered_at| answered_at > since)
+    }
+
     /// Since when the instance has given no answer.
     pub fn silent_since(&self) -> Option<Monotonic> {
         self.silent_since
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -18,6 +18,8 @@
 
 /// The longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+/// A host that had an answer of a primary within this time says that it reaches it.
+const REACHED_WITHIN: Duration = Duration::from_millis(300);
 /// How long the receiver rests after an error of the socket.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -179,9 +181,11 @@
 
 // A host that reaches what another one misses says so.
 fn answer_vote<P: Platform>(shared: &Shared<P>, peers: &Peers, vote: &PeerMessage) {
-    let reaches = shared
-        .upstream(&vote.instance)
-        .is_some_and(|upstream| upstream.health.borrow().silent_since().is_none());
+    let reaches = shared.upstream(&vote.instance).is_some_and(|upstream| {
+        upstream
+            .silent_since()
+            .is_none_or(|since| shared.now().saturating_sub(since) < REACHED_WITHIN)
+    });
     if reaches {
         let mut answer = message(shared, PeerMessageKind::Reaches);
         answer.service.clone_from(&vote.service);
--- a/crates/jujubehold_entry/src/control/primary_keeper.rs
+++ b/crates/jujubehold_entry/src/control/primary_keeper.rs
@@ -83,7 +83,7 @@
     let Some(upstream) = primary.as_ref().and_then(|id| shared.upstream(id)) else {
         return;
     };
-    let silent_since = upstream.health.borrow().silent_since();
+    let silent_since = upstream.silent_since();
     let id = upstream.id();
     let is_missed = shared.with_group(service, |group| {
         let is_missed = group.votes.is_missed(silent_since, now);
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -1,6 +1,6 @@
 //! One instance and this host's connections to it.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -59,7 +59,8 @@
     /// How late it is as a replica.
     pub(crate) lag: RefCell<ReplicaLag>,
     pool: RefCell<PoolState<P>>,
-    in_flight: Cell<u32>,
+    /// When each request was sent that has had no answer, by its ticket.
+    in_flight: RefCell<BTreeMap<WaitTicket, Monotonic>>,
 }
 
 #[derive(Debug)]
@@ -99,7 +100,7 @@
                 queue: ConnectionQueue::default(),
                 waiters: BTreeMap::new(),
             }),
-            in_flight: Cell::new(0),
+            in_flight: RefCell::new(BTreeMap::new()),
         }
     }
 
@@ -136,7 +137,7 @@
             instance: entry.id.clone(),
             is_primary,
             is_near: entry.domain == domain,
-            in_flight: self.in_flight.get().saturating_add(waiting),
+            in_flight: self.in_flight_count().saturating_add(waiting),
             slots: entry.slots,
             wait,
             health: self.health.borrow().clone(),
@@ -145,12 +146,32 @@
 
     /// Counts a request that is on its way to the instance until the guard is dropped.
     pub(crate) fn begin_request(self: &Rc<Self>) -> InFlight<P> {
-        self.in_flight.set(self.in_flight.get() + 1);
+        let mut in_flight = self.in_flight.borrow_mut();
+        // Tickets only rise, so that the oldest request stands first.
+        let ticket = in_flight.last_key_value().map_or(0, |(last, _)| last + 1);
+        in_flight.insert(ticket, self.clock.now());
         InFlight {
             upstream: Rc::clone(self),
+            ticket,
         }
     }
 
+    fn in_flight_count(&self) -> u32 {
+        u32::try_from(self.in_flight.borrow().len()).unwrap_or(u32::MAX)
+    }
+
+    /// Since when the instance has given no answer although something was asked of it.
+    pub(crate) fn silent_since(&self) -> Option<Monotonic> {
+        let health = self.health.borrow();
+        let waiting_since = self
+            .in_flight
+            .borrow()
+            .first_key_value()
+            .map(|(_, sent_at)| *sent_at)
+            .filter(|sent_at| !health.has_answered_since(*sent_at));
+        health.silent_since().or(waiting_since)
+    }
+
     /// Lends a connection, preferably one that has `values` already.
     pub(crate) async fn acquire(
         self: &Rc<Self>,
@@ -443,11 +464,11 @@
 #[derive(Debug)]
 pub(crate) struct InFlight<P: Platform> {
     upstream: Rc<Upstream<P>>,
+    ticket: WaitTicket,
 }
 
 impl<P: Platform> Drop for InFlight<P> {
     fn drop(&mut self) {
-        let count = self.upstream.in_flight.get();
-        self.upstream.in_flight.set(count.saturating_sub(1));
+        self.upstream.in_flight.borrow_mut().remove(&self.ticket);
     }
 }
