--- a/crates/jujubehold/tests/check.rs
+++ b/crates/jujubehold/tests/check.rs
@@ -6,7 +6,12 @@
 
 #[test]
 fn good_files_pass() {
-    insta::assert_snapshot!(jujubehold(&["check", "host.ini", "shares.ini"]));
+    insta::assert_snapshot!(jujubehold(&[
+        "check",
+        "host.ini",
+        "shares.ini",
+        "entry.ini"
+    ]));
 }
 
 #[test]
@@ -16,6 +21,7 @@
         "host.ini",
         "host-faults.ini",
         "shares-faults.ini",
+        "entry-faults.ini",
         "missing.ini",
     ]));
 }
--- a/crates/jujubehold/tests/docs.rs
+++ b/crates/jujubehold/tests/docs.rs
@@ -5,7 +5,7 @@
 
 use jujubehold::{Command, ExitStatus};
 use jujubehold_core::prelude::*;
-use jujubehold_settings::{HostSettings, known_keys, parse_service};
+use jujubehold_settings::{EntrySettings, HostSettings, known_keys, parse_service};
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
@@ -84,10 +84,12 @@
     files
 }
 
-/// Every text that stands between `start` and a quotation mark in the host's code.
+/// Every text that stands between `start` and a quotation mark in the hosts' code.
 fn quoted_after(start: &str) -> Vec<String> {
     let mut found = Vec::new();
-    for file in rust_files(&root().join("crates/jujubehold_host/src")) {
+    let mut files = rust_files(&root().join("crates/jujubehold_host/src"));
+    files.extend(rust_files(&root().join("crates/jujubehold_entry/src")));
+    for file in files {
         let text = std::fs::read_to_string(&file).expect("the file can be read");
         let rests = text.split(start).skip(1);
         found.extend(rests.filter_map(|rest| rest.split('"').next().map(str::to_owned)));
@@ -160,6 +162,12 @@
             Ok(HostSettings::default())
         );
     }
+    let entry = told_defaults(&configuration, "entry");
+    assert!(entry.lines().count() > 4, "{entry}");
+    assert_eq!(
+        EntrySettings::parse("page", &entry),
+        Ok(EntrySettings::default())
+    );
     let minimum = "[service]\nname = s\n[instance a]\naddress = 127.0.0.1:1\n";
     let service = told_defaults(&configuration, "service");
     let instance = told_defaults(&configuration, "instance NAME");
--- a/crates/jujubehold_entry/src/callers/attempt.rs
+++ b/crates/jujubehold_entry/src/callers/attempt.rs
@@ -1,8 +1,12 @@
 //! One attempt to run a statement at one instance.
 
+use log::info;
+use smol_str::{SmolStr, format_smolstr};
+
 use crate::pool::{ConnectionLease, SessionValues, Statement, Upstream, UpstreamError};
 use crate::prelude::*;
 use crate::protocol::{ErrorCode, UpstreamReply};
+use crate::shared::millis;
 
 /// Runs a statement on a lent connection and notes what that tells of the instance.
 ///
@@ -33,6 +37,7 @@
         Err(_) => health.note_silent(now, sent_at),
     }
     drop(health);
+    log_attempt(shared, &upstream, statement, after, sent_at, &result);
     if let Ok(reply) = &result {
         let entry = upstream.entry();
         shared.note_position(&entry.service, &entry.id, sent_at, reply.position);
@@ -41,6 +46,34 @@
     result
 }
 
+// What an instance said or failed to say, for whoever looks for the cause of a failed request.
+fn log_attempt<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    upstream: &Upstream<P>,
+    statement: &Statement,
+    after: Option<LogPosition>,
+    sent_at: Monotonic,
+    result: &Result<UpstreamReply, UpstreamError>,
+) {
+    let now = shared.now();
+    let outcome = match result {
+        Ok(reply) => match reply.error() {
+            Some(code) => SmolStr::new_static(code.as_str()),
+            None => return,
+        },
+        Err(error) => format_smolstr!("{error}"),
+    };
+    if !shared.log.allows(now) {
+        return;
+    }
+    let floor = after.map_or_else(|| "none".into(), |floor| format_smolstr!("{floor}"));
+    info!(request = statement.id(), instance = upstream.id().as_str(),
+        outcome = outcome.as_str(), floor = floor.as_str(),
+        taken_ms = millis(now.saturating_sub(sent_at)),
+        expected_ms = millis(upstream.health.borrow().expected_time(now));
+        "an instance did not serve a statement");
+}
+
 // Every answer tells how late its instance is.
 fn note_lag<P: Platform>(
     shared: &Rc<Shared<P>>,
