Let a request wait on when its instance refuses a connection

Change: after such a refusal no connection is asked for during 40 ms, and the request goes on waiting for what comes free here or there.

--- a/crates/jujubehold_entry/src/control/pool_keeper.rs
+++ b/crates/jujubehold_entry/src/control/pool_keeper.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 
 /// How often limits and idle connections are looked at.
-const KEEP_INTERVAL: Duration = Duration::from_millis(100);
+const KEEP_INTERVAL: Duration = Duration::from_millis(50);
 /// Sets the limits again and again.
 pub(crate) async fn keep_pools<P: Platform>(shared: Rc<Shared<P>>) {
     loop {
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -24,6 +24,8 @@
 /// How long a connection may take to open: a round trip between regions, the instance's own time
 /// and one retransmission.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long no connection is asked for after a refusal.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(40);
 /// How often the limit rises by one after the instance refused a connection.
 const LIMIT_RECOVERY: Duration = Duration::from_millis(300);
 
@@ -68,6 +70,8 @@
     idle: Vec<UpstreamConnection<P>>,
     open_count: usize,
     limit: usize,
+    /// Until when no connection is opened after a refusal.
+    closed_until: Monotonic,
     /// When the instance last refused a connection, or the limit rose again after that.
     limited_at: Option<Monotonic>,
     next_ticket: WaitTicket,
@@ -95,6 +99,7 @@
                 idle: Vec::new(),
                 open_count: 0,
                 limit,
+                closed_until: Monotonic::ZERO,
                 limited_at: None,
                 next_ticket: 0,
                 queue: ConnectionQueue::default(),
@@ -181,14 +186,22 @@
         if let Some(connection) = self.take_idle(values) {
             return Ok(self.lend(connection));
         }
-        if self.take_room() {
-            match self.open().await {
-                Ok(lease) => return Ok(lease),
-                Err(UpstreamError::ConnectionLimit) => {}
-                Err(error) => return Err(error.into()),
+        let mut has_room = self.take_room();
+        loop {
+            if has_room {
+                match self.open().await {
+                    Ok(lease) => return Ok(lease),
+                    // The instance has none left now; one that is given back here, or room for
+                    // another one there, may still come in time.
+                    Err(UpstreamError::ConnectionLimit) => {}
+                    Err(error) => return Err(error.into()),
+                }
+            }
+            match self.wait(limits).await? {
+                Grant::Connection(connection) => return Ok(self.lend(*connection)),
+                Grant::Room => has_room = true,
             }
         }
-        self.wait(limits).await
     }
 
     /// An idle connection, if there is one; nothing waits or opens for it.
@@ -209,7 +222,7 @@
         self.open().await
     }
 
-    async fn wait(self: &Rc<Self>, limits: WaitLimits) -> Result<ConnectionLease<P>, AcquireError> {
+    async fn wait(self: &Rc<Self>, limits: WaitLimits) -> Result<Grant<P>, AcquireError> {
         let now = self.clock.now();
         let expected_wait = {
             let pool = self.pool.borrow();
@@ -233,10 +246,7 @@
             return Err(AcquireError::NoneFree { expected_wait });
         };
         ticket_guard.ticket = None;
-        match grant {
-            Grant::Connection(connection) => Ok(self.lend(*connection)),
-            Grant::Room => Ok(self.open().await?),
-        }
+        Ok(grant)
     }
 
     fn enqueue(
@@ -273,7 +283,7 @@
 
     fn take_room(&self) -> bool {
         let mut pool = self.pool.borrow_mut();
-        let has_room = pool.open_count < pool.limit;
+        let has_room = pool.has_room(self.clock.now());
         if has_room {
             pool.open_count += 1;
         }
@@ -319,6 +329,7 @@
                 // This connection is still counted and does not exist.
                 pool.limit = (pool.open_count - 1).max(1);
                 pool.limited_at = Some(now);
+                pool.closed_until = now + REFUSAL_PAUSE;
                 drop(pool);
                 self.health.borrow_mut().note_alive(now);
             }
@@ -419,8 +430,14 @@
         self.waiters.remove(&ticket)
     }
 
+    // After a refusal no other one is asked for at once: it would be refused too, and take the
+    // instance's time.
+    fn has_room(&self, now: Monotonic) -> bool {
+        self.open_count < self.limit && now >= self.closed_until
+    }
+
     fn offer_room(&mut self, now: Monotonic) {
-        while self.open_count < self.limit {
+        while self.has_room(now) {
             let Some(waiter) = self.next_waiter(now) else {
                 return;
             };
