Split the change of primary and the placement of reads into modules by step

Functions moved as they were; the shared pauses stand once. Three public items that nobody used are gone. Behaviour is the same.

--- a/crates/jujubehold_core/src/candidate_choice.rs
+++ b/crates/jujubehold_core/src/candidate_choice.rs
@@ -1,6 +1,6 @@
 //! Which replica takes over from a primary.
 
-use crate::ids::{InstanceId, Monotonic, Term};
+use crate::ids::{InstanceId, Term};
 use crate::instance_status::Role;
 use crate::log_position::LogPosition;
 use crate::value_type;
@@ -20,8 +20,6 @@
         pub is_unmarked: bool,
         /// Whether it is about to leave.
         pub is_leaving: bool,
-        /// When it was asked.
-        pub asked_at: Monotonic,
     }
 
     /// What to do with the answers.
--- a/crates/jujubehold_core/src/lead_table.rs
+++ b/crates/jujubehold_core/src/lead_table.rs
@@ -61,13 +61,4 @@
         table.leads.insert(service.clone(), lead);
         table
     }
-
-    /// The services whose change `host` has under way.
-    pub fn changes_by(&self, host: &str) -> Vec<ServiceId> {
-        self.leads
-            .iter()
-            .filter(|(_, lead)| lead.change.as_ref().is_some_and(|change| change.by == host))
-            .map(|(service, _)| service.clone())
-            .collect()
-    }
 }
--- a/crates/jujubehold_core/src/read_placement.rs
+++ b/crates/jujubehold_core/src/read_placement.rs
@@ -18,8 +18,6 @@
         pub primary_penalty: Duration,
         /// What a read is worth in waiting time to keep it in the host's own failure domain.
         pub domain_penalty: Duration,
-        /// How many requests an instance runs at once, where it does not say.
-        pub slots: u32,
     }
 
     /// An instance that may serve a read.
@@ -46,7 +44,6 @@
         Self {
             primary_penalty: Duration::from_millis(30),
             domain_penalty: Duration::from_millis(10),
-            slots: 3,
         }
     }
 }
--- a/crates/jujubehold_core/tests/primary_replacement.rs
+++ b/crates/jujubehold_core/tests/primary_replacement.rs
@@ -20,7 +20,6 @@
         received: LogPosition { term, position },
         is_unmarked: true,
         is_leaving: false,
-        asked_at: ms(0),
     }
 }
 
--- /dev/null
+++ b/crates/jujubehold_entry/src/callers/candidates.rs
@@ -0,0 +1,149 @@
+//! Where a read may run, and in which order instances are tried.
+
+use jujubehold_core::read_floor::{ReadFloor, read_floor};
+use jujubehold_core::read_placement::{ReadPlacementSettings, placement_order};
+
+use super::failure::Failure;
+use super::operation::Operation;
+use super::session::Session;
+use crate::pool::Upstream;
+use crate::prelude::*;
+
+/// How long a read waits for a newer position of the primary.
+const MARK_PATIENCE: Duration = Duration::from_millis(120);
+
+/// An instance that a statement may try, and the floor that it has to check there.
+pub(crate) struct Candidate<P: Platform> {
+    pub(crate) upstream: Rc<Upstream<P>>,
+    pub(crate) is_primary: bool,
+    pub(crate) after: Option<LogPosition>,
+    /// How long until it is expected to have that.
+    pub(crate) wait: Duration,
+}
+
+impl<P: Platform> Session<P> {
+    // Whether the candidate is expected to have what the read needs by `give_up_at`.
+    pub(crate) async fn wait_for_candidate(
+        &self,
+        candidate: &Candidate<P>,
+        give_up_at: Monotonic,
+    ) -> bool {
+        let now = self.shared.now();
+        if now + candidate.wait > give_up_at {
+            return false;
+        }
+        if !candidate.wait.is_zero() {
+            actix_rt::time::sleep(candidate.wait).await;
+        }
+        candidate
+            .upstream
+            .lag
+            .borrow_mut()
+            .begin_trial(self.shared.now());
+        true
+    }
+
+    /// The instances that a read or a read-only transaction may try, in order.
+    pub(crate) async fn read_candidates(
+        &self,
+        operation: &Operation,
+        arrived_at: Monotonic,
+    ) -> Result<Vec<Candidate<P>>, Failure> {
+        let mut floor = self.read_floor(operation);
+        if operation.route.consistency.max_age().is_some() {
+            self.shared.with_group(&operation.route.service, |group| {
+                group.mark_wanted_at = Some(arrived_at);
+            });
+        }
+        if floor == ReadFloor::NeedsMark {
+            if self
+                .shared
+                .usable_primary(&operation.route.service)
+                .is_none()
+            {
+                self.shared.wait_for_change(MARK_PATIENCE).await;
+            }
+            floor = self.read_floor(operation);
+        }
+        let candidates = self.candidates_at(operation, floor);
+        if !candidates.is_empty() {
+            return Ok(candidates);
+        }
+        let upstream = self.primary(operation, arrived_at).await?;
+        Ok(vec![Candidate {
+            upstream,
+            is_primary: true,
+            after: None,
+            wait: Duration::ZERO,
+        }])
+    }
+
+    fn candidates_at(&self, operation: &Operation, floor: ReadFloor) -> Vec<Candidate<P>> {
+        let shared = &self.shared;
+        let service = &operation.route.service;
+        let primary = shared.usable_primary(service).map(|upstream| upstream.id());
+        let lead = {
+            let lead = shared.lead.borrow();
+            lead.table
+                .leads
+                .get(service)
+                .map(|lead| lead.primary.clone())
+        };
+        let after = match floor {
+            ReadFloor::AtLeast(position) => Some(position),
+            ReadFloor::PrimaryOnly | ReadFloor::NeedsMark => None,
+        };
+        let options = shared
+            .upstreams_of(service)
+            .iter()
+            .filter(|upstream| {
+                let id = upstream.id();
+                let is_usable_primary = primary.as_ref() == Some(&id);
+                // A primary that may not be used now can't serve as a replica either: the position
+                // that it is asked for may be one that it alone has.
+                let is_replica = lead.as_ref() != Some(&id);
+                is_usable_primary || (is_replica && after.is_some() && upstream.takes_work())
+            })
+            .map(|upstream| {
+                let is_primary = primary.as_ref() == Some(&upstream.id());
+                let floor = after.filter(|_| !is_primary);
+                let wait = floor.map_or(Duration::ZERO, |floor| self.lag_wait(upstream, floor));
+                upstream.placement_option(is_primary, &shared.settings.domain, wait)
+            })
+            .collect();
+        let order = placement_order(&ReadPlacementSettings::default(), shared.now(), options);
+        order
+            .into_iter()
+            .filter_map(|(id, wait)| {
+                let is_primary = primary.as_ref() == Some(&id);
+                Some(Candidate {
+                    upstream: shared.upstream(&id)?,
+                    is_primary,
+                    after: after.filter(|_| !is_primary),
+                    wait,
+                })
+            })
+            .collect()
+    }
+
+    fn lag_wait(&self, upstream: &Upstream<P>, floor: LogPosition) -> Duration {
+        let now = self.shared.now();
+        let service = upstream.entry().service;
+        self.shared.with_group(&service, |group| {
+            let lag = upstream.lag.borrow();
+            lag.expected_wait(now, floor, &group.marks)
+        })
+    }
+
+    fn read_floor(&self, operation: &Operation) -> ReadFloor {
+        let route = &operation.route;
+        self.shared.with_group(&route.service, |group| {
+            read_floor(
+                route.consistency,
+                &group.marks,
+                self.floor,
+                operation.began_at,
+            )
+        })
+    }
+}
--- a/crates/jujubehold_entry/src/callers/mod.rs
+++ b/crates/jujubehold_entry/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod caller_io;
+mod candidates;
 mod failure;
 mod listener;
 mod operation;
--- a/crates/jujubehold_entry/src/callers/transaction.rs
+++ b/crates/jujubehold_entry/src/callers/transaction.rs
@@ -4,12 +4,13 @@
 //! after its BEGIN holds no connection. From then on it keeps one connection to its end.
 
 use super::attempt::run_on;
+use super::candidates::Candidate;
 use super::failure::Failure;
 use super::operation::{Operation, refuse};
 use super::prepared::text_of;
 use super::primary_use::PrimaryUse;
 use super::session::Session;
-use super::single::{Candidate, told, unknown_reason};
+use super::single::{told, unknown_reason};
 use crate::pool::{ConnectionLease, Statement};
 use crate::prelude::*;
 use crate::protocol::{
--- /dev/null
+++ b/crates/jujubehold_entry/src/control/primary_change/announce.rs
@@ -0,0 +1,126 @@
+//! The announcement of a change of primary, which one host alone can make.
+
+use bytes::Bytes;
+use jujubehold_core::lead_table::{Lead, LeadChange, LeadTable, Revision};
+use smol_str::{SmolStr, format_smolstr};
+
+use super::super::lead_document::format_leads;
+use super::super::primary_keeper::{ChangeReason, duty_key};
+use super::super::store_calls::{CALL_TIMEOUT, within};
+use super::super::{HOSTS_PREFIX, LEAD_KEY};
+use super::STEP_PAUSE;
+use crate::prelude::*;
+use crate::protocol::{Committed, Store, StoreChange, StoreError};
+
+/// How often an announcement is tried whose answer was lost.
+const ANNOUNCE_TRIES: u32 = 5;
+/// A change that was announced.
+#[derive(Debug)]
+pub(super) struct Announced {
+    pub(super) service: ServiceId,
+    pub(super) old: InstanceId,
+    pub(super) revision: Revision,
+    pub(super) fencing_token: Revision,
+    pub(super) is_planned: bool,
+    pub(super) since: Monotonic,
+}
+
+/// Writes the announcement; `None` when another host was first or this one may not.
+pub(super) async fn announce<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    service: &ServiceId,
+    reason: ChangeReason,
+) -> Option<Announced> {
+    let table = shared.lead.borrow().table.clone();
+    let lead = table.leads.get(service)?.clone();
+    let is_planned = reason == ChangeReason::Leaving;
+    let host = shared.settings.host.clone();
+    let change = LeadChange {
+        by: host.clone(),
+        is_planned,
+    };
+    let new_lead = Lead {
+        primary: lead.primary.clone(),
+        change: Some(change),
+    };
+    let new_table = table.with_lead(service, new_lead);
+    let own_key = shared.lead.borrow().membership.as_ref()?.key_revision;
+    let duty = within(shared, "read", CALL_TIMEOUT, shared.store.read(&duty_key())).await;
+    let (duty, _) = duty.ok()?;
+    let holds_duty = duty
+        .as_ref()
+        .is_some_and(|item| *item.value == *host.as_bytes());
+    let duty_revision = duty.map_or(0, |item| item.revision);
+    let mut store_change = StoreChange {
+        expected: vec![
+            (SmolStr::new(LEAD_KEY), table.revision),
+            (format_smolstr!("{HOSTS_PREFIX}{host}"), own_key),
+            (duty_key(), duty_revision),
+        ],
+        writes: vec![(SmolStr::new(LEAD_KEY), format_leads(&new_table), None)],
+    };
+    if !holds_duty {
+        let value = Bytes::copy_from_slice(host.as_bytes());
+        store_change.writes.push((duty_key(), value, None));
+    }
+    let revision = commit_announcement(shared, &store_change, &new_table).await?;
+    shared.adopt_table(LeadTable {
+        revision,
+        ..new_table
+    });
+    Some(Announced {
+        service: service.clone(),
+        old: lead.primary,
+        revision,
+        fencing_token: if holds_duty { duty_revision } else { revision },
+        is_planned,
+        since: shared.now(),
+    })
+}
+
+// A lost answer is told from a lost change by reading back. The same change can be made only once,
+// since it moves the revision that it expects.
+async fn commit_announcement<P: Platform>(
+    shared: &Shared<P>,
+    change: &StoreChange,
+    table: &LeadTable,
+) -> Option<Revision> {
+    for _ in 0..ANNOUNCE_TRIES {
+        let commit = shared.store.commit(change);
+        match within(shared, "commit", CALL_TIMEOUT, commit).await {
+            Ok(Committed::Made(revision)) => return Some(revision),
+            Ok(Committed::Conflict) => return read_back(shared, table).await.ok()?,
+            Err(StoreError::Refused { .. }) => return None,
+            Err(_) => match read_back(shared, table).await {
+                Ok(Some(revision)) => return Some(revision),
+                Ok(None) | Err(_) => actix_rt::time::sleep(STEP_PAUSE).await,
+            },
+        }
+    }
+    None
+}
+
+/// The revision of `table`, if the store has just that one.
+async fn read_back<P: Platform>(
+    shared: &Shared<P>,
+    table: &LeadTable,
+) -> Result<Option<Revision>, StoreError> {
+    let call = shared.store.read(LEAD_KEY);
+    let (item, _) = within(shared, "read_lead", CALL_TIMEOUT, call).await?;
+    Ok(item
+        .filter(|item| item.revision > table.revision && item.value == format_leads(table))
+        .map(|item| item.revision))
+}
+
+/// Whether this host still makes the change, as far as it knows.
+pub(super) fn is_current<P: Platform>(shared: &Shared<P>, announced: &Announced) -> bool {
+    let state = shared.lead.borrow();
+    let Some(lead) = state.table.leads.get(&announced.service) else {
+        return false;
+    };
+    lead.primary == announced.old
+        && lead
+            .change
+            .as_ref()
+            .is_some_and(|change| change.by == shared.settings.host)
+}
--- /dev/null
+++ b/crates/jujubehold_entry/src/control/primary_change/record.rs
@@ -0,0 +1,59 @@
+//! The new primary on record.
+
+use jujubehold_core::lead_table::Lead;
+
+use super::super::LEAD_KEY;
+use super::super::lead_document::parse_leads;
+use super::super::peers::Peers;
+use super::super::primary_keeper::commit_table;
+use super::super::store_calls::{CALL_TIMEOUT, within};
+use super::STEP_PAUSE;
+use super::announce::{Announced, is_current};
+use crate::prelude::*;
+use crate::protocol::Store;
+
+/// Puts the new primary on record; `None` when the change was taken over.
+pub(super) async fn record<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    peers: &Rc<Peers>,
+    announced: &Announced,
+    primary: InstanceId,
+) -> Option<InstanceId> {
+    while is_current(shared, announced) {
+        let lead = Lead {
+            primary: primary.clone(),
+            change: None,
+        };
+        let table = shared
+            .lead
+            .borrow()
+            .table
+            .with_lead(&announced.service, lead);
+        if commit_table(shared, &table).await.is_some() {
+            peers.tell_table(shared);
+            return Some(primary);
+        }
+        // Another service's change may have moved the table, or the answer was lost.
+        refresh(shared).await;
+        let is_done = {
+            let state = shared.lead.borrow();
+            state.table.usable_primary(&announced.service) == Some(&primary)
+        };
+        if is_done {
+            peers.tell_table(shared);
+            return Some(primary);
+        }
+        actix_rt::time::sleep(STEP_PAUSE).await;
+    }
+    None
+}
+
+async fn refresh<P: Platform>(shared: &Shared<P>) {
+    let call = shared.store.read(LEAD_KEY);
+    // A failure is logged with the store's health; the next round asks again.
+    if let Ok((Some(item), _)) = within(shared, "read_lead", CALL_TIMEOUT, call).await
+        && let Some(table) = parse_leads(&item.value, item.revision)
+    {
+        shared.adopt_table(table);
+    }
+}
