Answer a stop for its own announcement, also when the table moved since

Found by reading: hosts answered a stop with the revision of their table. When another service's change moves the table meanwhile, as when a failure domain with two primaries is lost, no answer fits the announcement and all windows are waited out. The stop now carries its announcement, and answers give it back. A leader that is found in place of a promotion is put on record after the same wait as one that was promoted, whatever brought it about.

No test shows the first: the stand-in has one service.

--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -81,15 +81,18 @@
         self.send_to_all(shared, &message);
     }
 
-    /// Asks `hosts` to stop using the primary of `service`, which the table says is replaced.
+    /// Asks `hosts` to stop using the primary of `service`, whose change was announced at
+    /// `revision`; other services' changes may have moved the table since.
     pub(crate) fn ask_stop<P: Platform>(
         &self,
         shared: &Shared<P>,
         service: &str,
+        revision: Revision,
         hosts: &BTreeSet<HostId>,
     ) {
         let mut message = with_table(shared, message(shared, PeerMessageKind::Stop));
         service.clone_into(&mut message.service);
+        message.announcement = revision;
         for host in hosts {
             self.send_to(shared, host, &message);
         }
@@ -203,7 +206,7 @@
     }
     let mut answer = message(shared, PeerMessageKind::Stopped);
     answer.service.clone_from(&question.service);
-    answer.announcement = question.table_revision;
+    answer.announcement = question.announcement;
     peers.send_to(shared, &question.from, &answer);
 }
 
--- a/crates/jujubehold_entry/src/control/primary_change/promotion.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/promotion.rs
@@ -41,7 +41,8 @@
         let statuses = ask_all(shared, announced).await;
         let chosen = match choose_candidate(&announced.old, &statuses) {
             CandidateChoice::Leads(instance) => {
-                // Whoever promoted it waited for the hosts before it gave the order.
+                let mut wait = begin_wait(shared, announced, announced.since).await;
+                wait_for_stop(shared, peers, announced, &mut wait).await?;
                 return Some(instance);
             }
             CandidateChoice::Promote(instance) => instance,
--- a/crates/jujubehold_entry/src/control/primary_change/stopping.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/stopping.rs
@@ -37,7 +37,7 @@
         for host in peers.stopped(&service, revision) {
             hosts.remove(&host);
         }
-        peers.ask_stop(&shared, &service, &hosts);
+        peers.ask_stop(&shared, &service, revision, &hosts);
         actix_rt::time::sleep(STOP_INTERVAL).await;
     }
 }
