--- a/crates/jujubehold/src/commands/entry.rs
+++ b/crates/jujubehold/src/commands/entry.rs
@@ -11,6 +11,7 @@
 
 use super::host::stop_signal;
 use super::read_file;
+use super::reload::check_at_hangup;
 use crate::cli_error::CliError;
 use crate::exit_status::ExitStatus;
 use crate::log_pipe::LogPipe;
@@ -41,13 +42,15 @@
         return Err(HELP.usage_error("--settings is missing, and the platform states no file"));
     };
     let settings = EntrySettings::parse(&file, &read_file(&file)?)?;
-    let result = actix_rt::System::new().block_on(serve(settings));
+    let result = actix_rt::System::new().block_on(serve(file, settings));
     LogPipe::settle();
     result.map(|()| String::new())
 }
 
-async fn serve(settings: EntrySettings) -> Result<(), CliError> {
-    let stop = stop_signal().map_err(|error| CliError::Failed(error.to_string()))?;
+async fn serve(file: String, settings: EntrySettings) -> Result<(), CliError> {
+    let failed = |error: std::io::Error| CliError::Failed(error.to_string());
+    let stop = stop_signal().map_err(failed)?;
+    check_at_hangup(file, settings.clone(), EntrySettings::parse).map_err(failed)?;
     if let Some(address) = settings.metrics_address {
         metrics_page::install();
         let listener = listen(address).await?;
--- a/crates/jujubehold/src/commands/host.rs
+++ b/crates/jujubehold/src/commands/host.rs
@@ -6,6 +6,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::read_file;
+use super::reload::check_at_hangup;
 use crate::cli_error::CliError;
 use crate::exit_status::ExitStatus;
 use crate::options::{CommandHelp, Parsed};
@@ -35,7 +36,9 @@
     };
     let settings = HostSettings::parse(&file, &read_file(&file)?)?;
     actix_rt::System::new().block_on(async {
-        let stop = stop_signal().map_err(|error| CliError::Failed(error.to_string()))?;
+        let failed = |error: std::io::Error| CliError::Failed(error.to_string());
+        let stop = stop_signal().map_err(failed)?;
+        check_at_hangup(file, settings.clone(), HostSettings::parse).map_err(failed)?;
         jujubehold_host::run(settings, stop)
             .await
             .map_err(|error| CliError::Failed(error.to_string()))
--- a/crates/jujubehold/src/commands/mod.rs
+++ b/crates/jujubehold/src/commands/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod faults;
 pub(crate) mod host;
 pub(crate) mod load;
+pub(crate) mod reload;
 pub(crate) mod replay;
 pub(crate) mod show;
 pub(crate) mod standin_database;
