--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -9,7 +9,7 @@
 use super::failure::Failure;
 use super::operation::Operation;
 use super::prepared::PreparedStatements;
-use super::transaction::Transaction;
+use super::transaction::{Transaction, already_failed};
 use crate::metric_names::{REFUSALS, SESSIONS, UNKNOWNS};
 use crate::phase::Phase;
 use crate::pool::SessionValues;
@@ -241,10 +241,7 @@
             | RequestKind::Set { .. }
             | RequestKind::Prepare { .. }
             | RequestKind::Deallocate { .. }
-            | RequestKind::Malformed => Err(Failure::told(
-                ErrorCode::Malformed,
-                "the transaction failed",
-            )),
+            | RequestKind::Malformed => Err(already_failed()),
         }
     }
 
--- a/crates/jujubehold_entry/src/callers/transaction.rs
+++ b/crates/jujubehold_entry/src/callers/transaction.rs
@@ -128,10 +128,7 @@
     ) -> Result<UpstreamReply, Failure> {
         self.open(transaction, arrived_at).await?;
         let Stage::Open(open) = &mut transaction.stage else {
-            return Err(Failure::told(
-                ErrorCode::Malformed,
-                "the transaction failed",
-            ));
+            return Err(already_failed());
         };
         let operation = &transaction.operation;
         open.has_written |= access == Access::Write;
@@ -243,10 +240,7 @@
         match transaction.stage {
             Stage::Open(_) => return Ok(()),
             Stage::Failed => {
-                return Err(Failure::told(
-                    ErrorCode::Malformed,
-                    "the transaction failed",
-                ));
+                return Err(already_failed());
             }
             Stage::Unopened => {}
         }
@@ -323,6 +317,11 @@
 /// How long an instance may take to open a transaction, which runs nothing.
 const BEGIN_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// What a statement in a failed transaction is told.
+pub(super) fn already_failed() -> Failure {
+    Failure::told(ErrorCode::Malformed, "the transaction failed")
+}
+
 // An instance that refused a COMMIT may still hold the transaction.
 fn finish_after_commit<P: Platform>(lease: ConnectionLease<P>) {
     if lease.state() == SessionState::Idle {
--- a/crates/jujubehold_entry/src/control/primary_change/announce.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/announce.rs
@@ -5,15 +5,16 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use super::super::lead_document::format_leads;
-use super::super::primary_keeper::{ChangeReason, duty_key};
+use super::super::primary_keeper::ChangeReason;
 use super::super::store_calls::{CALL_TIMEOUT, within};
-use super::super::{HOSTS_PREFIX, LEAD_KEY};
+use super::super::{DUTY_KEY, HOSTS_PREFIX, LEAD_KEY};
 use super::STEP_PAUSE;
 use crate::prelude::*;
 use crate::protocol::{Committed, Store, StoreChange, StoreError};
 
 /// How often an announcement is tried whose answer was lost.
 const ANNOUNCE_TRIES: u32 = 5;
+
 /// A change that was announced.
 #[derive(Debug)]
 pub(super) struct Announced {
@@ -45,7 +46,7 @@
     };
     let new_table = table.with_lead(service, new_lead);
     let own_key = shared.lead.borrow().membership.as_ref()?.key_revision;
-    let duty = within(shared, "read", CALL_TIMEOUT, shared.store.read(&duty_key())).await;
+    let duty = within(shared, "read", CALL_TIMEOUT, shared.store.read(DUTY_KEY)).await;
     let (duty, _) = duty.ok()?;
     let holds_duty = duty
         .as_ref()
@@ -53,15 +54,21 @@
     let duty_revision = duty.map_or(0, |item| item.revision);
     let mut store_change = StoreChange {
         expected: vec![
-            (SmolStr::new(LEAD_KEY), table.revision),
+            (SmolStr::new_static(LEAD_KEY), table.revision),
             (format_smolstr!("{HOSTS_PREFIX}{host}"), own_key),
-            (duty_key(), duty_revision),
+            (SmolStr::new_static(DUTY_KEY), duty_revision),
         ],
-        writes: vec![(SmolStr::new(LEAD_KEY), format_leads(&new_table), None)],
+        writes: vec![(
+            SmolStr::new_static(LEAD_KEY),
+            format_leads(&new_table),
+            None,
+        )],
     };
     if !holds_duty {
         let value = Bytes::copy_from_slice(host.as_bytes());
-        store_change.writes.push((duty_key(), value, None));
+        store_change
+            .writes
+            .push((SmolStr::new_static(DUTY_KEY), value, None));
     }
     let revision = commit_announcement(shared, &store_change, &new_table).await?;
     shared.adopt_table(LeadTable {
--- a/crates/jujubehold_entry/src/control/primary_change/candidates.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/candidates.rs
@@ -1,7 +1,6 @@
 //! What the instances of a group say when a primary is replaced.
 
 use jujubehold_core::candidate_choice::CandidateStatus;
-use jujubehold_core::replica_evidence::is_unmarked_replica;
 use log::{info, warn};
 
 use super::super::status_calls::{mark, resume, status, step_down};
@@ -13,17 +12,14 @@
 
 /// How long a promoted instance may take to lead.
 const LEAD_WAIT: Duration = Duration::from_secs(3);
-/// Makes the old primary a replica, where it can be reached; returns what it had received if it
-/// leaves by plan and all of that should be kept.
+
+/// Makes a primary that leaves by plan a replica, where it can be reached; returns what it had
+/// received, all of which should be kept.
 pub(super) async fn fence_old<P: Platform>(
     shared: &Rc<Shared<P>>,
     announced: &Announced,
 ) -> Option<LogPosition> {
     let old = shared.upstream(&announced.old)?;
-    if !announced.is_planned && old.health.borrow().silent_since().is_some() {
-        // It gives no answer; whoever reaches it later finds it replaced.
-        return None;
-    }
     let report = status(&old).await?;
     if report.role == Role::Replica {
         return None;
@@ -31,7 +27,7 @@
     let report = step_down(&old, report.term + 1).await?;
     info!(instance = announced.old.as_str(), received:% = report.received;
         "the old primary stepped down");
-    announced.is_planned.then_some(report.received)
+    Some(report.received)
 }
 
 pub(super) async fn ask_all<P: Platform>(
@@ -63,7 +59,7 @@
         role: report.role,
         received: report.received,
         term: report.term,
-        is_unmarked: is_unmarked_replica(report.role, report.term, report.held_term),
+        is_unmarked: report.is_unmarked_replica(),
         is_leaving: entry.lifecycle == InstanceLifecycle::Leaving,
     }
 }
@@ -108,7 +104,7 @@
     let newest_term = statuses.iter().map(|status| status.received.term).max()?;
     let term = newest_term.max(status.term) + 1;
     let report = mark(&upstream, term).await?;
-    let is_marked = !is_unmarked_replica(report.role, report.term, report.held_term);
+    let is_marked = !report.is_unmarked_replica();
     is_marked.then(|| Some(shared.now()))
 }
 
@@ -118,7 +114,7 @@
         return false;
     };
     let report = status(&upstream).await;
-    report.is_some_and(|report| !is_unmarked_replica(report.role, report.term, report.held_term))
+    report.is_some_and(|report| !report.is_unmarked_replica())
 }
 
 // Marks of an earlier try would keep replicas from receiving.
@@ -134,7 +130,7 @@
         actix_rt::spawn(async move {
             let report = status(&upstream).await;
             let is_marked = report.is_some_and(|report| {
-                report.role == Role::Replica && report.held_term > report.term
+                report.role == Role::Replica && !report.is_unmarked_replica()
             });
             if is_marked && resume(&upstream).await.is_none() {
                 warn!(instance = upstream.id().as_str(); "a mark could not be taken off");
--- a/crates/jujubehold_entry/src/control/primary_change/promotion.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/promotion.rs
@@ -24,6 +24,7 @@
 const ORDER_PROOF_AGE: Duration = Duration::from_millis(300);
 /// How long a replica may take to receive what a primary that left by plan had.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1_200);
+
 /// Promotes a replica and waits until it leads; `None` when the change was taken over.
 pub(super) async fn promote_one<P: Platform>(
     shared: &Rc<Shared<P>>,
--- a/crates/jujubehold_entry/src/control/primary_keeper.rs
+++ b/crates/jujubehold_entry/src/control/primary_keeper.rs
@@ -10,11 +10,11 @@
 use log::{debug, info};
 use smol_str::SmolStr;
 
+use super::LEAD_KEY;
 use super::lead_document::format_leads;
 use super::peers::Peers;
 use super::primary_change::change_primary;
 use super::store_calls::{CALL_TIMEOUT, within};
-use super::{DUTY_KEY, LEAD_KEY};
 use crate::prelude::*;
 use crate::protocol::{Committed, InstanceLifecycle, Store, StoreChange};
 
@@ -220,8 +220,8 @@
     table: &LeadTable,
 ) -> Option<u64> {
     let change = StoreChange {
-        expected: vec![(SmolStr::new(LEAD_KEY), table.revision)],
-        writes: vec![(SmolStr::new(LEAD_KEY), format_leads(table), None)],
+        expected: vec![(SmolStr::new_static(LEAD_KEY), table.revision)],
+        writes: vec![(SmolStr::new_static(LEAD_KEY), format_leads(table), None)],
     };
     let commit = shared.store.commit(&change);
     match within(shared, "commit", CALL_TIMEOUT, commit).await {
@@ -239,8 +239,3 @@
         }
     }
 }
-
-/// The key of the host that gave the last order, for the change that writes it.
-pub(crate) fn duty_key() -> SmolStr {
-    SmolStr::new(DUTY_KEY)
-}
--- a/crates/jujubehold_entry/src/control/replica_questions.rs
+++ b/crates/jujubehold_entry/src/control/replica_questions.rs
@@ -2,8 +2,6 @@
 
 use std::collections::BTreeSet;
 
-use jujubehold_core::replica_evidence::is_unmarked_replica;
-
 use super::status_calls::status;
 use crate::pool::Upstream;
 use crate::prelude::*;
@@ -40,7 +38,7 @@
     let Some(report) = status(&upstream).await else {
         return;
     };
-    let is_unmarked = is_unmarked_replica(report.role, report.term, report.held_term);
+    let is_unmarked = report.is_unmarked_replica();
     let all: BTreeSet<_> = replicas(&shared, &service)
         .iter()
         .map(|upstream| upstream.id())
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -119,6 +119,11 @@
         self.entry.borrow().id.clone()
     }
 
+    /// Whether it belongs to `service`.
+    pub(crate) fn is_of(&self, service: &str) -> bool {
+        self.entry.borrow().service == service
+    }
+
     /// Whether it may be given new work as a replica.
     pub(crate) fn takes_work(&self) -> bool {
         self.entry.borrow().lifecycle == InstanceLifecycle::Serving
--- a/crates/jujubehold_entry/src/protocol/upstream.rs
+++ b/crates/jujubehold_entry/src/protocol/upstream.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use jujubehold_core::log_position::LogPosition;
 use jujubehold_core::prelude::*;
+use jujubehold_core::replica_evidence::is_unmarked_replica;
 use smol_str::SmolStr;
 
 use super::caller::SessionState;
@@ -156,3 +157,10 @@
         pub held_term: Term,
     }
 }
+
+impl StatusReport {
+    /// Whether it is a replica that was not marked to take over.
+    pub fn is_unmarked_replica(&self) -> bool {
+        is_unmarked_replica(self.role, self.term, self.held_term)
+    }
+}
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use jujubehold_core::lead_table::LeadTable;
+use jujubehold_core::primary_marks::PrimaryMarks;
 use jujubehold_settings::EntrySettings;
 use log::info;
 use tokio::sync::{Notify, watch};
@@ -102,7 +103,7 @@
         let upstreams = self.upstreams.borrow();
         let of_service = upstreams
             .values()
-            .filter(|upstream| upstream.entry().service == service);
+            .filter(|upstream| upstream.is_of(service));
         of_service.cloned().collect()
     }
 
@@ -197,7 +198,7 @@
                     until: proved_until.min(now + LEAVING_LIMIT),
                 });
                 if before.is_none_or(|before| before.primary != lead.primary) {
-                    group.marks = jujubehold_core::primary_marks::PrimaryMarks::default();
+                    group.marks = PrimaryMarks::default();
                 }
             });
         }
