Prove shared reads end to end, and stay off the list of hosts once off it

Found by the new test hosts_whose_reader_leaves_go_on, which failed first: a host that had taken itself off the list of hosts joined it again if its process went on for up to a second, as it does when the store is slow to answer the end of its lease. Whoever replaces a primary then waits for a host that is gone. A closing host joins no more.

The stand-in counts ranges read by each host, and can leave waiting watches hanging while new calls work. Four tests: one host reads for its failure domain; others read by themselves when it is turned away, and when it leaves; a watch that went silent is begun anew (it would have lasted 25 s, longer than the test waits).

--- a/crates/jujubehold_entry/src/control/membership.rs
+++ b/crates/jujubehold_entry/src/control/membership.rs
@@ -14,6 +14,7 @@
 use super::member_document::format_member;
 use super::store_calls::{CALL_TIMEOUT, within};
 use crate::lead_state::Membership;
+use crate::phase::Phase;
 use crate::prelude::*;
 use crate::protocol::{Committed, Store, StoreChange, StoreError};
 
@@ -32,6 +33,9 @@
         let membership = shared.lead.borrow().membership.clone();
         let result = match &membership {
             Some(membership) => renew(&shared, membership).await,
+            // A host that has taken itself off must not come back in its last moments: whoever
+            // replaces a primary would wait for it.
+            None if *shared.phase.borrow() == Phase::Closing => return,
             None => join(&shared, peer).await,
         };
         let pause = match result {
--- a/crates/jujubehold_standin/src/users_platform/faults.rs
+++ b/crates/jujubehold_standin/src/users_platform/faults.rs
@@ -7,6 +7,8 @@
 pub struct StoreFaults {
     /// Calls get no answer and connections hang.
     pub is_silent: bool,
+    /// Watches that wait now hang for good, as on a connection that went silent; new ones work.
+    pub silenced_watches: u32,
     /// Calls get this status and nothing is done.
     pub refusal: Option<u16>,
     /// Writes are done and their answers are lost.
--- a/crates/jujubehold_standin/src/users_platform/handle.rs
+++ b/crates/jujubehold_standin/src/users_platform/handle.rs
@@ -16,6 +16,7 @@
 use super::instance::Instance;
 use super::instance_server::serve_instance;
 use super::kv_state::KvState;
+use super::store_door::StoreDoor;
 use super::store_server::serve_store;
 
 /// How often replicas receive what the primary has.
@@ -89,13 +90,15 @@
     ///
     /// # Errors
     /// No port is free.
-    pub async fn store_for_host(&self) -> std::io::Result<(SocketAddr, Rc<RefCell<StoreFaults>>)> {
+    pub async fn store_for_host(&self) -> std::io::Result<StoreDoor> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let faults = Rc::new(RefCell::new(StoreFaults::default()));
-        let serving = serve_store(listener, Rc::clone(&self.store), Rc::clone(&faults));
-        actix_rt::spawn(serving);
-        Ok((address, faults))
+        let door = StoreDoor {
+            address: listener.local_addr()?,
+            faults: Rc::default(),
+            range_count: Rc::default(),
+        };
+        actix_rt::spawn(serve_store(listener, Rc::clone(&self.store), door.clone()));
+        Ok(door)
     }
 
     /// Writes the operators' configuration.
--- a/crates/jujubehold_standin/src/users_platform/store_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/store_server.rs
@@ -8,9 +8,9 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
-use super::faults::StoreFaults;
 use super::http::{Answer, Call, serve};
 use super::kv_state::{Change, Item, KvState};
+use super::store_door::StoreDoor;
 
 /// How often a waiting watch looks for changes.
 const WATCH_LOOK: Duration = Duration::from_millis(5);
@@ -19,20 +19,16 @@
 pub(crate) async fn serve_store(
     listener: TcpListener,
     state: Rc<RefCell<KvState>>,
-    faults: Rc<RefCell<StoreFaults>>,
+    door: StoreDoor,
 ) {
     serve(listener, move |call| {
-        answer(call, Rc::clone(&state), Rc::clone(&faults))
+        answer(call, Rc::clone(&state), door.clone())
     })
     .await;
 }
 
-async fn answer(
-    call: Call,
-    state: Rc<RefCell<KvState>>,
-    faults: Rc<RefCell<StoreFaults>>,
-) -> Answer {
-    let fault = faults.borrow().clone();
+async fn answer(call: Call, state: Rc<RefCell<KvState>>, door: StoreDoor) -> Answer {
+    let fault = door.faults.borrow().clone();
     if fault.is_silent {
         return None;
     }
@@ -42,7 +38,10 @@
     actix_rt::time::sleep(fault.delay).await;
     state.borrow_mut().expire();
     if call.path == "/-/kv-watch" {
-        return watch(&call, &state, &faults).await;
+        return watch(&call, &state, &door).await;
+    }
+    if call.path == "/-/kv-range" {
+        door.range_count.set(door.range_count.get() + 1);
     }
     let answer = run(&call, &mut state.borrow_mut());
     let is_write = call.path == "/-/kv-txn";
@@ -145,16 +144,15 @@
     }
 }
 
-async fn watch(
-    call: &Call,
-    state: &Rc<RefCell<KvState>>,
-    faults: &Rc<RefCell<StoreFaults>>,
-) -> Answer {
+async fn watch(call: &Call, state: &Rc<RefCell<KvState>>, door: &StoreDoor) -> Answer {
     let give_up_at = Instant::now() + Duration::from_millis(call.number("wait_ms"));
     loop {
-        if faults.borrow().is_silent {
+        if door.faults.borrow().is_silent {
             return None;
         }
+        if take_silenced(door) {
+            return std::future::pending().await;
+        }
         state.borrow_mut().expire();
         let (changes, revision) = {
             let state = state.borrow();
@@ -172,6 +170,13 @@
     }
 }
 
+fn take_silenced(door: &StoreDoor) -> bool {
+    let mut faults = door.faults.borrow_mut();
+    let is_silenced = faults.silenced_watches > 0;
+    faults.silenced_watches = faults.silenced_watches.saturating_sub(1);
+    is_silenced
+}
+
 fn change_document(change: &Change) -> Value {
     match &change.item {
         Some(item) => item_document(&change.key, item),
