--- a/crates/jujubehold_entry/src/callers/attempt.rs
+++ b/crates/jujubehold_entry/src/callers/attempt.rs
@@ -66,14 +66,22 @@
     if !shared.log.allows(now) {
         return;
     }
-    let floor = after.map_or_else(|| "none".into(), |floor| format_smolstr!("{floor}"));
+    let position = result.as_ref().ok().and_then(|reply| reply.position);
     info!(request = statement.id(), instance = upstream.id().as_str(),
-        outcome = outcome.as_str(), floor = floor.as_str(),
+        outcome = outcome.as_str(), floor = position_text(after).as_str(),
+        position = position_text(position).as_str(),
         taken_ms = millis(now.saturating_sub(sent_at)),
         expected_ms = millis(upstream.health.borrow().expected_time(now));
         "an instance did not serve a statement");
 }
 
+fn position_text(position: Option<LogPosition>) -> SmolStr {
+    position.map_or_else(
+        || SmolStr::new_static("none"),
+        |position| format_smolstr!("{position}"),
+    )
+}
+
 // Every answer tells how late its instance is.
 fn note_lag<P: Platform>(
     shared: &Rc<Shared<P>>,
--- a/crates/jujubehold_standin/src/users_platform/handle.rs
+++ b/crates/jujubehold_standin/src/users_platform/handle.rs
@@ -10,7 +10,6 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
-use super::faults::StoreFaults;
 use super::group::Group;
 use super::http::{Call, serve};
 use super::instance::Instance;
