Tell other hosts the list of hosts with a proof, and follow changes of it more seldom

Change: an answer to a question for a proof holds the whole list where the digests differ (74 hosts take 4 KB; beyond 100 hosts the store is read, as before). With that a watch need not be quick for it: calls keep 20 ms a host apart, 2 s at the most (8 ms and 1 s before).

--- a/crates/jujubehold_core/src/watch_pace.rs
+++ b/crates/jujubehold_core/src/watch_pace.rs
@@ -36,11 +36,11 @@
 impl Default for WatchPace {
     fn default() -> Self {
         Self {
-            // All hosts together make at most 125 calls a second, a third of what the smallest
-            // store on the platform's pages takes in writes alone.
-            spacing_per_host: Duration::from_millis(8),
-            // A quarter of the time in which a configuration has to be in force.
-            longest_spacing: Duration::from_secs(1),
+            // All hosts together make at most 50 calls a second, however much changes: an eighth of
+            // what the smallest store on the platform's pages takes in writes alone.
+            spacing_per_host: Duration::from_millis(20),
+            // Half of the time in which a configuration has to be in force.
+            longest_spacing: Duration::from_secs(2),
             // Longer than a change takes to a host at a slow store.
             patience: Duration::from_millis(1_500),
         }
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -33,6 +33,37 @@
     /// The newest positions of the primaries that the sender knows.
     #[prost(message, repeated, tag = "10")]
     pub(crate) marks: Vec<MarkMessage>,
+    /// The digest of the hosts that the sender knows.
+    #[prost(uint64, tag = "11")]
+    pub(crate) hosts_digest: u64,
+    /// Those hosts, where the receiver knows other ones.
+    #[prost(message, optional, tag = "12")]
+    pub(crate) hosts: Option<HostsMessage>,
+}
+
+/// The list of hosts, as told to another host.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub(crate) struct HostsMessage {
+    /// The store's revision that the list is of.
+    #[prost(uint64, tag = "1")]
+    pub(crate) revision: u64,
+    /// The hosts.
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) hosts: Vec<HostMessage>,
+}
+
+/// One host's entry, as told to another host.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub(crate) struct HostMessage {
+    /// The host.
+    #[prost(string, tag = "1")]
+    pub(crate) host: String,
+    /// The value of its entry in the store.
+    #[prost(bytes = "vec", tag = "2")]
+    pub(crate) entry: Vec<u8>,
+    /// The store's revision of its entry.
+    #[prost(uint64, tag = "3")]
+    pub(crate) revision: u64,
 }
 
 /// One host's read of the store, as told to another.
@@ -44,9 +75,6 @@
     /// The store's revision that it is of.
     #[prost(uint64, tag = "2")]
     pub(crate) revision: u64,
-    /// The digest of the hosts that the sender knows.
-    #[prost(uint64, tag = "3")]
-    pub(crate) hosts_digest: u64,
 }
 
 /// A primary's position, as told to another host.
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -2,10 +2,16 @@
 
 use jujubehold_core::proof_sharing::ProofSharingSettings;
 
-use super::peer_message::{MarkMessage, PeerMessage, PeerMessageKind, ReadMessage};
+use super::member_document::format_member;
+use super::peer_message::{
+    HostMessage, HostsMessage, MarkMessage, PeerMessage, PeerMessageKind, ReadMessage,
+};
 use super::peers::{Peers, message, with_table};
 use crate::prelude::*;
 
+/// How many hosts one datagram holds: an entry takes about 60 bytes of the 8 KiB.
+const MAX_HOSTS_TOLD: usize = 100;
+
 /// Answers a host that asks for a proof. Without a read that is young enough the answer holds none,
 /// so that the other host looks elsewhere at once.
 pub(super) fn answer_question<P: Platform>(
@@ -18,6 +24,10 @@
         answer = with_table(shared, answer);
     }
     answer.question = question.question;
+    answer.hosts_digest = shared.lead.borrow().members_digest;
+    if answer.hosts_digest != question.hosts_digest {
+        answer.hosts = hosts(shared);
+    }
     answer.read = own_read(shared);
     answer.marks = marks(shared);
     peers.send_to(shared, &question.from, &answer);
@@ -31,7 +41,23 @@
     settings.may_tell(age).then(|| ReadMessage {
         age_us: micros(age),
         revision: read.revision,
-        hosts_digest: lead.members_digest,
+    })
+}
+
+// A longer list would not fit into a datagram; the other host reads it from the store then.
+fn hosts<P: Platform>(shared: &Shared<P>) -> Option<HostsMessage> {
+    let lead = shared.lead.borrow();
+    if lead.members.len() > MAX_HOSTS_TOLD {
+        return None;
+    }
+    let hosts = lead.members.iter().map(|(host, member)| HostMessage {
+        host: host.to_string(),
+        entry: format_member(member.peer_address, &member.domain).to_vec(),
+        revision: member.key_revision,
+    });
+    Some(HostsMessage {
+        revision: lead.members_revision,
+        hosts: hosts.collect(),
     })
 }
 
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -3,9 +3,11 @@
 use std::cell::{Cell, RefCell};
 
 use jujubehold_core::proof_sharing::{SharedRead, SharedReadCheck, SharedReadFault, happened_at};
+use log::warn;
 use tokio::sync::oneshot;
 
-use super::peer_message::{MarkMessage, PeerMessage, PeerMessageKind};
+use super::member_document::parse_member;
+use super::peer_message::{HostMessage, HostsMessage, MarkMessage, PeerMessage, PeerMessageKind};
 use super::peers::{Peers, message};
 use crate::prelude::*;
 
@@ -59,6 +61,7 @@
     let (number, receiver) = peers.questions.begin();
     let mut question = message(shared, PeerMessageKind::ProofQuestion);
     question.question = number;
+    question.hosts_digest = shared.lead.borrow().members_digest;
     let asked_at = shared.now();
     peers.send_to(shared, source, &question);
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, receiver).await;
@@ -79,8 +82,11 @@
         age: Duration::from_micros(told.age_us),
         revision: told.revision,
         table_revision: answer.table_revision,
-        hosts_digest: told.hosts_digest,
+        hosts_digest: answer.hosts_digest,
     };
+    if let Some(hosts) = &answer.hosts {
+        take_hosts(shared, asked_at, hosts);
+    }
     let now = shared.now();
     shared
         .watch_news
@@ -106,6 +112,24 @@
     Ok(read.age)
 }
 
+// The hosts that another host knows as of a later revision; this one goes on following the watch
+// from there.
+fn take_hosts<P: Platform>(shared: &Shared<P>, asked_at: Monotonic, told: &HostsMessage) {
+    let parse = |host: &HostMessage| {
+        let member = parse_member(&host.entry, host.revision)?;
+        Some((HostId::from(host.host.as_str()), member))
+    };
+    // A list with an entry that can't be read is not the whole list.
+    let Some(hosts) = told.hosts.iter().map(parse).collect() else {
+        warn!(revision = told.revision; "another host's list of hosts can't be read");
+        return;
+    };
+    let mut lead = shared.lead.borrow_mut();
+    if told.revision > lead.members_revision {
+        lead.set_members(hosts, told.revision, asked_at);
+    }
+}
+
 fn take_mark<P: Platform>(shared: &Shared<P>, asked_at: Monotonic, mark: &MarkMessage) {
     let sent_at = happened_at(asked_at, Duration::from_micros(mark.age_us));
     let is_led = {
