Wait longer while no primary is known, and read first oneself at a start

Cause: after a loss of power of all hosts, requests were told no_primary after a quarter of their objective, three times in about a second, while every host was about to have its proof; and hosts that start together asked each other for proofs that none had, 150 ms a question.

Change: a request waits for a primary for three quarters of its objective, since all other hosts are in the same state; a host asks others only once it has read the store itself.

--- a/crates/jujubehold_core/src/wait_policy.rs
+++ b/crates/jujubehold_core/src/wait_policy.rs
@@ -16,6 +16,9 @@
     pub struct WaitPolicy {
         /// The part of the objective that a request may wait before it runs, in percent.
         pub wait_percent: u32,
+        /// The same while no primary is known, in percent: every other host is in the same state,
+        /// so that a caller gains nothing by trying elsewhere.
+        pub primary_wait_percent: u32,
         /// The least time that a refused caller is asked to wait.
         pub min_retry_after: Duration,
         /// The longest time that a refused caller is asked to wait.
@@ -27,6 +30,7 @@
     fn default() -> Self {
         Self {
             wait_percent: 24,
+            primary_wait_percent: 75,
             min_retry_after: Duration::from_millis(50),
             max_retry_after: Duration::from_secs(2),
         }
@@ -39,6 +43,12 @@
         arrived_at + objective * self.wait_percent / 100
     }
 
+    /// When a request that arrived at `arrived_at` under `objective` is refused if no primary is
+    /// known.
+    pub fn give_up_on_primary_at(&self, arrived_at: Monotonic, objective: Duration) -> Monotonic {
+        arrived_at + objective * self.primary_wait_percent / 100
+    }
+
     /// Whether a request should wait at all when `expected_wait` is ahead of it.
     pub fn is_worth_waiting(
         &self,
--- a/crates/jujubehold_entry/src/callers/operation.rs
+++ b/crates/jujubehold_entry/src/callers/operation.rs
@@ -25,6 +25,11 @@
         }
     }
 
+    /// When a request that arrived at `arrived_at` is refused if no primary is known.
+    pub(crate) fn give_up_on_primary_at(&self, arrived_at: Monotonic) -> Monotonic {
+        WaitPolicy::default().give_up_on_primary_at(arrived_at, self.route.objective)
+    }
+
     /// Until when a request that arrived at `arrived_at` waits for replicas to catch up: half of the
     /// time in which its answer has its full worth.
     pub(crate) fn catch_up_until(&self, arrived_at: Monotonic) -> Monotonic {
--- a/crates/jujubehold_entry/src/callers/single.rs
+++ b/crates/jujubehold_entry/src/callers/single.rs
@@ -208,7 +208,7 @@
         operation: &Operation,
         arrived_at: Monotonic,
     ) -> Result<Rc<Upstream<P>>, Failure> {
-        let give_up_at = operation.wait_limits(arrived_at).give_up_at;
+        let give_up_at = operation.give_up_on_primary_at(arrived_at);
         loop {
             if let Some(upstream) = self.shared.usable_primary(&operation.route.service) {
                 return Ok(upstream);
--- a/crates/jujubehold_entry/src/lead_state.rs
+++ b/crates/jujubehold_entry/src/lead_state.rs
@@ -154,7 +154,8 @@
         }
     }
 
-    /// The host that `host` asks for a proof; `None` when it reads the store itself.
+    /// The host that `host` asks for a proof; `None` when it reads the store itself, as each does
+    /// until it has read once: hosts that start together have nothing to tell each other.
     pub(crate) fn proof_source(
         &self,
         now: Monotonic,
@@ -162,6 +163,7 @@
         domain: &str,
     ) -> Option<HostId> {
         self.membership.as_ref()?;
+        self.own_read?;
         let hosts = self.members.iter();
         let domains = hosts.map(|(host, member)| (host, &member.domain));
         self.sources.source(now, host, domain, domains)
