Open two connections at a time, and have reads wait for a position first

Each host opened up to eight connections to an instance at once, each of which takes a slot for 12 ms, asked each primary for its position over one more, and sent every read to the primary until it had a position, since no floor could be told.

Change: at most two connections to an instance are being opened by one host; requests wait for one that is given back. A read without a position waits up to 250 ms for it, whether or not the primary may be used.

--- a/crates/jujubehold_entry/src/callers/candidates.rs
+++ b/crates/jujubehold_entry/src/callers/candidates.rs
@@ -9,8 +9,9 @@
 use crate::pool::Upstream;
 use crate::prelude::*;
 
-/// How long a read waits for a newer position of the primary.
-const MARK_PATIENCE: Duration = Duration::from_millis(120);
+/// How long a read waits for a newer position of the primary: a look, and a round trip between
+/// regions. Without one it would have to run at the primary.
+const MARK_PATIENCE: Duration = Duration::from_millis(250);
 
 /// An instance that a statement may try, and the floor that it has to check there.
 pub(crate) struct Candidate<P: Platform> {
@@ -55,14 +56,13 @@
                 group.mark_wanted_at = Some(arrived_at);
             });
         }
-        if floor == ReadFloor::NeedsMark {
-            if self
-                .shared
-                .usable_primary(&operation.route.service)
-                .is_none()
-            {
-                self.shared.wait_for_change(MARK_PATIENCE).await;
+        let give_up_at = self.shared.now() + MARK_PATIENCE;
+        while floor == ReadFloor::NeedsMark {
+            let left = give_up_at.saturating_sub(self.shared.now());
+            if left.is_zero() {
+                break;
             }
+            self.shared.wait_for_change(left).await;
             floor = self.read_floor(operation);
         }
         let candidates = self.candidates_at(operation, floor);
--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -74,7 +74,10 @@
 }
 
 async fn read_oneself<P: Platform>(shared: &Shared<P>) -> Duration {
+    let is_first = shared.lead.borrow().own_read.is_none();
     match read(shared).await {
+        // Another host may have the primaries' positions already.
+        Ok(()) if is_first => LEAST_PAUSE,
         Ok(()) => READ_INTERVAL,
         Err(error) => {
             debug!("the table of leads can't be read: {error}");
--- a/crates/jujubehold_entry/src/control/primary_probe.rs
+++ b/crates/jujubehold_entry/src/control/primary_probe.rs
@@ -17,6 +17,9 @@
 const QUIET_AGE: Duration = Duration::from_millis(900);
 /// For how long after a read positions are kept fresh.
 const WANTED_FOR: Duration = Duration::from_secs(3);
+/// How long a host that has just joined leaves it to another one to find the positions out: many
+/// hosts that start together would take the primaries' slots with it.
+const SHARED_START: Duration = Duration::from_millis(400);
 /// How long a primary may take for an answer to nothing.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -30,12 +33,23 @@
             lead.table.leads.keys().cloned().collect()
         };
         let has_source = shared.proof_source().is_some();
+        if has_source && has_just_joined(&shared) {
+            continue;
+        }
         for service in services {
             look_at(&shared, &service, has_source);
         }
     }
 }
 
+fn has_just_joined<P: Platform>(shared: &Shared<P>) -> bool {
+    let joined_at = {
+        let lead = shared.lead.borrow();
+        lead.membership.as_ref().map(|own| own.joined_at)
+    };
+    joined_at.is_some_and(|joined_at| shared.now().saturating_sub(joined_at) < SHARED_START)
+}
+
 fn look_at<P: Platform>(shared: &Rc<Shared<P>>, service: &ServiceId, has_source: bool) {
     let now = shared.now();
     let primary = {
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -26,6 +26,9 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long no connection is asked for after a refusal.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(40);
+/// How many connections are being opened at once: each takes a slot of the instance for a while, and
+/// a request that waits mostly gets one that another has used, sooner than one of its own.
+const MAX_OPENING: usize = 2;
 /// How often the limit rises by one after the instance refused a connection.
 const LIMIT_RECOVERY: Duration = Duration::from_millis(300);
 
@@ -69,6 +72,8 @@
 struct PoolState<P: Platform> {
     idle: Vec<UpstreamConnection<P>>,
     open_count: usize,
+    /// How many of those are being opened.
+    opening_count: usize,
     limit: usize,
     /// Until when no connection is opened after a refusal.
     closed_until: Monotonic,
@@ -98,6 +103,7 @@
             pool: RefCell::new(PoolState {
                 idle: Vec::new(),
                 open_count: 0,
+                opening_count: 0,
                 limit,
                 closed_until: Monotonic::ZERO,
                 limited_at: None,
@@ -223,7 +229,7 @@
         if let Some(lease) = self.acquire_idle() {
             return Ok(lease);
         }
-        self.pool.borrow_mut().open_count += 1;
+        self.pool.borrow_mut().begin_opening();
         self.open().await
     }
 
@@ -290,7 +296,7 @@
         let mut pool = self.pool.borrow_mut();
         let has_room = pool.has_room(self.clock.now());
         if has_room {
-            pool.open_count += 1;
+            pool.begin_opening();
         }
         has_room
     }
@@ -318,6 +324,7 @@
                 .increment(1);
                 self.health.borrow_mut().note_alive(now);
                 opening.upstream = None;
+                self.pool.borrow_mut().end_opening(now);
                 Ok(self.lend(connection))
             }
             Err(error) => {
@@ -438,7 +445,17 @@
     // After a refusal no other one is asked for at once: it would be refused too, and take the
     // instance's time.
     fn has_room(&self, now: Monotonic) -> bool {
-        self.open_count < self.limit && now >= self.closed_until
+        self.open_count < self.limit && self.opening_count < MAX_OPENING && now >= self.closed_until
+    }
+
+    fn begin_opening(&mut self) {
+        self.open_count += 1;
+        self.opening_count += 1;
+    }
+
+    fn end_opening(&mut self, now: Monotonic) {
+        self.opening_count = self.opening_count.saturating_sub(1);
+        self.offer_room(now);
     }
 
     fn offer_room(&mut self, now: Monotonic) {
@@ -447,7 +464,7 @@
                 return;
             };
             if waiter.send(Grant::Room).is_ok() {
-                self.open_count += 1;
+                self.begin_opening();
             }
         }
     }
@@ -477,7 +494,9 @@
 impl<P: Platform> Drop for OpeningGuard<'_, P> {
     fn drop(&mut self) {
         if let Some(upstream) = self.upstream {
-            upstream.free_room(upstream.clock.now());
+            let now = upstream.clock.now();
+            upstream.pool.borrow_mut().opening_count -= 1;
+            upstream.free_room(now);
         }
     }
 }
