Send again what finds its instance busy, within what a request may wait

Cause: after a loss of all hosts the instances' queues were full, and their word 'busy' went straight to callers, who had used up their tries within a second. Each host went on with as many requests side by side as before.

Change: a statement that its instance was too busy to run waits 20 ms and is sent again, as long as it may wait for a connection; a read does so at the last instance that is left. Each such answer cuts the number of connections that the host uses there to one below those in use, which rises again as after a refused connection, so that requests wait on the host in the order of their priority.

--- a/crates/jujubehold_entry/src/callers/failure.rs
+++ b/crates/jujubehold_entry/src/callers/failure.rs
@@ -38,6 +38,17 @@
         )
     }
 
+    /// Whether the instance was too busy to run it.
+    pub(crate) fn is_busy(&self) -> bool {
+        matches!(
+            self,
+            Self::Told {
+                code: ErrorCode::Busy,
+                ..
+            }
+        )
+    }
+
     /// The code and the words that the caller gets.
     ///
     /// A refusal says that nothing ran and when to come back.
--- a/crates/jujubehold_entry/src/callers/single.rs
+++ b/crates/jujubehold_entry/src/callers/single.rs
@@ -23,6 +23,8 @@
 const PATIENCE_FACTOR: u32 = 4;
 /// How long an acknowledgement may wait for the proof that the primary still leads.
 const PROOF_PATIENCE: Duration = Duration::from_millis(1_500);
+/// How long a statement waits before it is sent again to an instance that was too busy to run it.
+const BUSY_PAUSE: Duration = Duration::from_millis(20);
 /// What a caller is asked to wait for a primary to be replaced.
 const CHANGE_EXPECTED: Duration = Duration::from_millis(600);
 
@@ -59,7 +61,10 @@
                 Err(TryError::Next(failure)) => failure,
             };
             self.log_retry(statement, &candidate.upstream, &failure);
-            if !failure.is_behind() {
+            // The last one that is left may have room again before the caller is refused.
+            if is_last && failure.is_busy() && self.may_wait_for_room(operation, arrived_at) {
+                actix_rt::time::sleep(BUSY_PAUSE).await;
+            } else if !failure.is_behind() {
                 failed.insert(candidate.upstream.id());
             }
             last_failure = Some(failure);
@@ -155,6 +160,10 @@
                     is_retry = true;
                     self.shared.wait_for_change(Duration::from_millis(40)).await;
                 }
+                Some(ErrorCode::Busy) if self.may_wait_for_room(operation, arrived_at) => {
+                    self.log_retry(statement, &upstream, &told(&reply));
+                    actix_rt::time::sleep(BUSY_PAUSE).await;
+                }
                 Some(_) => return Err(told(&reply)),
                 None => {
                     return self
@@ -256,6 +265,11 @@
         })
     }
 
+    // What an instance was too busy for has not run, and waits as it would for a connection.
+    fn may_wait_for_room(&self, operation: &Operation, arrived_at: Monotonic) -> bool {
+        self.shared.now() + BUSY_PAUSE < operation.wait_limits(arrived_at).give_up_at
+    }
+
     fn patience(
         &self,
         operation: &Operation,
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -397,6 +397,22 @@
         pool.offer_room(now);
     }
 
+    /// Notes that the instance was too busy to run what this host sent: fewer of its requests go there
+    /// side by side for a while, and the others wait here in their order.
+    pub(crate) fn note_busy(&self) {
+        let now = self.clock.now();
+        let mut pool = self.pool.borrow_mut();
+        let is_same_cause = pool
+            .limited_at
+            .is_some_and(|limited_at| now.saturating_sub(limited_at) < REFUSAL_PAUSE);
+        if is_same_cause {
+            return;
+        }
+        let used_count = pool.open_count - pool.idle.len();
+        pool.limit = used_count.saturating_sub(1).max(1);
+        pool.limited_at = Some(now);
+    }
+
     /// Sets how many connections this host may have, closes idle ones that it need not keep and lets
     /// the limit rise again after a refusal.
     pub(crate) fn keep(&self, share: &ConnectionShare, keeps_one: bool) {
