Prove what happens while instances have no room, and ask for a position at once

A read that waits now has the position asked for at once, from 200 ms after joining on, and waits 350 ms.

--- a/crates/jujubehold_entry/src/callers/candidates.rs
+++ b/crates/jujubehold_entry/src/callers/candidates.rs
@@ -9,9 +9,9 @@
 use crate::pool::Upstream;
 use crate::prelude::*;
 
-/// How long a read waits for a newer position of the primary: a look, and a round trip between
+/// How long a read waits for a newer position of the primary: two looks, and a round trip between
 /// regions. Without one it would have to run at the primary.
-const MARK_PATIENCE: Duration = Duration::from_millis(250);
+const MARK_PATIENCE: Duration = Duration::from_millis(350);
 
 /// An instance that a statement may try, and the floor that it has to check there.
 pub(crate) struct Candidate<P: Platform> {
@@ -62,6 +62,9 @@
             if left.is_zero() {
                 break;
             }
+            self.shared.with_group(&operation.route.service, |group| {
+                group.is_mark_needed = true;
+            });
             self.shared.wait_for_change(left).await;
             floor = self.read_floor(operation);
         }
--- a/crates/jujubehold_entry/src/control/primary_probe.rs
+++ b/crates/jujubehold_entry/src/control/primary_probe.rs
@@ -19,7 +19,7 @@
 const WANTED_FOR: Duration = Duration::from_secs(3);
 /// How long a host that has just joined leaves it to another one to find the positions out: many
 /// hosts that start together would take the primaries' slots with it.
-const SHARED_START: Duration = Duration::from_millis(400);
+const SHARED_START: Duration = Duration::from_millis(200);
 /// How long a primary may take for an answer to nothing.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -71,8 +71,11 @@
             (false, true) => MARK_AGE,
             (false, false) => QUIET_AGE,
         };
-        let is_due = age > limit && !group.is_probing;
-        group.is_probing |= is_due;
+        let is_due = (age > limit || group.is_mark_needed) && !group.is_probing;
+        if is_due {
+            group.is_probing = true;
+            group.is_mark_needed = false;
+        }
         is_due
     });
     if is_due {
--- a/crates/jujubehold_entry/src/group.rs
+++ b/crates/jujubehold_entry/src/group.rs
@@ -20,6 +20,8 @@
     pub(crate) primary_uses: u32,
     /// When a read last needed a mark.
     pub(crate) mark_wanted_at: Option<Monotonic>,
+    /// Whether a read waits for a mark now.
+    pub(crate) is_mark_needed: bool,
     /// Whether a question for the primary's position is under way.
     pub(crate) is_probing: bool,
     pub(crate) metrics: GroupMetrics,
@@ -52,6 +54,7 @@
             leaving: None,
             primary_uses: 0,
             mark_wanted_at: None,
+            is_mark_needed: false,
             is_probing: false,
             metrics: GroupMetrics::new(service),
         }
--- a/crates/jujubehold_standin/src/users_platform/faults.rs
+++ b/crates/jujubehold_standin/src/users_platform/faults.rs
@@ -30,6 +30,8 @@
     pub is_dark: bool,
     /// All its slots are taken.
     pub is_busy: bool,
+    /// Connections that are being opened wait.
+    pub holds_openings: bool,
     /// It receives nothing from the primary.
     pub is_deaf: bool,
     /// Answers of commits and writes are lost, and their connection breaks.
--- a/crates/jujubehold_standin/src/users_platform/instance.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance.rs
@@ -26,6 +26,10 @@
     pub faults: InstanceFaults,
     /// How many connections are open.
     pub connections: Cell<u32>,
+    /// How many connections are being opened.
+    pub opening_count: u32,
+    /// How many statements it was too busy for.
+    pub busy_count: u32,
     pub(crate) log: Vec<LogEntry>,
 }
 
@@ -38,6 +42,8 @@
             held_term: 0,
             faults: InstanceFaults::default(),
             connections: Cell::new(0),
+            opening_count: 0,
+            busy_count: 0,
             log: Vec::new(),
         }
     }
--- a/crates/jujubehold_standin/src/users_platform/instance_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance_server.rs
@@ -88,6 +88,9 @@
             }
             let message = line.trim_end_matches(['\r', '\n']).to_owned();
             line.clear();
+            if message.starts_with("START") {
+                self.wait_for_opening().await;
+            }
             let Ok(answer) = self.answer(&message) else {
                 return;
             };
@@ -98,6 +101,14 @@
         }
     }
 
+    async fn wait_for_opening(&self) {
+        self.with_instance(|instance| instance.opening_count += 1);
+        while self.with_instance(|instance| instance.faults.holds_openings) == Some(true) {
+            actix_rt::time::sleep(DEATH_LOOK).await;
+        }
+        self.with_instance(|instance| instance.opening_count -= 1);
+    }
+
     fn answer(&mut self, message: &str) -> Result<String, AnswerLost> {
         if self.is_dead() {
             return Err(AnswerLost);
@@ -242,7 +253,11 @@
     }
 
     fn is_busy(&mut self) -> bool {
-        self.with_instance(|instance| instance.faults.is_busy) == Some(true)
+        let is_busy = self.with_instance(|instance| {
+            instance.busy_count += u32::from(instance.faults.is_busy);
+            instance.faults.is_busy
+        });
+        is_busy == Some(true)
     }
 
     fn commit(&mut self, id: &str) -> Outcome {
