--- a/crates/jujubehold_core/tests/entry_load.rs
+++ b/crates/jujubehold_core/tests/entry_load.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jujubehold_core::connection_limit::ConnectionLimit;
 use jujubehold_core::connection_queue::{ConnectionQueue, ConnectionRequest};
 use jujubehold_core::connection_share::ConnectionShare;
 use jujubehold_core::log_position::LogPosition;
@@ -255,3 +256,59 @@
     assert!(share.may_keep_one);
     assert_eq!(share.allowed_idle, ms(1_500));
 }
+
+// The day that showed it: 78 hosts came back at once and each opened eight connections to an instance
+// with three slots, each of which takes a slot for 12 ms: two seconds of them.
+#[test]
+fn few_connections_are_opened_at_a_time() {
+    let mut limit = ConnectionLimit::new(8);
+    let mut opened = 0;
+    while limit.has_room(ms(0)) {
+        limit.begin_opening();
+        opened += 1;
+    }
+    assert_eq!(opened, 2);
+    limit.end_opening();
+    assert!(limit.has_room(ms(0)));
+}
+
+#[test]
+fn a_refused_connection_cuts_the_limit_which_rises_step_by_step() {
+    let mut limit = ConnectionLimit::new(8);
+    for _ in 0..4 {
+        limit.begin_opening();
+        limit.end_opening();
+    }
+    limit.begin_opening();
+    limit.note_refused(ms(1_000));
+    limit.end_opening();
+    limit.note_closed(1);
+    assert_eq!(limit.open_count(), 4);
+    assert!(!limit.has_room(ms(1_100)));
+    limit.raise(ms(1_200), 8);
+    assert!(!limit.has_room(ms(1_200)));
+    limit.raise(ms(1_300), 8);
+    assert!(limit.has_room(ms(1_300)));
+}
+
+// The same day: the instances' queues were full, and each host went on with as many requests side by
+// side as before, whose answers 'busy' went to callers that had no more tries.
+#[test]
+fn a_busy_instance_gets_less_side_by_side() {
+    let mut limit = ConnectionLimit::new(8);
+    for _ in 0..6 {
+        limit.begin_opening();
+        limit.end_opening();
+    }
+    limit.note_busy(ms(1_000), 1);
+    // Five were in use, so that four may be.
+    assert!(limit.is_exceeded());
+    limit.note_busy(ms(1_010), 1);
+    limit.note_closed(2);
+    assert!(!limit.is_exceeded());
+    assert!(!limit.has_room(ms(1_200)));
+    // It never ends at none.
+    limit.note_closed(4);
+    limit.note_busy(ms(2_000), 0);
+    assert!(limit.has_room(ms(2_000)));
+}
--- a/crates/jujubehold_core/tests/proof_sharing.rs
+++ b/crates/jujubehold_core/tests/proof_sharing.rs
@@ -42,7 +42,7 @@
         for way in [0, 20, 900] {
             for sent_at in [read_at, read_at + 100, read_at + 1_100] {
                 let answered_at = sent_at + way;
-                let age = ms(answered_at) - ms(read_at);
+                let age = ms(answered_at).saturating_sub(ms(read_at));
                 assert!(happened_at(ms(sent_at), age) <= ms(read_at));
             }
         }
--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -29,7 +29,7 @@
 /// The least pause between two questions.
 const LEAST_PAUSE: Duration = Duration::from_millis(100);
 /// A host whose own proof is younger goes on asking another one whose read it can't use.
-const PATIENT_AGE: Duration = Duration::from_millis(1_000);
+const PATIENT_AGE: Duration = Duration::from_secs(1);
 
 /// Renews the proof again and again.
 pub(crate) async fn keep_proof<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<Peers>) {
--- a/crates/jujubehold_entry/src/control/primary_probe.rs
+++ b/crates/jujubehold_entry/src/control/primary_probe.rs
@@ -12,7 +12,7 @@
 /// A position that is older is asked for again while reads need positions.
 const MARK_AGE: Duration = Duration::from_millis(400);
 /// The same where another host keeps the positions fresh and is asked for them.
-const SHARED_MARK_AGE: Duration = Duration::from_millis(1_000);
+const SHARED_MARK_AGE: Duration = Duration::from_secs(1);
 /// A primary that was not heard of for this time is asked whether it is there.
 const QUIET_AGE: Duration = Duration::from_millis(900);
 /// For how long after a read positions are kept fresh.
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -66,8 +66,9 @@
     let now = shared.now();
     let services: Vec<ServiceId> = {
         let lead = shared.lead.borrow();
-        let led = lead.table.leads.keys();
-        led.filter(|service| lead.table.usable_primary(service).is_some())
+        let known = lead.table.leads.keys();
+        known
+            .filter(|service| lead.table.usable_primary(service).is_some())
             .filter(|service| lead.is_proved(service, now))
             .cloned()
             .collect()
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jujubehold_core::connection_limit::ConnectionLimit;
 use jujubehold_core::connection_queue::{ConnectionQueue, ConnectionRequest, WaitTicket};
 use jujubehold_core::connection_share::ConnectionShare;
 use jujubehold_core::prelude::*;
@@ -24,13 +25,6 @@
 /// How long a connection may take to open: a round trip between regions, the instance's own time
 /// and one retransmission.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
-/// How long no connection is asked for after a refusal.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(40);
-/// How many connections are being opened at once: each takes a slot of the instance for a while, and
-/// a request that waits mostly gets one that another has used, sooner than one of its own.
-const MAX_OPENING: usize = 2;
-/// How often the limit rises by one after the instance refused a connection.
-const LIMIT_RECOVERY: Duration = Duration::from_millis(300);
 
 /// Why there is no connection.
 #[derive(Debug, thiserror::Error)]
@@ -71,14 +65,7 @@
 #[derive(Debug)]
 struct PoolState<P: Platform> {
     idle: Vec<UpstreamConnection<P>>,
-    open_count: usize,
-    /// How many of those are being opened.
-    opening_count: usize,
-    limit: usize,
-    /// Until when no connection is opened after a refusal.
-    closed_until: Monotonic,
-    /// When the instance last refused a connection, or the limit rose again after that.
-    limited_at: Option<Monotonic>,
+    limit: ConnectionLimit,
     next_ticket: WaitTicket,
     queue: ConnectionQueue,
     waiters: BTreeMap<WaitTicket, oneshot::Sender<Grant<P>>>,
@@ -102,11 +89,7 @@
             lag: RefCell::new(ReplicaLag::default()),
             pool: RefCell::new(PoolState {
                 idle: Vec::new(),
-                open_count: 0,
-                opening_count: 0,
-                limit,
-                closed_until: Monotonic::ZERO,
-                limited_at: None,
+                limit: ConnectionLimit::new(limit),
                 next_ticket: 0,
                 queue: ConnectionQueue::default(),
                 waiters: BTreeMap::new(),
@@ -229,7 +212,7 @@
         if let Some(lease) = self.acquire_idle() {
             return Ok(lease);
         }
-        self.pool.borrow_mut().begin_opening();
+        self.pool.borrow_mut().limit.begin_opening();
         self.open().await
     }
 
@@ -237,7 +220,8 @@
         let now = self.clock.now();
         let expected_wait = {
             let pool = self.pool.borrow();
-            pool.queue.expected_wait(limits.priority, pool.open_count)
+            pool.queue
+                .expected_wait(limits.priority, pool.limit.open_count())
         };
         let policy = WaitPolicy::default();
         if !policy.is_worth_waiting(now, limits.give_up_at, expected_wait) {
@@ -288,15 +272,15 @@
             if !connection.is_stale() {
                 return Some(connection);
             }
-            pool.open_count -= 1;
+            pool.limit.note_closed(1);
         }
     }
 
     fn take_room(&self) -> bool {
         let mut pool = self.pool.borrow_mut();
-        let has_room = pool.has_room(self.clock.now());
+        let has_room = pool.limit.has_room(self.clock.now());
         if has_room {
-            pool.begin_opening();
+            pool.limit.begin_opening();
         }
         has_room
     }
@@ -324,7 +308,10 @@
                 .increment(1);
                 self.health.borrow_mut().note_alive(now);
                 opening.upstream = None;
-                self.pool.borrow_mut().end_opening(now);
+                let mut pool = self.pool.borrow_mut();
+                pool.limit.end_opening();
+                pool.offer_room(now);
+                drop(pool);
                 Ok(self.lend(connection))
             }
             Err(error) => {
@@ -337,12 +324,7 @@
     fn note_open_failure(&self, now: Monotonic, begun_at: Monotonic, error: &UpstreamError) {
         match error {
             UpstreamError::ConnectionLimit => {
-                let mut pool = self.pool.borrow_mut();
-                // This connection is still counted and does not exist.
-                pool.limit = (pool.open_count - 1).max(1);
-                pool.limited_at = Some(now);
-                pool.closed_until = now + REFUSAL_PAUSE;
-                drop(pool);
+                self.pool.borrow_mut().limit.note_refused(now);
                 self.health.borrow_mut().note_alive(now);
             }
             UpstreamError::Unreachable(_)
@@ -367,8 +349,8 @@
         connection.idle_since = now;
         let mut pool = self.pool.borrow_mut();
         pool.queue.note_held(now.saturating_sub(taken_at));
-        if pool.open_count > pool.limit {
-            pool.open_count -= 1;
+        if pool.limit.is_exceeded() {
+            pool.limit.note_closed(1);
             return;
         }
         let mut connection = Box::new(connection);
@@ -393,7 +375,7 @@
     // One connection less is open, so one that waits may open another.
     fn free_room(&self, now: Monotonic) {
         let mut pool = self.pool.borrow_mut();
-        pool.open_count = pool.open_count.saturating_sub(1);
+        pool.limit.note_closed(1);
         pool.offer_room(now);
     }
 
@@ -402,15 +384,8 @@
     pub(crate) fn note_busy(&self) {
         let now = self.clock.now();
         let mut pool = self.pool.borrow_mut();
-        let is_same_cause = pool
-            .limited_at
-            .is_some_and(|limited_at| now.saturating_sub(limited_at) < REFUSAL_PAUSE);
-        if is_same_cause {
-            return;
-        }
-        let used_count = pool.open_count - pool.idle.len();
-        pool.limit = used_count.saturating_sub(1).max(1);
-        pool.limited_at = Some(now);
+        let unused = pool.idle.len();
+        pool.limit.note_busy(now, unused);
     }
 
     /// Sets how many connections this host may have, closes idle ones that it need not keep and lets
@@ -418,7 +393,7 @@
     pub(crate) fn keep(&self, share: &ConnectionShare, keeps_one: bool) {
         let now = self.clock.now();
         let mut pool = self.pool.borrow_mut();
-        pool.raise_limit(now, share.limit);
+        pool.limit.raise(now, share.limit);
         let before = pool.idle.len();
         // The one used last stands last.
         let mut rank = before;
@@ -428,59 +403,33 @@
             let is_kept = (keeps_one && rank == 0) || !share.is_spare(rank, idle);
             is_kept && !connection.is_stale()
         });
-        pool.open_count -= before - pool.idle.len();
+        let closed = before - pool.idle.len();
+        pool.limit.note_closed(closed);
         pool.offer_room(now);
     }
 
     /// Closes every idle connection.
     pub(crate) fn close_idle(&self) {
         let mut pool = self.pool.borrow_mut();
-        pool.open_count -= pool.idle.len();
+        let closed = pool.idle.len();
+        pool.limit.note_closed(closed);
         pool.idle.clear();
     }
 }
 
 impl<P: Platform> PoolState<P> {
-    // After a refusal the limit rises step by step, since all hosts want what becomes free.
-    fn raise_limit(&mut self, now: Monotonic, share: usize) {
-        let Some(limited_at) = self.limited_at else {
-            self.limit = share;
-            return;
-        };
-        if now.saturating_sub(limited_at) >= LIMIT_RECOVERY {
-            self.limit = (self.limit + 1).min(share);
-            self.limited_at = (self.limit < share).then_some(now);
-        }
-    }
-
     fn next_waiter(&mut self, now: Monotonic) -> Option<oneshot::Sender<Grant<P>>> {
         let ticket = self.queue.pop(now)?;
         self.waiters.remove(&ticket)
     }
 
-    // After a refusal no other one is asked for at once: it would be refused too, and take the
-    // instance's time.
-    fn has_room(&self, now: Monotonic) -> bool {
-        self.open_count < self.limit && self.opening_count < MAX_OPENING && now >= self.closed_until
-    }
-
-    fn begin_opening(&mut self) {
-        self.open_count += 1;
-        self.opening_count += 1;
-    }
-
-    fn end_opening(&mut self, now: Monotonic) {
-        self.opening_count = self.opening_count.saturating_sub(1);
-        self.offer_room(now);
-    }
-
     fn offer_room(&mut self, now: Monotonic) {
-        while self.has_room(now) {
+        while self.limit.has_room(now) {
             let Some(waiter) = self.next_waiter(now) else {
                 return;
             };
             if waiter.send(Grant::Room).is_ok() {
-                self.begin_opening();
+                self.limit.begin_opening();
             }
         }
     }
@@ -511,7 +460,7 @@
     fn drop(&mut self) {
         if let Some(upstream) = self.upstream {
             let now = upstream.clock.now();
-            upstream.pool.borrow_mut().opening_count -= 1;
+            upstream.pool.borrow_mut().limit.end_opening();
             upstream.free_room(now);
         }
     }
