--- a/crates/jujubehold_entry/src/control/instances.rs
+++ b/crates/jujubehold_entry/src/control/instances.rs
@@ -185,11 +185,13 @@
     };
     let now = shared.now();
     let mut lead = shared.lead.borrow_mut();
+    // Also a host that a newer list does not hold any more was there, and may still use what it
+    // proved: whoever replaces a primary has to wait for it.
+    lead.note_seen(&host.into(), &member, now);
     if revision < lead.members_revision {
         return;
     }
     let peer_address = member.peer_address;
-    lead.note_seen(&host.into(), &member, now);
     if lead.set_member(host.into(), member) {
         info!(host, peer:? = peer_address; "a host joined the list");
     }
--- a/crates/jujubehold_standin/src/users_platform/handle.rs
+++ b/crates/jujubehold_standin/src/users_platform/handle.rs
@@ -149,7 +149,12 @@
 
     /// Writes any value under any key, as another writer may.
     pub fn put(&self, key: &str, value: &Value) {
-        let text = STANDARD.encode(value.to_string());
+        self.put_text(key, &value.to_string());
+    }
+
+    /// The same for a value that is no document.
+    pub fn put_text(&self, key: &str, value: &str) {
+        let text = STANDARD.encode(value);
         self.store.borrow_mut().put(key, text, 0);
     }
 
