Keep the latest time at which a host was listed; give the list room in a datagram

Found in reading the change: an older answer could put back when a host was last known to be listed, so that whoever replaces a primary might stop waiting for it up to a second early; the latest time is kept now. The list of 74 to 100 hosts with the table of leads came near the 8 KiB that a datagram may have; 16 KiB now. A read of another host that is not used leaves a line at debug level.

--- a/crates/jujubehold_entry/src/callers/attempt.rs
+++ b/crates/jujubehold_entry/src/callers/attempt.rs
@@ -78,8 +78,8 @@
         "an instance did not serve a statement");
 }
 
-/// Whether the instance was too busy to run the statement.
-pub(crate) fn is_busy(reply: &UpstreamReply) -> bool {
+// Whether the instance was too busy to run the statement.
+fn is_busy(reply: &UpstreamReply) -> bool {
     reply.error() == Some(ErrorCode::Busy)
 }
 
--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -64,7 +64,8 @@
             None
         }
         // What both know is the same again soon, by the watches of both.
-        QuestionError::Unusable(_) => {
+        QuestionError::Unusable(fault) => {
+            debug!("the read of {source} is not used: {}", fault.as_str());
             let read_at = shared.lead.borrow().proof.read_asked_at();
             let age = read_at.map(|read_at| now.saturating_sub(read_at));
             let is_patient = age.is_some_and(|age| age < PATIENT_AGE);
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -18,8 +18,9 @@
 use super::proof_questions::ProofQuestions;
 use crate::prelude::*;
 
-/// The longest datagram.
-const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+/// The longest datagram: the list of hosts, the table of leads and the positions of as many services
+/// as one host serves.
+const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 /// A host that had an answer of a primary within this time says that it reaches it.
 const REACHED_WITHIN: Duration = Duration::from_millis(300);
 /// How long the receiver rests after an error of the socket.
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -9,7 +9,8 @@
 use super::peers::{Peers, message, with_table};
 use crate::prelude::*;
 
-/// How many hosts one datagram holds: an entry takes about 60 bytes of the 8 KiB.
+/// How many hosts one datagram tells of: an entry takes about 80 bytes, which leaves half of the
+/// longest datagram to all else.
 const MAX_HOSTS_TOLD: usize = 100;
 
 /// Answers a host that asks for a proof. Without a read that is young enough the answer holds none,
--- a/crates/jujubehold_entry/src/lead_state.rs
+++ b/crates/jujubehold_entry/src/lead_state.rs
@@ -102,7 +102,7 @@
 
     /// Notes that a host is listed.
     pub(crate) fn note_seen(&mut self, host: &HostId, member: &Member, at: Monotonic) {
-        self.seen.insert(host.clone(), (member.clone(), at));
+        note_latest(&mut self.seen, host, member, at);
     }
 
     /// Takes in the whole list of hosts as of `revision`, asked for at `asked_at`; whether it is no
@@ -150,7 +150,7 @@
     /// Notes that all hosts of the list were listed at `at`.
     pub(crate) fn note_all_seen(&mut self, at: Monotonic) {
         for (host, member) in &self.members {
-            self.seen.insert(host.clone(), (member.clone(), at));
+            note_latest(&mut self.seen, host, member, at);
         }
     }
 
@@ -209,3 +209,14 @@
             .any(|service| self.is_proved(service, now))
     }
 }
+
+// Answers overtake each other, and an older one must not make a host seem to be gone for longer.
+fn note_latest(
+    seen: &mut BTreeMap<HostId, (Member, Monotonic)>,
+    host: &HostId,
+    member: &Member,
+    at: Monotonic,
+) {
+    let latest = seen.get(host).map_or(at, |(_, before)| at.max(*before));
+    seen.insert(host.clone(), (member.clone(), latest));
+}
