Take no proof from another host's read while off the list oneself

Found in reading the change: a host whose entry the store had dropped took the list from the host that it asks, without itself on it. Both lists were the same then, so the read counted, for as long as that host went on reading; and the watch's own word of the removal was older than the list by then and was passed over. Such a host would have used a primary without being asked or waited for once 22 s had gone by, and never have joined again.

Change: a read counts only for a host whose own entry is on the list that it knows, at the revision at which it was written; otherwise it joins anew.

--- a/crates/jujubehold_core/src/proof_sharing.rs
+++ b/crates/jujubehold_core/src/proof_sharing.rs
@@ -44,8 +44,10 @@
     pub struct SharedReadCheck {
         /// When the question was sent.
         pub asked_at: Monotonic,
-        /// The revision of its own key in the list of hosts.
+        /// The revision at which it wrote its own entry in the list of hosts.
         pub own_key_revision: Revision,
+        /// The revision of that entry in the list that it knows; `None` when it is not there.
+        pub listed_revision: Option<Revision>,
         /// The revision of its table of leads, after a newer one in the answer was taken in.
         pub table_revision: Revision,
         /// The digest of the list of hosts that it knows.
@@ -64,6 +66,8 @@
 crate::key_type! {
     /// Why another host's read proves nothing here.
     pub enum SharedReadFault {
+        /// This host is off the list: whoever announces a change does not ask it.
+        NotListed,
         /// The read was made before this host's key was written: whoever announced a change before
         /// that may not know this host.
         BeforeJoin,
@@ -89,6 +93,7 @@
     /// The name in logs.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::NotListed => "not_listed",
             Self::BeforeJoin => "before_join",
             Self::OtherHosts => "other_hosts",
             Self::OlderTable => "older_table",
@@ -108,6 +113,9 @@
     /// # Errors
     /// The read says nothing of this host or of the table that it goes by.
     pub fn asked_at(&self, check: &SharedReadCheck) -> Result<Monotonic, SharedReadFault> {
+        if check.listed_revision != Some(check.own_key_revision) {
+            return Err(SharedReadFault::NotListed);
+        }
         if self.revision < check.own_key_revision {
             return Err(SharedReadFault::BeforeJoin);
         }
--- a/crates/jujubehold_core/tests/proof_sharing.rs
+++ b/crates/jujubehold_core/tests/proof_sharing.rs
@@ -23,6 +23,7 @@
 const CHECK: SharedReadCheck = SharedReadCheck {
     asked_at: Duration::from_secs(10),
     own_key_revision: 30,
+    listed_revision: Some(30),
     table_revision: 40,
     hosts_digest: 7,
 };
@@ -55,11 +56,25 @@
 fn a_read_from_before_this_host_joined_proves_nothing() {
     let check = SharedReadCheck {
         own_key_revision: 51,
+        listed_revision: Some(51),
         ..CHECK
     };
     assert_eq!(READ.asked_at(&check), Err(SharedReadFault::BeforeJoin));
 }
 
+// Both hosts know the same list, and this one is not on it, or another process of its name is: whoever
+// announces a change does not ask it, so that it must not go on.
+#[test]
+fn a_host_that_is_off_the_list_has_no_proof() {
+    for listed_revision in [None, Some(45)] {
+        let check = SharedReadCheck {
+            listed_revision,
+            ..CHECK
+        };
+        assert_eq!(READ.asked_at(&check), Err(SharedReadFault::NotListed));
+    }
+}
+
 #[test]
 fn hosts_that_know_other_hosts_share_nothing() {
     let check = SharedReadCheck {
--- a/crates/jujubehold_entry/src/control/instances.rs
+++ b/crates/jujubehold_entry/src/control/instances.rs
@@ -96,13 +96,14 @@
     if !lead.set_members(members, listing.revision, asked_at) {
         return false;
     }
-    let Some(membership) = &lead.membership else {
+    let own_key_revision = lead.membership.as_ref().map(|own| own.key_revision);
+    if own_key_revision.is_none() {
         return false;
-    };
-    if own_revision == Some(membership.key_revision) {
+    }
+    if own_revision == own_key_revision {
         return true;
     }
-    if listing.revision >= membership.key_revision {
+    if lead.is_list_newer_than_own_entry() {
         lose_membership(shared, &mut lead);
     }
     false
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -6,6 +6,7 @@
 use log::warn;
 use tokio::sync::oneshot;
 
+use super::instances::lose_membership;
 use super::member_document::parse_member;
 use super::peer_message::{HostMessage, HostsMessage, MarkMessage, PeerMessage, PeerMessageKind};
 use super::peers::{Peers, message};
@@ -98,10 +99,15 @@
         let check = SharedReadCheck {
             asked_at,
             own_key_revision: membership.map_or(u64::MAX, |own| own.key_revision),
+            listed_revision: lead.listed_revision(&shared.settings.host),
             table_revision: lead.table.revision,
             hosts_digest: lead.members_digest,
         };
-        let read_at = read.asked_at(&check).map_err(QuestionError::Unusable)?;
+        let result = read.asked_at(&check);
+        if result == Err(SharedReadFault::NotListed) && lead.is_list_newer_than_own_entry() {
+            lose_membership(shared, &mut lead);
+        }
+        let read_at = result.map_err(QuestionError::Unusable)?;
         lead.proof.note_read(read_at);
         lead.note_all_seen(read_at);
     }
--- a/crates/jujubehold_entry/src/lead_state.rs
+++ b/crates/jujubehold_entry/src/lead_state.rs
@@ -147,6 +147,17 @@
         true
     }
 
+    /// The revision of the entry of `host` in the list that is known.
+    pub(crate) fn listed_revision(&self, host: &str) -> Option<Revision> {
+        self.members.get(host).map(|member| member.key_revision)
+    }
+
+    /// Whether the list that is known is of a time when this host's own entry had been written.
+    pub(crate) fn is_list_newer_than_own_entry(&self) -> bool {
+        let own = self.membership.as_ref();
+        own.is_some_and(|own| self.members_revision >= own.key_revision)
+    }
+
     /// Notes that all hosts of the list were listed at `at`.
     pub(crate) fn note_all_seen(&mut self, at: Monotonic) {
         for (host, member) in &self.members {
