--- a/crates/jujubehold_standin/src/users_platform/handle.rs
+++ b/crates/jujubehold_standin/src/users_platform/handle.rs
@@ -78,7 +78,7 @@
             platform.register_instance(spec.id, "ready");
         }
         let promotion_group = Rc::clone(&group);
-        actix_rt::spawn(serve(promotion, move |call| {
+        actix_rt::spawn(serve(promotion, Rc::default(), move |call| {
             std::future::ready(Some(promote(&call, &promotion_group)))
         }));
         actix_rt::spawn(replicate(group));
@@ -94,6 +94,7 @@
         let endpoint = StoreEndpoint {
             address: listener.local_addr()?,
             faults: Rc::default(),
+            link: Rc::default(),
             range_count: Rc::default(),
         };
         actix_rt::spawn(serve_store(
--- a/crates/jujubehold_standin/src/users_platform/http.rs
+++ b/crates/jujubehold_standin/src/users_platform/http.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -13,6 +13,8 @@
 use serde_json::Value;
 use tokio::net::TcpListener;
 
+use super::thin_link::{ThinBody, ThinLink};
+
 /// A parsed HTTP call.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -26,8 +28,9 @@
 /// The status and body that answer a call, or `None` to leave the call unanswered.
 pub(crate) type Answer = Option<(u16, Value)>;
 
-/// Accepts connections on `listener` and answers their calls until the future is dropped.
-pub(crate) async fn serve<F, R>(listener: TcpListener, answer: F)
+/// Accepts connections on `listener` and answers their calls over `link` until the future is
+/// dropped.
+pub(crate) async fn serve<F, R>(listener: TcpListener, link: Rc<ThinLink>, answer: F)
 where
     F: Fn(Call) -> R + 'static,
     R: Future<Output = Answer> + 'static,
@@ -35,8 +38,10 @@
     let answer = Rc::new(answer);
     while let Ok((stream, _)) = listener.accept().await {
         let answer = Rc::clone(&answer);
+        let link = Rc::clone(&link);
         actix_rt::spawn(async move {
-            let service = service_fn(move |request| respond(request, Rc::clone(&answer)));
+            let service =
+                service_fn(move |request| respond(request, Rc::clone(&link), Rc::clone(&answer)));
             // A caller that gives up closes its connection, which is no error here.
             let _ = http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service)
@@ -47,18 +52,19 @@
 
 async fn respond<F, R>(
     request: Request<Incoming>,
+    link: Rc<ThinLink>,
     answer: Rc<F>,
-) -> Result<Response<Full<Bytes>>, Infallible>
+) -> Result<Response<ThinBody>, Infallible>
 where
     F: Fn(Call) -> R,
     R: Future<Output = Answer>,
 {
     let Some((status, body)) = answer(read_call(request).await).await else {
         // A lost answer leaves the caller waiting.
-        std::future::pending::<()>().await;
-        return Ok(Response::default());
+        return std::future::pending().await;
     };
-    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    let body = ThinBody::new(link, Bytes::from(body.to_string()));
+    let mut response = Response::new(body);
     if let Ok(status) = status.try_into() {
         *response.status_mut() = status;
     }
--- a/crates/jujubehold_standin/src/users_platform/mod.rs
+++ b/crates/jujubehold_standin/src/users_platform/mod.rs
@@ -13,9 +13,11 @@
 mod kv_state;
 mod store_endpoint;
 mod store_server;
+mod thin_link;
 
 pub use faults::{InstanceFaults, StoreFaults};
 pub use group::{ExecutedStatement, Group};
 pub use handle::{InstanceSpec, UsersPlatformHandle};
 pub use instance::Instance;
 pub use store_endpoint::StoreEndpoint;
+pub use thin_link::ThinLink;
--- a/crates/jujubehold_standin/src/users_platform/store_endpoint.rs
+++ b/crates/jujubehold_standin/src/users_platform/store_endpoint.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use super::faults::StoreFaults;
+use super::thin_link::ThinLink;
 
 /// One host's address of the store, with its own faults and call count.
 #[derive(Debug, Clone)]
@@ -13,6 +14,8 @@
     pub address: SocketAddr,
     /// The faults that this host sees; other hosts are not affected.
     pub faults: Rc<RefCell<StoreFaults>>,
+    /// The link over which the store's answers reach the host.
+    pub link: Rc<ThinLink>,
     /// The number of range reads through this endpoint.
     pub range_count: Rc<Cell<u32>>,
 }
--- a/crates/jujubehold_standin/src/users_platform/store_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/store_server.rs
@@ -12,6 +12,10 @@
 use super::kv_state::{Change, Item, KvState};
 use super::store_endpoint::StoreEndpoint;
 
+/// The maximum number of items in one page of a range.
+const MAX_PAGE_ITEMS: usize = 500;
+/// The maximum size of the values in one page of a range, in bytes.
+const MAX_PAGE_BYTES: usize = 1_000_000;
 /// How often a waiting watch checks for changes.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -21,7 +25,8 @@
     state: Rc<RefCell<KvState>>,
     endpoint: StoreEndpoint,
 ) {
-    serve(listener, move |call| {
+    let link = Rc::clone(&endpoint.link);
+    serve(listener, link, move |call| {
         answer(call, Rc::clone(&state), endpoint.clone())
     })
     .await;
@@ -56,7 +61,7 @@
         return read(call.value("key"), state);
     }
     if call.method == Method::GET && call.path == "/-/kv-range" {
-        return range(call.value("prefix"), state);
+        return range(call.value("prefix"), call.value("after"), state);
     }
     match call.path.as_str() {
         "/-/kv-txn" => commit(&call.body, state),
@@ -98,13 +103,23 @@
     }
 }
 
-fn range(prefix: &str, state: &KvState) -> (u16, Value) {
-    let items = state
-        .items
-        .iter()
-        .filter(|(key, _)| key.starts_with(prefix));
-    let items: Vec<Value> = items.map(|(key, item)| item_document(key, item)).collect();
-    let body = json!({"items": items, "truncated": false, "at_rev": state.revision});
+fn range(prefix: &str, after: &str, state: &KvState) -> (u16, Value) {
+    let mut items = Vec::new();
+    let mut size_bytes = 0;
+    let mut is_truncated = false;
+    for (key, item) in &state.items {
+        if !key.starts_with(prefix) || key.as_str() <= after {
+            continue;
+        }
+        size_bytes += item.value.len();
+        is_truncated =
+            items.len() == MAX_PAGE_ITEMS || (size_bytes > MAX_PAGE_BYTES && !items.is_empty());
+        if is_truncated {
+            break;
+        }
+        items.push(item_document(key, item));
+    }
+    let body = json!({"items": items, "truncated": is_truncated, "at_rev": state.revision});
     (200, body)
 }
 
