Give up an answer of the store only when nothing of it arrives

Cause: a watch that lags behind other answers was given up after a fixed time, and a listing after 700 ms, also while their answers were arriving. The answer grows with the configuration and with what a host has missed, the rate of its link doesn't; so the host asked for the same again until the store had compacted its history.

Change: an answer is given up when nothing of it has arrived for as long as the timeout was before; a watch whose answer is arriving is not stalled. The log says how much had arrived, and a counter how many bytes each call receives.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod statement;
 pub mod stop_wait;
 pub mod term_history;
+pub mod transfer_timeout;
 pub mod upstream_health;
 pub mod use_interval;
 pub mod verdict;
--- /dev/null
+++ b/crates/jujubehold_core/src/transfer_timeout.rs
@@ -0,0 +1,50 @@
+//! When an answer that is being received is given up.
+//!
+//! The size of an answer grows with the installation, while the rate of a host's link does not. A
+//! fixed timeout would give up every answer beyond some size, and the host would ask for it again
+//! without end. So an answer is given up only if nothing of it has arrived for a while.
+
+use std::time::Duration;
+
+use crate::ids::Monotonic;
+use crate::value_type;
+
+value_type! {
+    /// The timeout of one answer, which starts again with each part that arrives.
+    pub struct TransferTimeout {
+        /// The longest time without a new part.
+        idle_limit: Duration,
+        received_bytes: u64,
+        /// When the call began, or the latest part was noticed.
+        progress_at: Monotonic,
+    }
+}
+
+impl TransferTimeout {
+    /// Starts the timeout of a call that begins at `now`.
+    pub fn new(now: Monotonic, idle_limit: Duration) -> Self {
+        Self {
+            idle_limit,
+            received_bytes: 0,
+            progress_at: now,
+        }
+    }
+
+    /// Records how much of the answer has arrived by `now`.
+    pub fn note_received(&mut self, now: Monotonic, received_bytes: u64) {
+        if received_bytes > self.received_bytes {
+            self.received_bytes = received_bytes;
+            self.progress_at = now;
+        }
+    }
+
+    /// Returns when the answer is given up, unless more of it arrives before.
+    pub fn expires_at(&self) -> Monotonic {
+        self.progress_at + self.idle_limit
+    }
+
+    /// Returns whether the answer is given up at `now`.
+    pub fn is_expired(&self, now: Monotonic) -> bool {
+        now >= self.expires_at()
+    }
+}
--- a/crates/jujubehold_core/src/watch_pace.rs
+++ b/crates/jujubehold_core/src/watch_pace.rs
@@ -31,8 +31,10 @@
         store_revision: Revision,
         /// The revision up to which the watch has reported changes.
         watch_revision: Revision,
-        /// Since when the watch has been behind the store.
+        /// Since when the watch has been behind the store, or has received nothing while it was.
         behind_since: Option<Monotonic>,
+        /// How much of the watch's answer has arrived.
+        received_bytes: u64,
     }
 }
 
@@ -82,6 +84,16 @@
     pub fn note_watch_revision(&mut self, now: Monotonic, revision: Revision) {
         self.watch_revision = revision;
         self.behind_since = (self.store_revision > revision).then_some(now);
+        self.received_bytes = 0;
+    }
+
+    /// Records how much of the watch's answer has arrived by `now`. A watch whose answer is on its
+    /// way is not stalled, however long the answer takes.
+    pub fn note_received(&mut self, now: Monotonic, received_bytes: u64) {
+        if received_bytes > self.received_bytes {
+            self.received_bytes = received_bytes;
+            self.behind_since = self.behind_since.map(|_| now);
+        }
     }
 
     /// Returns whether the watch is stalled and should be restarted.
--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -8,11 +8,11 @@
 use super::lead_document::parse_leads;
 use super::peers::Peers;
 use super::proof_questions::{QuestionError, ask};
-use super::store_calls::call_with_timeout;
+use super::store_calls::transfer_with_timeout;
 use super::{ENTRY_KEYS_PREFIX, LEAD_KEY};
 use crate::lead_state::OwnRead;
 use crate::prelude::*;
-use crate::protocol::{Store, StoreError};
+use crate::protocol::{CallProgress, Store, StoreError};
 use crate::shared::millis;
 
 /// How often the table is read: a third of the proof window, so that two reads may fail.
@@ -101,8 +101,9 @@
 
 async fn read_leads<P: Platform>(shared: &Shared<P>) -> Result<(), StoreError> {
     let sent_at = shared.now();
-    let call = shared.store.list(ENTRY_KEYS_PREFIX);
-    let listing = call_with_timeout(shared, "list_own", READ_TIMEOUT, call).await?;
+    let progress = CallProgress::default();
+    let call = shared.store.list(ENTRY_KEYS_PREFIX, &progress);
+    let listing = transfer_with_timeout(shared, "list_own", READ_TIMEOUT, &progress, call).await?;
     let mut table = Some(LeadTable::default());
     for item in &listing.items {
         if item.key == LEAD_KEY {
--- a/crates/jujubehold_entry/src/control/primary_change/stopping.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/stopping.rs
@@ -9,10 +9,10 @@
 
 use super::super::HOSTS_PREFIX;
 use super::super::peers::{Peers, stop_using_primary};
-use super::super::store_calls::{STORE_CALL_TIMEOUT, call_with_timeout};
+use super::super::store_calls::{STORE_CALL_TIMEOUT, transfer_with_timeout};
 use super::announce::{AnnouncedChange, is_current};
 use crate::prelude::*;
-use crate::protocol::Store;
+use crate::protocol::{CallProgress, Store};
 use crate::shared::millis;
 
 /// How often hosts that have not answered are asked again to stop.
@@ -118,8 +118,9 @@
 }
 
 async fn listed_hosts<P: Platform>(shared: &Shared<P>) -> Option<BTreeSet<HostId>> {
-    let listing = shared.store.list(HOSTS_PREFIX);
-    match call_with_timeout(shared, "list", STORE_CALL_TIMEOUT, listing).await {
+    let progress = CallProgress::default();
+    let call = shared.store.list(HOSTS_PREFIX, &progress);
+    match transfer_with_timeout(shared, "list", STORE_CALL_TIMEOUT, &progress, call).await {
         Ok(listing) => {
             let keys = listing.items.iter();
             let hosts = keys.filter_map(|item| item.key.strip_prefix(HOSTS_PREFIX));
--- a/crates/jujubehold_entry/src/control/store_calls.rs
+++ b/crates/jujubehold_entry/src/control/store_calls.rs
@@ -1,13 +1,14 @@
-//! Calls the store with a timeout, counts the calls and logs outages.
+//! Calls the store with a timeout, counts the calls and what they receive, and logs outages.
 
 use std::cell::Cell;
 
+use jujubehold_core::transfer_timeout::TransferTimeout;
 use log::{info, warn};
 use metrics::counter;
 
-use crate::metric_names::STORE_CALLS;
+use crate::metric_names::{STORE_CALLS, STORE_RECEIVED_BYTES};
 use crate::prelude::*;
-use crate::protocol::StoreError;
+use crate::protocol::{CallProgress, StoreError};
 use crate::shared::millis;
 
 /// The timeout of one call: longer than a slow store takes to answer, shorter than a third of the
@@ -59,6 +60,46 @@
 ) -> Result<T, StoreError> {
     let answer = tokio::time::timeout(limit, call).await;
     let result = answer.unwrap_or(Err(StoreError::TimedOut));
+    note_result(shared, name, &result);
+    result
+}
+
+/// Makes a call whose answer may be large. It is given up when nothing of the answer has arrived
+/// for `idle_limit`, and by twice that time at the latest.
+pub(crate) async fn transfer_with_timeout<P: Platform, T>(
+    shared: &Shared<P>,
+    name: &'static str,
+    idle_limit: Duration,
+    progress: &CallProgress,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    let result = tokio::select! {
+        answer = call => answer,
+        () = wait_until_idle(shared, idle_limit, progress) => Err(StoreError::TimedOut),
+    };
+    counter!(STORE_RECEIVED_BYTES, "call" => name).increment(progress.received_bytes());
+    note_result(shared, name, &result);
+    result
+}
+
+async fn wait_until_idle<P: Platform>(
+    shared: &Shared<P>,
+    idle_limit: Duration,
+    progress: &CallProgress,
+) {
+    let mut timeout = TransferTimeout::new(shared.now(), idle_limit);
+    while !timeout.is_expired(shared.now()) {
+        let pause = timeout.expires_at().saturating_sub(shared.now());
+        actix_rt::time::sleep(pause).await;
+        timeout.note_received(shared.now(), progress.received_bytes());
+    }
+}
+
+fn note_result<P: Platform, T>(
+    shared: &Shared<P>,
+    name: &'static str,
+    result: &Result<T, StoreError>,
+) {
     let outcome = if result.is_ok() { "answered" } else { "failed" };
     counter!(STORE_CALLS, "call" => name, "outcome" => outcome).increment(1);
     let error = result
@@ -66,7 +107,6 @@
         .err()
         .filter(|error| indicates_outage(error));
     shared.store_health.note(shared.now(), name, error);
-    result
 }
 
 // An error that the store returns on purpose shows that it is available.
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -9,9 +9,9 @@
 use log::{debug, info};
 
 use super::instances::{apply_item, apply_removal, listed_instance_keys, remove_missing_instances};
-use super::store_calls::{STORE_CALL_TIMEOUT, call_with_timeout};
+use super::store_calls::{STORE_CALL_TIMEOUT, transfer_with_timeout};
 use crate::prelude::*;
-use crate::protocol::{Directory, ItemChange, Store, StoreError};
+use crate::protocol::{CallProgress, Directory, ItemChange, Store, StoreError};
 
 /// How long the store holds a watch without changes. This is near the longest time that it allows,
 /// since other answers of the store reveal a stalled watch.
@@ -111,12 +111,17 @@
 }
 
 async fn watch<P: Platform>(shared: &Shared<P>, after: Revision) -> Result<Revision, StoreError> {
-    let call = shared.store.watch(WATCH_PREFIX, after, WATCH_WAIT);
-    let answer = call_with_timeout(shared, "watch", WATCH_WAIT + WATCH_TIMEOUT_MARGIN, call);
+    let progress = CallProgress::default();
+    let call = shared
+        .store
+        .watch(WATCH_PREFIX, after, WATCH_WAIT, &progress);
+    let idle_limit = WATCH_WAIT + WATCH_TIMEOUT_MARGIN;
+    let answer = transfer_with_timeout(shared, "watch", idle_limit, &progress, call);
     let (changes, revision) = tokio::select! {
         answer = answer => answer?,
-        () = wait_for_stall(shared) => {
-            info!(after; "the watch has stalled; starting it again");
+        () = wait_for_stall(shared, &progress) => {
+            let received_bytes = progress.received_bytes();
+            info!(after, received_bytes; "the watch has stalled; starting it again");
             return Err(StoreError::TimedOut);
         }
     };
@@ -129,16 +134,16 @@
     Ok(revision)
 }
 
-// Returns when the watch has not delivered changes that the store is known to hold.
-async fn wait_for_stall<P: Platform>(shared: &Shared<P>) {
+// Returns when the watch has not delivered changes that the store is known to hold, and nothing of
+// its answer arrives.
+async fn wait_for_stall<P: Platform>(shared: &Shared<P>, progress: &CallProgress) {
     let pace = WatchPace::default();
     loop {
         actix_rt::time::sleep(STALL_CHECK_INTERVAL).await;
-        if shared
-            .watch_progress
-            .borrow()
-            .is_stalled(&pace, shared.now())
-        {
+        let now = shared.now();
+        let mut watch_progress = shared.watch_progress.borrow_mut();
+        watch_progress.note_received(now, progress.received_bytes());
+        if watch_progress.is_stalled(&pace, now) {
             return;
         }
     }
@@ -152,13 +157,10 @@
     let mut first = None;
     let mut present = BTreeSet::new();
     for prefix in prefixes {
-        let listing = call_with_timeout(
-            shared,
-            "list",
-            STORE_CALL_TIMEOUT,
-            shared.store.list(prefix),
-        )
-        .await?;
+        let progress = CallProgress::default();
+        let call = shared.store.list(prefix, &progress);
+        let listing =
+            transfer_with_timeout(shared, "list", STORE_CALL_TIMEOUT, &progress, call).await?;
         // The watch starts from the first listing's revision and delivers what changes between the
         // two listings.
         first = first.or(Some(listing.revision));
--- a/crates/jujubehold_entry/src/metric_names.rs
+++ b/crates/jujubehold_entry/src/metric_names.rs
@@ -20,6 +20,8 @@
 pub(crate) const UPSTREAM_OPENS: &str = "jujubehold_upstream_opens_total";
 /// Calls to the platform's store, by `call` and `outcome`.
 pub(crate) const STORE_CALLS: &str = "jujubehold_store_calls_total";
+/// Bytes of listings and changes that the platform's store sent, by `call`.
+pub(crate) const STORE_RECEIVED_BYTES: &str = "jujubehold_store_received_bytes_total";
 /// Changes of primary that this host made, by `service` and `outcome`.
 pub(crate) const PRIMARY_CHANGES: &str = "jujubehold_primary_changes_total";
 /// Log lines that were left out because the budget per second was exceeded.
--- a/crates/jujubehold_entry/src/protocol/mod.rs
+++ b/crates/jujubehold_entry/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 //! An adapter implements each trait and is selected at compile time. It decodes each message once
 //! into the types of this module and makes no decisions. See docs/notes/platform-path.md.
 
+mod call_progress;
 mod caller;
 mod directory;
 mod error_code;
@@ -11,6 +12,7 @@
 mod store;
 mod upstream;
 
+pub use call_progress::CallProgress;
 pub use caller::{CallerCodec, CallerMessage, CallerRequest, RequestKind, SessionState};
 pub use directory::{
     Configuration, Directory, InstanceEntry, InstanceLifecycle, Route, ServiceLimits,
--- a/crates/jujubehold_entry/src/protocol/store.rs
+++ b/crates/jujubehold_entry/src/protocol/store.rs
@@ -6,6 +6,8 @@
 use jujubehold_core::lead_table::Revision;
 use smol_str::SmolStr;
 
+use super::CallProgress;
+
 /// The id of a lease.
 pub type LeaseId = u64;
 
@@ -17,11 +19,15 @@
         key: &str,
     ) -> impl Future<Output = Result<(Option<StoreItem>, Revision), StoreError>>;
 
-    /// Reads every item whose key starts with `prefix`.
-    fn list(&self, prefix: &str) -> impl Future<Output = Result<StoreListing, StoreError>>;
+    /// Reads every item whose key starts with `prefix`, and counts in `progress` what arrives.
+    fn list(
+        &self,
+        prefix: &str,
+        progress: &CallProgress,
+    ) -> impl Future<Output = Result<StoreListing, StoreError>>;
 
-    /// Waits up to `wait` for changes after `after` to keys that start with `prefix`. Also returns
-    /// the revision from which the next watch continues.
+    /// Waits up to `wait` for changes after `after` to keys that start with `prefix`, and counts in
+    /// `progress` what arrives. Also returns the revision from which the next watch continues.
     ///
     /// # Errors
     /// Returns [`StoreError::Compacted`] if the store no longer has the changes after `after`.
@@ -30,6 +36,7 @@
         prefix: &str,
         after: Revision,
         wait: Duration,
+        progress: &CallProgress,
     ) -> impl Future<Output = Result<(Vec<ItemChange>, Revision), StoreError>>;
 
     /// Applies a change atomically.
