Read the directory anew instead of a history that is longer

Cause: after an outage, or while the configuration changes faster than a thin link carries it, a watch returns each version of it since the revision that the host knows.

Change: a watch whose answer says that it is more than twice as long as the whole directory was, and more than 64 KB, is ended, and the directory is listed.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod former_members;
 pub mod frame_order;
 pub mod group_view;
+pub mod history_limit;
 pub mod ids;
 pub mod instance_status;
 pub mod lead_proof;
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -1,9 +1,11 @@
 //! Follows the store: lists all items once, then watches for changes with long polls. A host that
-//! gets its proof from another host asks for changes only when that host knows some.
+//! gets its proof from another host asks for changes only when that host knows some. A host that
+//! lacks more changes than the items are long lists the items again.
 
 use std::collections::BTreeSet;
 
 use jujubehold_core::backoff::Backoff;
+use jujubehold_core::history_limit::HistoryLimit;
 use jujubehold_core::lead_table::Revision;
 use jujubehold_core::watch_pace::WatchPace;
 use log::{debug, info};
@@ -35,6 +37,7 @@
 pub(crate) async fn watch_store<P: Platform>(shared: Rc<Shared<P>>) {
     let mut failures = 0;
     let mut is_listed = false;
+    let mut listed_bytes = 0;
     loop {
         if is_listed {
             wait_until_behind(&shared).await;
@@ -47,9 +50,9 @@
                 .watch_progress
                 .borrow_mut()
                 .note_watch_revision(begun_at, after);
-            watch(&shared, after).await
+            watch(&shared, after, listed_bytes).await
         } else {
-            list(&shared).await
+            list(&shared, &mut listed_bytes).await
         };
         match result {
             Ok(revision) => {
@@ -65,10 +68,9 @@
             }
             Err(error) => {
                 debug!("failed to follow the store: {error}");
-                // A watch that lost its connection continues from its last revision; a new listing
-                // is needed only if the store has compacted that revision.
-                if error == StoreError::Compacted {
-                    info!("the store has compacted the watched revision; listing all items again");
+                // A watch that lost its connection continues from its last revision.
+                if error.needs_listing() {
+                    info!(reason:% = error; "listing all items again");
                     is_listed = false;
                 } else {
                     let pause = BACKOFF.delay(failures, rand::random());
@@ -81,6 +83,36 @@
     }
 }
 
+/// Why a call to follow the store brought no changes.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+enum FollowError {
+    /// The call failed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The answer is much longer than all items are.
+    #[error("the changes take {history_bytes} bytes, all items took {listed_bytes}")]
+    LongHistory {
+        history_bytes: u64,
+        listed_bytes: u64,
+    },
+}
+
+impl FollowError {
+    // Whether another watch from the same revision would not bring the changes either.
+    fn needs_listing(&self) -> bool {
+        match self {
+            Self::LongHistory { .. } | Self::Store(StoreError::Compacted) => true,
+            Self::Store(
+                StoreError::Refused { .. }
+                | StoreError::LeaseEnded
+                | StoreError::TimedOut
+                | StoreError::Broken(_)
+                | StoreError::Unreadable,
+            ) => false,
+        }
+    }
+}
+
 fn note_reached<P: Platform>(shared: &Shared<P>, is_listed: bool, revision: Revision) {
     let mut progress = shared.directory_progress.borrow_mut();
     if is_listed {
@@ -110,7 +142,11 @@
     actix_rt::time::sleep(spacing.saturating_sub(taken)).await;
 }
 
-async fn watch<P: Platform>(shared: &Shared<P>, after: Revision) -> Result<Revision, StoreError> {
+async fn watch<P: Platform>(
+    shared: &Shared<P>,
+    after: Revision,
+    listed_bytes: u64,
+) -> Result<Revision, FollowError> {
     let progress = CallProgress::default();
     let call = shared
         .store
@@ -122,7 +158,10 @@
         () = wait_for_stall(shared, &progress) => {
             let received_bytes = progress.received_bytes();
             info!(after, received_bytes; "the watch has stalled; starting it again");
-            return Err(StoreError::TimedOut);
+            return Err(StoreError::TimedOut.into());
+        }
+        history_bytes = wait_for_long_history(&progress, listed_bytes) => {
+            return Err(FollowError::LongHistory { history_bytes, listed_bytes });
         }
     };
     for change in &changes {
@@ -149,18 +188,33 @@
     }
 }
 
-async fn list<P: Platform>(shared: &Shared<P>) -> Result<Revision, StoreError> {
+// Returns the size of an answer that is not worth receiving, as soon as its size is known.
+async fn wait_for_long_history(progress: &CallProgress, listed_bytes: u64) -> u64 {
+    let history_bytes = progress.announced_bytes().await;
+    if HistoryLimit::default().is_exceeded(history_bytes, listed_bytes) {
+        return history_bytes;
+    }
+    std::future::pending().await
+}
+
+// Sets `listed_bytes` to the size of the answers.
+async fn list<P: Platform>(
+    shared: &Shared<P>,
+    listed_bytes: &mut u64,
+) -> Result<Revision, FollowError> {
     let prefixes = [
         P::Directory::CONFIGURATION_KEY,
         P::Directory::INSTANCES_PREFIX,
     ];
     let mut first = None;
+    let mut received_bytes = 0;
     let mut present = BTreeSet::new();
     for prefix in prefixes {
         let progress = CallProgress::default();
         let call = shared.store.list(prefix, &progress);
         let listing =
             transfer_with_timeout(shared, "list", STORE_CALL_TIMEOUT, &progress, call).await?;
+        received_bytes += progress.received_bytes();
         // The watch starts from the first listing's revision and delivers what changes between the
         // two listings.
         first = first.or(Some(listing.revision));
@@ -172,6 +226,7 @@
     if shared.directory_followed_since.get().is_none() {
         shared.directory_followed_since.set(Some(shared.now()));
     }
+    *listed_bytes = received_bytes;
     let revision = first.unwrap_or_default();
     // Only instances are compared here: the keys of the hosts are listed regularly to prove that
     // the leads are current.
