Record the first primaries of many services with one change

Cause: each service's first primary was recorded by a change of its own of the one table. Of changes at the same time all but one fail, and every host tries after its delay: 84 of 178 services were on record after 26 s, and each try asked an instance for its term over a new connection.

Change: a host records up to 64 services with one change, and a change of the table by another host makes the others wait anew (core::first_records). The reading and writing of the table has a file of its own.

The test with 150 services failed before (not all on record after 20 s).

--- a/crates/jujubehold_core/src/lead_table.rs
+++ b/crates/jujubehold_core/src/lead_table.rs
@@ -60,8 +60,14 @@
     /// Returns a copy of the table with one lead replaced.
     #[must_use]
     pub fn with_lead(&self, service: &ServiceId, lead: Lead) -> Self {
+        self.with_leads([(service.clone(), lead)])
+    }
+
+    /// Returns a copy of the table with these leads replaced or added.
+    #[must_use]
+    pub fn with_leads(&self, leads: impl IntoIterator<Item = (ServiceId, Lead)>) -> Self {
         let mut table = self.clone();
-        table.leads.insert(service.clone(), lead);
+        table.leads.extend(leads);
         table
     }
 }
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod failover;
 pub mod failover_action;
 pub mod failover_event;
+pub mod first_records;
 pub mod floor;
 pub mod former_members;
 pub mod frame_order;
--- a/crates/jujubehold_entry/src/control/mod.rs
+++ b/crates/jujubehold_entry/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Background tasks of a host: configuration, membership in the list of hosts, and the choice of
 //! each service's primary.
 
+mod first_primaries;
 mod instances;
 mod lead_document;
 mod lead_reader;
@@ -18,6 +19,7 @@
 mod status_calls;
 mod store_calls;
 mod store_watch;
+mod table_access;
 
 use crate::prelude::*;
 
--- a/crates/jujubehold_entry/src/control/primary_keeper.rs
+++ b/crates/jujubehold_entry/src/control/primary_keeper.rs
@@ -6,21 +6,16 @@
 
 use std::collections::BTreeMap;
 
-use jujubehold_core::lead_table::{Lead, LeadTable};
+use jujubehold_core::first_records::{FirstRecords, MAX_FIRST_RECORDS};
 use jujubehold_core::primary_votes::PrimarySilence;
 use jujubehold_core::primary_watchers::acting_rank;
 use jujubehold_core::stall_detector::StallDetector;
-use log::{debug, info};
-use smol_str::SmolStr;
 
-use super::LEAD_KEY;
-use super::lead_document::format_leads;
+use super::first_primaries::{has_claimed_primary, record_first_primaries};
 use super::peers::Peers;
 use super::primary_change::change_primary;
-use super::status_calls::query_status;
-use super::store_calls::{STORE_CALL_TIMEOUT, call_with_timeout};
 use crate::prelude::*;
-use crate::protocol::{CommitOutcome, InstanceLifecycle, Store, StoreChange};
+use crate::protocol::InstanceLifecycle;
 
 /// How often the services are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -40,8 +35,6 @@
 jujubehold_core::key_type! {
     /// Why a service needs another primary.
     pub(crate) enum ChangeReason {
-        /// No primary is recorded.
-        NoRecord,
         /// The primary's entry says that it is leaving.
         Leaving,
         /// At least half of the watchers get no answer from the primary.
@@ -58,6 +51,8 @@
 struct MonitorState {
     /// Detects that this host reads answers late.
     stalls: StallDetector,
+    /// Since when services have had no primary on record.
+    first_records: FirstRecords,
     /// Why each service needs another primary, and since when this host has seen that reason.
     reasons: BTreeMap<ServiceId, (ChangeReason, Monotonic)>,
     /// When this host last sent its vote that a service's primary is unreachable.
@@ -68,6 +63,7 @@
 pub(crate) async fn monitor_primaries<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<Peers>) {
     let mut monitor = MonitorState {
         stalls: StallDetector::new(CHECK_INTERVAL),
+        first_records: FirstRecords::default(),
         reasons: BTreeMap::new(),
         voted_at: BTreeMap::new(),
     };
@@ -84,6 +80,7 @@
             }
             check_service(&shared, &peers, &mut monitor, service);
         }
+        check_first_records(&shared, &peers, &mut monitor, configuration.services.keys());
     }
 }
 
@@ -147,18 +144,48 @@
     monitor.reasons.remove(service);
     let (shared, peers, service) = (Rc::clone(shared), Rc::clone(peers), service.clone());
     actix_rt::spawn(async move {
-        if reason == ChangeReason::NoRecord {
-            record_first_primary(&shared, &peers, &service).await;
-        } else {
-            change_primary(&shared, &peers, &service, reason).await;
-        }
+        change_primary(&shared, &peers, &service, reason).await;
         peers.end_change(&service);
     });
 }
 
+// Services that this host records now still lack a record, but are not recorded again.
+fn check_first_records<'a, P: Platform>(
+    shared: &Rc<Shared<P>>,
+    peers: &Rc<Peers>,
+    monitor: &mut MonitorState,
+    services: impl Iterator<Item = &'a ServiceId>,
+) {
+    let now = shared.now();
+    let (lacking, revision): (Vec<_>, _) = {
+        let lead_state = shared.lead_state.borrow();
+        let is_listed = lead_state.membership.is_some();
+        let has_record = |service: &ServiceId| lead_state.table.leads.contains_key(service);
+        let lacking = services.filter(|service| is_listed && !has_record(service));
+        (lacking.cloned().collect(), lead_state.table.revision)
+    };
+    let mut lacking = lacking;
+    lacking.retain(|service| !peers.is_changing(service) && has_claimed_primary(shared, service));
+    monitor
+        .first_records
+        .note(now, !lacking.is_empty(), revision);
+    if !monitor.first_records.is_due(now, rank_delay(shared, now)) {
+        return;
+    }
+    lacking.truncate(MAX_FIRST_RECORDS);
+    lacking.retain(|service| peers.begin_change(service));
+    let (shared, peers) = (Rc::clone(shared), Rc::clone(peers));
+    actix_rt::spawn(async move {
+        record_first_primaries(&shared, &peers, &lacking).await;
+        for service in &lacking {
+            peers.end_change(service);
+        }
+    });
+}
+
 fn min_delay(reason: ChangeReason) -> Duration {
     match reason {
-        ChangeReason::NoRecord | ChangeReason::Leaving | ChangeReason::Lost => Duration::ZERO,
+        ChangeReason::Leaving | ChangeReason::Lost => Duration::ZERO,
         ChangeReason::Gone | ChangeReason::Orphaned => MISSING_ENTRY_DELAY,
     }
 }
@@ -171,9 +198,7 @@
     let now = shared.now();
     let lead_state = shared.lead_state.borrow();
     lead_state.membership.as_ref()?;
-    let Some(lead) = lead_state.table.leads.get(service) else {
-        return Some(ChangeReason::NoRecord);
-    };
+    let lead = lead_state.table.leads.get(service)?;
     if let Some(change) = &lead.change {
         let is_own = change.by == shared.settings.host;
         let is_member = lead_state.members.contains_key(&change.by);
@@ -212,64 +237,3 @@
         delay + INCOMPLETE_LIST_DELAY
     }
 }
-
-// Records the one instance that the list calls the primary. If two claim to be, their terms must
-// decide; that requires a change of primary, which needs a recorded primary first.
-async fn record_first_primary<P: Platform>(
-    shared: &Rc<Shared<P>>,
-    peers: &Rc<Peers>,
-    service: &ServiceId,
-) {
-    let mut primaries = shared
-        .upstreams_of(service)
-        .into_iter()
-        .map(|upstream| upstream.entry())
-        .filter(|entry| entry.role == Role::Primary);
-    let (Some(primary), None) = (primaries.next(), primaries.next()) else {
-        debug!("{service} does not have exactly one primary in the list");
-        return;
-    };
-    // Without an answer the term stays unknown: the primary may be lost already, and has to be on
-    // record before it can be replaced.
-    let term = match shared.upstream(&primary.id) {
-        Some(upstream) => query_status(&upstream).await.map(|status| status.term),
-        None => None,
-    };
-    let lead = Lead {
-        primary: primary.id,
-        term: term.unwrap_or_default(),
-        change: None,
-    };
-    let table = shared.lead_state.borrow().table.with_lead(service, lead);
-    if let Some(revision) = commit_table(shared, &table).await {
-        info!(service = service.as_str(), revision; "first primary recorded");
-        peers.send_table(shared);
-    }
-}
-
-/// Replaces the table that this host knows by `table` in the store and adopts it. Returns the new
-/// revision, or `None` if the write conflicted or failed.
-pub(crate) async fn commit_table<P: Platform>(
-    shared: &Rc<Shared<P>>,
-    table: &LeadTable,
-) -> Option<u64> {
-    let change = StoreChange {
-        expected: vec![(SmolStr::new_static(LEAD_KEY), table.revision)],
-        writes: vec![(SmolStr::new_static(LEAD_KEY), format_leads(table), None)],
-    };
-    let commit = shared.store.commit(&change);
-    match call_with_timeout(shared, "commit", STORE_CALL_TIMEOUT, commit).await {
-        Ok(CommitOutcome::Committed(revision)) => {
-            shared.adopt_table(LeadTable {
-                revision,
-                ..table.clone()
-            });
-            Some(revision)
-        }
-        Ok(CommitOutcome::Conflict) => None,
-        Err(error) => {
-            debug!("failed to write the table of leads: {error}");
-            None
-        }
-    }
-}
--- a/crates/jujubehold_standin/src/users_platform/handle.rs
+++ b/crates/jujubehold_standin/src/users_platform/handle.rs
@@ -96,6 +96,7 @@
             faults: Rc::default(),
             link: Rc::default(),
             range_count: Rc::default(),
+            commit_count: Rc::default(),
         };
         actix_rt::spawn(serve_store(
             listener,
--- a/crates/jujubehold_standin/src/users_platform/store_endpoint.rs
+++ b/crates/jujubehold_standin/src/users_platform/store_endpoint.rs
@@ -18,4 +18,6 @@
     pub link: Rc<ThinLink>,
     /// The number of range reads through this endpoint.
     pub range_count: Rc<Cell<u32>>,
+    /// The number of changes that were sent through this endpoint.
+    pub commit_count: Rc<Cell<u32>>,
 }
--- a/crates/jujubehold_standin/src/users_platform/store_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/store_server.rs
@@ -48,8 +48,11 @@
     if call.path == "/-/kv-range" {
         endpoint.range_count.set(endpoint.range_count.get() + 1);
     }
-    let answer = run(&call, &mut state.borrow_mut());
     let is_write = call.path == "/-/kv-txn";
+    if is_write {
+        endpoint.commit_count.set(endpoint.commit_count.get() + 1);
+    }
+    let answer = run(&call, &mut state.borrow_mut());
     if is_write && faults.loses_write_answers {
         return None;
     }
