Keep and send positions only of the services that are in use

Cause: with 100 hosts and 178 services a host that got no answer from the one that reads for its failure domain asked all 178 primaries for their positions every 0.9 s, over connections that it opened for it, and each answer held the positions of all services.

A question of an earlier build is answered as before. Watchers ask as before.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod membership;
 pub mod outcome;
 pub mod ownership;
+pub mod position_demand;
 pub mod prelude;
 pub mod primary_positions;
 pub mod primary_votes;
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -48,6 +48,12 @@
     /// Hosts that were listed recently and are no longer.
     #[prost(message, repeated, tag = "15")]
     pub(crate) departed: Vec<DepartedHostMessage>,
+    /// Whether a proof question names the services whose positions are asked for; otherwise all are.
+    #[prost(bool, tag = "16")]
+    pub(crate) names_services: bool,
+    /// These services.
+    #[prost(string, repeated, tag = "17")]
+    pub(crate) wanted_services: Vec<String>,
 }
 
 /// How far a host knows the changes of the directory.
--- a/crates/jujubehold_entry/src/control/primary_probe.rs
+++ b/crates/jujubehold_entry/src/control/primary_probe.rs
@@ -2,6 +2,8 @@
 //!
 //! Regular traffic does both. Without traffic, a command that takes no slot is sent.
 
+use jujubehold_core::position_demand::{PositionDemand, PositionDemandSettings};
+
 use crate::pool::Upstream;
 use crate::prelude::*;
 use crate::protocol::UpstreamCommand;
@@ -9,13 +11,6 @@
 
 /// How often the primaries are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// The position's age at which it is requested again while reads need positions, or by a host that
-/// watches the primary.
-const MAX_POSITION_AGE: Duration = Duration::from_millis(400);
-/// The position's age at which an idle primary is probed.
-const IDLE_PROBE_AGE: Duration = Duration::from_millis(900);
-/// How long after a read the positions are kept fresh.
-const POSITION_DEMAND_WINDOW: Duration = Duration::from_secs(3);
 /// How long a host that has just joined leaves probing to another host: many hosts that start
 /// together would otherwise use up the primaries' slots.
 const JOIN_PROBE_DELAY: Duration = Duration::from_millis(200);
@@ -69,16 +64,12 @@
             .newest(group.primary_positions.term())
             .unwrap_or_default();
         let age = now.saturating_sub(newest);
-        let is_wanted = group
-            .position_wanted_at
-            .is_some_and(|wanted_at| now.saturating_sub(wanted_at) < POSITION_DEMAND_WINDOW);
-        let is_old = match (is_watcher, has_source, is_wanted) {
-            (true, _, _) | (false, false, true) => age > MAX_POSITION_AGE,
-            // Another host keeps the positions fresh and is asked for them. Hundreds of hosts that
-            // start together would otherwise use up the primaries' slots.
-            (false, true, _) => false,
-            (false, false, false) => age > IDLE_PROBE_AGE,
+        let demand = PositionDemand {
+            is_watcher,
+            has_source,
+            wanted_at: group.position_wanted_at,
         };
+        let is_old = demand.is_due(&PositionDemandSettings::default(), now, age);
         let is_due = (is_old || group.is_position_needed) && !group.is_probing;
         if is_due {
             group.is_probing = true;
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -1,5 +1,7 @@
 //! Answers other hosts with this host's latest read of the store and the primaries' positions.
 
+use std::collections::BTreeSet;
+
 use jujubehold_core::lead_proof::LeadProofSettings;
 use jujubehold_core::lead_table::Revision;
 use jujubehold_core::proof_sharing::ProofSharingSettings;
@@ -42,7 +44,7 @@
     });
     answer.departed = departed(shared);
     answer.read = own_read(shared);
-    answer.marks = primary_positions(shared);
+    answer.marks = primary_positions(shared, question);
     peers.send_to(shared, &question.from, &answer);
 }
 
@@ -132,12 +134,19 @@
 }
 
 // Other hosts can use only positions of primaries whose lead is proved.
-fn primary_positions<P: Platform>(shared: &Shared<P>) -> Vec<MarkMessage> {
+fn primary_positions<P: Platform>(shared: &Shared<P>, question: &PeerMessage) -> Vec<MarkMessage> {
     let now = shared.now();
+    let wanted: BTreeSet<_> = question
+        .wanted_services
+        .iter()
+        .map(String::as_str)
+        .collect();
+    let is_wanted = |service: &str| !question.names_services || wanted.contains(service);
     let services: Vec<ServiceId> = {
         let lead_state = shared.lead_state.borrow();
         let known = lead_state.table.leads.keys();
         known
+            .filter(|service| is_wanted(service))
             .filter(|service| lead_state.table.usable_primary(service).is_some())
             .filter(|service| lead_state.is_proved(service, now))
             .cloned()
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 
 use jujubehold_core::directory_progress::DirectoryNews;
+use jujubehold_core::position_demand::{PositionDemand, PositionDemandSettings};
 use jujubehold_core::proof_sharing::{SharedRead, SharedReadCheck, SharedReadFault, happened_at};
 use log::warn;
 use tokio::sync::oneshot;
@@ -70,6 +71,8 @@
         question.hosts_digest = lead_state.members_digest;
         question.hosts_revision = lead_state.members_revision;
     }
+    question.names_services = true;
+    question.wanted_services = wanted_services(shared);
     let sent_at = shared.now();
     peers.send_to(shared, source, &question);
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, receiver).await;
@@ -80,6 +83,22 @@
     apply_answer(shared, sent_at, &answer)
 }
 
+// Returns the services that callers of this host have read lately.
+fn wanted_services<P: Platform>(shared: &Shared<P>) -> Vec<String> {
+    let now = shared.now();
+    let settings = PositionDemandSettings::default();
+    let groups = shared.groups.borrow();
+    let wanted = groups.iter().filter(|(_, group)| {
+        let demand = PositionDemand {
+            is_watcher: false,
+            has_source: true,
+            wanted_at: group.position_wanted_at,
+        };
+        demand.is_asked_for(&settings, now)
+    });
+    wanted.map(|(service, _)| service.to_string()).collect()
+}
+
 fn apply_answer<P: Platform>(
     shared: &Shared<P>,
     sent_at: Monotonic,
