Receive datagrams of any length

Cause: a host read at most 16 KB of a datagram, while the answer to a proof question holds the table of leads when it has changed, the list of hosts and positions, which grow with the deployment. A longer one was cut off and ignored as invalid, so after each change of primary every host read the store itself.

Change: the buffer holds the longest UDP datagram.

Result: the test with a table of 28 KB that changes failed before (the second host read the store for 20 s without end) and passes.

--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -19,9 +19,8 @@
 use super::proof_questions::ProofQuestions;
 use crate::prelude::*;
 
-/// The maximum length of a datagram: room for the list of hosts, the table of leads and the
-/// positions of as many services as one host serves.
-const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// The maximum length of a UDP datagram over IPv4, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 65_507;
 /// A host reports that it reaches a primary if the primary answered it within this time: longer than
 /// the pause between two probes of a watcher.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(500);
