Name positions in answers to proof questions as positions

Cause: a reported position was called a mark, which is what fences a replica; two lets of one name hid a type; the services without a record were gathered in the middle of the decision.

--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -32,7 +32,7 @@
     pub(crate) read: Option<ReadMessage>,
     /// The latest positions of the primaries that the sender knows.
     #[prost(message, repeated, tag = "10")]
-    pub(crate) marks: Vec<MarkMessage>,
+    pub(crate) positions: Vec<PositionMessage>,
     /// The digest of the list of hosts that the sender knows.
     #[prost(uint64, tag = "11")]
     pub(crate) hosts_digest: u64,
@@ -134,9 +134,9 @@
     pub(crate) revision: u64,
 }
 
-/// A primary's position as sent to another host; not related to the mark of a replica.
+/// A primary's position as sent to another host.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub(crate) struct MarkMessage {
+pub(crate) struct PositionMessage {
     /// The primary's service.
     #[prost(string, tag = "1")]
     pub(crate) service: String,
--- a/crates/jujubehold_entry/src/control/primary_keeper.rs
+++ b/crates/jujubehold_entry/src/control/primary_keeper.rs
@@ -157,15 +157,9 @@
     services: impl Iterator<Item = &'a ServiceId>,
 ) {
     let now = shared.now();
-    let (lacking, revision): (Vec<_>, _) = {
-        let lead_state = shared.lead_state.borrow();
-        let is_listed = lead_state.membership.is_some();
-        let has_record = |service: &ServiceId| lead_state.table.leads.contains_key(service);
-        let lacking = services.filter(|service| is_listed && !has_record(service));
-        (lacking.cloned().collect(), lead_state.table.revision)
-    };
-    let mut lacking = lacking;
+    let mut lacking = services_without_record(shared, services);
     lacking.retain(|service| !peers.is_changing(service) && has_claimed_primary(shared, service));
+    let revision = shared.lead_state.borrow().table.revision;
     monitor
         .first_records
         .note(now, !lacking.is_empty(), revision);
@@ -183,6 +177,20 @@
     });
 }
 
+// Returns none while this host is not listed, as it may not write the table then.
+fn services_without_record<'a, P: Platform>(
+    shared: &Shared<P>,
+    services: impl Iterator<Item = &'a ServiceId>,
+) -> Vec<ServiceId> {
+    let lead_state = shared.lead_state.borrow();
+    if lead_state.membership.is_none() {
+        return Vec::new();
+    }
+    let leads = &lead_state.table.leads;
+    let lacking = services.filter(|service| !leads.contains_key(*service));
+    lacking.cloned().collect()
+}
+
 fn min_delay(reason: ChangeReason) -> Duration {
     match reason {
         ChangeReason::Leaving | ChangeReason::Lost => Duration::ZERO,
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -8,8 +8,8 @@
 
 use super::member_document::format_member;
 use super::peer_message::{
-    DepartedHostMessage, DirectoryMessage, HostMessage, HostsMessage, MarkMessage, PeerMessage,
-    PeerMessageKind, ReadMessage, RemovedHostMessage,
+    DepartedHostMessage, DirectoryMessage, HostMessage, HostsMessage, PeerMessage, PeerMessageKind,
+    PositionMessage, ReadMessage, RemovedHostMessage,
 };
 use super::peers::{Peers, attach_table, new_message};
 use crate::lead_state::{LeadState, Member};
@@ -44,7 +44,7 @@
     });
     answer.departed = departed(shared);
     answer.read = own_read(shared);
-    answer.marks = primary_positions(shared, question);
+    answer.positions = primary_positions(shared, question);
     peers.send_to(shared, &question.from, &answer);
 }
 
@@ -134,7 +134,10 @@
 }
 
 // Other hosts can use only positions of primaries whose lead is proved.
-fn primary_positions<P: Platform>(shared: &Shared<P>, question: &PeerMessage) -> Vec<MarkMessage> {
+fn primary_positions<P: Platform>(
+    shared: &Shared<P>,
+    question: &PeerMessage,
+) -> Vec<PositionMessage> {
     let now = shared.now();
     let wanted: BTreeSet<_> = question
         .wanted_services
@@ -158,7 +161,7 @@
             group.position_wanted_at = Some(now);
             let term = group.primary_positions.term();
             let (position, sent_at) = group.primary_positions.newest_position()?;
-            Some(MarkMessage {
+            Some(PositionMessage {
                 service: service.to_string(),
                 term,
                 position,
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -11,7 +11,7 @@
 use super::instances::discard_membership;
 use super::member_document::parse_member;
 use super::peer_message::{
-    DepartedHostMessage, HostMessage, HostsMessage, MarkMessage, PeerMessage, PeerMessageKind,
+    DepartedHostMessage, HostMessage, HostsMessage, PeerMessage, PeerMessageKind, PositionMessage,
 };
 use super::peers::{Peers, new_message};
 use crate::prelude::*;
@@ -147,8 +147,8 @@
         lead_state.proof.note_read(read_at);
         lead_state.note_all_listed(read_at);
     }
-    for mark in &answer.marks {
-        apply_position(shared, sent_at, mark);
+    for position in &answer.positions {
+        apply_position(shared, sent_at, position);
     }
     shared.changed.notify_waiters();
     Ok(read.age)
@@ -161,7 +161,8 @@
         Some((HostId::from(host.host.as_str()), member))
     };
     // A list with an invalid entry is not complete.
-    let Some(hosts) = listing.hosts.iter().map(parse).collect() else {
+    let hosts: Option<Vec<_>> = listing.hosts.iter().map(parse).collect();
+    let Some(hosts) = hosts else {
         warn!(revision = listing.revision; "ignoring another host's invalid list of hosts");
         return;
     };
@@ -171,9 +172,8 @@
         return;
     }
     if listing.base_revision == 0 {
-        let hosts: Vec<_> = hosts;
-        let hosts = hosts.into_iter().collect();
-        lead_state.set_members(hosts, listing.revision, sent_at);
+        let members = hosts.into_iter().collect();
+        lead_state.set_members(members, listing.revision, sent_at);
     } else if listing.base_revision <= known_revision {
         let removed = listing.removed.iter();
         let removed: Vec<_> = removed
@@ -201,18 +201,22 @@
     }
 }
 
-fn apply_position<P: Platform>(shared: &Shared<P>, asked_at: Monotonic, mark: &MarkMessage) {
-    let sent_at = happened_at(asked_at, Duration::from_micros(mark.age_us));
+fn apply_position<P: Platform>(
+    shared: &Shared<P>,
+    asked_at: Monotonic,
+    reported: &PositionMessage,
+) {
+    let sent_at = happened_at(asked_at, Duration::from_micros(reported.age_us));
     let has_primary = {
         let lead_state = shared.lead_state.borrow();
-        lead_state.table.usable_primary(&mark.service).is_some()
+        lead_state.table.usable_primary(&reported.service).is_some()
     };
     if has_primary {
-        let service = ServiceId::from(mark.service.as_str());
+        let service = ServiceId::from(reported.service.as_str());
         shared.with_group(&service, |group| {
             group
                 .primary_positions
-                .add(mark.term, sent_at, mark.position);
+                .add(reported.term, sent_at, reported.position);
         });
     }
 }
