Vote on at most 16 primaries at a time

Cause: a watcher whose own link is full has no answer from any primary, and its votes, to eight hosts for each of 178 services five times a second, keep the link full: one host sent 47,000 votes (2.3 MB) in 18 s, of which 350 reached the others.

Change: a host votes on the first 16 of the services whose primary it misses, by name, so that watchers of many lost primaries vote on the same ones, and on the next ones as these are replaced (core::vote_budget).

The test with 60 missed primaries failed before (votes on all 60).

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -69,5 +69,6 @@
 pub mod upstream_health;
 pub mod use_interval;
 pub mod verdict;
+pub mod vote_budget;
 pub mod wait_policy;
 pub mod watch_pace;
--- a/crates/jujubehold_entry/src/control/primary_keeper.rs
+++ b/crates/jujubehold_entry/src/control/primary_keeper.rs
@@ -10,6 +10,7 @@
 use jujubehold_core::primary_votes::PrimarySilence;
 use jujubehold_core::primary_watchers::acting_rank;
 use jujubehold_core::stall_detector::StallDetector;
+use jujubehold_core::vote_budget::voted_services;
 
 use super::first_primaries::{has_claimed_primary, record_first_primaries};
 use super::peers::Peers;
@@ -74,30 +75,49 @@
             continue;
         };
         let is_watcher = shared.is_watcher();
+        if is_watcher {
+            vote(&shared, &peers, &mut monitor, configuration.services.keys());
+        }
         for service in configuration.services.keys() {
-            if is_watcher {
-                vote_if_unreachable(&shared, &peers, &mut monitor, service);
-            }
             check_service(&shared, &peers, &mut monitor, service);
         }
         check_first_records(&shared, &peers, &mut monitor, configuration.services.keys());
     }
 }
 
-fn vote_if_unreachable<P: Platform>(
+fn vote<'a, P: Platform>(
     shared: &Shared<P>,
     peers: &Peers,
     monitor: &mut MonitorState,
-    service: &ServiceId,
+    services: impl Iterator<Item = &'a ServiceId>,
 ) {
+    let unreachable = services.filter_map(|service| {
+        let primary = unreachable_primary(shared, monitor, service)?;
+        Some((service.clone(), primary))
+    });
+    let unreachable: BTreeMap<ServiceId, InstanceId> = unreachable.collect();
+    let now = shared.now();
+    for service in voted_services(unreachable.keys().cloned()) {
+        let last = monitor.voted_at.get(&service).copied().unwrap_or_default();
+        if now.saturating_sub(last) >= VOTE_INTERVAL {
+            peers.send_vote(shared, &service, &unreachable[&service]);
+            monitor.voted_at.insert(service, now);
+        }
+    }
+}
+
+// Returns the primary of the service if this host cannot reach it, and counts this host's own vote.
+fn unreachable_primary<P: Platform>(
+    shared: &Shared<P>,
+    monitor: &MonitorState,
+    service: &ServiceId,
+) -> Option<InstanceId> {
     let now = shared.now();
     let primary = {
         let lead_state = shared.lead_state.borrow();
         lead_state.table.usable_primary(service).cloned()
     };
-    let Some(upstream) = primary.as_ref().and_then(|id| shared.upstream(id)) else {
-        return;
-    };
+    let upstream = shared.upstream(primary.as_ref()?)?;
     let silent_since = upstream.silent_since();
     let id = upstream.id();
     let is_unreachable = shared.with_group(service, |group| {
@@ -112,11 +132,7 @@
         }
         is_unreachable
     });
-    let last = monitor.voted_at.get(service).copied().unwrap_or_default();
-    if is_unreachable && now.saturating_sub(last) >= VOTE_INTERVAL {
-        monitor.voted_at.insert(service.clone(), now);
-        peers.send_vote(shared, service, &id);
-    }
+    is_unreachable.then_some(id)
 }
 
 fn check_service<P: Platform>(
