Ask for the positions of all services where they are few

Cause, found by reading: since questions name the services that callers read lately, a host that has just started names none, so the first read of each service asks the primary itself over a connection of its own. 295 hosts that start together before 20 services would do so 5,900 times, which is worked out and not measured.

Change: questions name services only in deployments of more than 32; with fewer, the answers hold all positions as before.

--- a/crates/jujubehold_core/src/position_demand.rs
+++ b/crates/jujubehold_core/src/position_demand.rs
@@ -18,6 +18,8 @@
         pub demand_window: Duration,
         /// How long after a read another host is asked for the position with each question.
         pub question_window: Duration,
+        /// The maximum number of services of which another host is asked for all positions.
+        pub max_unnamed_services: usize,
     }
 
     /// What a host has to do with a primary.
@@ -39,10 +41,21 @@
             // A host whose reads of a service are seconds apart would otherwise ask the primary
             // itself for each of them.
             question_window: Duration::from_secs(30),
+            // About 1 KB of an answer. Hundreds of hosts that start together would otherwise ask
+            // each primary once for the first read of its service.
+            max_unnamed_services: 32,
         }
     }
 }
 
+impl PositionDemandSettings {
+    /// Returns whether a question names the services whose positions it asks for, in a deployment
+    /// of `service_count` services.
+    pub fn names_services(&self, service_count: usize) -> bool {
+        service_count > self.max_unnamed_services
+    }
+}
+
 impl PositionDemand {
     /// Returns whether the host asks the primary for its position at `now`, if the newest one that
     /// it knows is `age` old.
--- a/crates/jujubehold_core/tests/position_demand.rs
+++ b/crates/jujubehold_core/tests/position_demand.rs
@@ -44,6 +44,14 @@
     assert!(!demand.is_due(&settings, ms(60_000), settings.max_position_age));
 }
 
+// 295 hosts start before 20 services: the first read of each host finds the position.
+#[test]
+fn a_question_asks_for_all_positions_of_few_services() {
+    let settings = PositionDemandSettings::default();
+    assert!(!settings.names_services(20));
+    assert!(settings.names_services(178));
+}
+
 // 178 services, of which callers of this host read three in the last half minute.
 #[test]
 fn a_question_names_the_services_that_callers_read_lately() {
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -71,8 +71,12 @@
         question.hosts_digest = lead_state.members_digest;
         question.hosts_revision = lead_state.members_revision;
     }
-    question.names_services = true;
-    question.wanted_services = wanted_services(shared);
+    let settings = PositionDemandSettings::default();
+    let service_count = shared.lead_state.borrow().table.leads.len();
+    question.names_services = settings.names_services(service_count);
+    if question.names_services {
+        question.wanted_services = wanted_services(shared, &settings);
+    }
     let sent_at = shared.now();
     peers.send_to(shared, source, &question);
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, receiver).await;
@@ -84,9 +88,11 @@
 }
 
 // Returns the services that callers of this host have read lately.
-fn wanted_services<P: Platform>(shared: &Shared<P>) -> Vec<String> {
+fn wanted_services<P: Platform>(
+    shared: &Shared<P>,
+    settings: &PositionDemandSettings,
+) -> Vec<String> {
     let now = shared.now();
-    let settings = PositionDemandSettings::default();
     let groups = shared.groups.borrow();
     let wanted = groups.iter().filter(|(_, group)| {
         let demand = PositionDemand {
@@ -94,7 +100,7 @@
             has_source: true,
             wanted_at: group.position_wanted_at,
         };
-        demand.is_asked_for(&settings, now)
+        demand.is_asked_for(settings, now)
     });
     wanted.map(|(service, _)| service.to_string()).collect()
 }
