Identify callers by the keys of their customers

The configuration may list customers with the keys of their callers. A session whose key no customer has is rejected, unless its database is public; a session whose key is revoked ends, its open transaction within two seconds. A connection to an instance is opened for one customer and runs statements of no other one, so the pool closes an idle connection of another customer to make room.

Without customers in the configuration nothing changes.

--- a/crates/jujubehold_core/src/connection_limit.rs
+++ b/crates/jujubehold_core/src/connection_limit.rs
@@ -60,6 +60,13 @@
         is_below_limit && now >= self.opens_paused_until
     }
 
+    /// Returns whether another connection may be opened once one is closed.
+    pub fn has_room_after_close(&self, now: Monotonic) -> bool {
+        self.open_count <= self.limit
+            && self.opening_count < MAX_CONCURRENT_OPENS
+            && now >= self.opens_paused_until
+    }
+
     /// Returns whether more connections are open than the limit allows.
     pub fn is_exceeded(&self) -> bool {
         self.open_count > self.limit
--- a/crates/jujubehold_core/src/ids.rs
+++ b/crates/jujubehold_core/src/ids.rs
@@ -16,6 +16,9 @@
 /// The name of a database service: one primary and its replicas.
 pub type ServiceId = SmolStr;
 
+/// The name of a customer: an organization on whose behalf callers send requests.
+pub type CustomerId = SmolStr;
+
 /// The name of one upstream instance within its service.
 pub type InstanceId = SmolStr;
 
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod primary_votes;
 pub mod primary_watchers;
 pub mod proof_sharing;
+pub mod quota;
 pub mod read_attempts;
 pub mod read_candidates;
 pub mod read_floor;
--- a/crates/jujubehold_core/src/prelude.rs
+++ b/crates/jujubehold_core/src/prelude.rs
@@ -3,8 +3,8 @@
 pub use crate::floor::{Floor, FloorCheck};
 pub use crate::group_view::{GroupView, Sample};
 pub use crate::ids::{
-    DomainId, Generation, HostId, InstanceId, Monotonic, Nonce, Position, RegionId, RequestId,
-    ServiceId, Term,
+    CustomerId, DomainId, Generation, HostId, InstanceId, Monotonic, Nonce, Position, RegionId,
+    RequestId, ServiceId, Term,
 };
 pub use crate::instance_status::{InstanceStatus, Role};
 pub use crate::refusal_reason::RefusalReason;
--- a/crates/jujubehold_entry/src/callers/mod.rs
+++ b/crates/jujubehold_entry/src/callers/mod.rs
@@ -4,6 +4,7 @@
 mod caller_io;
 mod candidates;
 mod failure;
+mod identity;
 mod listener;
 mod operation;
 mod prepared;
--- a/crates/jujubehold_entry/src/callers/operation.rs
+++ b/crates/jujubehold_entry/src/callers/operation.rs
@@ -11,6 +11,8 @@
 pub(crate) struct Operation {
     /// The database as it was configured when the operation began.
     pub(crate) route: Route,
+    /// The customer on whose behalf it runs, if callers are identified.
+    pub(crate) customer: Option<CustomerId>,
     /// When the operation's first statement arrived.
     pub(crate) began_at: Monotonic,
 }
--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -7,6 +7,7 @@
 
 use super::caller_io::{CallerIo, CallerIoError};
 use super::failure::Failure;
+use super::identity::{Identity, UnknownCaller};
 use super::operation::Operation;
 use super::prepared::PreparedStatements;
 use super::transaction::{Transaction, already_failed};
@@ -15,8 +16,8 @@
 use crate::pool::SessionValues;
 use crate::prelude::*;
 use crate::protocol::{
-    Access, CallerCodec, CallerMessage, CallerRequest, ErrorCode, RequestKind, SessionState,
-    UpstreamOutcome, UpstreamReply,
+    Access, CallerCodec, CallerKey, CallerMessage, CallerRequest, ErrorCode, RequestKind,
+    SessionState, UpstreamOutcome, UpstreamReply,
 };
 use crate::shared::millis;
 
@@ -33,7 +34,9 @@
     pub(crate) shared: Rc<Shared<P>>,
     io: CallerIo<P>,
     phase: watch::Receiver<Phase>,
+    configuration_version: watch::Receiver<u64>,
     database: SmolStr,
+    identity: Identity,
     pub(crate) values: SessionValues,
     statements: PreparedStatements,
     /// The position of the session's own last commit.
@@ -46,11 +49,14 @@
         gauge!(SESSIONS).increment(1);
         shared.session_count.set(shared.session_count.get() + 1);
         let phase = shared.phase.subscribe();
+        let configuration_version = shared.configuration_version.subscribe();
         Self {
             shared,
             io,
             phase,
+            configuration_version,
             database: SmolStr::default(),
+            identity: Identity::default(),
             values: SessionValues::new(),
             statements: PreparedStatements::default(),
             floor: None,
@@ -66,7 +72,12 @@
         }
         while let Some(message) = self.next_message().await? {
             match message {
-                CallerMessage::Request(request) => self.handle_request(request).await?,
+                CallerMessage::Request(request) => {
+                    self.handle_request(request).await?;
+                    if self.has_lost_access() {
+                        break;
+                    }
+                }
                 CallerMessage::Start { .. } => self.refuse_malformed().await?,
                 CallerMessage::End => return Ok(()),
             }
@@ -81,23 +92,53 @@
         let Ok(message) = first else {
             return Ok(false);
         };
-        let CallerMessage::Start { database } = message? else {
+        let CallerMessage::Start { database, key } = message? else {
             self.put_error(ErrorCode::Malformed, "the session has not begun");
             self.io.flush().await?;
             return Ok(false);
         };
         self.wait_for_configuration().await;
-        let is_known = self.shared.route(&database).is_some();
         self.database = database;
-        if is_known {
-            self.put_ready(None);
-        } else {
-            let (code, detail) = self.unknown_database().answer();
-            self.put_error(code, &detail);
-            self.count_failure(&self.unknown_database());
+        let admitted = self.identify(key);
+        match &admitted {
+            Ok(()) => self.put_ready(None),
+            Err(failure) => {
+                let (code, detail) = failure.answer();
+                self.put_error(code, &detail);
+                self.count_failure(failure);
+            }
         }
         self.io.flush().await?;
-        Ok(is_known)
+        Ok(admitted.is_ok())
+    }
+
+    fn identify(&mut self, key: Option<CallerKey>) -> Result<(), Failure> {
+        self.configuration_version.mark_unchanged();
+        let configuration = self.shared.configuration.borrow().clone();
+        let configuration = configuration
+            .filter(|configuration| configuration.routes.contains_key(&self.database))
+            .ok_or_else(|| self.unknown_database())?;
+        self.identity = Identity::new(&configuration, &self.database, key)
+            .map_err(|UnknownCaller| authentication_failed())?;
+        Ok(())
+    }
+
+    // Checks the caller's key against the current configuration if that has changed.
+    fn check_identity(&mut self) {
+        // The sender lives as long as the host, so this can't fail.
+        if !self.configuration_version.has_changed().unwrap_or(false) {
+            return;
+        }
+        self.configuration_version.mark_unchanged();
+        if let Some(configuration) = &*self.shared.configuration.borrow() {
+            let now = self.shared.now();
+            self.identity.check(now, configuration, &self.database);
+        }
+    }
+
+    // Returns whether the caller's key was revoked and nothing admitted before is left to end.
+    fn has_lost_access(&self) -> bool {
+        self.identity.is_revoked() && self.transaction.is_none()
     }
 
     // A host that has just started has no configuration yet, so it can't tell whether the database
@@ -121,8 +162,12 @@
         } else {
             Phase::ClosingTransactions
         };
+        if self.has_lost_access() {
+            return Ok(None);
+        }
         let idle_timeout = self.transaction_idle_timeout();
         let phase = &mut self.phase;
+        let configuration_version = &mut self.configuration_version;
         let io = &mut self.io;
         let phase_reached = async {
             // The sender is dropped only with the host, so this can't fail.
@@ -138,6 +183,11 @@
             biased;
             message = io.read() => return message.map(Some),
             () = phase_reached => {}
+            _ = configuration_version.changed() => {
+                configuration_version.mark_changed();
+                self.check_identity();
+                return Box::pin(self.next_message()).await;
+            }
             () = idled => return self.fail_idle_transaction().await,
         }
         if let Some(mut transaction) = self.transaction.take() {
@@ -149,15 +199,16 @@
     // Returns how long a transaction that holds a connection may be idle.
     fn transaction_idle_timeout(&self) -> Option<Duration> {
         let transaction = self.transaction.as_ref()?;
+        if !transaction.is_open() {
+            return None;
+        }
         let configuration = self.shared.configuration.borrow();
-        transaction
-            .is_open()
-            .then(|| {
-                configuration
-                    .as_ref()
-                    .map(|configuration| configuration.transaction_idle)
-            })
-            .flatten()
+        let idle_timeout = configuration.as_ref()?.transaction_idle;
+        let remaining = self
+            .identity
+            .transaction_ends_at()
+            .map(|ends_at| ends_at.saturating_sub(self.shared.now()));
+        Some(remaining.map_or(idle_timeout, |remaining| idle_timeout.min(remaining)))
     }
 
     // The caller learns of the failure from the answer to its next statement: an answer that
@@ -192,6 +243,8 @@
         if self.state() == SessionState::Failed {
             return self.run_in_failed_transaction(request);
         }
+        self.check_identity();
+        self.reject_revoked()?;
         match &request.kind {
             RequestKind::Begin { is_read_only } => {
                 self.begin(request, *is_read_only, arrived_at)?;
@@ -227,6 +280,22 @@
         }
     }
 
+    // Rejects a request whose caller's key was revoked, unless it belongs to a transaction that may
+    // still end.
+    fn reject_revoked(&mut self) -> Result<(), Failure> {
+        let Some(ends_at) = self.identity.transaction_ends_at() else {
+            return Ok(());
+        };
+        let Some(transaction) = &mut self.transaction else {
+            return Err(authentication_failed());
+        };
+        if self.shared.now() < ends_at {
+            return Ok(());
+        }
+        transaction.fail();
+        Err(Failure::RolledBack("key_revoked".into()))
+    }
+
     fn run_in_failed_transaction(
         &mut self,
         request: &CallerRequest,
@@ -304,7 +373,11 @@
     fn operation(&self, began_at: Monotonic) -> Result<Operation, Failure> {
         let route = self.shared.route(&self.database);
         let route = route.ok_or_else(|| self.unknown_database())?;
-        Ok(Operation { route, began_at })
+        Ok(Operation {
+            route,
+            customer: self.identity.customer().cloned(),
+            began_at,
+        })
     }
 
     fn unknown_database(&self) -> Failure {
@@ -385,6 +458,10 @@
     }
 }
 
+fn authentication_failed() -> Failure {
+    Failure::error(ErrorCode::AuthenticationFailed, "no customer has this key")
+}
+
 fn out_of_order() -> Failure {
     Failure::error(ErrorCode::Malformed, "out of turn")
 }
--- a/crates/jujubehold_entry/src/callers/single.rs
+++ b/crates/jujubehold_entry/src/callers/single.rs
@@ -244,7 +244,8 @@
     ) -> Result<ConnectionLease<P>, AttemptError> {
         let asked_at = self.shared.now();
         let limits = operation.wait_limits(arrived_at);
-        let result = upstream.acquire(&self.values, limits).await;
+        let customer = operation.customer.as_ref();
+        let result = upstream.acquire(customer, &self.values, limits).await;
         let waited = self.shared.now().saturating_sub(asked_at);
         self.shared.with_group(&operation.route.service, |group| {
             group
--- a/crates/jujubehold_entry/src/control/instances.rs
+++ b/crates/jujubehold_entry/src/control/instances.rs
@@ -11,7 +11,7 @@
 use crate::lead_state::LeadState;
 use crate::pool::Upstream;
 use crate::prelude::*;
-use crate::protocol::{Directory, InstanceEntry, StoreItem, StoreListing};
+use crate::protocol::{Customers, Directory, InstanceEntry, StoreItem, StoreListing};
 
 /// How long to wait, once the store is available again, for instance entries that expired during
 /// the outage to be written again.
@@ -156,9 +156,12 @@
 }
 
 fn apply_configuration<P: Platform>(shared: &Shared<P>, value: &[u8]) {
-    let Some(configuration) = P::Directory::configuration(value) else {
-        warn!("ignoring an invalid configuration");
-        return;
+    let configuration = match P::Directory::configuration(value) {
+        Ok(configuration) => configuration,
+        Err(error) => {
+            warn!(error:% = error; "ignoring an invalid configuration");
+            return;
+        }
     };
     let current = shared
         .configuration
@@ -169,8 +172,12 @@
     if configuration.version <= current {
         return;
     }
-    info!(version = configuration.version, databases = configuration.routes.len();
+    let customers = configuration.customers.as_ref().map_or(0, Customers::len);
+    info!(version = configuration.version, databases = configuration.routes.len(), customers;
         "configuration applied");
+    shared
+        .configuration_version
+        .send_replace(configuration.version);
     *shared.configuration.borrow_mut() = Some(Rc::new(configuration));
     shared.changed.notify_waiters();
 }
--- a/crates/jujubehold_entry/src/pool/connection.rs
+++ b/crates/jujubehold_entry/src/pool/connection.rs
@@ -68,6 +68,8 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamConnection<P: Platform> {
     stream: TcpStream,
+    /// The customer whose statements the connection runs.
+    customer: Option<CustomerId>,
     buffer: BytesMut,
     codec: P::Upstreams,
     values: SessionValues,
@@ -79,16 +81,19 @@
 }
 
 impl<P: Platform> UpstreamConnection<P> {
-    /// Opens a connection and has the other end confirm that it is `instance` of `service`. Also
-    /// returns the position that the instance reported.
+    /// Opens a connection for statements of `customer` and has the other end confirm that it is
+    /// `instance` of `service`. Also returns the position that the instance reported.
+    ///
+    /// Without a customer, the instance is told the name of the host.
     pub(crate) async fn open(
         address: SocketAddr,
         service: &str,
+        customer: Option<&CustomerId>,
         host: &str,
         instance: &str,
         timeout: Duration,
     ) -> Result<(Self, Option<LogPosition>), UpstreamError> {
-        let opening = Self::open_unbounded(address, service, host, instance);
+        let opening = Self::open_unbounded(address, service, customer, host, instance);
         match tokio::time::timeout(timeout, opening).await {
             Ok(opened) => opened,
             Err(_) => Err(UpstreamError::TimedOut),
@@ -98,6 +103,7 @@
     async fn open_unbounded(
         address: SocketAddr,
         service: &str,
+        customer: Option<&CustomerId>,
         host: &str,
         instance: &str,
     ) -> Result<(Self, Option<LogPosition>), UpstreamError> {
@@ -107,6 +113,7 @@
         stream.set_nodelay(true).map_err(UpstreamError::Broken)?;
         let mut connection = Self {
             stream,
+            customer: customer.cloned(),
             buffer: BytesMut::new(),
             codec: P::Upstreams::default(),
             values: SessionValues::new(),
@@ -118,7 +125,7 @@
         };
         let start = UpstreamCommand::Start {
             service,
-            host,
+            user: customer.map_or(host, CustomerId::as_str),
             instance,
         };
         let reply = connection.run_command(&start).await?;
@@ -129,6 +136,11 @@
         }
     }
 
+    /// Returns the customer for whom the connection was opened.
+    pub(crate) fn customer(&self) -> Option<&CustomerId> {
+        self.customer.as_ref()
+    }
+
     /// Returns the transaction state of the connection.
     pub(crate) fn state(&self) -> SessionState {
         self.state
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -27,7 +27,7 @@
 use crate::protocol::{InstanceEntry, InstanceLifecycle, Platform};
 use in_flight::InFlight;
 use opening_guard::OpeningGuard;
-use pool_state::{Grant, PoolState};
+use pool_state::{Grant, PoolState, Waiter};
 use queue_guard::QueueGuard;
 
 /// The timeout for opening a connection: a round trip between regions, the instance's processing
@@ -156,19 +156,21 @@
         health.silent_since().or(waiting_since)
     }
 
-    /// Leases a connection, preferably one on which `values` are already set.
+    /// Leases a connection that runs statements of `customer` only, preferably one on which
+    /// `values` are already set.
     pub(crate) async fn acquire(
         self: &Rc<Self>,
+        customer: Option<&CustomerId>,
         values: &SessionValues,
         limits: WaitLimits,
     ) -> Result<ConnectionLease<P>, AcquireError> {
-        if let Some(connection) = self.take_idle(values) {
+        if let Some(connection) = self.take_idle(customer, values) {
             return Ok(self.lease(connection));
         }
         let mut has_room = self.try_begin_opening();
         loop {
             if has_room {
-                match self.open().await {
+                match self.open(customer).await {
                     Ok(lease) => return Ok(lease),
                     // The instance accepts no more connections now, but one may still be returned
                     // to this pool, or the instance may accept another one, in time.
@@ -176,7 +178,7 @@
                     Err(error) => return Err(error.into()),
                 }
             }
-            match self.wait(limits).await? {
+            match self.wait(customer, limits).await? {
                 Grant::Connection(connection) => return Ok(self.lease(*connection)),
                 Grant::OpenPermit => has_room = true,
             }
@@ -185,7 +187,7 @@
 
     /// Leases an idle connection if there is one, without waiting or opening one.
     pub(crate) fn acquire_idle(self: &Rc<Self>) -> Option<ConnectionLease<P>> {
-        let connection = self.take_idle(&SessionValues::new())?;
+        let connection = self.pool.borrow_mut().take_any_idle()?;
         Some(self.lease(connection))
     }
 
@@ -198,10 +200,14 @@
             return Ok(lease);
         }
         self.pool.borrow_mut().limit.begin_opening();
-        self.open().await
+        self.open(None).await
     }
 
-    async fn wait(self: &Rc<Self>, limits: WaitLimits) -> Result<Grant<P>, AcquireError> {
+    async fn wait(
+        self: &Rc<Self>,
+        customer: Option<&CustomerId>,
+        limits: WaitLimits,
+    ) -> Result<Grant<P>, AcquireError> {
         let now = self.clock.now();
         let expected_wait = {
             let pool = self.pool.borrow();
@@ -212,7 +218,7 @@
         if !policy.is_worth_waiting(now, limits.give_up_at, expected_wait) {
             return Err(AcquireError::NoneFree { expected_wait });
         }
-        let (ticket, mut grant_receiver) = self.enqueue(now, limits);
+        let (ticket, mut grant_receiver) = self.enqueue(now, customer, limits);
         let mut queue_guard = QueueGuard {
             upstream: self,
             ticket: Some(ticket),
@@ -232,6 +238,7 @@
     fn enqueue(
         &self,
         now: Monotonic,
+        customer: Option<&CustomerId>,
         limits: WaitLimits,
     ) -> (WaitTicket, oneshot::Receiver<Grant<P>>) {
         let (sender, receiver) = oneshot::channel();
@@ -244,26 +251,24 @@
             asked_at: now,
             give_up_at: limits.give_up_at,
         });
-        pool.waiters.insert(ticket, sender);
+        let customer = customer.cloned();
+        pool.waiters.insert(ticket, Waiter { customer, sender });
         (ticket, receiver)
     }
 
-    fn take_idle(&self, values: &SessionValues) -> Option<UpstreamConnection<P>> {
-        let mut pool = self.pool.borrow_mut();
-        loop {
-            let matching = pool.idle.iter().rposition(|idle| idle.has_values(values));
-            let index = matching.or_else(|| pool.idle.len().checked_sub(1))?;
-            let connection = pool.idle.remove(index);
-            if !connection.is_stale() {
-                return Some(connection);
-            }
-            pool.limit.note_closed(1);
-        }
+    fn take_idle(
+        &self,
+        customer: Option<&CustomerId>,
+        values: &SessionValues,
+    ) -> Option<UpstreamConnection<P>> {
+        self.pool.borrow_mut().take_idle(customer, values)
     }
 
+    // Closes an idle connection of another customer if the new one has no room beside it.
     fn try_begin_opening(&self) -> bool {
         let mut pool = self.pool.borrow_mut();
-        let has_room = pool.limit.has_room(self.clock.now());
+        let now = self.clock.now();
+        let has_room = pool.limit.has_room(now) || pool.replace_idle(now);
         if has_room {
             pool.limit.begin_opening();
         }
@@ -271,7 +276,10 @@
     }
 
     // The connection is already counted; if it can't be opened, it is removed from the count.
-    async fn open(self: &Rc<Self>) -> Result<ConnectionLease<P>, UpstreamError> {
+    async fn open(
+        self: &Rc<Self>,
+        customer: Option<&CustomerId>,
+    ) -> Result<ConnectionLease<P>, UpstreamError> {
         let mut opening = OpeningGuard {
             upstream: Some(self),
         };
@@ -280,6 +288,7 @@
         let opened = UpstreamConnection::open(
             entry.address,
             &entry.service,
+            customer,
             &self.host,
             &entry.id,
             OPEN_TIMEOUT,
@@ -344,14 +353,7 @@
             pool.limit.note_closed(1);
             return;
         }
-        let mut connection = Box::new(connection);
-        while let Some(waiter) = pool.next_waiter(now) {
-            match waiter.send(Grant::Connection(connection)) {
-                Err(Grant::Connection(returned)) => connection = returned,
-                Ok(()) | Err(Grant::OpenPermit) => return,
-            }
-        }
-        pool.idle.push(*connection);
+        pool.hand_on(now, connection);
     }
 
     pub(super) fn note_closed(&self, acquired_at: Monotonic) {
--- a/crates/jujubehold_entry/src/protocol/caller.rs
+++ b/crates/jujubehold_entry/src/protocol/caller.rs
@@ -5,6 +5,7 @@
 use jujubehold_core::prelude::*;
 use smol_str::SmolStr;
 
+use super::caller_key::CallerKey;
 use super::error_code::ErrorCode;
 use super::platform::MalformedMessage;
 use super::upstream::Access;
@@ -38,6 +39,8 @@
     Start {
         /// The name of the database.
         database: SmolStr,
+        /// What identifies the caller, if it sent anything.
+        key: Option<CallerKey>,
     },
     /// Sends a statement.
     Request(CallerRequest),
--- /dev/null
+++ b/crates/jujubehold_entry/src/protocol/customers.rs
@@ -0,0 +1,97 @@
+//! The customers in the operators' configuration, and the keys of their callers.
+
+use std::collections::BTreeMap;
+
+use jujubehold_core::prelude::*;
+use jujubehold_core::quota::QuotaLimit;
+
+use super::caller_key::CallerKey;
+
+jujubehold_core::value_type! {
+    /// The customers of a configuration.
+    #[derive(Default)]
+    pub struct Customers {
+        quotas: BTreeMap<CustomerId, Option<QuotaLimit>>,
+        holders: BTreeMap<CallerKey, CustomerId>,
+    }
+
+    /// One customer.
+    pub struct Customer {
+        /// Its name.
+        pub name: CustomerId,
+        /// The keys of its callers.
+        pub keys: Vec<CallerKey>,
+        /// Its quota; `None` if it has none.
+        pub quota: Option<QuotaLimit>,
+    }
+}
+
+/// Why a list of customers is invalid. No message contains a key.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum InvalidCustomers {
+    /// A customer has no name.
+    #[error("a customer has no name")]
+    NoName,
+    /// Two customers have the same name.
+    #[error("two customers are named {0}")]
+    DuplicateName(CustomerId),
+    /// A customer has an empty key.
+    #[error("customer {0} has an empty key")]
+    EmptyKey(CustomerId),
+    /// Two customers have the same key.
+    #[error("customers {0} and {1} have a key in common")]
+    SharedKey(CustomerId, CustomerId),
+}
+
+impl Customers {
+    /// Creates the set of `customers`.
+    ///
+    /// # Errors
+    /// Returns an error if a name is missing or not unique, or a key identifies two customers.
+    pub fn new(customers: impl IntoIterator<Item = Customer>) -> Result<Self, InvalidCustomers> {
+        let mut set = Self::default();
+        for customer in customers {
+            set.add(customer)?;
+        }
+        Ok(set)
+    }
+
+    fn add(&mut self, customer: Customer) -> Result<(), InvalidCustomers> {
+        let name = customer.name;
+        if name.is_empty() {
+            return Err(InvalidCustomers::NoName);
+        }
+        if self.quotas.insert(name.clone(), customer.quota).is_some() {
+            return Err(InvalidCustomers::DuplicateName(name));
+        }
+        for key in customer.keys {
+            match self.holders.insert(key, name.clone()) {
+                Some(other) if other != name => {
+                    return Err(InvalidCustomers::SharedKey(other, name));
+                }
+                Some(_) | None => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the customer whose callers use `key`.
+    pub fn holder(&self, key: &CallerKey) -> Option<&CustomerId> {
+        self.holders.get(key)
+    }
+
+    /// Returns the quota of a customer; `None` if it has none or is not known.
+    pub fn quota(&self, customer: &str) -> Option<QuotaLimit> {
+        self.quotas.get(customer).copied().flatten()
+    }
+
+    /// Returns the number of customers.
+    pub fn len(&self) -> usize {
+        self.quotas.len()
+    }
+
+    /// Returns whether there are no customers.
+    pub fn is_empty(&self) -> bool {
+        self.quotas.is_empty()
+    }
+}
--- a/crates/jujubehold_entry/src/protocol/directory.rs
+++ b/crates/jujubehold_entry/src/protocol/directory.rs
@@ -8,6 +8,8 @@
 use jujubehold_core::read_floor::Consistency;
 use smol_str::SmolStr;
 
+use super::customers::{Customers, InvalidCustomers};
+
 /// The keys and formats of the documents in the store.
 pub trait Directory: 'static {
     /// The key of the operators' configuration.
@@ -15,13 +17,32 @@
     /// The prefix of the instances' keys.
     const INSTANCES_PREFIX: &'static str;
 
-    /// Parses a configuration; `None` if it is invalid.
-    fn configuration(value: &[u8]) -> Option<Configuration>;
+    /// Parses a configuration.
+    ///
+    /// # Errors
+    /// Returns an error if the document is invalid. No message contains a caller's key.
+    fn configuration(value: &[u8]) -> Result<Configuration, InvalidConfiguration>;
 
     /// Parses an instance's entry; `None` if it describes no usable instance.
     fn instance(key: &str, value: &[u8]) -> Option<InstanceEntry>;
 }
 
+/// Why a configuration is invalid.
+#[derive(Debug, thiserror::Error)]
+pub enum InvalidConfiguration {
+    /// The document does not have the expected form.
+    #[error("the document can't be read, at line {line}, column {column}")]
+    Unreadable {
+        /// The line.
+        line: usize,
+        /// The column.
+        column: usize,
+    },
+    /// The customers contradict each other.
+    #[error(transparent)]
+    Customers(#[from] InvalidCustomers),
+}
+
 jujubehold_core::value_type! {
     /// The operators' configuration.
     pub struct Configuration {
@@ -33,6 +54,8 @@
         pub services: BTreeMap<ServiceId, ServiceLimits>,
         /// How long a transaction may be idle between statements.
         pub transaction_idle: Duration,
+        /// The customers; `None` if callers are not identified.
+        pub customers: Option<Customers>,
     }
 
     /// One database.
@@ -47,6 +70,8 @@
         pub objective: Duration,
         /// The priority under load; 0 is the highest.
         pub priority: u32,
+        /// Whether callers that no key identifies may use the database.
+        pub is_public: bool,
     }
 
     /// The limits of each instance of a service.
--- a/crates/jujubehold_entry/src/protocol/error_code.rs
+++ b/crates/jujubehold_entry/src/protocol/error_code.rs
@@ -21,6 +21,8 @@
         UnknownStatement,
         /// The statement timed out; whether it ran is not known.
         TimedOut,
+        /// No customer has the key that the caller sent.
+        AuthenticationFailed,
         /// No database has this name.
         UnknownDatabase,
         /// The message is too large.
@@ -44,7 +46,8 @@
             | Self::WrongInstance
             | Self::ConnectionLimit
             | Self::UnknownStatement => true,
-            Self::RolledBack
+            Self::AuthenticationFailed
+            | Self::RolledBack
             | Self::Failed
             | Self::TimedOut
             | Self::UnknownDatabase
@@ -67,6 +70,7 @@
             Self::Failed => "failed",
             Self::UnknownStatement => "unknown_statement",
             Self::TimedOut => "timed_out",
+            Self::AuthenticationFailed => "authentication_failed",
             Self::UnknownDatabase => "unknown_database",
             Self::TooLarge => "too_large",
             Self::Malformed => "malformed",
--- a/crates/jujubehold_entry/src/protocol/mod.rs
+++ b/crates/jujubehold_entry/src/protocol/mod.rs
@@ -5,6 +5,8 @@
 
 mod call_progress;
 mod caller;
+mod caller_key;
+mod customers;
 mod directory;
 mod error_code;
 mod platform;
@@ -14,8 +16,11 @@
 
 pub use call_progress::CallProgress;
 pub use caller::{CallerCodec, CallerMessage, CallerRequest, RequestKind, SessionState};
+pub use caller_key::CallerKey;
+pub use customers::{Customer, Customers, InvalidCustomers};
 pub use directory::{
-    Configuration, Directory, InstanceEntry, InstanceLifecycle, Route, ServiceLimits,
+    Configuration, Directory, InstanceEntry, InstanceLifecycle, InvalidConfiguration, Route,
+    ServiceLimits,
 };
 pub use error_code::ErrorCode;
 pub use platform::{MalformedMessage, Platform};
--- a/crates/jujubehold_entry/src/protocol/upstream.rs
+++ b/crates/jujubehold_entry/src/protocol/upstream.rs
@@ -42,8 +42,8 @@
     Start {
         /// The service that the instance must belong to.
         service: &'a str,
-        /// The connecting host.
-        host: &'a str,
+        /// The customer whose statements the connection runs, or the connecting host.
+        user: &'a str,
         /// The instance that the host means to reach.
         instance: &'a str,
     },
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -42,6 +42,8 @@
     pub(crate) promotion: P::Promotion,
     pub(crate) log: DecisionLog,
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
+    /// The version of the configuration; wakes the sessions that check their keys.
+    pub(crate) configuration_version: watch::Sender<u64>,
     pub(crate) lead_state: RefCell<LeadState>,
     pub(crate) upstreams: RefCell<BTreeMap<InstanceId, Rc<Upstream<P>>>>,
     /// Since when this host has followed the directory; `None` before it was first listed.
@@ -72,6 +74,7 @@
             directory_progress: RefCell::new(DirectoryProgress::default()),
             promotion,
             configuration: RefCell::new(None),
+            configuration_version: watch::Sender::new(0),
             upstreams: RefCell::new(BTreeMap::new()),
             directory_followed_since: Cell::new(None),
             missing_instances: RefCell::new(BTreeMap::new()),
