Share one backoff among the tasks that call a refusing store

Cause: while the store refuses a host, the tasks for membership, leads and directory each tried again on their own, and each refused call costs as much as an answered one.

--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -8,7 +8,7 @@
 use super::lead_document::parse_leads;
 use super::peers::Peers;
 use super::proof_questions::{QuestionError, ask};
-use super::store_calls::transfer_with_timeout;
+use super::store_calls::{transfer_with_timeout, wait_for_turn};
 use super::{ENTRY_KEYS_PREFIX, LEAD_KEY};
 use crate::lead_state::OwnRead;
 use crate::prelude::*;
@@ -88,6 +88,7 @@
 
 async fn read_store<P: Platform>(shared: &Shared<P>) -> Duration {
     let is_first = shared.lead_state.borrow().own_read.is_none();
+    wait_for_turn(shared).await;
     match read_leads(shared).await {
         // Another host may already have the primaries' positions.
         Ok(()) if is_first => MIN_PAUSE,
--- a/crates/jujubehold_entry/src/control/membership.rs
+++ b/crates/jujubehold_entry/src/control/membership.rs
@@ -13,7 +13,7 @@
 use super::HOSTS_PREFIX;
 use super::instances::discard_membership;
 use super::member_document::format_member;
-use super::store_calls::{STORE_CALL_TIMEOUT, call_with_timeout};
+use super::store_calls::{STORE_CALL_TIMEOUT, call_with_timeout, wait_for_turn};
 use crate::lead_state::Membership;
 use crate::phase::Phase;
 use crate::prelude::*;
@@ -31,6 +31,7 @@
 pub(crate) async fn keep_membership<P: Platform>(shared: Rc<Shared<P>>, peer: SocketAddr) {
     let mut failures = 0;
     loop {
+        wait_for_turn(&shared).await;
         let membership = shared.lead_state.borrow().membership.clone();
         let result = match &membership {
             Some(membership) => renew(&shared, membership).await,
--- a/crates/jujubehold_entry/src/control/store_calls.rs
+++ b/crates/jujubehold_entry/src/control/store_calls.rs
@@ -1,7 +1,8 @@
 //! Calls the store with a timeout, counts the calls and what they receive, and logs outages.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 
+use jujubehold_core::call_gate::CallGate;
 use jujubehold_core::transfer_timeout::TransferTimeout;
 use log::{info, warn};
 use metrics::counter;
@@ -22,6 +23,7 @@
     unavailable_since: Cell<Option<Monotonic>>,
     /// When the store answered again after its last outage.
     recovered_at: Cell<Option<Monotonic>>,
+    gate: RefCell<CallGate>,
 }
 
 impl StoreHealth {
@@ -32,6 +34,10 @@
     }
 
     fn note(&self, now: Monotonic, call: &'static str, error: Option<&StoreError>) {
+        match error {
+            Some(_) => self.gate.borrow_mut().note_failed(now, rand::random()),
+            None => self.gate.borrow_mut().note_answered(),
+        }
         match (error, self.unavailable_since.get()) {
             (Some(error), None) => {
                 self.unavailable_since.set(Some(now));
@@ -48,6 +54,23 @@
     }
 }
 
+/// Waits until a background task may call the store: at once while the store answers, otherwise in
+/// turn with the host's other tasks.
+pub(crate) async fn wait_for_turn<P: Platform>(shared: &Shared<P>) {
+    loop {
+        let now = shared.now();
+        let admitted = shared
+            .store_health
+            .gate
+            .borrow_mut()
+            .admit(now, rand::random());
+        let Err(next_call_at) = admitted else {
+            return;
+        };
+        actix_rt::time::sleep(next_call_at.saturating_sub(now)).await;
+    }
+}
+
 /// Makes a call with the timeout `limit`.
 ///
 /// A call that times out closes its connection, so that this host sends nothing of it later; a
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -11,7 +11,7 @@
 use log::{debug, info};
 
 use super::instances::{apply_item, apply_removal, listed_instance_keys, remove_missing_instances};
-use super::store_calls::{STORE_CALL_TIMEOUT, transfer_with_timeout};
+use super::store_calls::{STORE_CALL_TIMEOUT, transfer_with_timeout, wait_for_turn};
 use crate::prelude::*;
 use crate::protocol::{CallProgress, Directory, ItemChange, Store, StoreError};
 
@@ -42,6 +42,7 @@
         if is_listed {
             wait_until_behind(&shared).await;
         }
+        wait_for_turn(&shared).await;
         let begun_at = shared.now();
         let result = if is_listed {
             let after = shared.directory_progress.borrow().reached();
