Give up an answer of the store that trickles

An answer was given up only when nothing of it arrived for a while, so one byte now and then kept the call waiting without end.

--- a/crates/jujubehold_core/tests/transfer_timeout.rs
+++ b/crates/jujubehold_core/tests/transfer_timeout.rs
@@ -31,6 +31,48 @@
     assert!(timeout.is_expired(ms(1_700)));
 }
 
+// A single byte every half second is progress each time, so the listing that a host needs in order
+// to start could take days.
+#[test]
+fn an_answer_that_trickles_is_given_up() {
+    let mut timeout = TransferTimeout::new(ms(0), ms(700));
+    let mut now = ms(0);
+    for step in 1..=10_000 {
+        now = ms(step * 500);
+        timeout.note_received(now, step);
+        if timeout.is_expired(now) {
+            break;
+        }
+    }
+    // The first check after the idle limit.
+    assert!(now <= ms(1_000), "{now:?}");
+}
+
+// A host whose link is shared with its callers may receive at a fraction of the link's rate.
+#[test]
+fn a_slow_answer_is_not_given_up() {
+    let mut timeout = TransferTimeout::new(ms(0), ms(700));
+    for step in 1..=600 {
+        let now = ms(step * 500);
+        timeout.note_received(now, step * 5_000);
+        assert!(!timeout.is_expired(now), "{now:?}");
+    }
+}
+
+#[test]
+fn an_answer_without_end_is_given_up() {
+    let mut timeout = TransferTimeout::new(ms(0), ms(700));
+    let mut now = ms(0);
+    for step in 1..=1_000_000 {
+        now = ms(step * 500);
+        timeout.note_received(now, step * 100_000);
+        if timeout.is_expired(now) {
+            break;
+        }
+    }
+    assert!(now < ms(600_000), "{now:?}");
+}
+
 // A host that was cut off for 12 s received 675 KB of changes over a link of 1,250 KB a second,
 // shared with its callers, while other answers showed that the watch was behind.
 #[test]
--- a/crates/jujubehold_entry/src/control/store_calls.rs
+++ b/crates/jujubehold_entry/src/control/store_calls.rs
@@ -88,7 +88,7 @@
 }
 
 /// Makes a call whose answer may be large. It is given up when nothing of the answer has arrived
-/// for `idle_limit`, and by twice that time at the latest.
+/// for `idle_limit`, and by twice that time at the latest, or when it arrives too slowly.
 pub(crate) async fn transfer_with_timeout<P: Platform, T>(
     shared: &Shared<P>,
     name: &'static str,
