Vote on lost primaries in rounds

A host votes on 16 lost primaries at a time, the first ones by name. Sixteen that cannot be replaced kept the seventeenth from being voted on forever. The votes now move on through the configured services every 2 s while more than 16 primaries are missed. A vote contains its sender's round, and a watcher that hears of a later one continues with it, so that the watchers vote on the same services without comparing clocks.

--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -54,6 +54,9 @@
     /// These services.
     #[prost(string, repeated, tag = "17")]
     pub(crate) wanted_services: Vec<String>,
+    /// The sender's round of votes.
+    #[prost(uint64, tag = "18")]
+    pub(crate) vote_round: u64,
 }
 
 /// How far a host knows the changes of the directory.
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 
 use jujubehold_core::lead_table::Revision;
+use jujubehold_core::vote_budget::VoteRounds;
 use log::{debug, warn};
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -37,6 +38,8 @@
     stopped: RefCell<BTreeMap<(ServiceId, Revision), BTreeSet<HostId>>>,
     /// The services whose primary this host is replacing.
     changing: RefCell<BTreeSet<ServiceId>>,
+    /// The round in which this host and the other watchers vote.
+    pub(super) vote_rounds: RefCell<VoteRounds>,
     /// The proof question that waits for an answer.
     pub(super) questions: ProofQuestions,
 }
@@ -51,6 +54,7 @@
             address,
             stopped: RefCell::new(BTreeMap::new()),
             changing: RefCell::new(BTreeSet::new()),
+            vote_rounds: RefCell::default(),
             questions: ProofQuestions::default(),
         })
     }
@@ -81,6 +85,7 @@
         let mut message = new_message(shared, PeerMessageKind::Vote);
         service.clone_into(&mut message.service);
         instance.clone_into(&mut message.instance);
+        message.vote_round = self.vote_rounds.borrow().round();
         let watchers = shared.lead_state.borrow().primary_watchers();
         let others = watchers
             .iter()
@@ -184,10 +189,16 @@
     match kind {
         PeerMessageKind::Table => {}
         PeerMessageKind::Vote => {
-            record_vote(shared, message, true);
+            if record_vote(shared, message, true) {
+                let now = shared.now();
+                let mut vote_rounds = peers.vote_rounds.borrow_mut();
+                vote_rounds.note_heard(now, message.vote_round);
+            }
             answer_vote(shared, peers, message);
         }
-        PeerMessageKind::Reaches => record_vote(shared, message, false),
+        PeerMessageKind::Reaches => {
+            record_vote(shared, message, false);
+        }
         PeerMessageKind::Stop => answer_stop(shared, peers, message),
         PeerMessageKind::Stopped => record_stopped(peers, message),
         PeerMessageKind::ProofQuestion => answer_question(shared, peers, message),
@@ -195,18 +206,20 @@
     }
 }
 
-// A host that the store does not list is cut off, so its vote says little about the primary.
-fn record_vote<P: Platform>(shared: &Shared<P>, vote: &PeerMessage, is_unreachable: bool) {
+// A host that the store does not list is cut off, so its vote says little about the primary. Returns
+// whether the vote counts.
+fn record_vote<P: Platform>(shared: &Shared<P>, vote: &PeerMessage, is_unreachable: bool) -> bool {
     let now = shared.now();
     let host: HostId = vote.from.as_str().into();
     if !shared.lead_state.borrow().members.contains_key(&host) {
-        return;
+        return false;
     }
     shared.with_group(&vote.service.as_str().into(), |group| {
         group
             .votes
             .note(now, &host, &vote.instance.as_str().into(), is_unreachable);
     });
+    true
 }
 
 // Objects to a vote if this host reaches the primary. A host that has not asked it lately does not
--- a/crates/jujubehold_entry/src/control/primary_keeper.rs
+++ b/crates/jujubehold_entry/src/control/primary_keeper.rs
@@ -10,7 +10,6 @@
 use jujubehold_core::primary_votes::PrimarySilence;
 use jujubehold_core::primary_watchers::acting_rank;
 use jujubehold_core::stall_detector::StallDetector;
-use jujubehold_core::vote_budget::voted_services;
 
 use super::first_primaries::{has_claimed_primary, record_first_primaries};
 use super::peers::Peers;
@@ -89,15 +88,19 @@
     shared: &Shared<P>,
     peers: &Peers,
     monitor: &mut MonitorState,
-    services: impl Iterator<Item = &'a ServiceId>,
+    services: impl Iterator<Item = &'a ServiceId> + Clone,
 ) {
-    let unreachable = services.filter_map(|service| {
+    let unreachable = services.clone().filter_map(|service| {
         let primary = unreachable_primary(shared, monitor, service)?;
         Some((service.clone(), primary))
     });
     let unreachable: BTreeMap<ServiceId, InstanceId> = unreachable.collect();
     let now = shared.now();
-    for service in voted_services(unreachable.keys().cloned()) {
+    let missed = unreachable.keys().cloned().collect();
+    let mut vote_rounds = peers.vote_rounds.borrow_mut();
+    let voted = vote_rounds.voted_services(now, services, &missed);
+    drop(vote_rounds);
+    for service in voted {
         let last = monitor.voted_at.get(&service).copied().unwrap_or_default();
         if now.saturating_sub(last) >= VOTE_INTERVAL {
             peers.send_vote(shared, &service, &unreachable[&service]);
