Count connections and datagrams by their purpose

A host of a large installation opened 207 connections a second after its start, and the metrics page did not show what for. It now counts attempts to open a connection by purpose (callers, probe, status, evidence, promotion) and outcome, and the datagrams that it sends and their bytes by kind.

--- a/crates/jujubehold/tests/docs.rs
+++ b/crates/jujubehold/tests/docs.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use jujubehold::{Command, ExitStatus};
+use jujubehold_core::connection_purpose::ConnectionPurpose;
 use jujubehold_core::prelude::*;
 use jujubehold_settings::{EntrySettings, HostSettings, known_keys, parse_service};
 
@@ -108,6 +109,18 @@
     }
 }
 
+#[test]
+fn every_purpose_of_a_connection_is_documented() {
+    let operations = page("docs/OPERATIONS.md");
+    let name = "| `jujubehold_upstream_open_attempts_total` |";
+    let row = operations.lines().find(|line| line.starts_with(name));
+    let row = row.expect("the metric has a row");
+    for purpose in ConnectionPurpose::ALL {
+        let name = format!("`{}`", purpose.as_str());
+        assert!(row.contains(&name), "{name} is not documented");
+    }
+}
+
 #[test]
 fn every_reason_outside_the_enums_is_documented() {
     let operations = page("docs/OPERATIONS.md");
--- a/crates/jujubehold_entry/src/control/first_primaries.rs
+++ b/crates/jujubehold_entry/src/control/first_primaries.rs
@@ -1,5 +1,6 @@
 //! Records the primaries of services that have none on record.
 
+use jujubehold_core::connection_purpose::ConnectionPurpose;
 use jujubehold_core::lead_table::Lead;
 use log::info;
 
@@ -58,7 +59,7 @@
 async fn first_lead<P: Platform>(shared: Rc<Shared<P>>, service: ServiceId) -> Option<Lead> {
     let primary = claimed_primary(&shared, &service)?;
     let status = match shared.upstream(&primary.id) {
-        Some(upstream) => query_status(&upstream).await,
+        Some(upstream) => query_status(&upstream, ConnectionPurpose::Status).await,
         None => None,
     };
     Some(Lead {
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -173,3 +173,18 @@
     /// Answers a proof question.
     Proof = 6,
 }
+
+impl PeerMessageKind {
+    /// Returns the kind's name in metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Table => "table",
+            Self::Vote => "vote",
+            Self::Reaches => "reaches",
+            Self::Stop => "stop",
+            Self::Stopped => "stopped",
+            Self::ProofQuestion => "proof_question",
+            Self::Proof => "proof",
+        }
+    }
+}
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -11,6 +11,7 @@
 use jujubehold_core::lead_table::Revision;
 use jujubehold_core::vote_budget::VoteRounds;
 use log::{debug, warn};
+use metrics::counter;
 use prost::Message;
 use tokio::net::UdpSocket;
 
@@ -18,6 +19,7 @@
 use super::peer_message::{PeerMessage, PeerMessageKind};
 use super::proof_answers::answer_question;
 use super::proof_questions::ProofQuestions;
+use crate::metric_names::{DATAGRAM_BYTES_SENT, DATAGRAMS_SENT};
 use crate::prelude::*;
 
 /// The maximum length of a UDP datagram over IPv4, in bytes.
@@ -151,8 +153,12 @@
         let Some(address) = shared.lead_state.borrow().peer_address(host) else {
             return;
         };
+        let datagram = message.encode_to_vec();
+        let kind = message.kind().name();
+        counter!(DATAGRAMS_SENT, "kind" => kind).increment(1);
+        counter!(DATAGRAM_BYTES_SENT, "kind" => kind).increment(datagram.len() as u64);
         // A datagram that can't be sent counts as lost; the requester repeats it.
-        if let Err(error) = self.socket.try_send_to(&message.encode_to_vec(), address) {
+        if let Err(error) = self.socket.try_send_to(&datagram, address) {
             debug!("failed to send a datagram to {host}: {error}");
         }
     }
--- a/crates/jujubehold_entry/src/control/primary_change/candidates.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/candidates.rs
@@ -1,6 +1,7 @@
 //! Queries and marks the instances of a group during a change of primary.
 
 use jujubehold_core::candidate_choice::CandidateStatus;
+use jujubehold_core::connection_purpose::ConnectionPurpose;
 use log::{info, warn};
 
 use super::super::status_calls::{mark, query_status, resume, step_down};
@@ -20,7 +21,7 @@
     announced: &AnnouncedChange,
 ) -> Option<LogPosition> {
     let old = shared.upstream(&announced.old_primary)?;
-    let report = query_status(&old).await?;
+    let report = query_status(&old, ConnectionPurpose::Promotion).await?;
     if report.role == Role::Replica {
         return None;
     }
@@ -39,7 +40,7 @@
     for upstream in shared.upstreams_of(&announced.service) {
         if upstream.id() != announced.old_primary {
             tasks.push(actix_rt::spawn(async move {
-                let report = query_status(&upstream).await;
+                let report = query_status(&upstream, ConnectionPurpose::Promotion).await;
                 (upstream, report)
             }));
         }
@@ -116,7 +117,7 @@
     let Some(upstream) = shared.upstream(instance) else {
         return false;
     };
-    let report = query_status(&upstream).await;
+    let report = query_status(&upstream, ConnectionPurpose::Promotion).await;
     report.is_some_and(|report| !report.is_unmarked_replica())
 }
 
@@ -131,7 +132,7 @@
             continue;
         }
         actix_rt::spawn(async move {
-            let report = query_status(&upstream).await;
+            let report = query_status(&upstream, ConnectionPurpose::Promotion).await;
             let is_marked = report.is_some_and(|report| {
                 report.role == Role::Replica && !report.is_unmarked_replica()
             });
@@ -159,7 +160,7 @@
     let give_up_at = shared.now() + PROMOTION_TIMEOUT;
     while shared.now() < give_up_at {
         let upstream = shared.upstream(instance)?;
-        let report = query_status(&upstream).await;
+        let report = query_status(&upstream, ConnectionPurpose::Promotion).await;
         if let Some(report) = report.filter(|report| report.role == Role::Primary) {
             let id = instance.clone();
             let term = report.term;
--- a/crates/jujubehold_entry/src/control/primary_probe.rs
+++ b/crates/jujubehold_entry/src/control/primary_probe.rs
@@ -2,6 +2,7 @@
 //!
 //! Regular traffic does both. Without traffic, a command that takes no slot is sent.
 
+use jujubehold_core::connection_purpose::ConnectionPurpose;
 use jujubehold_core::position_demand::{PositionDemand, PositionDemandSettings};
 
 use crate::pool::Upstream;
@@ -101,7 +102,10 @@
 
 // Returns `None` if there was no connection; the pool has recorded that.
 async fn request_position<P: Platform>(primary: &Rc<Upstream<P>>) -> Option<Option<LogPosition>> {
-    let mut lease = primary.acquire_for_control().await.ok()?;
+    let mut lease = primary
+        .acquire_for_control(ConnectionPurpose::Probe)
+        .await
+        .ok()?;
     let reply = lease.run_command(&UpstreamCommand::Reset).await.ok()?;
     lease.finish();
     Some(reply.position)
--- a/crates/jujubehold_entry/src/control/replica_evidence.rs
+++ b/crates/jujubehold_entry/src/control/replica_evidence.rs
@@ -3,6 +3,8 @@
 
 use std::collections::BTreeSet;
 
+use jujubehold_core::connection_purpose::ConnectionPurpose;
+
 use super::status_calls::query_status;
 use crate::pool::Upstream;
 use crate::prelude::*;
@@ -45,7 +47,7 @@
     upstream: Rc<Upstream<P>>,
 ) {
     let sent_at = shared.now();
-    let Some(report) = query_status(&upstream).await else {
+    let Some(report) = query_status(&upstream, ConnectionPurpose::Evidence).await else {
         return;
     };
     let is_unmarked = report.is_unmarked_replica();
--- a/crates/jujubehold_entry/src/metric_names.rs
+++ b/crates/jujubehold_entry/src/metric_names.rs
@@ -18,6 +18,12 @@
 pub(crate) const SESSIONS: &str = "jujubehold_sessions";
 /// Upstream connections that were opened, by `service` and `instance`.
 pub(crate) const UPSTREAM_OPENS: &str = "jujubehold_upstream_opens_total";
+/// Attempts to open an upstream connection, by `purpose` and `outcome`.
+pub(crate) const UPSTREAM_OPEN_ATTEMPTS: &str = "jujubehold_upstream_open_attempts_total";
+/// Datagrams sent to other hosts, by `kind`.
+pub(crate) const DATAGRAMS_SENT: &str = "jujubehold_datagrams_sent_total";
+/// Bytes of the datagrams sent to other hosts, by `kind`.
+pub(crate) const DATAGRAM_BYTES_SENT: &str = "jujubehold_datagram_bytes_sent_total";
 /// Calls to the platform's store, by `call` and `outcome`.
 pub(crate) const STORE_CALLS: &str = "jujubehold_store_calls_total";
 /// Bytes of listings and changes that the platform's store sent, by `call`.
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jujubehold_core::connection_purpose::ConnectionPurpose;
 use jujubehold_core::connection_queue::{ConnectionRequest, WaitTicket};
 use jujubehold_core::connection_share::ConnectionShare;
 use jujubehold_core::prelude::*;
@@ -23,7 +24,7 @@
 use super::connection::{SessionValues, UpstreamConnection, UpstreamError};
 use super::lease::ConnectionLease;
 use crate::clock::Clock;
-use crate::metric_names::UPSTREAM_OPENS;
+use crate::metric_names::{UPSTREAM_OPEN_ATTEMPTS, UPSTREAM_OPENS};
 use crate::protocol::{InstanceEntry, InstanceLifecycle, Platform};
 use in_flight::InFlight;
 use opening_guard::OpeningGuard;
@@ -170,7 +171,7 @@
         let mut has_room = self.try_begin_opening();
         loop {
             if has_room {
-                match self.open(customer).await {
+                match self.open(customer, ConnectionPurpose::Callers).await {
                     Ok(lease) => return Ok(lease),
                     // The instance accepts no more connections now, but one may still be returned
                     // to this pool, or the instance may accept another one, in time.
@@ -195,12 +196,13 @@
     /// the group depends and which must not wait for callers.
     pub(crate) async fn acquire_for_control(
         self: &Rc<Self>,
+        purpose: ConnectionPurpose,
     ) -> Result<ConnectionLease<P>, UpstreamError> {
         if let Some(lease) = self.acquire_idle() {
             return Ok(lease);
         }
         self.pool.borrow_mut().limit.begin_opening();
-        self.open(None).await
+        self.open(None, purpose).await
     }
 
     async fn wait(
@@ -279,6 +281,7 @@
     async fn open(
         self: &Rc<Self>,
         customer: Option<&CustomerId>,
+        purpose: ConnectionPurpose,
     ) -> Result<ConnectionLease<P>, UpstreamError> {
         let mut opening = OpeningGuard {
             upstream: Some(self),
@@ -295,6 +298,9 @@
         )
         .await;
         let now = self.clock.now();
+        let outcome = if opened.is_ok() { "opened" } else { "failed" };
+        counter!(UPSTREAM_OPEN_ATTEMPTS, "purpose" => purpose.as_str(), "outcome" => outcome)
+            .increment(1);
         match opened {
             Ok((connection, _)) => {
                 counter!(UPSTREAM_OPENS, "service" => entry.service.to_string(),
