Ask replicas for evidence of services in use only

A host whose last read of the store is older than 1.2 s asks the replicas whether their primaries are being replaced. It asked both replicas of every service on record each 600 ms, whether it had callers for them or not: with 178 services 356 new connections per interval, from each host. Hosts that start together have reads that old for lack of processor time.

Where there are more than 32 services, a host now asks for those that it used within 30 s, at most 64 of them per interval, the longest unasked first. A service that is first used meanwhile is asked for within 100 ms. What counts as evidence and for how long is unchanged.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod connection_share;
 pub mod directory_progress;
 pub mod drain;
+pub mod evidence_schedule;
 pub mod failover;
 pub mod failover_action;
 pub mod failover_event;
--- a/crates/jujubehold_entry/src/group.rs
+++ b/crates/jujubehold_entry/src/group.rs
@@ -21,6 +21,8 @@
     pub(crate) leaving_primary: Option<LeavingPrimary>,
     /// The number of statements and transactions of this host that use the primary.
     pub(crate) primary_uses: u32,
+    /// When a request of this host last needed the primary.
+    pub(crate) primary_wanted_at: Option<Monotonic>,
     /// When a read that needs samples of the primary's position last arrived.
     pub(crate) position_wanted_at: Option<Monotonic>,
     /// Whether a read is waiting for a newer sample of the primary's position.
@@ -57,6 +59,7 @@
             votes: PrimaryVotes::new(PrimaryVoteSettings::default()),
             leaving_primary: None,
             primary_uses: 0,
+            primary_wanted_at: None,
             position_wanted_at: None,
             is_position_needed: false,
             is_probing: false,
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -137,10 +137,13 @@
         of_service.cloned().collect()
     }
 
-    /// Returns the instance that may receive new work as the primary of `service` now.
-    pub(crate) fn usable_primary(&self, service: &str) -> Option<Rc<Upstream<P>>> {
+    /// Returns the instance that may receive new work as the primary of `service` now, for a request
+    /// of a caller.
+    pub(crate) fn usable_primary(&self, service: &ServiceId) -> Option<Rc<Upstream<P>>> {
+        let now = self.now();
+        self.with_group(service, |group| group.primary_wanted_at = Some(now));
         let lead_state = self.lead_state.borrow();
-        if !lead_state.is_proved(service, self.now()) {
+        if !lead_state.is_proved(service, now) {
             return None;
         }
         self.upstream(lead_state.table.usable_primary(service)?)
