Record first primaries on the watchers, one batch at a time

While no change of the table succeeded, every host asked the primaries for their terms: after its delay in each check of 100 ms, 64 services and then the next 64 at the same time, whose changes also conflicted with each other.

Only the nine hosts that watch the primaries record them now. Each has one batch at a time in progress, and tries once a second while the table does not change. After a change it goes on at once, as before.

--- a/crates/jujubehold_entry/src/control/primary_keeper.rs
+++ b/crates/jujubehold_entry/src/control/primary_keeper.rs
@@ -53,6 +53,8 @@
     stalls: StallDetector,
     /// Since when services have had no primary on record.
     first_records: FirstRecords,
+    /// The services whose primaries this host last began to record.
+    recording: Vec<ServiceId>,
     /// Why each service needs another primary, and since when this host has seen that reason.
     reasons: BTreeMap<ServiceId, (ChangeReason, Monotonic)>,
     /// When this host last sent its vote that a service's primary is unreachable.
@@ -64,6 +66,7 @@
     let mut monitor = MonitorState {
         stalls: StallDetector::new(CHECK_INTERVAL),
         first_records: FirstRecords::default(),
+        recording: Vec::new(),
         reasons: BTreeMap::new(),
         voted_at: BTreeMap::new(),
     };
@@ -182,11 +185,20 @@
     monitor
         .first_records
         .note(now, !lacking.is_empty(), revision);
-    if !monitor.first_records.is_due(now, rank_delay(shared, now)) {
+    // Changes of one host at the same time conflict like those of several hosts.
+    let is_recording = monitor
+        .recording
+        .iter()
+        .any(|service| peers.is_changing(service));
+    let rank = acting_rank_of(shared);
+    let delay = rank_delay(shared, now);
+    if is_recording || !monitor.first_records.is_due(now, rank, delay) {
         return;
     }
+    monitor.first_records.note_attempt(now);
     lacking.truncate(MAX_FIRST_RECORDS);
     lacking.retain(|service| peers.begin_change(service));
+    monitor.recording.clone_from(&lacking);
     let (shared, peers) = (Rc::clone(shared), Rc::clone(peers));
     actix_rt::spawn(async move {
         record_first_primaries(&shared, &peers, &lacking).await;
@@ -253,6 +265,11 @@
     is_lost.then_some(ChangeReason::Lost)
 }
 
+fn acting_rank_of<P: Platform>(shared: &Shared<P>) -> usize {
+    let lead_state = shared.lead_state.borrow();
+    acting_rank(&shared.settings.host, lead_state.members.keys())
+}
+
 /// Returns how long this host waits for those before it in the order to act.
 fn rank_delay<P: Platform>(shared: &Shared<P>, now: Monotonic) -> Duration {
     let lead_state = shared.lead_state.borrow();
