Let settled watchers alone probe all primaries

While hundreds of hosts start, the list of hosts grows, and most of those that are among the nine watchers of a short list are not among those of the whole one. Each opened a connection to every primary, which with 178 services took 178 connections and their slots.

A host now probes all primaries once it has been a watcher for 2 s. Where all hosts are watchers each does at once, as before; voting is unchanged.

--- a/crates/jujubehold_entry/src/control/primary_probe.rs
+++ b/crates/jujubehold_entry/src/control/primary_probe.rs
@@ -4,6 +4,7 @@
 
 use jujubehold_core::connection_purpose::ConnectionPurpose;
 use jujubehold_core::position_demand::{PositionDemand, PositionDemandSettings};
+use jujubehold_core::primary_watchers::WatcherTerm;
 
 use crate::pool::Upstream;
 use crate::prelude::*;
@@ -23,9 +24,11 @@
 
 /// Probes the primaries until the future is dropped.
 pub(crate) async fn maintain_positions<P: Platform>(shared: Rc<Shared<P>>) {
+    let mut watcher_term = WatcherTerm::default();
     loop {
         let tick = actix_rt::time::sleep(CHECK_INTERVAL);
         tick.await;
+        watcher_term.note(shared.now(), shared.is_watcher());
         let services: Vec<ServiceId> = {
             let lead_state = shared.lead_state.borrow();
             lead_state.table.leads.keys().cloned().collect()
@@ -34,8 +37,10 @@
         if has_source && has_just_joined(&shared) {
             continue;
         }
+        let host_count = shared.lead_state.borrow().members.len();
+        let is_watcher = watcher_term.probes_primaries(shared.now(), host_count);
         for service in services {
-            check_service(&shared, &service, has_source);
+            check_service(&shared, &service, has_source, is_watcher);
         }
     }
 }
@@ -48,7 +53,12 @@
     joined_at.is_some_and(|joined_at| shared.now().saturating_sub(joined_at) < JOIN_PROBE_DELAY)
 }
 
-fn check_service<P: Platform>(shared: &Rc<Shared<P>>, service: &ServiceId, has_source: bool) {
+fn check_service<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    service: &ServiceId,
+    has_source: bool,
+    is_watcher: bool,
+) {
     let now = shared.now();
     let primary = {
         let lead_state = shared.lead_state.borrow();
@@ -58,7 +68,6 @@
     let Some(primary) = primary else {
         return;
     };
-    let is_watcher = shared.is_watcher();
     let is_due = shared.with_group(service, |group| {
         let newest = group
             .primary_positions
