Let the stand-in of the platform know customers

An instance records the user of each connection with its statements and may refuse unknown ones; the operators' document may have more members, such as tenants. Tests of customers need both.

--- a/crates/jujubehold_standin/src/users_platform/group.rs
+++ b/crates/jujubehold_standin/src/users_platform/group.rs
@@ -1,5 +1,7 @@
 //! A database group: one primary and its replicas.
 
+use std::collections::BTreeSet;
+
 use super::instance::{Instance, LogEntry};
 
 /// A statement that an instance executed.
@@ -9,6 +11,8 @@
     pub id: String,
     /// The id of the instance that executed it.
     pub instance: String,
+    /// The customer or host that opened the connection.
+    pub user: String,
     /// The statement's text.
     pub text: String,
     /// The session values set on the connection, as `name=value`.
@@ -30,6 +34,8 @@
     pub promotions: Vec<(String, u64)>,
     /// The connection limit of each instance.
     pub max_connections: u32,
+    /// The customers and hosts that may open connections; `None` if everybody may.
+    pub known_users: Option<BTreeSet<String>>,
 }
 
 impl Group {
@@ -44,6 +50,12 @@
         primaries.max_by_key(|instance| instance.term)
     }
 
+    /// Returns whether a customer or host may open connections.
+    pub(crate) fn knows(&self, user: &str) -> bool {
+        let known_users = self.known_users.as_ref();
+        known_users.is_none_or(|known| known.contains(user))
+    }
+
     // A primary that stepped down stays the replication source until there is a new primary.
     fn replication_source(&self) -> Option<&Instance> {
         let newest_log = || {
--- a/crates/jujubehold_standin/src/users_platform/handle.rs
+++ b/crates/jujubehold_standin/src/users_platform/handle.rs
@@ -108,14 +108,23 @@
 
     /// Writes the operators' configuration to the store.
     pub fn configure(&self, version: u64, routes: &Value) {
+        self.configure_with(version, routes, &json!({}));
+    }
+
+    /// Writes the operators' configuration to the store, with more members, such as `tenants`,
+    /// which replace those of the same name.
+    pub fn configure_with(&self, version: u64, routes: &Value, more: &Value) {
         let service = self.group.borrow().service.clone();
         let max_conns = self.group.borrow().max_connections;
-        let configuration = json!({
+        let mut configuration = json!({
             "version": version,
             "routes": routes,
             "services": [{"name": service, "max_conns": max_conns, "sync_replicas": 0}],
             "limits": {"tx_idle_ms": 1_000},
         });
+        for (name, value) in more.as_object().into_iter().flatten() {
+            configuration[name] = value.clone();
+        }
         self.put("op/config", &configuration);
     }
 
--- a/crates/jujubehold_standin/src/users_platform/instance_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance_server.rs
@@ -27,6 +27,8 @@
 struct Connection {
     group: Rc<RefCell<Group>>,
     id: String,
+    /// The customer or host that opened the connection.
+    user: String,
     session_values: BTreeMap<String, String>,
     prepared_statements: BTreeMap<String, (bool, String)>,
     transaction: Option<Transaction>,
@@ -54,6 +56,7 @@
         Self {
             group,
             id,
+            user: String::new(),
             session_values: BTreeMap::new(),
             prepared_statements: BTreeMap::new(),
             transaction: None,
@@ -137,7 +140,11 @@
         if words.first() != Some(&service.as_str()) || words.get(2) != Some(&self.id.as_str()) {
             return "ERROR WRONGNODE\r\n".to_owned();
         }
+        words[1].clone_into(&mut self.user);
         let mut group = self.group.borrow_mut();
+        if !group.knows(&self.user) {
+            return "ERROR NOAUTH\r\n".to_owned();
+        }
         let Some(instance) = group.instance(&self.id) else {
             return "ERROR WRONGNODE\r\n".to_owned();
         };
@@ -370,6 +377,7 @@
         let statement = ExecutedStatement {
             id: id.to_owned(),
             instance: self.id.clone(),
+            user: self.user.clone(),
             text: text.to_owned(),
             session_values: self
                 .session_values
