Let customers take turns, and replace idle connections for waiting requests

A returned connection was exchanged for one of another customer at once, also while two connections were being opened or the instance had just refused one. A request that joined the queue while two were being opened was not given the place of another customer's idle connection once they were open, only when the next connection was returned. Where the limit had been cut, several idle connections have to be closed, but only one was considered. Waiting requests are now let open connections after each event that may make room, idle connections are closed for them as needed, and two are opened at a time.

Within a priority, customers take turns; the expected wait counts only the requests ahead of a customer's own turn, since a small customer would be refused for a large one's queue. A returned connection goes to its own customer as long as the request whose turn it is has spent less than a quarter of its time. Without customers the order is that of arrival, as before.

tests/connection_queue.rs passes (7 tests).

--- a/crates/jujubehold_core/src/connection_limit.rs
+++ b/crates/jujubehold_core/src/connection_limit.rs
@@ -55,16 +55,14 @@
 
     /// Returns whether another connection may be opened.
     pub fn has_room(&self, now: Monotonic) -> bool {
-        let is_below_limit =
-            self.open_count < self.limit && self.opening_count < MAX_CONCURRENT_OPENS;
-        is_below_limit && now >= self.opens_paused_until
+        self.closes_needed(now) == Some(0)
     }
 
-    /// Returns whether another connection may be opened once one is closed.
-    pub fn has_room_after_close(&self, now: Monotonic) -> bool {
-        self.open_count <= self.limit
-            && self.opening_count < MAX_CONCURRENT_OPENS
-            && now >= self.opens_paused_until
+    /// Returns how many connections have to be closed before another one may be opened; `None` if
+    /// none may be opened now whatever is closed.
+    pub fn closes_needed(&self, now: Monotonic) -> Option<usize> {
+        let may_open = self.opening_count < MAX_CONCURRENT_OPENS && now >= self.opens_paused_until;
+        may_open.then(|| (self.open_count + 1).saturating_sub(self.limit))
     }
 
     /// Returns whether more connections are open than the limit allows.
--- a/crates/jujubehold_core/tests/entry_load.rs
+++ b/crates/jujubehold_core/tests/entry_load.rs
@@ -147,6 +147,7 @@
     let request = |ticket, priority, give_up_ms| ConnectionRequest {
         ticket,
         priority,
+        customer: None,
         asked_at: ms(ticket),
         give_up_at: ms(give_up_ms),
     };
@@ -162,17 +163,18 @@
 fn the_expected_wait_grows_with_the_queue_and_the_hold_time_of_connections() {
     let mut queue = ConnectionQueue::default();
     queue.note_held(ms(300));
-    assert_eq!(queue.expected_wait(1, 3), ms(100));
+    assert_eq!(queue.expected_wait(1, None, 3), ms(100));
     for ticket in 0..5 {
         queue.push(&ConnectionRequest {
             ticket,
             priority: 1,
+            customer: None,
             asked_at: ms(ticket),
             give_up_at: ms(1_000),
         });
     }
-    assert_eq!(queue.expected_wait(1, 3), ms(600));
-    assert_eq!(queue.expected_wait(0, 3), ms(100));
+    assert_eq!(queue.expected_wait(1, None, 3), ms(600));
+    assert_eq!(queue.expected_wait(0, None, 3), ms(100));
 }
 
 #[test]
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -188,7 +188,13 @@
 
     /// Leases an idle connection if there is one, without waiting or opening one.
     pub(crate) fn acquire_idle(self: &Rc<Self>) -> Option<ConnectionLease<P>> {
-        let connection = self.pool.borrow_mut().take_any_idle()?;
+        let connection = {
+            let mut pool = self.pool.borrow_mut();
+            let connection = pool.take_any_idle();
+            // Stale connections that were closed make room.
+            pool.grant_open_permits(self.clock.now());
+            connection?
+        };
         Some(self.lease(connection))
     }
 
@@ -214,7 +220,7 @@
         let expected_wait = {
             let pool = self.pool.borrow();
             pool.queue
-                .expected_wait(limits.priority, pool.limit.open_count())
+                .expected_wait(limits.priority, customer, pool.limit.open_count())
         };
         let policy = WaitPolicy::default();
         if !policy.is_worth_waiting(now, limits.give_up_at, expected_wait) {
@@ -250,6 +256,7 @@
         pool.queue.push(&ConnectionRequest {
             ticket,
             priority: limits.priority,
+            customer: customer.cloned(),
             asked_at: now,
             give_up_at: limits.give_up_at,
         });
@@ -266,11 +273,13 @@
         self.pool.borrow_mut().take_idle(customer, values)
     }
 
-    // Closes an idle connection of another customer if the new one has no room beside it.
+    // Closes idle connections of other customers if the new one has no room beside them. Requests
+    // that already wait come first.
     fn try_begin_opening(&self) -> bool {
         let mut pool = self.pool.borrow_mut();
         let now = self.clock.now();
-        let has_room = pool.limit.has_room(now) || pool.replace_idle(now);
+        pool.grant_open_permits(now);
+        let has_room = pool.make_room(now);
         if has_room {
             pool.limit.begin_opening();
         }
@@ -355,11 +364,13 @@
         connection.idle_since = now;
         let mut pool = self.pool.borrow_mut();
         pool.queue.note_held(now.saturating_sub(acquired_at));
+        pool.close_excess_idle();
         if pool.limit.is_exceeded() {
             pool.limit.note_closed(1);
-            return;
+        } else {
+            pool.hand_on(now, connection);
         }
-        pool.hand_on(now, connection);
+        pool.grant_open_permits(now);
     }
 
     pub(super) fn note_closed(&self, acquired_at: Monotonic) {
--- a/crates/jujubehold_entry/src/pool/upstream/pool_state.rs
+++ b/crates/jujubehold_entry/src/pool/upstream/pool_state.rs
@@ -83,22 +83,25 @@
         }
     }
 
-    /// Closes the least recently used idle connection if another one may then be opened. Returns
-    /// whether there is room.
-    pub(super) fn replace_idle(&mut self, now: Monotonic) -> bool {
-        if self.idle.is_empty() || !self.limit.has_room_after_close(now) {
+    /// Makes room for another connection, if need be by closing idle ones, the least recently used
+    /// first. Returns whether there is room.
+    pub(super) fn make_room(&mut self, now: Monotonic) -> bool {
+        let Some(count) = self.limit.closes_needed(now) else {
+            return false;
+        };
+        if count > self.idle.len() {
             return false;
         }
-        self.idle.remove(0);
-        self.limit.note_closed(1);
+        self.idle.drain(..count);
+        self.limit.note_closed(count);
         true
     }
 
-    /// Gives a returned connection to the request that is first in the queue, or keeps it idle. If
-    /// it was opened for another customer, it is closed and the request may open one.
+    /// Gives a returned connection to a waiting request, or keeps it idle. If it is the turn of a
+    /// request of another customer, the connection is closed and the request may open one.
     pub(super) fn hand_on(&mut self, now: Monotonic, connection: UpstreamConnection<P>) {
         let mut connection = Box::new(connection);
-        while let Some(waiter) = self.next_waiter(now) {
+        while let Some(waiter) = self.next_waiter_for(now, connection.customer()) {
             if waiter.customer.as_ref() != connection.customer() {
                 if waiter.sender.send(Grant::OpenPermit).is_ok() {
                     self.limit.note_closed(1);
@@ -115,15 +118,39 @@
         self.idle.push(*connection);
     }
 
-    /// Removes the waiting request that gets a connection that is free now.
+    /// Closes idle connections beyond the limit while requests wait, which can't use them.
+    pub(super) fn close_excess_idle(&mut self) {
+        while self.limit.is_exceeded() && !self.queue.is_empty() && !self.idle.is_empty() {
+            self.idle.remove(0);
+            self.limit.note_closed(1);
+        }
+    }
+
+    // Returns the waiting request that gets a free connection of `customer`, or that may open one
+    // in its place.
+    fn next_waiter_for(
+        &mut self,
+        now: Monotonic,
+        customer: Option<&CustomerId>,
+    ) -> Option<Waiter<P>> {
+        // Only if this connection has to be closed for another one may a request of another customer
+        // take its place.
+        let ticket = if self.limit.closes_needed(now) == Some(1) {
+            self.queue.pop_for(now, customer)
+        } else {
+            self.queue.pop_of(now, customer)
+        }?;
+        self.waiters.remove(&ticket)
+    }
+
     fn next_waiter(&mut self, now: Monotonic) -> Option<Waiter<P>> {
         let ticket = self.queue.pop(now)?;
         self.waiters.remove(&ticket)
     }
 
-    /// Lets waiting requests open connections while there is room for more.
+    /// Lets waiting requests open connections while there is room for more, or room can be made.
     pub(super) fn grant_open_permits(&mut self, now: Monotonic) {
-        while self.limit.has_room(now) {
+        while self.queue.has_unexpired(now) && self.make_room(now) {
             let Some(waiter) = self.next_waiter(now) else {
                 return;
             };
