Count a refusal of one customer as a sign of life of the instance

An instance that does not know a customer refuses its connections with NOAUTH. That was recorded as silence of the instance.

--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -25,7 +25,7 @@
 use super::lease::ConnectionLease;
 use crate::clock::Clock;
 use crate::metric_names::{UPSTREAM_OPEN_ATTEMPTS, UPSTREAM_OPENS};
-use crate::protocol::{InstanceEntry, InstanceLifecycle, Platform};
+use crate::protocol::{ErrorCode, InstanceEntry, InstanceLifecycle, Platform};
 use in_flight::InFlight;
 use opening_guard::OpeningGuard;
 use pool_state::{Grant, PoolState, Waiter};
@@ -336,6 +336,10 @@
                 self.pool.borrow_mut().limit.note_refused(now);
                 self.health.borrow_mut().note_alive(now);
             }
+            // The instance answers, but does not know this customer.
+            UpstreamError::Refused(ErrorCode::AuthenticationFailed) => {
+                self.health.borrow_mut().note_alive(now);
+            }
             UpstreamError::Unreachable(_)
             | UpstreamError::Refused(_)
             | UpstreamError::Broken(_)
