--- a/crates/jujubehold_entry/src/protocol/customers.rs
+++ b/crates/jujubehold_entry/src/protocol/customers.rs
@@ -32,6 +32,9 @@
     /// A customer has no name.
     #[error("a customer has no name")]
     NoName,
+    /// A customer's name can't be sent to an instance, since it is not one word.
+    #[error("the customer name {0:?} has a space or a control character")]
+    UnusableName(CustomerId),
     /// Two customers have the same name.
     #[error("two customers are named {0}")]
     DuplicateName(CustomerId),
@@ -47,7 +50,8 @@
     /// Creates the set of `customers`.
     ///
     /// # Errors
-    /// Returns an error if a name is missing or not unique, or a key identifies two customers.
+    /// Returns an error if a name is missing, not unique or not one word, or a key identifies two
+    /// customers.
     pub fn new(customers: impl IntoIterator<Item = Customer>) -> Result<Self, InvalidCustomers> {
         let mut set = Self::default();
         for customer in customers {
@@ -61,6 +65,9 @@
         if name.is_empty() {
             return Err(InvalidCustomers::NoName);
         }
+        if name.chars().any(|c| c.is_whitespace() || c.is_control()) {
+            return Err(InvalidCustomers::UnusableName(name));
+        }
         if self.quotas.insert(name.clone(), customer.quota).is_some() {
             return Err(InvalidCustomers::DuplicateName(name));
         }
