Bound what new configurations do to sessions

A session that waited for its caller nested one future in another for each new configuration, without bound, and started the time limit of its idle transaction again. It now waits in a loop with a fixed end.

The two seconds of a transaction whose key was revoked began only when the session noticed, after the statement that it was running, and statements could run beyond them. They now count from the configuration's application, and cut the deadlines. COMMIT after them ends the transaction, and its answer and those of later statements name the reason.

A session that began without a customer was closed when its key was added; it now takes that customer for its next operation. Log lines name the sessions that are rejected or closed, with the customer and the configuration's version.

--- a/crates/jujubehold_entry/src/callers/identity.rs
+++ b/crates/jujubehold_entry/src/callers/identity.rs
@@ -11,7 +11,7 @@
 pub(crate) struct Identity {
     key: Option<CallerKey>,
     customer: Option<CustomerId>,
-    /// When this host noticed that the key no longer identifies the customer.
+    /// When this host applied the configuration in which the key no longer identifies the customer.
     revoked_at: Option<Monotonic>,
 }
 
@@ -39,14 +39,23 @@
         self.customer.as_ref()
     }
 
-    /// Checks the key against a newer configuration.
-    pub(crate) fn check(&mut self, now: Monotonic, configuration: &Configuration, database: &str) {
-        let current = identify(configuration, database, self.key.as_ref());
-        let is_valid = current.is_ok_and(|customer| customer == self.customer);
-        if is_valid {
-            self.revoked_at = None;
-        } else {
-            self.revoked_at.get_or_insert(now);
+    /// Checks the key against a newer configuration, which this host applied at `applied_at`.
+    pub(crate) fn check(
+        &mut self,
+        applied_at: Monotonic,
+        configuration: &Configuration,
+        database: &str,
+    ) {
+        match identify(configuration, database, self.key.as_ref()) {
+            Ok(customer) if customer == self.customer => self.revoked_at = None,
+            // The session began without a customer, and its key has been added since.
+            Ok(Some(customer)) if self.customer.is_none() => {
+                self.customer = Some(customer);
+                self.revoked_at = None;
+            }
+            Ok(_) | Err(UnknownCaller) => {
+                self.revoked_at.get_or_insert(applied_at);
+            }
         }
     }
 
--- a/crates/jujubehold_entry/src/callers/operation.rs
+++ b/crates/jujubehold_entry/src/callers/operation.rs
@@ -15,6 +15,8 @@
     pub(crate) customer: Option<CustomerId>,
     /// When the operation's first statement arrived.
     pub(crate) began_at: Monotonic,
+    /// When it has to end because its caller's key was revoked.
+    pub(crate) ends_at: Option<Monotonic>,
 }
 
 impl Operation {
@@ -24,13 +26,14 @@
         let policy = WaitPolicy::default();
         WaitLimits {
             priority: self.route.priority,
-            give_up_at: policy.give_up_at(arrived_at, self.route.objective),
+            give_up_at: self.not_after_end(policy.give_up_at(arrived_at, self.route.objective)),
         }
     }
 
     /// Returns when a request that arrived at `arrived_at` is refused if no primary is known.
     pub(crate) fn give_up_on_primary_at(&self, arrived_at: Monotonic) -> Monotonic {
-        WaitPolicy::default().give_up_on_primary_at(arrived_at, self.route.objective)
+        let policy = WaitPolicy::default();
+        self.not_after_end(policy.give_up_on_primary_at(arrived_at, self.route.objective))
     }
 
     /// Returns until when a request that arrived at `arrived_at` waits for replicas to catch up:
@@ -41,7 +44,11 @@
 
     /// Returns when a statement that arrived at `arrived_at` times out.
     pub(crate) fn deadline(&self, arrived_at: Monotonic) -> Monotonic {
-        arrived_at + self.route.statement_timeout
+        self.not_after_end(arrived_at + self.route.statement_timeout)
+    }
+
+    fn not_after_end(&self, time: Monotonic) -> Monotonic {
+        self.ends_at.map_or(time, |ends_at| ends_at.min(time))
     }
 }
 
--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -28,6 +28,16 @@
 /// How long a caller may take to start its session after it connected.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// What ends the wait for a caller.
+enum SessionEvent {
+    Message(CallerMessage),
+    ConfigurationChanged,
+    /// The session's transaction has been idle too long, or its caller's key was revoked.
+    TransactionExpired,
+    /// The host no longer serves sessions in this state.
+    PhaseReached,
+}
+
 /// The session of one caller.
 #[derive(Debug)]
 pub(crate) struct Session<P: Platform> {
@@ -35,6 +45,8 @@
     io: CallerIo<P>,
     phase: watch::Receiver<Phase>,
     configuration_version: watch::Receiver<u64>,
+    /// The version of the configuration against which the caller's key was last checked.
+    checked_version: u64,
     database: SmolStr,
     identity: Identity,
     pub(crate) values: SessionValues,
@@ -55,6 +67,7 @@
             io,
             phase,
             configuration_version,
+            checked_version: 0,
             database: SmolStr::default(),
             identity: Identity::default(),
             values: SessionValues::new(),
@@ -82,6 +95,9 @@
                 CallerMessage::End => return Ok(()),
             }
         }
+        if self.has_lost_access() {
+            self.log_revoked();
+        }
         self.io.close().await;
         Ok(())
     }
@@ -106,6 +122,7 @@
                 let (code, detail) = failure.answer();
                 self.put_error(code, &detail);
                 self.count_failure(failure);
+                self.log_rejection(failure);
             }
         }
         self.io.flush().await?;
@@ -113,7 +130,7 @@
     }
 
     fn identify(&mut self, key: Option<CallerKey>) -> Result<(), Failure> {
-        self.configuration_version.mark_unchanged();
+        self.checked_version = *self.configuration_version.borrow();
         let configuration = self.shared.configuration.borrow().clone();
         let configuration = configuration
             .filter(|configuration| configuration.routes.contains_key(&self.database))
@@ -125,14 +142,15 @@
 
     // Checks the caller's key against the current configuration if that has changed.
     fn check_identity(&mut self) {
-        // The sender lives as long as the host, so this can't fail.
-        if !self.configuration_version.has_changed().unwrap_or(false) {
+        let version = *self.configuration_version.borrow();
+        if version == self.checked_version {
             return;
         }
-        self.configuration_version.mark_unchanged();
+        self.checked_version = version;
         if let Some(configuration) = &*self.shared.configuration.borrow() {
-            let now = self.shared.now();
-            self.identity.check(now, configuration, &self.database);
+            let applied_at = self.shared.configuration_applied_at.get();
+            self.identity
+                .check(applied_at, configuration, &self.database);
         }
     }
 
@@ -156,69 +174,73 @@
 
     /// Returns the caller's next message, or `None` if the host ends the session.
     async fn next_message(&mut self) -> Result<Option<CallerMessage>, CallerIoError> {
-        let is_idle = self.transaction.is_none();
-        let end_at = if is_idle {
+        let idle_since = self.shared.now();
+        while !self.has_lost_access() {
+            match self.next_event(idle_since).await? {
+                SessionEvent::Message(message) => return Ok(Some(message)),
+                SessionEvent::ConfigurationChanged => self.check_identity(),
+                SessionEvent::TransactionExpired => self.fail_expired_transaction(),
+                SessionEvent::PhaseReached => {
+                    if let Some(mut transaction) = self.transaction.take() {
+                        transaction.fail();
+                    }
+                    return Ok(None);
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    // Waits for the next event of a session whose caller has been idle since `idle_since`.
+    async fn next_event(&mut self, idle_since: Monotonic) -> Result<SessionEvent, CallerIoError> {
+        let end_at = if self.transaction.is_none() {
             Phase::EndingSessions
         } else {
             Phase::ClosingTransactions
         };
-        if self.has_lost_access() {
-            return Ok(None);
-        }
-        let idle_timeout = self.transaction_idle_timeout();
-        let phase = &mut self.phase;
-        let configuration_version = &mut self.configuration_version;
-        let io = &mut self.io;
-        let phase_reached = async {
-            // The sender is dropped only with the host, so this can't fail.
-            let _ = phase.wait_for(|phase| *phase >= end_at).await;
-        };
-        let idled = async {
-            match idle_timeout {
-                Some(limit) => actix_rt::time::sleep(limit).await,
+        let expires_at = self.idle_transaction_expires_at(idle_since);
+        let remaining = expires_at.map(|at| at.saturating_sub(self.shared.now()));
+        let expired = async {
+            match remaining {
+                Some(remaining) => actix_rt::time::sleep(remaining).await,
                 None => std::future::pending().await,
             }
         };
+        // The senders are dropped only with the host, so the watches can't fail.
         tokio::select! {
             biased;
-            message = io.read() => return message.map(Some),
-            () = phase_reached => {}
-            _ = configuration_version.changed() => {
-                configuration_version.mark_changed();
-                self.check_identity();
-                return Box::pin(self.next_message()).await;
+            message = self.io.read() => Ok(SessionEvent::Message(message?)),
+            _ = self.phase.wait_for(|phase| *phase >= end_at) => Ok(SessionEvent::PhaseReached),
+            // Leaves the version marked as unseen if another event comes first.
+            _ = self.configuration_version.wait_for(|version| *version != self.checked_version) => {
+                Ok(SessionEvent::ConfigurationChanged)
             }
-            () = idled => return self.fail_idle_transaction().await,
-        }
-        if let Some(mut transaction) = self.transaction.take() {
-            transaction.fail();
+            () = expired => Ok(SessionEvent::TransactionExpired),
         }
-        Ok(None)
     }
 
-    // Returns how long a transaction that holds a connection may be idle.
-    fn transaction_idle_timeout(&self) -> Option<Duration> {
+    // Returns when a transaction that holds a connection is rolled back if its caller, which has
+    // been idle since `idle_since`, stays so. New configurations do not extend that time.
+    fn idle_transaction_expires_at(&self, idle_since: Monotonic) -> Option<Monotonic> {
         let transaction = self.transaction.as_ref()?;
         if !transaction.is_open() {
             return None;
         }
         let configuration = self.shared.configuration.borrow();
-        let idle_timeout = configuration.as_ref()?.transaction_idle;
-        let remaining = self
-            .identity
-            .transaction_ends_at()
-            .map(|ends_at| ends_at.saturating_sub(self.shared.now()));
-        Some(remaining.map_or(idle_timeout, |remaining| idle_timeout.min(remaining)))
+        let expires_at = idle_since + configuration.as_ref()?.transaction_idle;
+        let ends_at = self.identity.transaction_ends_at();
+        Some(ends_at.map_or(expires_at, |ends_at| ends_at.min(expires_at)))
     }
 
     // The caller learns of the failure from the answer to its next statement: an answer that
     // belongs to no request would end its session.
-    async fn fail_idle_transaction(&mut self) -> Result<Option<CallerMessage>, CallerIoError> {
+    fn fail_expired_transaction(&mut self) {
         if let Some(transaction) = &mut self.transaction {
             transaction.fail();
-            info!(database = self.database.as_str(); "rolling back an idle transaction");
+            let is_revoked = self.identity.is_revoked();
+            info!(database = self.database.as_str(), is_revoked;
+                "rolling back an idle transaction");
         }
-        Box::pin(self.next_message()).await
     }
 
     async fn handle_request(&mut self, request: CallerRequest) -> Result<(), CallerIoError> {
@@ -240,11 +262,11 @@
         request: &CallerRequest,
         arrived_at: Monotonic,
     ) -> Result<Option<UpstreamReply>, Failure> {
+        self.check_identity();
+        self.reject_revoked(&request.kind)?;
         if self.state() == SessionState::Failed {
             return self.run_in_failed_transaction(request);
         }
-        self.check_identity();
-        self.reject_revoked()?;
         match &request.kind {
             RequestKind::Begin { is_read_only } => {
                 self.begin(request, *is_read_only, arrived_at)?;
@@ -282,17 +304,24 @@
 
     // Rejects a request whose caller's key was revoked, unless it belongs to a transaction that may
     // still end.
-    fn reject_revoked(&mut self) -> Result<(), Failure> {
-        let Some(ends_at) = self.identity.transaction_ends_at() else {
-            return Ok(());
-        };
+    fn reject_revoked(&mut self, kind: &RequestKind) -> Result<(), Failure> {
+        let ends_at = self.identity.transaction_ends_at();
         let Some(transaction) = &mut self.transaction else {
-            return Err(authentication_failed());
+            return if ends_at.is_some() {
+                Err(authentication_failed())
+            } else {
+                Ok(())
+            };
         };
-        if self.shared.now() < ends_at {
+        transaction.operation.ends_at = ends_at;
+        let is_over = ends_at.is_some_and(|ends_at| self.shared.now() >= ends_at);
+        if !is_over || *kind == RequestKind::Rollback {
             return Ok(());
         }
         transaction.fail();
+        if *kind == RequestKind::Commit {
+            self.transaction = None;
+        }
         Err(Failure::RolledBack("key_revoked".into()))
     }
 
@@ -377,6 +406,7 @@
             route,
             customer: self.identity.customer().cloned(),
             began_at,
+            ends_at: None,
         })
     }
 
@@ -419,6 +449,29 @@
         self.io.flush().await
     }
 
+    fn log_rejection(&self, failure: &Failure) {
+        if self.shared.log.allows(self.shared.now()) {
+            let version = self.checked_version;
+            info!(database = self.database.as_str(), reason = failure.reason().as_str(),
+                configuration = version;
+                "session rejected");
+        }
+    }
+
+    fn log_revoked(&self) {
+        if self.shared.log.allows(self.shared.now()) {
+            let version = self.checked_version;
+            info!(database = self.database.as_str(), customer = self.customer_name(),
+                configuration = version;
+                "closing a session whose key was revoked");
+        }
+    }
+
+    // Returns the customer for log lines; empty if there is none.
+    fn customer_name(&self) -> &str {
+        self.identity.customer().map_or("", CustomerId::as_str)
+    }
+
     fn log_failure(&self, request: &CallerRequest, arrived_at: Monotonic, failure: &Failure) {
         self.count_failure(failure);
         let now = self.shared.now();
@@ -429,6 +482,7 @@
         let service = self.shared.route(&self.database).map(|route| route.service);
         let (code, detail) = failure.answer();
         info!(request = request.id.as_str(), database = self.database.as_str(),
+            customer = self.customer_name(),
             service = service.unwrap_or_default().as_str(), reason = failure.reason().as_str(),
             told = code.as_str(), detail = detail.as_str(),
             state = format_smolstr!("{:?}", self.state()).as_str(),
--- a/crates/jujubehold_entry/src/control/instances.rs
+++ b/crates/jujubehold_entry/src/control/instances.rs
@@ -175,6 +175,7 @@
     let customers = configuration.customers.as_ref().map_or(0, Customers::len);
     info!(version = configuration.version, databases = configuration.routes.len(), customers;
         "configuration applied");
+    shared.configuration_applied_at.set(shared.now());
     shared
         .configuration_version
         .send_replace(configuration.version);
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -44,6 +44,8 @@
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
     /// The version of the configuration; wakes the sessions that check their keys.
     pub(crate) configuration_version: watch::Sender<u64>,
+    /// When this host applied the configuration.
+    pub(crate) configuration_applied_at: Cell<Monotonic>,
     pub(crate) lead_state: RefCell<LeadState>,
     pub(crate) upstreams: RefCell<BTreeMap<InstanceId, Rc<Upstream<P>>>>,
     /// Since when this host has followed the directory; `None` before it was first listed.
@@ -75,6 +77,7 @@
             promotion,
             configuration: RefCell::new(None),
             configuration_version: watch::Sender::new(0),
+            configuration_applied_at: Cell::new(Monotonic::ZERO),
             upstreams: RefCell::new(BTreeMap::new()),
             directory_followed_since: Cell::new(None),
             missing_instances: RefCell::new(BTreeMap::new()),
