Bound the length of callers' keys

A session keeps its caller's key. A caller of a public database, or of any database without customers, could send a key of 1 MiB in each START and fill the host's memory.

--- a/crates/jujubehold_entry/src/protocol/customers.rs
+++ b/crates/jujubehold_entry/src/protocol/customers.rs
@@ -38,9 +38,9 @@
     /// Two customers have the same name.
     #[error("two customers are named {0}")]
     DuplicateName(CustomerId),
-    /// A customer has an empty key.
-    #[error("customer {0} has an empty key")]
-    EmptyKey(CustomerId),
+    /// A customer has a key that is empty or too long.
+    #[error("customer {0} has a key that is empty or longer than 1,024 bytes")]
+    UnusableKey(CustomerId),
     /// Two customers have the same key.
     #[error("customers {0} and {1} have a key in common")]
     SharedKey(CustomerId, CustomerId),
