Use an instance directly if its owners have no configuration yet

While the other owner is passed over as silent, nobody lends, and a caller was told owner_unreachable although the primary was reachable.

If the last owner asked refuses because it has no configuration or is about to end, the entry host now goes the direct way, within the small quota that it has if no owner can be reached.

--- a/crates/jujubehold_host/src/traffic/checked_out_connection.rs
+++ b/crates/jujubehold_host/src/traffic/checked_out_connection.rs
@@ -20,6 +20,14 @@
 /// The reason that an owner states if all of its connections are in use.
 const QUEUE_FULL_REASON: &str = "queue_full";
 
+/// Returns whether an owner that refused for this reason lends no connection to any instance: it
+/// has just started and has no configuration yet, or it is about to end.
+fn is_unable_to_lend(reason: &str) -> bool {
+    [RefusalReason::UnknownService, RefusalReason::ShuttingDown]
+        .iter()
+        .any(|unable| unable.as_str() == reason)
+}
+
 /// An upstream connection that one request or transaction holds exclusively.
 ///
 /// It is closed when dropped; [`CheckedOutConnection::release`] returns it for reuse.
@@ -44,7 +52,8 @@
 enum LocalAccess {
     /// It is one of the instance's owners.
     Owner,
-    /// No owner can be reached: the instance's domain may have lost all of its hosts.
+    /// No owner can be reached or is able to lend: the instance's domain may have lost all of its
+    /// hosts, or they have just been restarted.
     OwnersUnreachable,
 }
 
@@ -128,7 +137,12 @@
             Err(ForwardError::Refused { reason, .. }) if reason == QUEUE_FULL_REASON => {
                 Err(CheckoutError::Busy)
             }
-            Err(ForwardError::Unreachable(_) | ForwardError::Silent) => {
+            Err(ForwardError::Refused { reason, .. }) if !is_unable_to_lend(&reason) => {
+                Err(CheckoutError::Retry(RetryReason::OwnerMoved))
+            }
+            Err(
+                ForwardError::Unreachable(_) | ForwardError::Silent | ForwardError::Refused { .. },
+            ) => {
                 Self::open_local(
                     shared,
                     route,
@@ -138,9 +152,7 @@
                 )
                 .await
             }
-            Err(ForwardError::Refused { .. } | ForwardError::Broken(_)) => {
-                Err(CheckoutError::Retry(RetryReason::OwnerMoved))
-            }
+            Err(ForwardError::Broken(_)) => Err(CheckoutError::Retry(RetryReason::OwnerMoved)),
         }
     }
 
--- a/crates/jujubehold_host/tests/traffic/main.rs
+++ b/crates/jujubehold_host/tests/traffic/main.rs
@@ -8,6 +8,7 @@
 mod malformed;
 mod named;
 mod overload;
+mod owners;
 mod pools;
 mod reads;
 mod session_state;
--- a/crates/jujubehold_host/tests/traffic/support.rs
+++ b/crates/jujubehold_host/tests/traffic/support.rs
@@ -11,7 +11,7 @@
 use jujubehold_host::clock::Clock;
 use jujubehold_host::drain_phase::DrainPhase;
 use jujubehold_host::observation::{Observation, ObservationReceiver};
-use jujubehold_host::routing_table::{RoutingTable, ServiceRoute};
+use jujubehold_host::routing_table::{Owner, RoutingTable, ServiceRoute};
 use jujubehold_host::shared::Shared;
 use jujubehold_host::traffic::{TrafficThreads, accept_callers};
 use jujubehold_settings::HostSettings;
@@ -150,6 +150,13 @@
         control.publish();
     }
 
+    /// Sets the owners of an instance's connections.
+    pub(crate) fn set_owners(&self, instance: &str, owners: Vec<Owner>) {
+        let mut control = self.control.borrow_mut();
+        control.route.owners.insert(instance.into(), owners);
+        control.publish();
+    }
+
     /// Opens a caller's session.
     pub(crate) async fn connect(&self) -> Client {
         connect(self.address, "").await
