Let a BEGIN go when its primary is replaced

A BEGIN, and a read at the primary, waited for a connection or a status of the replaced primary until their deadline, unlike a write. Each held one of the service's slots meanwhile, with which writes of the next primary are admitted.

--- a/crates/jujubehold_host/src/traffic/read_attempt.rs
+++ b/crates/jujubehold_host/src/traffic/read_attempt.rs
@@ -16,6 +16,7 @@
 use super::batch_error::BatchError;
 use super::checked_out_connection::{CheckedOutConnection, CheckoutError};
 use super::message_batch::MessageBatch;
+use super::replacement::{open_while_primary, until_replaced};
 use super::session::Session;
 use super::status_answer::{STATUS_QUERY, read_status};
 use super::write_checks::PROOF_TIMEOUT;
@@ -60,16 +61,22 @@
         if is_trial {
             wait = wait.min(SILENCE_TIMEOUT);
         }
-        let mut connection =
-            match CheckedOutConnection::open(&self.shared, route, instance, wait).await {
-                Ok(connection) => connection,
-                Err(CheckoutError::Retry(reason)) => {
-                    self.report_unreachable(instance);
-                    return Ok(ReadOutcome::Next(reason));
-                }
-                Err(CheckoutError::Busy) if is_trial => return Ok(self.record_silence(instance)),
-                Err(CheckoutError::Busy) => return Err(RefusalReason::DeadlineTooShort.into()),
-            };
+        let opening = CheckedOutConnection::open(&self.shared, route, instance, wait);
+        let opened = if is_replica {
+            opening.await
+        } else {
+            let opened = open_while_primary(&self.shared, &self.service, instance, opening).await;
+            opened.unwrap_or(Err(CheckoutError::Retry(RetryReason::NotPrimary)))
+        };
+        let mut connection = match opened {
+            Ok(connection) => connection,
+            Err(CheckoutError::Retry(reason)) => {
+                self.report_unreachable(instance);
+                return Ok(ReadOutcome::Next(reason));
+            }
+            Err(CheckoutError::Busy) if is_trial => return Ok(self.record_silence(instance)),
+            Err(CheckoutError::Busy) => return Err(RefusalReason::DeadlineTooShort.into()),
+        };
         let mut bytes = BytesMut::new();
         let has_commands = self.write_settings(&mut connection, &mut bytes);
         bytes.extend_from_slice(query(STATUS_QUERY).bytes());
@@ -88,6 +95,12 @@
             () = self.wait_for_silence(instance, sent_at), if is_replica => {
                 return Ok(self.record_silence(instance));
             }
+            // The statement holds one of the slots that the next primary's writes need. It has no
+            // effect that outlasts its connection, which is closed here.
+            () = until_replaced(&self.shared, &self.service, instance), if !is_replica => {
+                self.report_unreachable(instance);
+                return Ok(ReadOutcome::Next(RetryReason::NotPrimary));
+            }
         };
         let Ok(Some(status)) = status else {
             self.report_unreachable(instance);
--- a/crates/jujubehold_host/src/traffic/replacement.rs
+++ b/crates/jujubehold_host/src/traffic/replacement.rs
@@ -43,7 +43,8 @@
     }
 }
 
-async fn until_replaced(shared: &Shared, service: &ServiceId, instance: &InstanceId) {
+/// Completes [`FINAL_ANSWER_TIMEOUT`] after an instance other than `instance` became the primary.
+pub(super) async fn until_replaced(shared: &Shared, service: &ServiceId, instance: &InstanceId) {
     let mut table = shared.table.clone();
     loop {
         let route = table.borrow_and_update().services.get(service).cloned();
--- a/crates/jujubehold_host/tests/traffic/writes.rs
+++ b/crates/jujubehold_host/tests/traffic/writes.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use jujubehold_core::prelude::*;
+use tokio_postgres::Client;
 
 use crate::support::{Fixture, HANG_TIMEOUT, SERVICE, call, run, text, try_run, wait_until};
 
@@ -266,6 +267,52 @@
     assert_authority_lost_is_reported(write, replacement).await;
 }
 
+/// Asserts that each BEGIN is reported as not run once another primary is announced, rather than at
+/// its deadline.
+async fn assert_begins_are_refused(fixture: &Fixture, clients: &[Client]) {
+    let begins = clients.iter().map(|client| try_run(client, "BEGIN"));
+    let replacement = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        announce_another_primary(fixture);
+    };
+    let all = async { tokio::join!(futures_util::future::join_all(begins), replacement) };
+    let (outcomes, ()) = tokio::time::timeout(HANG_TIMEOUT, all)
+        .await
+        .expect("the callers are informed long before their deadline");
+    for outcome in outcomes {
+        let (_, detail) = outcome.unwrap_err();
+        assert!(detail.contains("verdict=not_run"), "{detail}");
+    }
+}
+
+// A BEGIN that waited for a replaced primary until its deadline held one of the slots with which
+// the next primary's writes are admitted.
+#[actix_rt::test]
+async fn a_begin_at_a_replaced_primary_is_refused_before_its_deadline() {
+    let fixture = start_with_long_timeout().await;
+    let client = fixture.connect().await;
+    // The BEGIN is sent on a connection that is already open.
+    run(&client, "UPDATE counter SET n = 1").await;
+    let pools = &fixture.shared.pools;
+    wait_until(|| pools.idle_count(&SERVICE.into(), &"a".into()) > 0).await;
+    fixture.databases[0].freeze();
+    assert_begins_are_refused(&fixture, &[client]).await;
+}
+
+#[actix_rt::test]
+async fn a_begin_queued_for_a_replaced_primary_is_refused_before_its_deadline() {
+    let fixture = start_with_long_timeout().await;
+    // All of the primary's 20 connections for this host are in use.
+    let mut holders = Vec::new();
+    for _ in 0..20 {
+        let holder = fixture.connect().await;
+        run(&holder, "BEGIN").await;
+        holders.push(holder);
+    }
+    let clients = [fixture.connect().await, fixture.connect().await];
+    assert_begins_are_refused(&fixture, &clients).await;
+}
+
 #[actix_rt::test]
 async fn a_write_queued_for_a_replaced_primary_is_refused_before_its_deadline() {
     let fixture = start_with_long_timeout().await;
