--- a/crates/jujubehold_host/src/traffic/read_attempt.rs
+++ b/crates/jujubehold_host/src/traffic/read_attempt.rs
@@ -61,14 +61,7 @@
         if is_trial {
             wait = wait.min(SILENCE_TIMEOUT);
         }
-        let opening = CheckedOutConnection::open(&self.shared, route, instance, wait);
-        let opened = if is_replica {
-            opening.await
-        } else {
-            let opened = open_while_primary(&self.shared, &self.service, instance, opening).await;
-            opened.unwrap_or(Err(CheckoutError::Retry(RetryReason::NotPrimary)))
-        };
-        let mut connection = match opened {
+        let mut connection = match self.open_candidate(route, instance, wait).await {
             Ok(connection) => connection,
             Err(CheckoutError::Retry(reason)) => {
                 self.report_unreachable(instance);
@@ -157,6 +150,21 @@
         Ok(ReadOutcome::Served)
     }
 
+    /// Takes a connection to a candidate; to the primary, only until another one replaces it.
+    async fn open_candidate(
+        &self,
+        route: &ServiceRoute,
+        instance: &InstanceId,
+        wait: Duration,
+    ) -> Result<CheckedOutConnection, CheckoutError> {
+        let opening = CheckedOutConnection::open(&self.shared, route, instance, wait);
+        if route.view.primary.as_ref() != Some(instance) {
+            return opening.await;
+        }
+        let opened = open_while_primary(&self.shared, &self.service, instance, opening).await;
+        opened.unwrap_or(Err(CheckoutError::Retry(RetryReason::NotPrimary)))
+    }
+
     /// Completes once `instance` has answered no query for [`SILENCE_TIMEOUT`], counted from
     /// `sent_at`.
     ///
