--- a/crates/jujubehold_core/src/quota/limit.rs
+++ b/crates/jujubehold_core/src/quota/limit.rs
@@ -1,5 +1,7 @@
 //! The quota of one customer.
 
+use std::time::Duration;
+
 use crate::key_type;
 
 key_type! {
@@ -13,3 +15,19 @@
         pub burst: u32,
     }
 }
+
+impl QuotaLimit {
+    /// Returns whether the quota admits no operation at all.
+    pub fn admits_nothing(&self) -> bool {
+        self.rate_per_1000_s == 0 || self.burst == 0
+    }
+
+    /// Returns the time in which one token becomes due, at most one hour.
+    pub fn interval(&self) -> Duration {
+        const MAX_INTERVAL: Duration = Duration::from_secs(3_600);
+        let nanos = 1_000_000_000_000_u64.checked_div(self.rate_per_1000_s);
+        nanos.map_or(MAX_INTERVAL, |nanos| {
+            Duration::from_nanos(nanos).min(MAX_INTERVAL)
+        })
+    }
+}
--- a/crates/jujubehold_core/src/refusal_reason.rs
+++ b/crates/jujubehold_core/src/refusal_reason.rs
@@ -43,12 +43,16 @@
         RetryBudgetSpent,
         /// A different request already ran under the name that the caller gave to this one.
         RequestNameReused,
+        /// The customer has used up its quota.
+        QuotaExceeded,
+        /// No host that could grant the customer's quota answered.
+        QuotaUnknown,
     }
 }
 
 impl RefusalReason {
     /// All reasons, in the order of the metrics page.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 20] = [
         Self::UnknownService,
         Self::AuthenticationFailed,
         Self::QueueFull,
@@ -67,6 +71,8 @@
         Self::OwnerUnreachable,
         Self::RetryBudgetSpent,
         Self::RequestNameReused,
+        Self::QuotaExceeded,
+        Self::QuotaUnknown,
     ];
 
     /// Returns the stable name used in metrics, in logs and between hosts.
@@ -90,6 +96,8 @@
             Self::OwnerUnreachable => "owner_unreachable",
             Self::RetryBudgetSpent => "retry_budget_spent",
             Self::RequestNameReused => "request_name_reused",
+            Self::QuotaExceeded => "quota_exceeded",
+            Self::QuotaUnknown => "quota_unknown",
         }
     }
 
@@ -106,13 +114,15 @@
             Self::QueueFull
             | Self::DeadlineTooShort
             | Self::CallerOverShare
-            | Self::RetryBudgetSpent => "53300",
+            | Self::RetryBudgetSpent
+            | Self::QuotaExceeded => "53300",
             Self::NoPrimary
             | Self::NoFreshReplica
             | Self::UpstreamUnreachable
             | Self::Leaving
             | Self::NoConfirmingReplica
-            | Self::OwnerUnreachable => "57P03",
+            | Self::OwnerUnreachable
+            | Self::QuotaUnknown => "57P03",
             Self::FloorLost => "40001",
             Self::TokenInvalid | Self::RequestNameReused => "22023",
             Self::ShuttingDown => "57P01",
@@ -134,7 +144,9 @@
             | Self::ShuttingDown
             | Self::NoConfirmingReplica
             | Self::OwnerUnreachable
-            | Self::RetryBudgetSpent => true,
+            | Self::RetryBudgetSpent
+            | Self::QuotaExceeded
+            | Self::QuotaUnknown => true,
             Self::UnknownService
             | Self::AuthenticationFailed
             | Self::FloorLost
--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -1,5 +1,7 @@
 //! A caller's session.
 
+use std::cell::Cell;
+
 use log::info;
 use metrics::{counter, gauge};
 use smol_str::{SmolStr, format_smolstr};
@@ -11,6 +13,7 @@
 use super::operation::Operation;
 use super::prepared::PreparedStatements;
 use super::transaction::{Transaction, already_failed};
+use crate::control::{AdmittedOperation, admit, expect_operation, give_back};
 use crate::metric_names::{REFUSALS, SESSIONS, UNKNOWNS};
 use crate::phase::Phase;
 use crate::pool::SessionValues;
@@ -54,6 +57,8 @@
     /// The position of the session's own last commit.
     pub(crate) floor: Option<LogPosition>,
     transaction: Option<Transaction<P>>,
+    /// Whether a statement of the current operation was sent to an instance.
+    pub(crate) has_sent: Cell<bool>,
 }
 
 impl<P: Platform> Session<P> {
@@ -74,6 +79,7 @@
             statements: PreparedStatements::default(),
             floor: None,
             transaction: None,
+            has_sent: Cell::new(false),
         }
     }
 
@@ -358,6 +364,7 @@
             return Err(out_of_order());
         }
         let operation = self.operation(arrived_at)?;
+        expect_operation(&self.shared, operation.customer.as_ref());
         self.transaction = Some(Transaction::new(operation, request.clone(), is_read_only));
         Ok(())
     }
@@ -379,10 +386,13 @@
         let Some(mut transaction) = self.transaction.take() else {
             let (statement, access) = resolved?;
             let operation = self.operation(arrived_at)?;
-            return match access {
+            let admitted = self.admit(&operation, arrived_at).await?;
+            let result = match access {
                 Access::Read => Box::pin(self.run_read(&operation, &statement, arrived_at)).await,
                 Access::Write => Box::pin(self.run_write(&operation, &statement, arrived_at)).await,
             };
+            self.return_unused(&operation, admitted);
+            return result;
         };
         let result = match resolved {
             Ok((statement, access)) => {
@@ -399,6 +409,25 @@
         result
     }
 
+    /// Waits until the customer's quota admits an operation, as long as for a connection.
+    pub(crate) async fn admit(
+        &self,
+        operation: &Operation,
+        arrived_at: Monotonic,
+    ) -> Result<AdmittedOperation, Failure> {
+        self.has_sent.set(false);
+        let give_up_at = operation.wait_limits(arrived_at).give_up_at;
+        let customer = operation.customer.as_ref();
+        Ok(admit(&self.shared, customer, give_up_at).await?)
+    }
+
+    /// Returns the token of an operation if nothing of it was sent to an instance.
+    pub(crate) fn return_unused(&self, operation: &Operation, admitted: AdmittedOperation) {
+        if !self.has_sent.get() {
+            give_back(&self.shared, operation.customer.as_ref(), admitted);
+        }
+    }
+
     fn operation(&self, began_at: Monotonic) -> Result<Operation, Failure> {
         let route = self.shared.route(&self.database);
         let route = route.ok_or_else(|| self.unknown_database())?;
--- a/crates/jujubehold_entry/src/callers/single.rs
+++ b/crates/jujubehold_entry/src/callers/single.rs
@@ -94,6 +94,7 @@
             .acquire(operation, &candidate.upstream, arrived_at)
             .await?;
         let timeout = self.attempt_timeout(operation, arrived_at, &candidate.upstream, is_last);
+        self.has_sent.set(true);
         let result = run_on(
             &self.shared,
             &mut lease,
@@ -144,6 +145,7 @@
                 .map_err(AttemptError::into_failure)?;
             let deadline = operation.deadline(arrived_at);
             let timeout = deadline.saturating_sub(self.shared.now());
+            self.has_sent.set(true);
             let result = run_on(
                 &self.shared,
                 &mut lease,
--- a/crates/jujubehold_entry/src/callers/transaction.rs
+++ b/crates/jujubehold_entry/src/callers/transaction.rs
@@ -250,11 +250,25 @@
             Stage::Unopened => {}
         }
         let operation = transaction.operation.clone();
+        let admitted = self.admit(&operation, arrived_at).await?;
+        let result = self
+            .open_anywhere(transaction, &operation, arrived_at)
+            .await;
+        self.return_unused(&operation, admitted);
+        result
+    }
+
+    async fn open_anywhere(
+        &mut self,
+        transaction: &mut Transaction<P>,
+        operation: &Operation,
+        arrived_at: Monotonic,
+    ) -> Result<(), Failure> {
         let candidates = if transaction.is_read_only {
-            self.read_candidates(&operation, arrived_at).await?
+            self.read_candidates(operation, arrived_at).await?
         } else {
             vec![Candidate {
-                upstream: self.primary(&operation, arrived_at).await?,
+                upstream: self.primary(operation, arrived_at).await?,
                 is_primary: true,
                 after: None,
                 wait: Duration::ZERO,
@@ -264,7 +278,7 @@
         let mut failure = None;
         for candidate in candidates {
             match self
-                .open_at(&operation, &begin, &candidate, arrived_at)
+                .open_at(operation, &begin, &candidate, arrived_at)
                 .await
             {
                 Ok(open) => {
@@ -306,6 +320,7 @@
             .min(BEGIN_TIMEOUT);
         let values = &self.values;
         let after = candidate.after;
+        self.has_sent.set(true);
         let result = run_on(&self.shared, &mut lease, begin, after, values, timeout).await;
         let reply = result.map_err(|_| {
             Failure::from(refuse(
--- a/crates/jujubehold_entry/src/control/mod.rs
+++ b/crates/jujubehold_entry/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod primary_probe;
 mod proof_answers;
 mod proof_questions;
+mod quotas;
 mod replica_evidence;
 mod status_calls;
 mod store_calls;
@@ -25,10 +26,13 @@
 
 pub(crate) use membership::leave;
 pub(crate) use peers::Peers;
+pub(crate) use quotas::{AdmittedOperation, Quotas, admit, expect_operation, give_back};
 pub(crate) use store_calls::StoreHealth;
 
 /// Starts all background tasks.
 pub(crate) fn start<P: Platform>(shared: &Rc<Shared<P>>, peers: &Rc<Peers>) {
+    shared.quotas.set_peers(Rc::clone(peers));
+    actix_rt::spawn(quotas::maintain_buckets(Rc::clone(shared)));
     actix_rt::spawn(store_watch::watch_store(Rc::clone(shared)));
     actix_rt::spawn(membership::keep_membership(
         Rc::clone(shared),
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -57,6 +57,50 @@
     /// The sender's round of votes.
     #[prost(uint64, tag = "18")]
     pub(crate) vote_round: u64,
+    /// What the datagram says about a customer's quota.
+    #[prost(message, optional, tag = "19")]
+    pub(crate) quota: Option<QuotaMessage>,
+}
+
+/// A request for tokens of a customer, its answer, or the handover of the customer's bucket.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub(crate) struct QuotaMessage {
+    /// The customer.
+    #[prost(string, tag = "1")]
+    pub(crate) customer: String,
+    /// The number of the request or of the handover.
+    #[prost(uint64, tag = "2")]
+    pub(crate) number: u64,
+    /// How many tokens are requested, granted or handed over.
+    #[prost(uint32, tag = "3")]
+    pub(crate) tokens: u32,
+    /// How many operations the requesting host has refused since its previous request.
+    #[prost(uint32, tag = "4")]
+    pub(crate) refused: u32,
+    /// Whether the request is meant for a backup.
+    #[prost(bool, tag = "5")]
+    pub(crate) is_for_backup: bool,
+    /// Whether the host that answers does not grant for the customer.
+    #[prost(bool, tag = "6")]
+    pub(crate) is_not_grantor: bool,
+    /// The host that does, if it is known.
+    #[prost(string, tag = "7")]
+    pub(crate) grantor: String,
+    /// Whether the tokens are from the customer's bucket, not from a backup bucket.
+    #[prost(bool, tag = "8")]
+    pub(crate) is_full: bool,
+    /// The time until the next token is due, in microseconds.
+    #[prost(uint64, tag = "9")]
+    pub(crate) next_in_us: u64,
+    /// The time in which one more token becomes due, in microseconds.
+    #[prost(uint64, tag = "10")]
+    pub(crate) interval_us: u64,
+    /// The time after which the next refused caller should retry, in microseconds.
+    #[prost(uint64, tag = "11")]
+    pub(crate) retry_in_us: u64,
+    /// Whether the host that hands over the bucket is leaving.
+    #[prost(bool, tag = "12")]
+    pub(crate) is_leaving: bool,
 }
 
 /// How far a host knows the changes of the directory.
@@ -172,6 +216,14 @@
     ProofQuestion = 5,
     /// Answers a proof question.
     Proof = 6,
+    /// Requests tokens of a customer.
+    TokenRequest = 7,
+    /// Answers a request for tokens.
+    TokenAnswer = 8,
+    /// Hands over a customer's bucket.
+    BucketHandover = 9,
+    /// Confirms a handover.
+    HandoverConfirmed = 10,
 }
 
 impl PeerMessageKind {
@@ -185,6 +237,10 @@
             Self::Stopped => "stopped",
             Self::ProofQuestion => "proof_question",
             Self::Proof => "proof",
+            Self::TokenRequest => "token_request",
+            Self::TokenAnswer => "token_answer",
+            Self::BucketHandover => "bucket_handover",
+            Self::HandoverConfirmed => "handover_confirmed",
         }
     }
 }
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -19,6 +19,7 @@
 use super::peer_message::{PeerMessage, PeerMessageKind};
 use super::proof_answers::answer_question;
 use super::proof_questions::ProofQuestions;
+use super::quotas;
 use crate::metric_names::{DATAGRAM_BYTES_SENT, DATAGRAMS_SENT};
 use crate::prelude::*;
 
@@ -183,7 +184,7 @@
     }
 }
 
-fn handle_message<P: Platform>(shared: &Shared<P>, peers: &Peers, message: &PeerMessage) {
+fn handle_message<P: Platform>(shared: &Rc<Shared<P>>, peers: &Peers, message: &PeerMessage) {
     if let Some(table) = &message.table
         && let Some(table) = parse_leads(table, message.table_revision)
     {
@@ -209,6 +210,10 @@
         PeerMessageKind::Stopped => record_stopped(peers, message),
         PeerMessageKind::ProofQuestion => answer_question(shared, peers, message),
         PeerMessageKind::Proof => peers.questions.deliver_answer(message),
+        PeerMessageKind::TokenRequest => quotas::answer_request(shared, peers, message),
+        PeerMessageKind::TokenAnswer => quotas::apply_answer(shared, message),
+        PeerMessageKind::BucketHandover => quotas::receive_handover(shared, peers, message),
+        PeerMessageKind::HandoverConfirmed => quotas::note_confirmed(shared, message),
     }
 }
 
--- a/crates/jujubehold_entry/src/metric_names.rs
+++ b/crates/jujubehold_entry/src/metric_names.rs
@@ -32,3 +32,9 @@
 pub(crate) const PRIMARY_CHANGES: &str = "jujubehold_primary_changes_total";
 /// Log lines that were left out because the budget per second was exceeded.
 pub(crate) const LOG_LINES_LEFT_OUT: &str = "jujubehold_log_lines_left_out_total";
+/// Requests for tokens of customers that this host made, by whom they went `to`.
+pub(crate) const QUOTA_REQUESTS: &str = "jujubehold_quota_requests_total";
+/// Tokens of customers that this host granted, by `bucket`: full or backup.
+pub(crate) const QUOTA_TOKENS: &str = "jujubehold_quota_tokens_total";
+/// Handovers of customers' buckets, by `direction`: sent or received.
+pub(crate) const QUOTA_HANDOVERS: &str = "jujubehold_quota_handovers_total";
--- a/crates/jujubehold_entry/src/protocol/customers.rs
+++ b/crates/jujubehold_entry/src/protocol/customers.rs
@@ -92,6 +92,12 @@
         self.quotas.get(customer).copied().flatten()
     }
 
+    /// Returns the quota of a customer, `Some(None)` if it has none; `None` if the customer is not
+    /// known.
+    pub fn quota_of(&self, customer: &str) -> Option<Option<QuotaLimit>> {
+        self.quotas.get(customer).copied()
+    }
+
     /// Returns the number of customers.
     pub fn len(&self) -> usize {
         self.quotas.len()
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
-use crate::control::StoreHealth;
+use crate::control::{Quotas, StoreHealth};
 use crate::decision_log::DecisionLog;
 use crate::group::{Group, LeavingPrimary};
 use crate::lead_state::LeadState;
@@ -61,6 +61,8 @@
     pub(crate) session_count: Cell<usize>,
     /// Whether this host has tried to enter the list of hosts.
     pub(crate) has_tried_to_join: Cell<bool>,
+    /// The tokens of the customers.
+    pub(crate) quotas: Quotas,
 }
 
 impl<P: Platform> Shared<P> {
@@ -68,6 +70,7 @@
         Self {
             log: DecisionLog::new(settings.log_lines_per_second),
             lead_state: RefCell::new(LeadState::new(settings.is_first_start)),
+            quotas: Quotas::new(&settings),
             settings,
             clock: Clock::start(),
             store,
--- a/crates/jujubehold_settings/src/entry_settings.rs
+++ b/crates/jujubehold_settings/src/entry_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use jujubehold_core::prelude::*;
+use jujubehold_core::quota::QuotaBound;
 
 use crate::ini_fault::IniFaults;
 use crate::ini_reader::IniReader;
@@ -14,6 +15,9 @@
 const MAX_MEMBERSHIP_LEASE_MS: u64 = 60_000;
 const MAX_DRAIN_TIMEOUT_S: f64 = 600.0;
 const MAX_LOG_LINES_PER_SECOND: u32 = 10_000;
+const MAX_QUOTA_WINDOW_S: f64 = 3_600.0;
+const MAX_QUOTA_EXCESS: f64 = 10.0;
+const MAX_QUOTA_SLACK: f64 = 1_000_000.0;
 
 /// The settings of one entry host on a platform. See docs/CONFIGURATION.md.
 ///
@@ -45,6 +49,8 @@
     pub is_first_start: bool,
     /// The maximum number of log lines per second.
     pub log_lines_per_second: u32,
+    /// The bound on the operations of a customer, across all hosts.
+    pub quota_bound: QuotaBound,
 }
 
 impl Default for EntrySettings {
@@ -63,6 +69,7 @@
             membership_lease: Duration::from_secs(3),
             is_first_start: false,
             log_lines_per_second: 50,
+            quota_bound: QuotaBound::default(),
         }
     }
 }
@@ -79,6 +86,7 @@
         settings.read_names(&mut reader, &mut section);
         settings.read_addresses(&mut reader, &mut section);
         settings.read_durations_and_limits(&mut reader, &mut section);
+        settings.read_quota_bound(&mut reader, &mut section);
         reader.finish_section(section, ENTRY_KEYS);
         reader.finish(ENTRY_SECTIONS)?;
         Ok(settings)
@@ -136,4 +144,44 @@
             0..=MAX_LOG_LINES_PER_SECOND,
         );
     }
+
+    fn read_quota_bound(&mut self, reader: &mut IniReader, section: &mut IniSection) {
+        let bound = &mut self.quota_bound;
+        let mut read = |key: &str, default: f64, max: f64| {
+            // The platform renders a placeholder without a value as an empty one.
+            if section
+                .entries
+                .get(key)
+                .is_some_and(|value| value.trim().is_empty())
+            {
+                section.entries.remove(key);
+                return default;
+            }
+            let value = reader.value(section, key, default, "a number");
+            if (0.0..=max).contains(&value) {
+                return value;
+            }
+            let problem = format!("{value} is out of range");
+            let advice = format!("write a number from 0 to {max}");
+            reader.fault_in(section, key, &problem, &advice);
+            default
+        };
+        let window_s = bound.window.as_secs_f64();
+        bound.window =
+            Duration::from_secs_f64(read("quota_window_s", window_s, MAX_QUOTA_WINDOW_S));
+        let excess = f64::from(bound.excess_per_mille) / 1_000.0;
+        let excess = read("quota_excess", excess, MAX_QUOTA_EXCESS);
+        bound.excess_per_mille = whole(excess * 1_000.0);
+        bound.slack = whole(read("quota_slack", f64::from(bound.slack), MAX_QUOTA_SLACK));
+    }
+}
+
+// Returns the nearest whole number.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the callers check the range"
+)]
+fn whole(value: f64) -> u32 {
+    value.round() as u32
 }
--- a/crates/jujubehold_settings/src/known_keys.rs
+++ b/crates/jujubehold_settings/src/known_keys.rs
@@ -59,6 +59,9 @@
     "membership_lease_ms",
     "first_start",
     "log_lines_per_second",
+    "quota_window_s",
+    "quota_excess",
+    "quota_slack",
 ];
 
 /// The sections of a service's configuration.
