Take over buckets empty, and suspend a host that was stopped

The wait is now the same at every start, and departures are remembered for an hour. A host that was stopped until its proof had expired grants from its backup bucket only. Operations that an instance did not run give their tokens back.

--- a/crates/jujubehold_core/src/quota/grantor.rs
+++ b/crates/jujubehold_core/src/quota/grantor.rs
@@ -14,6 +14,8 @@
 
 /// The longest time after which a refused caller is asked to retry.
 const MAX_RETRY_IN: Duration = Duration::from_secs(2);
+/// A host that did nothing for longer than this was stopped.
+const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// How often a handover is sent until the other host confirms it.
 const MAX_HANDOVER_SENDS: u32 = 8;
 /// How many handovers of a customer are remembered, so that a late duplicate is recognized.
@@ -29,6 +31,10 @@
         bound: QuotaBound,
         customers: BTreeMap<CustomerId, Granting>,
         is_leaving: bool,
+        /// When the host was last known to run.
+        last_run_at: Monotonic,
+        /// When it last ran again after a pause, as a process does that was stopped for a while.
+        resumed_at: Monotonic,
     }
 
     /// The buckets of one customer.
@@ -65,6 +71,8 @@
             bound,
             customers: BTreeMap::new(),
             is_leaving: false,
+            last_run_at: Monotonic::ZERO,
+            resumed_at: Monotonic::ZERO,
         }
     }
 
@@ -77,12 +85,15 @@
         limit: QuotaLimit,
         request: &TokenRequest,
     ) -> TokenAnswer {
+        self.note_running(now);
         let backup = self.bound.backup(limit);
         let is_leaving = self.is_leaving;
+        // A host that was stopped until its proof had expired has probably been replaced.
+        let may_hold = !is_leaving && hosts.proved_until() > self.resumed_at;
         let granting = self.granting(customer);
         granting.hold_if_due(now, hosts, customer, is_leaving);
         let ahead = hosts.ahead(customer);
-        if let (Some(held), None, false) = (&mut granting.held, &ahead, is_leaving) {
+        if let (Some(held), None, true) = (&mut granting.held, &ahead, may_hold) {
             held.refill(now, hosts.proved_until(), limit);
             let tokens = held.bucket.take(request.tokens);
             let next_in = held.bucket.next_token_in(limit);
@@ -121,7 +132,7 @@
         self.is_leaving = true;
     }
 
-    /// Returns the handovers to send now. `limits` returns a customer's quota, and `nonces` a new
+    /// Returns the handovers to send now; called several times per second. `limits` returns a customer's quota, and `nonces` a new
     /// number for each handover.
     pub fn handovers(
         &mut self,
@@ -130,6 +141,7 @@
         limits: impl Fn(&CustomerId) -> Option<QuotaLimit>,
         mut nonces: impl FnMut() -> Nonce,
     ) -> Vec<(CustomerId, BucketHandover)> {
+        self.note_running(now);
         let mut due = Vec::new();
         for (customer, granting) in &mut self.customers {
             if let Some(to) = granting.receiver(hosts, customer, self.is_leaving)
@@ -220,6 +232,13 @@
         outgoing.any(|one| !one.is_confirmed && one.sends < MAX_HANDOVER_SENDS)
     }
 
+    fn note_running(&mut self, now: Monotonic) {
+        if now.saturating_sub(self.last_run_at) > MAX_PAUSE {
+            self.resumed_at = now;
+        }
+        self.last_run_at = now;
+    }
+
     fn granting(&mut self, customer: &CustomerId) -> &mut Granting {
         self.customers
             .entry(customer.clone())
--- a/crates/jujubehold_core/src/quota/hosts.rs
+++ b/crates/jujubehold_core/src/quota/hosts.rs
@@ -14,9 +14,9 @@
 /// that run at different rates.
 pub const TAKEOVER_DELAY: Duration = Duration::from_millis(2_460);
 
-/// The same delay if the whole system starts for the first time. Nothing was granted before, and
-/// buckets are empty, so it only has to be long enough to learn of the hosts that start with it.
-const FIRST_START_DELAY: Duration = Duration::from_millis(500);
+/// How long it is remembered that a host left the list. A bucket that is taken over is empty at
+/// first; after this time it counts as full.
+const GONE_REMEMBERED: Duration = Duration::from_hours(1);
 
 value_type! {
     /// This host's own entry in the list of hosts.
@@ -30,7 +30,6 @@
     /// The list of hosts and its recent changes.
     pub struct QuotaHosts {
         own: HostId,
-        is_first_start: bool,
         listed: BTreeMap<HostId, Revision>,
         /// When this host learned that another one had left the list.
         gone_since: BTreeMap<HostId, Monotonic>,
@@ -42,12 +41,10 @@
 }
 
 impl QuotaHosts {
-    /// Creates an empty list for the host `own`; `is_first_start` is whether the whole system
-    /// starts for the first time.
-    pub fn new(own: HostId, is_first_start: bool) -> Self {
+    /// Creates an empty list for the host `own`.
+    pub fn new(own: HostId) -> Self {
         Self {
             own,
-            is_first_start,
             listed: BTreeMap::new(),
             gone_since: BTreeMap::new(),
             leaving: BTreeMap::new(),
@@ -70,7 +67,7 @@
             }
         }
         self.gone_since
-            .retain(|_, since| now.saturating_sub(*since) < TAKEOVER_DELAY);
+            .retain(|_, since| now.saturating_sub(*since) < GONE_REMEMBERED);
         let listed = &self.listed;
         self.leaving
             .retain(|host, revision| listed.get(host) == Some(revision));
@@ -138,13 +135,8 @@
         if self.listed.keys().any(is_ahead) {
             return None;
         }
-        let delay = if self.is_first_start {
-            FIRST_START_DELAY
-        } else {
-            TAKEOVER_DELAY
-        };
         let gone = self.gone_since.iter().filter(|(host, _)| is_ahead(host));
         let last_gone_at = gone.map(|(_, since)| *since + TAKEOVER_DELAY).max();
-        last_gone_at.max(Some(listing.since + delay))
+        last_gone_at.max(Some(listing.since + TAKEOVER_DELAY))
     }
 }
--- a/crates/jujubehold_core/src/quota/limit.rs
+++ b/crates/jujubehold_core/src/quota/limit.rs
@@ -24,7 +24,7 @@
 
     /// Returns the time in which one token becomes due, at most one hour.
     pub fn interval(&self) -> Duration {
-        const MAX_INTERVAL: Duration = Duration::from_secs(3_600);
+        const MAX_INTERVAL: Duration = Duration::from_hours(1);
         let nanos = 1_000_000_000_000_u64.checked_div(self.rate_per_1000_s);
         nanos.map_or(MAX_INTERVAL, |nanos| {
             Duration::from_nanos(nanos).min(MAX_INTERVAL)
--- a/crates/jujubehold_core/src/quota/tokens.rs
+++ b/crates/jujubehold_core/src/quota/tokens.rs
@@ -165,7 +165,7 @@
         self.silences.remove(&request.host);
         match answer {
             TokenAnswer::Granted(grant) => self.note_grant(now, &request, &grant),
-            TokenAnswer::NotGrantor(to) => self.note_redirect(now, request, to),
+            TokenAnswer::NotGrantor(to) => self.note_redirect(now, &request, to),
         }
     }
 
@@ -193,7 +193,7 @@
         }
     }
 
-    fn note_redirect(&mut self, now: Monotonic, request: InFlight, to: Option<HostId>) {
+    fn note_redirect(&mut self, now: Monotonic, request: &InFlight, to: Option<HostId>) {
         let was_redirected = self
             .redirect
             .take_if(|(host, _)| *host == request.host)
--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -57,8 +57,8 @@
     /// The position of the session's own last commit.
     pub(crate) floor: Option<LogPosition>,
     transaction: Option<Transaction<P>>,
-    /// Whether a statement of the current operation was sent to an instance.
-    pub(crate) has_sent: Cell<bool>,
+    /// Whether an instance may have run a statement of the current operation.
+    pub(crate) may_have_run: Cell<bool>,
 }
 
 impl<P: Platform> Session<P> {
@@ -79,7 +79,7 @@
             statements: PreparedStatements::default(),
             floor: None,
             transaction: None,
-            has_sent: Cell::new(false),
+            may_have_run: Cell::new(false),
         }
     }
 
@@ -415,15 +415,23 @@
         operation: &Operation,
         arrived_at: Monotonic,
     ) -> Result<AdmittedOperation, Failure> {
-        self.has_sent.set(false);
+        self.may_have_run.set(false);
         let give_up_at = operation.wait_limits(arrived_at).give_up_at;
         let customer = operation.customer.as_ref();
         Ok(admit(&self.shared, customer, give_up_at).await?)
     }
 
-    /// Returns the token of an operation if nothing of it was sent to an instance.
+    /// Notes that the instance that gave `reply` did not run the statement, if the reply says so.
+    /// `before` is whether an earlier attempt may have run.
+    pub(crate) fn note_not_run(&self, reply: &UpstreamReply, before: bool) {
+        if reply.error().is_some_and(ErrorCode::is_not_run) {
+            self.may_have_run.set(before);
+        }
+    }
+
+    /// Returns the token of an operation if no instance can have run any of it.
     pub(crate) fn return_unused(&self, operation: &Operation, admitted: AdmittedOperation) {
-        if !self.has_sent.get() {
+        if !self.may_have_run.get() {
             give_back(&self.shared, operation.customer.as_ref(), admitted);
         }
     }
--- a/crates/jujubehold_entry/src/callers/single.rs
+++ b/crates/jujubehold_entry/src/callers/single.rs
@@ -94,7 +94,7 @@
             .acquire(operation, &candidate.upstream, arrived_at)
             .await?;
         let timeout = self.attempt_timeout(operation, arrived_at, &candidate.upstream, is_last);
-        self.has_sent.set(true);
+        let may_have_run = self.may_have_run.replace(true);
         let result = run_on(
             &self.shared,
             &mut lease,
@@ -111,6 +111,7 @@
             Err(error) => return Err(AttemptError::Retryable(read_failure(&error))),
         };
         lease.finish();
+        self.note_not_run(&reply, may_have_run);
         if let Some(code) = reply.error() {
             let failure = upstream_failure(&reply);
             return Err(if code.is_not_run() {
@@ -145,7 +146,7 @@
                 .map_err(AttemptError::into_failure)?;
             let deadline = operation.deadline(arrived_at);
             let timeout = deadline.saturating_sub(self.shared.now());
-            self.has_sent.set(true);
+            let may_have_run = self.may_have_run.replace(true);
             let result = run_on(
                 &self.shared,
                 &mut lease,
@@ -157,6 +158,7 @@
             .await;
             let reply = result.map_err(|error| Failure::Unknown(unknown_reason(&error)))?;
             lease.finish();
+            self.note_not_run(&reply, may_have_run);
             match reply.error() {
                 Some(ErrorCode::ReadOnly) if !is_retry => {
                     // The instance is no longer the primary, but the table does not show it yet.
--- a/crates/jujubehold_entry/src/callers/transaction.rs
+++ b/crates/jujubehold_entry/src/callers/transaction.rs
@@ -320,7 +320,7 @@
             .min(BEGIN_TIMEOUT);
         let values = &self.values;
         let after = candidate.after;
-        self.has_sent.set(true);
+        let may_have_run = self.may_have_run.replace(true);
         let result = run_on(&self.shared, &mut lease, begin, after, values, timeout).await;
         let reply = result.map_err(|_| {
             Failure::from(refuse(
@@ -330,6 +330,7 @@
         })?;
         if reply.error().is_some() {
             lease.finish();
+            self.note_not_run(&reply, may_have_run);
             return Err(upstream_failure(&reply));
         }
         Ok(OpenTransaction {
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -80,12 +80,10 @@
     /// Whether the request is meant for a backup.
     #[prost(bool, tag = "5")]
     pub(crate) is_for_backup: bool,
-    /// Whether the host that answers does not grant for the customer.
-    #[prost(bool, tag = "6")]
-    pub(crate) is_not_grantor: bool,
-    /// The host that does, if it is known.
-    #[prost(string, tag = "7")]
-    pub(crate) grantor: String,
+    /// If the host that answers does not grant for the customer, the host that does; empty if it is
+    /// not known.
+    #[prost(string, optional, tag = "7")]
+    pub(crate) grantor: Option<String>,
     /// Whether the tokens are from the customer's bucket, not from a backup bucket.
     #[prost(bool, tag = "8")]
     pub(crate) is_full: bool,
--- a/crates/jujubehold_entry/src/control/quotas.rs
+++ b/crates/jujubehold_entry/src/control/quotas.rs
@@ -59,7 +59,7 @@
 
 impl Quotas {
     pub(crate) fn new(settings: &EntrySettings) -> Self {
-        let hosts = QuotaHosts::new(settings.host.clone(), settings.is_first_start);
+        let hosts = QuotaHosts::new(settings.host.clone());
         Self {
             hosts: RefCell::new(hosts),
             hosts_digest: Cell::new(None),
@@ -333,8 +333,7 @@
             }
         }
         TokenAnswer::NotGrantor(to) => {
-            quota.is_not_grantor = true;
-            quota.grantor = to.unwrap_or_default().into();
+            quota.grantor = Some(to.unwrap_or_default().into());
         }
     }
     reply.quota = Some(quota);
@@ -351,9 +350,9 @@
     let Some(state) = state else {
         return;
     };
-    let answer = if quota.is_not_grantor {
-        let grantor = Some(quota.grantor.as_str()).filter(|host| !host.is_empty());
-        TokenAnswer::NotGrantor(grantor.map(HostId::from))
+    let answer = if let Some(grantor) = &quota.grantor {
+        let is_known = !grantor.is_empty();
+        TokenAnswer::NotGrantor(is_known.then(|| grantor.as_str().into()))
     } else {
         TokenAnswer::Granted(TokenGrant {
             tokens: quota.tokens,
