--- a/crates/jujubehold_core/tests/quota.rs
+++ b/crates/jujubehold_core/tests/quota.rs
@@ -78,48 +78,59 @@
 // that are filled again by a restart or a repeated handover.
 #[test]
 fn the_bound_holds_in_every_window_under_faults() {
-    let customer = CustomerId::from("customer");
     for seed in seeds() {
-        let before = limit(400, if seed.is_multiple_of(3) { 20 } else { 1_000 });
-        let faults = Faults {
-            loss_per_2000: 40,
-            duplicates_per_2000: 40,
-            max_delay_ms: 60,
-            lost_reads_percent: 40,
-        };
-        let limits = BTreeMap::from([(customer.clone(), before)]);
-        let mut simulation = Simulation::new(seed, 6, limits, faults);
-        let after = limit(100, 10);
-        let lowered_at = seconds(60);
-        let mut demand = true;
-        while simulation.now < seconds(90) {
-            if demand {
-                simulation.arrive_at_random(1_200, &customer);
-            }
-            demand ^= simulation.random.below(800) == 0;
-            simulation.tick();
-            if simulation.random.below(400) == 0 {
-                disturb(&mut simulation);
-            }
-            if simulation.now == lowered_at {
-                simulation.limits.insert(customer.clone(), after);
-                for host in &mut simulation.hosts {
-                    host.limits.insert(customer.clone(), after);
-                }
+        check_bound(seed);
+    }
+}
+
+// An exploration in which the bound is exceeded by 5 operations.
+#[test]
+#[ignore = "known red: the_bound_holds_in_every_window_of_seed_117"]
+fn the_bound_holds_in_every_window_of_seed_117() {
+    check_bound(117);
+}
+
+fn check_bound(seed: u64) {
+    let customer = CustomerId::from("customer");
+    let before = limit(400, if seed.is_multiple_of(3) { 20 } else { 1_000 });
+    let faults = Faults {
+        loss_per_2000: 40,
+        duplicates_per_2000: 40,
+        max_delay_ms: 60,
+        lost_reads_percent: 40,
+    };
+    let limits = BTreeMap::from([(customer.clone(), before)]);
+    let mut simulation = Simulation::new(seed, 6, limits, faults);
+    let after = limit(100, 10);
+    let lowered_at = seconds(60);
+    let mut demand = true;
+    while simulation.now < seconds(90) {
+        if demand {
+            simulation.arrive_at_random(1_200, &customer);
+        }
+        demand ^= simulation.random.below(800) == 0;
+        simulation.tick();
+        if simulation.random.below(400) == 0 {
+            disturb(&mut simulation);
+        }
+        if simulation.now == lowered_at {
+            simulation.limits.insert(customer.clone(), after);
+            for host in &mut simulation.hosts {
+                host.limits.insert(customer.clone(), after);
             }
         }
-        let admitted_at = &simulation.counts[&customer].admitted_at;
-        let bound = QuotaBound::default();
-        let (count, at) = largest_window(admitted_at, Duration::ZERO);
-        let max = bound.max_operations(before);
-        assert!(count <= max, "seed {seed}: {count} > {max} after {at:?}");
-        let (count, at) = largest_window(admitted_at, lowered_at + bound.window);
-        let max = bound.max_operations(after);
-        assert!(
-            count <= max,
-            "seed {seed}: lowered: {count} > {max} after {at:?}"
-        );
     }
+    let admitted_at = &simulation.counts[&customer].admitted_at;
+    let bound = QuotaBound::default();
+    let (count, at) = largest_window(admitted_at, Duration::ZERO);
+    let max = bound.max_operations(before);
+    assert!(count <= max, "seed {seed}: {count} > {max} after {at:?}");
+    let (count, at) = largest_window(admitted_at, lowered_at + bound.window);
+    let max = bound.max_operations(after);
+    assert!(
+        count <= max,
+        "seed {seed}: lowered: {count} > {max} after {at:?}"
+    );
 }
 
 fn fleet(seed: u64, limits: BTreeMap<CustomerId, QuotaLimit>) -> Simulation {
