--- a/crates/jujubehold_entry/src/peer_link/link.rs
+++ b/crates/jujubehold_entry/src/peer_link/link.rs
@@ -213,7 +213,10 @@
             error = read_all(reader, &self.metrics.received_bytes, |frame| self.handle(frame)) =>
                 error,
             error = self.outbox.write_all(writer, &self.metrics.sent_bytes) => error,
-            () = self.end.notified() => LinkError::Unused,
+            () = self.end.notified() => {
+                let is_unused = self.open_leases.get() == 0;
+                if is_unused { LinkError::Unused } else { LinkError::Silent }
+            }
         }
     }
 
