--- a/crates/jujubehold_entry/src/metric_names.rs
+++ b/crates/jujubehold_entry/src/metric_names.rs
@@ -32,7 +32,7 @@
 pub(crate) const PRIMARY_CHANGES: &str = "jujubehold_primary_changes_total";
 /// Log lines that were left out because the budget per second was exceeded.
 pub(crate) const LOG_LINES_LEFT_OUT: &str = "jujubehold_log_lines_left_out_total";
-/// Leases of connections at other hosts, by this host's `role`: caller_host or owner.
+/// Leases of connections at other hosts, by this host's `role`: `caller_host` or `owner`.
 pub(crate) const OWNER_LEASES: &str = "jujubehold_owner_leases_total";
 /// Statements that this host refused as an owner, by `reason`.
 pub(crate) const OWNER_REFUSALS: &str = "jujubehold_owner_refusals_total";
--- a/crates/jujubehold_entry/src/peer_link/frame.rs
+++ b/crates/jujubehold_entry/src/peer_link/frame.rs
@@ -329,10 +329,7 @@
 
     /// Returns the reply, with `earlier_rows` before its own; `None` if the error code is unknown.
     pub(crate) fn into_reply(self, mut earlier_rows: Vec<Bytes>) -> Option<UpstreamReply> {
-        let state = match self.state {
-            Some(_) => Some(self.state().into()),
-            None => None,
-        };
+        let state = self.state.map(|_| self.state().into());
         let outcome = match (self.proof, self.error) {
             (Some(proof), _) => Some(UpstreamOutcome::Complete { proof }),
             (None, Some(code)) => Some(UpstreamOutcome::Error {
--- a/crates/jujubehold_entry/src/peer_link/links.rs
+++ b/crates/jujubehold_entry/src/peer_link/links.rs
@@ -94,7 +94,7 @@
     }
 
     /// Counts a statement that an owner did not take and that is sent elsewhere.
-    pub(crate) fn count_retry(&self, reason: &'static str) {
+    pub(crate) fn count_retry(reason: &'static str) {
         counter!(OWNER_RETRIES, "reason" => reason).increment(1);
     }
 
--- a/crates/jujubehold_entry/src/peer_link/served_lease.rs
+++ b/crates/jujubehold_entry/src/peer_link/served_lease.rs
@@ -191,16 +191,13 @@
     waited: Duration,
 ) -> bool {
     let timeout = Duration::from_millis(message.timeout_ms.into());
-    let result = match message.statement() {
-        Some(statement) => {
-            let after = message.after.map(LogPosition::from);
-            run_on(shared, lease, &statement, after, values, timeout).await
-        }
-        None => {
-            let running = lease.run_command(&UpstreamCommand::Rollback);
-            let result = tokio::time::timeout(timeout, running).await;
-            result.unwrap_or(Err(UpstreamError::TimedOut))
-        }
+    let result = if let Some(statement) = message.statement() {
+        let after = message.after.map(LogPosition::from);
+        run_on(shared, lease, &statement, after, values, timeout).await
+    } else {
+        let running = lease.run_command(&UpstreamCommand::Rollback);
+        let result = tokio::time::timeout(timeout, running).await;
+        result.unwrap_or(Err(UpstreamError::TimedOut))
     };
     match result {
         Ok(reply) => {
--- a/crates/jujubehold_entry/src/pool/lease.rs
+++ b/crates/jujubehold_entry/src/pool/lease.rs
@@ -10,7 +10,7 @@
 use super::connection::{SessionValues, Statement, UpstreamConnection, UpstreamError};
 use super::owner_lease::{OwnerError, OwnerLease, OwnerRequest};
 use super::upstream::Upstream;
-use crate::peer_link::RunMessage;
+use crate::peer_link::{PeerLinks, RunMessage};
 use crate::protocol::{Platform, SessionState, UpstreamCommand, UpstreamReply};
 
 /// A leased connection. If the lease is dropped without [`finish`](Self::finish), the connection is
@@ -153,7 +153,7 @@
         let begun_at = self.upstream.now();
         for (owner, address) in &request.owners {
             let Some(link) = request.links.link(owner, *address) else {
-                request.links.count_retry("skipped");
+                PeerLinks::count_retry("skipped");
                 continue;
             };
             let run = RunMessage::new(statement, after, Some(values), timeout);
@@ -165,7 +165,7 @@
                     return Ok(reply);
                 }
                 Err(OwnerError::Elsewhere(reason)) => {
-                    request.links.count_retry(reason);
+                    PeerLinks::count_retry(reason);
                     if reason == "leaving" {
                         request.links.skip(owner, reason);
                     }
--- a/crates/jujubehold_entry/src/pool/owner_lease.rs
+++ b/crates/jujubehold_entry/src/pool/owner_lease.rs
@@ -141,11 +141,8 @@
 
     /// Lets the owner keep the connection.
     pub(super) fn finish(mut self) {
-        if !std::mem::replace(&mut self.is_ended, true) {
-            self.link.end_lease(self.number, Some(true));
-        } else {
-            self.link.end_lease(self.number, None);
-        }
+        let release = (!self.is_ended).then_some(true);
+        self.link.end_lease(self.number, release);
         self.number = 0;
     }
 
@@ -183,7 +180,7 @@
             | LinkAnswer::Lost => self.is_ended = true,
         }
         Err(match answer {
-            LinkAnswer::Refused(refused) => self.refused(refused),
+            LinkAnswer::Refused(refused) => Self::refused(refused),
             LinkAnswer::Failed(reason) => OwnerError::Upstream(failed(reason)),
             LinkAnswer::Lost if is_repeatable => OwnerError::Elsewhere("lost"),
             LinkAnswer::Lost => OwnerError::Upstream(UpstreamError::OwnerLost),
@@ -193,7 +190,7 @@
         })
     }
 
-    fn refused(&self, refused: RefusedMessage) -> OwnerError {
+    fn refused(refused: RefusedMessage) -> OwnerError {
         let reason = refused.reason();
         let expected_wait = Duration::from_millis(refused.expected_wait_ms.into());
         let refusal = match reason {
