Take an unmeasured number of calls out of a test's comment

The comment said that each host made some 60 calls before the shared backoff. That was an estimate. The test itself is unchanged.

--- a/crates/jujubehold_core/tests/call_gate.rs
+++ b/crates/jujubehold_core/tests/call_gate.rs
@@ -9,8 +9,8 @@
 const TASKS: usize = 3;
 const STEP: Duration = Duration::from_millis(10);
 
-// The store refuses a third of the hosts for 9 s. With a backoff in each task of its own, each host
-// made some 60 calls in that time.
+// The load: the store refuses a third of the hosts for 9 s. Guards against tasks that each try again
+// on their own.
 #[test]
 fn the_tasks_of_a_refused_host_share_one_backoff() {
     let mut gate = CallGate::default();
