Learn from other hosts which hosts were listed before a restart

Cause: a host that replaces a primary has to know every host that was listed within 22.5 s, or it begins a second later and waits until all proof windows have expired. After a rolling restart no host has run that long.

Change: an answer to a proof question says whether its sender knows all hosts; it named the departed ones before. A host that watches the primaries and does not know them asks the others in turn, the one listed longest first, and relies on the answer only if it has followed the list since the other's latest read.

--- a/crates/jujubehold_core/src/lead_proof.rs
+++ b/crates/jujubehold_core/src/lead_proof.rs
@@ -35,8 +35,9 @@
         read_sent_at: Option<Monotonic>,
         /// Since when answers have come without a gap.
         steady_since: Option<Monotonic>,
-        /// Whether no host can have been listed before this one began to follow the list.
-        is_first_start: bool,
+        /// Whether no host is unknown to this one that was listed before it began to follow the
+        /// list: at a first start, or after another host named those that are no longer listed.
+        has_complete_list: bool,
         /// Until when the store certainly lists this host.
         listed_until: Monotonic,
     }
@@ -64,7 +65,7 @@
             settings,
             read_sent_at: None,
             steady_since: None,
-            is_first_start,
+            has_complete_list: is_first_start,
             listed_until: Monotonic::ZERO,
         }
     }
@@ -78,7 +79,7 @@
         if !is_steady {
             // At a first start no host can be listed before the first read, but one can during a
             // gap.
-            self.is_first_start &= self.read_sent_at.is_none();
+            self.has_complete_list &= self.read_sent_at.is_none();
             self.steady_since = Some(sent_at);
         }
         self.read_sent_at = self.read_sent_at.max(Some(sent_at));
@@ -99,7 +100,28 @@
         let is_steady = self
             .steady_since
             .is_some_and(|since| now.saturating_sub(since) >= max_use);
-        has_recent_read && (is_steady || self.is_first_start)
+        has_recent_read && (is_steady || self.has_complete_list)
+    }
+
+    /// Returns whether another host should be asked which hosts were listed before this one began to
+    /// follow the list, and what it knows would be sufficient.
+    pub fn needs_complete_list(&self, now: Monotonic) -> bool {
+        let is_following = self.follows_since(now.saturating_sub(self.settings.window / 2));
+        is_following && !self.knows_all_hosts(now)
+    }
+
+    /// Records that another host, which was asked at `asked_at`, knew every host that may still use
+    /// a primary, and named those that are no longer listed.
+    ///
+    /// What it knows ends with its own latest read, which may be half a window older, so this host
+    /// must have followed the list since then.
+    pub fn note_complete_list(&mut self, asked_at: Monotonic) {
+        let others_read_at = asked_at.saturating_sub(self.settings.window / 2);
+        self.has_complete_list |= self.follows_since(others_read_at);
+    }
+
+    fn follows_since(&self, time: Monotonic) -> bool {
+        self.steady_since.is_some_and(|since| since <= time)
     }
 
     /// Returns when the store's newest answer was requested.
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod frame_order;
 pub mod group_view;
 pub mod history_limit;
+pub mod host_history;
 pub mod ids;
 pub mod instance_status;
 pub mod lead_proof;
--- a/crates/jujubehold_core/tests/lead_proof.rs
+++ b/crates/jujubehold_core/tests/lead_proof.rs
@@ -141,6 +141,46 @@
     assert!(!proof.knows_all_hosts(ms(5_100)));
 }
 
+// Guards against a host that was restarted and waits out all windows before each change of primary
+// for as long as a host may be unknown to it.
+#[test]
+fn a_restarted_host_learns_from_another_one_which_hosts_were_listed() {
+    let mut proof = listed_proof();
+    for second in 1..=3 {
+        proof.note_read(ms(second * 1_000));
+    }
+    assert!(proof.needs_complete_list(ms(3_100)));
+    assert!(!proof.knows_all_hosts(ms(3_100)));
+    proof.note_complete_list(ms(3_100));
+    assert!(proof.knows_all_hosts(ms(3_200)));
+    assert!(!proof.needs_complete_list(ms(3_200)));
+}
+
+// Guards against a host that was listed after the other host's latest read and before this one's
+// first read, which neither of them knows.
+#[test]
+fn a_complete_list_must_reach_to_the_first_read_of_the_host_itself() {
+    let mut proof = listed_proof();
+    proof.note_read(ms(3_000));
+    assert!(!proof.needs_complete_list(ms(3_999)));
+    proof.note_complete_list(ms(3_999));
+    assert!(!proof.knows_all_hosts(ms(3_999)));
+    proof.note_complete_list(ms(4_000));
+    assert!(proof.knows_all_hosts(ms(4_000)));
+}
+
+// Guards against a host that was listed while this one could not read the list.
+#[test]
+fn a_gap_between_reads_ends_what_another_host_told() {
+    let mut proof = listed_proof();
+    for second in 1..=3 {
+        proof.note_read(ms(second * 1_000));
+    }
+    proof.note_complete_list(ms(3_100));
+    proof.note_read(ms(5_000));
+    assert!(!proof.knows_all_hosts(ms(5_000)));
+}
+
 #[test]
 fn a_change_proceeds_when_every_host_has_stopped() {
     let mut wait = StopWait::new(SETTINGS, ms(1_000), hosts(&["b", "c"]), true);
--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -1,13 +1,14 @@
 //! Keeps the proof that the table of leads is current: reads the table from the store, or asks a
 //! host that does.
 
+use jujubehold_core::host_history::HostHistoryQuestions;
 use jujubehold_core::lead_table::LeadTable;
 use log::{debug, info, warn};
 
 use super::instances::apply_member_listing;
 use super::lead_document::parse_leads;
 use super::peers::Peers;
-use super::proof_questions::{QuestionError, ask};
+use super::proof_questions::{QuestionError, ask, ask_for_departed_hosts};
 use super::store_calls::{transfer_with_timeout, wait_for_turn};
 use super::{ENTRY_KEYS_PREFIX, LEAD_KEY};
 use crate::lead_state::OwnRead;
@@ -35,6 +36,7 @@
 
 /// Renews the proof until the future is dropped.
 pub(crate) async fn maintain_proof<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<Peers>) {
+    let mut history_questions = HostHistoryQuestions::default();
     loop {
         // Without an entry in the list of hosts no read proves anything to this host.
         if shared.lead_state.borrow().membership.is_none() {
@@ -46,6 +48,7 @@
             Some(pause) => pause,
             None => read_store(&shared).await,
         };
+        complete_host_list(&shared, &peers, &mut history_questions).await;
         // A host that has just joined needs a proof at once.
         let joined = shared.membership_changed.notified();
         let _ = tokio::time::timeout(pause, joined).await;
@@ -86,6 +89,32 @@
     }
 }
 
+/// Asks another host which hosts were listed before this one followed the list, if this host may have
+/// to replace a primary and does not know.
+async fn complete_host_list<P: Platform>(
+    shared: &Shared<P>,
+    peers: &Peers,
+    questions: &mut HostHistoryQuestions,
+) {
+    let now = shared.now();
+    let needs_list = shared.lead_state.borrow().proof.needs_complete_list(now);
+    if !needs_list || !shared.is_watcher() {
+        return;
+    }
+    let host = {
+        let lead_state = shared.lead_state.borrow();
+        let members = lead_state.members.iter();
+        let listed = members.map(|(host, member)| (host, member.key_revision));
+        questions.next_host(now, &shared.settings.host, listed)
+    };
+    let Some(host) = host else {
+        return;
+    };
+    if let Err(error) = ask_for_departed_hosts(shared, peers, &host).await {
+        debug!("{host} did not say which hosts were listed: {error}");
+    }
+}
+
 async fn read_store<P: Platform>(shared: &Shared<P>) -> Duration {
     let is_first = shared.lead_state.borrow().own_read.is_none();
     wait_for_turn(shared).await;
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -60,6 +60,10 @@
     /// What the datagram says about a customer's quota.
     #[prost(message, optional, tag = "19")]
     pub(crate) quota: Option<QuotaMessage>,
+    /// Whether the sender knows every host that may still use a primary: each is in the list with
+    /// the digest or in `departed`.
+    #[prost(bool, tag = "20")]
+    pub(crate) knows_all_hosts: bool,
 }
 
 /// A request for tokens of a customer, its answer, or the handover of the customer's bucket.
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -42,7 +42,7 @@
         reached: news.reached,
         changed: news.changed,
     });
-    answer.departed = departed(shared);
+    (answer.departed, answer.knows_all_hosts) = departed(shared);
     answer.read = own_read(shared);
     answer.positions = primary_positions(shared, question);
     peers.send_to(shared, &question.from, &answer);
@@ -117,20 +117,22 @@
     }
 }
 
-// A host that was listed only between two answers must be known to whoever replaces a primary.
-fn departed<P: Platform>(shared: &Shared<P>) -> Vec<DepartedHostMessage> {
+// A host that was listed only between two answers must be known to whoever replaces a primary. Also
+// returns whether the hosts returned and the listed ones are all that may still use a primary.
+fn departed<P: Platform>(shared: &Shared<P>) -> (Vec<DepartedHostMessage>, bool) {
     let now = shared.now();
     let lead_state = shared.lead_state.borrow();
     let max_use = LeadProofSettings::default().max_use_after_listing();
     let departed = lead_state.departed(now.saturating_sub(max_use));
+    let is_complete =
+        departed.len() <= MAX_DEPARTED_PER_DATAGRAM && lead_state.proof.knows_all_hosts(now);
     let latest = departed.into_iter().take(MAX_DEPARTED_PER_DATAGRAM);
-    latest
-        .map(|(host, member, at)| DepartedHostMessage {
-            host: host.to_string(),
-            entry: format_member(member.peer_address, &member.domain).to_vec(),
-            age_us: micros(now.saturating_sub(at)),
-        })
-        .collect()
+    let messages = latest.map(|(host, member, at)| DepartedHostMessage {
+        host: host.to_string(),
+        entry: format_member(member.peer_address, &member.domain).to_vec(),
+        age_us: micros(now.saturating_sub(at)),
+    });
+    (messages.collect(), is_complete)
 }
 
 // Other hosts can use only positions of primaries whose lead is proved.
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -57,34 +57,62 @@
     }
 }
 
-/// Asks `source` and applies its answer. Returns the age of its read.
+/// Asks `source` for its read and applies its answer. Returns the age of its read.
 pub(super) async fn ask<P: Platform>(
     shared: &Shared<P>,
     peers: &Peers,
     source: &HostId,
 ) -> Result<Duration, QuestionError> {
+    let settings = PositionDemandSettings::default();
+    let service_count = shared.lead_state.borrow().table.leads.len();
+    let names_services = settings.names_services(service_count);
+    let wanted_services = if names_services {
+        wanted_services(shared, &settings)
+    } else {
+        Vec::new()
+    };
+    let (sent_at, answer) =
+        send_question(shared, peers, source, names_services, wanted_services).await?;
+    apply_answer(shared, sent_at, &answer)
+}
+
+/// Asks `host` which hosts were listed lately.
+pub(super) async fn ask_for_departed_hosts<P: Platform>(
+    shared: &Shared<P>,
+    peers: &Peers,
+    host: &HostId,
+) -> Result<(), QuestionError> {
+    let no_services = Vec::new();
+    let (sent_at, answer) = send_question(shared, peers, host, true, no_services).await?;
+    apply_known_hosts(shared, sent_at, &answer);
+    Ok(())
+}
+
+async fn send_question<P: Platform>(
+    shared: &Shared<P>,
+    peers: &Peers,
+    host: &HostId,
+    names_services: bool,
+    wanted_services: Vec<String>,
+) -> Result<(Monotonic, PeerMessage), QuestionError> {
     let (number, receiver) = peers.questions.begin();
     let mut question = new_message(shared, PeerMessageKind::ProofQuestion);
     question.question = number;
+    question.names_services = names_services;
+    question.wanted_services = wanted_services;
     {
         let lead_state = shared.lead_state.borrow();
         question.hosts_digest = lead_state.members_digest;
         question.hosts_revision = lead_state.members_revision;
     }
-    let settings = PositionDemandSettings::default();
-    let service_count = shared.lead_state.borrow().table.leads.len();
-    question.names_services = settings.names_services(service_count);
-    if question.names_services {
-        question.wanted_services = wanted_services(shared, &settings);
-    }
     let sent_at = shared.now();
-    peers.send_to(shared, source, &question);
+    peers.send_to(shared, host, &question);
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, receiver).await;
     let answer = answer
         .ok()
         .and_then(Result::ok)
         .ok_or(QuestionError::NoAnswer)?;
-    apply_answer(shared, sent_at, &answer)
+    Ok((sent_at, answer))
 }
 
 // Returns the services that callers of this host have read lately.
@@ -120,16 +148,13 @@
                 changed: directory.changed,
             });
     }
-    apply_departed(shared, &answer.departed);
+    apply_known_hosts(shared, sent_at, answer);
     let read = SharedRead {
         age: Duration::from_micros(shared_read.age_us),
         revision: shared_read.revision,
         table_revision: answer.table_revision,
         hosts_digest: answer.hosts_digest,
     };
-    if let Some(hosts) = &answer.hosts {
-        apply_hosts(shared, sent_at, hosts);
-    }
     let now = shared.now();
     shared
         .watch_progress
@@ -160,6 +185,19 @@
     Ok(read.age)
 }
 
+// Applies the hosts that another host knows, which was asked at `sent_at`.
+fn apply_known_hosts<P: Platform>(shared: &Shared<P>, sent_at: Monotonic, answer: &PeerMessage) {
+    apply_departed(shared, &answer.departed);
+    if let Some(hosts) = &answer.hosts {
+        apply_hosts(shared, sent_at, hosts);
+    }
+    let mut lead_state = shared.lead_state.borrow_mut();
+    let has_same_list = lead_state.members_digest == answer.hosts_digest;
+    if answer.knows_all_hosts && has_same_list {
+        lead_state.proof.note_complete_list(sent_at);
+    }
+}
+
 // Applies the list of another host if it is of a later revision; the watch continues from there.
 fn apply_hosts<P: Platform>(shared: &Shared<P>, sent_at: Monotonic, listing: &HostsMessage) {
     let parse = |host: &HostMessage| {
