Overlap the store calls of a host that starts

Cause: after a loss of all hosts, a host made its calls one after another: lease, own entry, commit, table of leads, and beside them the configuration and then the instances. In regions without the store each takes 40 ms, with a slow store 190 ms, and no request is served before the last.

Change: the lease and the read of the own entry, and both listings, are sent at once. The watch starts from the older of the two listings.

--- a/crates/jujubehold_entry/src/control/membership.rs
+++ b/crates/jujubehold_entry/src/control/membership.rs
@@ -104,10 +104,14 @@
 async fn join<P: Platform>(shared: &Shared<P>, peer: SocketAddr) -> Result<(), StoreError> {
     let lease_time = shared.settings.membership_lease;
     let grant_sent_at = shared.now();
-    let grant = shared.store.grant_lease(lease_time);
-    let lease = call_with_timeout(shared, "grant_lease", STORE_CALL_TIMEOUT, grant).await?;
     let key: SmolStr = format_smolstr!("{HOSTS_PREFIX}{}", shared.settings.host);
-    let expected = earlier_key_revision(shared, &key).await?;
+    let grant = shared.store.grant_lease(lease_time);
+    // Both at once: a host that has just started serves no request before it has joined.
+    let (lease, expected) = tokio::join!(
+        call_with_timeout(shared, "grant_lease", STORE_CALL_TIMEOUT, grant),
+        earlier_key_revision(shared, &key),
+    );
+    let (lease, expected) = (lease?, expected?);
     let change = StoreChange {
         expected: vec![(key.clone(), expected)],
         writes: vec![(
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -13,7 +13,7 @@
 use super::instances::{apply_item, apply_removal, listed_instance_keys, remove_missing_instances};
 use super::store_calls::{STORE_CALL_TIMEOUT, transfer_with_timeout, wait_for_turn};
 use crate::prelude::*;
-use crate::protocol::{CallProgress, Directory, ItemChange, Store, StoreError};
+use crate::protocol::{CallProgress, Directory, ItemChange, Store, StoreError, StoreListing};
 
 /// How long the store holds a watch without changes. This is near the longest time that it allows,
 /// since other answers of the store reveal a stalled watch.
@@ -203,22 +203,14 @@
     shared: &Shared<P>,
     listed_bytes: &mut u64,
 ) -> Result<Revision, FollowError> {
-    let prefixes = [
-        P::Directory::CONFIGURATION_KEY,
-        P::Directory::INSTANCES_PREFIX,
-    ];
-    let mut first = None;
-    let mut received_bytes = 0;
+    // Both at once: a host that has just started serves no request before it has both.
+    let (configuration, instances) = tokio::join!(
+        list_prefix(shared, P::Directory::CONFIGURATION_KEY),
+        list_prefix(shared, P::Directory::INSTANCES_PREFIX),
+    );
+    let listings = [configuration?, instances?];
     let mut present = BTreeSet::new();
-    for prefix in prefixes {
-        let progress = CallProgress::default();
-        let call = shared.store.list(prefix, &progress);
-        let listing =
-            transfer_with_timeout(shared, "list", STORE_CALL_TIMEOUT, &progress, call).await?;
-        received_bytes += progress.received_bytes();
-        // The watch starts from the first listing's revision and delivers what changes between the
-        // two listings.
-        first = first.or(Some(listing.revision));
+    for (listing, _) in &listings {
         for item in &listing.items {
             present.insert(item.key.to_string());
             apply_item(shared, item);
@@ -227,8 +219,10 @@
     if shared.directory_followed_since.get().is_none() {
         shared.directory_followed_since.set(Some(shared.now()));
     }
-    *listed_bytes = received_bytes;
-    let revision = first.unwrap_or_default();
+    *listed_bytes = listings.iter().map(|(_, bytes)| bytes).sum();
+    // The watch starts from the older listing's revision and delivers what changed between the two.
+    let revisions = listings.iter().map(|(listing, _)| listing.revision);
+    let revision = revisions.min().unwrap_or_default();
     // Only instances are compared here: the keys of the hosts are listed regularly to prove that
     // the leads are current.
     for key in listed_instance_keys(shared) {
@@ -238,3 +232,15 @@
     }
     Ok(revision)
 }
+
+// Returns the listing and the size of the answers in bytes.
+async fn list_prefix<P: Platform>(
+    shared: &Shared<P>,
+    prefix: &str,
+) -> Result<(StoreListing, u64), FollowError> {
+    let progress = CallProgress::default();
+    let call = shared.store.list(prefix, &progress);
+    let listing =
+        transfer_with_timeout(shared, "list", STORE_CALL_TIMEOUT, &progress, call).await?;
+    Ok((listing, progress.received_bytes()))
+}
