Say in the log whether a change of primary knows all hosts

A change that does not know all hosts waits until every proof window has expired; so far only its duration showed that.

--- a/crates/jujubehold_entry/src/control/primary_change.rs
+++ b/crates/jujubehold_entry/src/control/primary_change.rs
@@ -53,7 +53,11 @@
     let Some(announced) = announce(shared, service, reason).await else {
         return;
     };
-    info!(service = service.as_str(), old = announced.old_primary.as_str(),
+    let knows_all_hosts = {
+        let lead_state = shared.lead_state.borrow();
+        lead_state.proof.knows_all_hosts(announced.announced_at)
+    };
+    info!(service = service.as_str(), old = announced.old_primary.as_str(), knows_all_hosts,
         revision = announced.revision, fencing_token = announced.fencing_token;
         "change of primary announced");
     let limit = CHANGE_TIMEOUT;
