--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -1,28 +1,31 @@
 //! A caller's session.
 
+mod access;
+mod admission;
+mod failure_log;
+
 use std::cell::Cell;
 
 use log::info;
-use metrics::{counter, gauge};
-use smol_str::{SmolStr, format_smolstr};
+use metrics::gauge;
+use smol_str::SmolStr;
 use tokio::sync::watch;
 
 use super::caller_io::{CallerIo, CallerIoError};
 use super::failure::Failure;
-use super::identity::{Identity, UnknownCaller};
+use super::identity::Identity;
 use super::operation::Operation;
 use super::prepared::PreparedStatements;
 use super::transaction::{Transaction, already_failed};
-use crate::control::{AdmittedOperation, admit, expect_operation, give_back};
-use crate::metric_names::{REFUSALS, SESSIONS, UNKNOWNS};
+use crate::control::expect_operation;
+use crate::metric_names::SESSIONS;
 use crate::phase::Phase;
 use crate::pool::SessionValues;
 use crate::prelude::*;
 use crate::protocol::{
-    Access, CallerCodec, CallerKey, CallerMessage, CallerRequest, ErrorCode, RequestKind,
-    SessionState, UpstreamOutcome, UpstreamReply,
+    Access, CallerCodec, CallerMessage, CallerRequest, ErrorCode, RequestKind, SessionState,
+    UpstreamOutcome, UpstreamReply,
 };
-use crate::shared::millis;
 
 /// The maximum number of values that one session may set, which bounds its memory.
 const MAX_VALUES: usize = 200;
@@ -135,36 +138,6 @@
         Ok(admitted.is_ok())
     }
 
-    fn identify(&mut self, key: Option<CallerKey>) -> Result<(), Failure> {
-        self.checked_version = *self.configuration_version.borrow();
-        let configuration = self.shared.configuration.borrow().clone();
-        let configuration = configuration
-            .filter(|configuration| configuration.routes.contains_key(&self.database))
-            .ok_or_else(|| self.unknown_database())?;
-        self.identity = Identity::new(&configuration, &self.database, key)
-            .map_err(|UnknownCaller| authentication_failed())?;
-        Ok(())
-    }
-
-    // Checks the caller's key against the current configuration if that has changed.
-    fn check_identity(&mut self) {
-        let version = *self.configuration_version.borrow();
-        if version == self.checked_version {
-            return;
-        }
-        self.checked_version = version;
-        if let Some(configuration) = &*self.shared.configuration.borrow() {
-            let applied_at = self.shared.configuration_applied_at.get();
-            self.identity
-                .check(applied_at, configuration, &self.database);
-        }
-    }
-
-    // Returns whether the caller's key was revoked and nothing admitted before is left to end.
-    fn has_lost_access(&self) -> bool {
-        self.identity.is_revoked() && self.transaction.is_none()
-    }
-
     // A host that has just started has no configuration yet, so it can't tell whether the database
     // exists.
     async fn wait_for_configuration(&self) {
@@ -308,29 +281,6 @@
         }
     }
 
-    // Rejects a request whose caller's key was revoked, unless it belongs to a transaction that may
-    // still end.
-    fn reject_revoked(&mut self, kind: &RequestKind) -> Result<(), Failure> {
-        let ends_at = self.identity.transaction_ends_at();
-        let Some(transaction) = &mut self.transaction else {
-            return if ends_at.is_some() {
-                Err(authentication_failed())
-            } else {
-                Ok(())
-            };
-        };
-        transaction.operation.ends_at = ends_at;
-        let is_over = ends_at.is_some_and(|ends_at| self.shared.now() >= ends_at);
-        if !is_over || *kind == RequestKind::Rollback {
-            return Ok(());
-        }
-        transaction.fail();
-        if *kind == RequestKind::Commit {
-            self.transaction = None;
-        }
-        Err(Failure::RolledBack("key_revoked".into()))
-    }
-
     fn run_in_failed_transaction(
         &mut self,
         request: &CallerRequest,
@@ -409,33 +359,6 @@
         result
     }
 
-    /// Waits until the customer's quota admits an operation, as long as for a connection.
-    pub(crate) async fn admit(
-        &self,
-        operation: &Operation,
-        arrived_at: Monotonic,
-    ) -> Result<AdmittedOperation, Failure> {
-        self.may_have_run.set(false);
-        let give_up_at = operation.wait_limits(arrived_at).give_up_at;
-        let customer = operation.customer.as_ref();
-        Ok(admit(&self.shared, customer, give_up_at).await?)
-    }
-
-    /// Notes that the instance that gave `reply` did not run the statement, if the reply says so.
-    /// `before` is whether an earlier attempt may have run.
-    pub(crate) fn note_not_run(&self, reply: &UpstreamReply, before: bool) {
-        if reply.error().is_some_and(ErrorCode::is_not_run) {
-            self.may_have_run.set(before);
-        }
-    }
-
-    /// Returns the token of an operation if no instance can have run any of it.
-    pub(crate) fn return_unused(&self, operation: &Operation, admitted: AdmittedOperation) {
-        if !self.may_have_run.get() {
-            give_back(&self.shared, operation.customer.as_ref(), admitted);
-        }
-    }
-
     fn operation(&self, began_at: Monotonic) -> Result<Operation, Failure> {
         let route = self.shared.route(&self.database);
         let route = route.ok_or_else(|| self.unknown_database())?;
@@ -485,68 +408,6 @@
         self.put_ready(None);
         self.io.flush().await
     }
-
-    fn log_rejection(&self, failure: &Failure) {
-        if self.shared.log.allows(self.shared.now()) {
-            let version = self.checked_version;
-            info!(database = self.database.as_str(), reason = failure.reason().as_str(),
-                configuration = version;
-                "session rejected");
-        }
-    }
-
-    fn log_revoked(&self) {
-        if self.shared.log.allows(self.shared.now()) {
-            let version = self.checked_version;
-            info!(database = self.database.as_str(), customer = self.customer_name(),
-                configuration = version;
-                "closing a session whose key was revoked");
-        }
-    }
-
-    // Returns the customer for log lines; empty if there is none.
-    fn customer_name(&self) -> &str {
-        self.identity.customer().map_or("", CustomerId::as_str)
-    }
-
-    fn log_failure(&self, request: &CallerRequest, arrived_at: Monotonic, failure: &Failure) {
-        self.count_failure(failure);
-        let now = self.shared.now();
-        if !self.shared.log.allows(now) {
-            return;
-        }
-        let (read_age, revision) = self.lead_age(now);
-        let service = self.shared.route(&self.database).map(|route| route.service);
-        let (code, detail) = failure.answer();
-        info!(request = request.id.as_str(), database = self.database.as_str(),
-            customer = self.customer_name(),
-            service = service.unwrap_or_default().as_str(), reason = failure.reason().as_str(),
-            told = code.as_str(), detail = detail.as_str(),
-            state = format_smolstr!("{:?}", self.state()).as_str(),
-            taken_ms = millis(now.saturating_sub(arrived_at)),
-            lead_revision = revision, lead_age_ms = read_age;
-            "request failed");
-    }
-
-    fn lead_age(&self, now: Monotonic) -> (u64, u64) {
-        let lead_state = self.shared.lead_state.borrow();
-        let read_at = lead_state.proof.read_sent_at().unwrap_or_default();
-        (
-            millis(now.saturating_sub(read_at)),
-            lead_state.table.revision,
-        )
-    }
-
-    fn count_failure(&self, failure: &Failure) {
-        let service = self.shared.route(&self.database).map(|route| route.service);
-        let service = service.unwrap_or_default().to_string();
-        let reason = failure.reason().to_string();
-        let name = match failure {
-            Failure::Unknown(_) => UNKNOWNS,
-            Failure::Refused(_) | Failure::RolledBack(_) | Failure::Error { .. } => REFUSALS,
-        };
-        counter!(name, "service" => service, "reason" => reason).increment(1);
-    }
 }
 
 fn authentication_failed() -> Failure {
