Rely on another host's list only if all its departed hosts are known

Found in reading the change: an entry of a departed host that can't be parsed was left out, and the list was still taken as complete, so a change of primary might not have waited for that host. The two results of an answer's departed hosts have a type, and the wanted services of a question are optional.

--- a/crates/jujubehold_core/tests/host_history.rs
+++ b/crates/jujubehold_core/tests/host_history.rs
@@ -46,6 +46,7 @@
         }
         let known = hosts.iter().filter(|host| host.proof.knows_all_hosts(now));
         assert_eq!(known.count(), hosts.len(), "after {restarted} restarts");
+        // Later than those of all other hosts.
         let revision = hosts[restarted].revision + 8;
         let name = hosts[restarted].name.clone();
         hosts[restarted] = SimulatedHost::new(name, revision, false);
--- a/crates/jujubehold_entry/src/callers/session/access.rs
+++ b/crates/jujubehold_entry/src/callers/session/access.rs
@@ -7,6 +7,7 @@
 use crate::protocol::{CallerKey, RequestKind};
 
 impl<P: Platform> Session<P> {
+    /// Identifies the caller by its key under the current configuration.
     pub(super) fn identify(&mut self, key: Option<CallerKey>) -> Result<(), Failure> {
         self.checked_version = *self.configuration_version.borrow();
         let configuration = self.shared.configuration.borrow().clone();
@@ -18,7 +19,7 @@
         Ok(())
     }
 
-    // Checks the caller's key against the current configuration if that has changed.
+    /// Checks the caller's key against the current configuration if that has changed.
     pub(super) fn check_identity(&mut self) {
         let version = *self.configuration_version.borrow();
         if version == self.checked_version {
@@ -32,13 +33,13 @@
         }
     }
 
-    // Returns whether the caller's key was revoked and nothing admitted before is left to end.
+    /// Returns whether the caller's key was revoked and nothing admitted before is left to end.
     pub(super) fn has_lost_access(&self) -> bool {
         self.identity.is_revoked() && self.transaction.is_none()
     }
 
-    // Rejects a request whose caller's key was revoked, unless it belongs to a transaction that may
-    // still end.
+    /// Rejects a request whose caller's key was revoked, unless it belongs to a transaction that
+    /// may still end.
     pub(super) fn reject_revoked(&mut self, kind: &RequestKind) -> Result<(), Failure> {
         let ends_at = self.identity.transaction_ends_at();
         let Some(transaction) = &mut self.transaction else {
--- a/crates/jujubehold_entry/src/callers/session/failure_log.rs
+++ b/crates/jujubehold_entry/src/callers/session/failure_log.rs
@@ -12,6 +12,7 @@
 use crate::shared::millis;
 
 impl<P: Platform> Session<P> {
+    /// Logs that the session was not admitted.
     pub(super) fn log_rejection(&self, failure: &Failure) {
         if self.shared.log.allows(self.shared.now()) {
             let version = self.checked_version;
@@ -21,6 +22,7 @@
         }
     }
 
+    /// Logs that the session ends because its caller's key was revoked.
     pub(super) fn log_revoked(&self) {
         if self.shared.log.allows(self.shared.now()) {
             let version = self.checked_version;
@@ -31,10 +33,11 @@
     }
 
     // Returns the customer for log lines; empty if there is none.
-    pub(super) fn customer_name(&self) -> &str {
+    fn customer_name(&self) -> &str {
         self.identity.customer().map_or("", CustomerId::as_str)
     }
 
+    /// Counts and logs a failed request.
     pub(super) fn log_failure(
         &self,
         request: &CallerRequest,
@@ -59,7 +62,8 @@
             "request failed");
     }
 
-    pub(super) fn lead_age(&self, now: Monotonic) -> (u64, u64) {
+    // Returns the age in milliseconds of the read of the table of leads, and its revision.
+    fn lead_age(&self, now: Monotonic) -> (u64, u64) {
         let lead_state = self.shared.lead_state.borrow();
         let read_at = lead_state.proof.read_sent_at().unwrap_or_default();
         (
@@ -68,6 +72,7 @@
         )
     }
 
+    /// Counts a refusal or an unknown outcome by service and reason.
     pub(super) fn count_failure(&self, failure: &Failure) {
         let service = self.shared.route(&self.database).map(|route| route.service);
         let service = service.unwrap_or_default().to_string();
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -42,7 +42,9 @@
         reached: news.reached,
         changed: news.changed,
     });
-    (answer.departed, answer.knows_all_hosts) = departed(shared);
+    let departed = departed_hosts(shared);
+    answer.departed = departed.hosts;
+    answer.knows_all_hosts = departed.is_complete;
     answer.read = own_read(shared);
     answer.positions = primary_positions(shared, question);
     peers.send_to(shared, &question.from, &answer);
@@ -117,9 +119,15 @@
     }
 }
 
-// A host that was listed only between two answers must be known to whoever replaces a primary. Also
-// returns whether the hosts returned and the listed ones are all that may still use a primary.
-fn departed<P: Platform>(shared: &Shared<P>) -> (Vec<DepartedHostMessage>, bool) {
+/// The hosts that are no longer listed and may still use a primary.
+struct DepartedHosts {
+    hosts: Vec<DepartedHostMessage>,
+    /// Whether there is no other such host.
+    is_complete: bool,
+}
+
+// A host that was listed only between two answers must be known to whoever replaces a primary.
+fn departed_hosts<P: Platform>(shared: &Shared<P>) -> DepartedHosts {
     let now = shared.now();
     let lead_state = shared.lead_state.borrow();
     let max_use = LeadProofSettings::default().max_use_after_listing();
@@ -127,12 +135,15 @@
     let is_complete =
         departed.len() <= MAX_DEPARTED_PER_DATAGRAM && lead_state.proof.knows_all_hosts(now);
     let latest = departed.into_iter().take(MAX_DEPARTED_PER_DATAGRAM);
-    let messages = latest.map(|(host, member, at)| DepartedHostMessage {
+    let hosts = latest.map(|(host, member, at)| DepartedHostMessage {
         host: host.to_string(),
         entry: format_member(member.peer_address, &member.domain).to_vec(),
         age_us: micros(now.saturating_sub(at)),
     });
-    (messages.collect(), is_complete)
+    DepartedHosts {
+        hosts: hosts.collect(),
+        is_complete,
+    }
 }
 
 // Other hosts can use only positions of primaries whose lead is proved.
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -66,13 +66,8 @@
     let settings = PositionDemandSettings::default();
     let service_count = shared.lead_state.borrow().table.leads.len();
     let names_services = settings.names_services(service_count);
-    let wanted_services = if names_services {
-        wanted_services(shared, &settings)
-    } else {
-        Vec::new()
-    };
-    let (sent_at, answer) =
-        send_question(shared, peers, source, names_services, wanted_services).await?;
+    let wanted_services = names_services.then(|| wanted_services(shared, &settings));
+    let (sent_at, answer) = send_question(shared, peers, source, wanted_services).await?;
     apply_answer(shared, sent_at, &answer)
 }
 
@@ -82,24 +77,25 @@
     peers: &Peers,
     host: &HostId,
 ) -> Result<(), QuestionError> {
-    let no_services = Vec::new();
-    let (sent_at, answer) = send_question(shared, peers, host, true, no_services).await?;
+    let no_services = Some(Vec::new());
+    let (sent_at, answer) = send_question(shared, peers, host, no_services).await?;
     apply_known_hosts(shared, sent_at, &answer);
     Ok(())
 }
 
+// Asks for the positions of the primaries of `wanted_services`, or of all services if it is `None`.
+// Returns when the question was sent, and the answer.
 async fn send_question<P: Platform>(
     shared: &Shared<P>,
     peers: &Peers,
     host: &HostId,
-    names_services: bool,
-    wanted_services: Vec<String>,
+    wanted_services: Option<Vec<String>>,
 ) -> Result<(Monotonic, PeerMessage), QuestionError> {
     let (number, receiver) = peers.questions.begin();
     let mut question = new_message(shared, PeerMessageKind::ProofQuestion);
     question.question = number;
-    question.names_services = names_services;
-    question.wanted_services = wanted_services;
+    question.names_services = wanted_services.is_some();
+    question.wanted_services = wanted_services.unwrap_or_default();
     {
         let lead_state = shared.lead_state.borrow();
         question.hosts_digest = lead_state.members_digest;
@@ -187,13 +183,13 @@
 
 // Applies the hosts that another host knows, which was asked at `sent_at`.
 fn apply_known_hosts<P: Platform>(shared: &Shared<P>, sent_at: Monotonic, answer: &PeerMessage) {
-    apply_departed(shared, &answer.departed);
+    let knows_departed = apply_departed(shared, &answer.departed);
     if let Some(hosts) = &answer.hosts {
         apply_hosts(shared, sent_at, hosts);
     }
     let mut lead_state = shared.lead_state.borrow_mut();
     let has_same_list = lead_state.members_digest == answer.hosts_digest;
-    if answer.knows_all_hosts && has_same_list {
+    if answer.knows_all_hosts && knows_departed && has_same_list {
         lead_state.proof.note_complete_list(sent_at);
     }
 }
@@ -227,8 +223,10 @@
     }
 }
 
-fn apply_departed<P: Platform>(shared: &Shared<P>, departed: &[DepartedHostMessage]) {
+// Returns whether this host knows all of them now: one with an invalid entry is left out.
+fn apply_departed<P: Platform>(shared: &Shared<P>, departed: &[DepartedHostMessage]) -> bool {
     let now = shared.now();
+    let mut knows_all = true;
     let mut lead_state = shared.lead_state.borrow_mut();
     for host in departed {
         // It may have joined again, at another address.
@@ -237,12 +235,14 @@
         }
         let Some(member) = parse_member(&host.entry, 0) else {
             warn!(host = host.host.as_str(); "ignoring another host's invalid entry");
+            knows_all = false;
             continue;
         };
         // The age was computed before the answer was sent, so this is no earlier than the listing.
         let listed_at = now.saturating_sub(Duration::from_micros(host.age_us));
         lead_state.note_listed(&host.host.as_str().into(), &member, listed_at);
     }
+    knows_all
 }
 
 fn apply_position<P: Platform>(
