--- a/crates/jujubehold_core/src/quota/bound.rs
+++ b/crates/jujubehold_core/src/quota/bound.rs
@@ -2,15 +2,13 @@
 
 use std::time::Duration;
 
+use super::bucket::BucketLimit;
 use super::limit::QuotaLimit;
 use crate::key_type;
 
 /// How long after its request was sent a token may be used, by the clock of the requesting host.
 pub const TOKEN_LIFETIME: Duration = Duration::from_millis(250);
 
-/// How many hosts may grant from a backup bucket at a time.
-pub(super) const BACKUP_COUNT: usize = 2;
-
 key_type! {
     /// In any window at most (rate × window + burst) × (1 + excess) + slack operations may run.
     pub struct QuotaBound {
@@ -34,28 +32,32 @@
 }
 
 impl QuotaBound {
-    /// Returns the limit of one backup bucket.
+    /// Returns the limit of all buckets of a customer together.
     ///
     /// A token is used up to a lifetime L after its grant, so the operations in a window W come
-    /// from grants within W + L. The grantor gives burst + rate × (W + L) in that time. That leaves
-    /// rate × (excess × W - L) + burst × excess + slack for the backup buckets together. Half of
-    /// the slack is kept for rounding and for hosts whose lists differ for a moment.
-    pub fn backup(&self, limit: QuotaLimit) -> QuotaLimit {
+    /// from grants within W + L, which are at most the burst of all buckets, rate × (W + L) and one
+    /// start credit. The rate is the customer's, or less if that does not leave its burst. A quarter
+    /// of the slack is not used, for configurations that reach the hosts at different times.
+    pub fn bucket_limit(&self, limit: QuotaLimit) -> BucketLimit {
         if limit.admits_nothing() {
-            return QuotaLimit {
-                rate_per_1000_s: 0,
-                burst: 0,
-            };
+            return BucketLimit::default();
         }
-        let excess = u128::from(self.excess_per_mille);
-        let spare_us =
-            (self.window.as_micros() * excess / 1_000).saturating_sub(TOKEN_LIFETIME.as_micros());
-        let granted_us = (self.window + TOKEN_LIFETIME).as_micros() * BACKUP_COUNT as u128;
-        let rate = u128::from(limit.rate_per_1000_s) * spare_us / granted_us;
-        let burst = u128::from(self.slack) / 4 + u128::from(limit.burst) * excess / 2_000;
-        QuotaLimit {
+        let factor = u128::from(1_000 + self.excess_per_mille);
+        let (window_us, lifetime_us) = (self.window.as_micros(), TOKEN_LIFETIME.as_micros());
+        let granted_us = (window_us + lifetime_us).max(1);
+        let rate = u128::from(limit.rate_per_1000_s);
+        let max_rate = rate * window_us * factor / (1_000 * granted_us);
+        let rate = rate.min(max_rate);
+        let slack = u128::from(self.slack);
+        let burst = u128::from(limit.burst) * 1_000 + slack * 250;
+        let granted = rate * granted_us / 1_000_000;
+        let quota = u128::from(limit.rate_per_1000_s) * window_us / 1_000_000
+            + u128::from(limit.burst) * 1_000;
+        let spare = (quota * factor / 1_000 + slack * 750).saturating_sub(granted + burst);
+        BucketLimit {
             rate_per_1000_s: u64::try_from(rate).unwrap_or(u64::MAX),
-            burst: u32::try_from(burst).unwrap_or(u32::MAX),
+            burst_per_mille: u64::try_from(burst).unwrap_or(u64::MAX),
+            start_credit_per_mille: u64::try_from(spare).unwrap_or(u64::MAX),
         }
     }
 
--- a/crates/jujubehold_core/src/quota/hosts.rs
+++ b/crates/jujubehold_core/src/quota/hosts.rs
@@ -1,56 +1,46 @@
-//! The hosts that may grant a customer's tokens, as one host knows them.
+//! The hosts that may keep quotas, as one host knows them.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::time::Duration;
 
-use crate::ids::{HostId, Monotonic};
+use super::partition::{PARTITION_COUNT, QuotaPartition};
+use crate::ids::{DomainId, HostId};
 use crate::lead_table::Revision;
 use crate::ownership::weight;
 use crate::value_type;
 
-/// How long a host that grants without a handover waits after the hosts ahead of it left the list,
-/// and after it was listed: as long as a read proves the list of hosts, and some more for clocks
-/// that run at different rates.
-pub const TAKEOVER_DELAY: Duration = Duration::from_millis(2_460);
-
-/// How long it is remembered that a host left the list. A bucket that is taken over is empty at
-/// first; after this time it counts as full.
-const GONE_REMEMBERED: Duration = Duration::from_hours(1);
-
 value_type! {
-    /// This host's own entry in the list of hosts.
-    pub struct OwnListing {
-        /// The store's revision of the entry.
+    /// A host in the list of hosts.
+    pub struct QuotaHost {
+        /// Its failure domain.
+        pub domain: DomainId,
+        /// The store's revision of its entry.
         pub revision: Revision,
-        /// Since when the host is listed.
-        pub since: Monotonic,
     }
 
-    /// The list of hosts and its recent changes.
+    /// The listed hosts by failure domain, ranked for each partition.
     pub struct QuotaHosts {
         own: HostId,
-        listed: BTreeMap<HostId, Revision>,
-        /// When this host learned that another one had left the list.
-        gone_since: BTreeMap<HostId, Monotonic>,
+        own_domain: DomainId,
+        listed: BTreeMap<HostId, QuotaHost>,
         /// The hosts that said that they are leaving, with the revision of their entries.
         leaving: BTreeMap<HostId, Revision>,
-        own_listing: Option<OwnListing>,
-        proved_until: Monotonic,
+        ranked: [BTreeMap<DomainId, Vec<HostId>>; PARTITION_COUNT],
     }
 }
 
 impl QuotaHosts {
-    /// Creates an empty list for the host `own`.
-    pub fn new(own: HostId) -> Self {
-        Self {
+    /// Creates an empty list for the host `own` of `own_domain`.
+    pub fn new(own: HostId, own_domain: DomainId) -> Self {
+        let mut hosts = Self {
             own,
+            own_domain,
             listed: BTreeMap::new(),
-            gone_since: BTreeMap::new(),
             leaving: BTreeMap::new(),
-            own_listing: None,
-            proved_until: Monotonic::ZERO,
-        }
+            ranked: Default::default(),
+        };
+        hosts.rank();
+        hosts
     }
 
     /// Returns this host.
@@ -58,85 +48,79 @@
         &self.own
     }
 
-    /// Applies the known list of hosts with the revisions of their entries.
-    pub fn set_listed(&mut self, now: Monotonic, listed: BTreeMap<HostId, Revision>) {
-        let before = std::mem::replace(&mut self.listed, listed);
-        for host in before.into_keys() {
-            if !self.listed.contains_key(&host) {
-                self.gone_since.insert(host, now);
-            }
-        }
-        self.gone_since
-            .retain(|_, since| now.saturating_sub(*since) < GONE_REMEMBERED);
+    /// Applies the known list of hosts.
+    pub fn set_listed(&mut self, listed: BTreeMap<HostId, QuotaHost>) {
+        self.listed = listed;
         let listed = &self.listed;
-        self.leaving
-            .retain(|host, revision| listed.get(host) == Some(revision));
-    }
-
-    /// Records this host's own entry, and until when the list is proved.
-    pub fn set_own(&mut self, listing: Option<OwnListing>, proved_until: Monotonic) {
-        self.own_listing = listing;
-        self.proved_until = proved_until;
+        self.leaving.retain(|host, revision| {
+            let entry = listed.get(host);
+            entry.is_some_and(|entry| entry.revision == *revision)
+        });
+        self.rank();
     }
 
     /// Records that `host` is leaving.
     pub fn note_leaving(&mut self, host: &HostId) {
-        if let Some(revision) = self.listed.get(host) {
-            self.leaving.insert(host.clone(), *revision);
+        if let Some(entry) = self.listed.get(host) {
+            self.leaving.insert(host.clone(), entry.revision);
+            self.rank();
         }
     }
 
-    /// Returns the revision of this host's own entry if it is listed.
-    pub(super) fn own_revision(&self) -> Option<Revision> {
-        self.own_listing.as_ref().map(|listing| listing.revision)
-    }
-
-    /// Returns whether `host` is in the list.
-    pub(super) fn is_listed(&self, host: &str) -> bool {
-        self.listed.contains_key(host)
+    fn rank(&mut self) {
+        for partition in QuotaPartition::all() {
+            let mut domains: BTreeMap<DomainId, Vec<HostId>> = BTreeMap::new();
+            let own = (&self.own, &self.own_domain);
+            let listed = self.listed.iter();
+            let others = listed.map(|(host, entry)| (host, &entry.domain));
+            let hosts = others
+                .filter(|(host, _)| **host != self.own)
+                .chain(std::iter::once(own));
+            for (host, domain) in hosts {
+                if !self.leaving.contains_key(host) {
+                    let of_domain = domains.entry(domain.clone()).or_default();
+                    of_domain.push(host.clone());
+                }
+            }
+            for ranked in domains.values_mut() {
+                ranked.sort_by_key(|host| Reverse(weight(partition.rank_key(), host)));
+            }
+            self.ranked[partition.index()] = domains;
+        }
     }
 
-    /// Returns until when the list is proved.
-    pub(super) fn proved_until(&self) -> Monotonic {
-        self.proved_until
+    /// Returns the position of `host` among the hosts of this host's failure domain that may keep
+    /// `partition`, the first one at 0.
+    pub(super) fn rank_of(&self, partition: QuotaPartition, host: &str) -> Option<usize> {
+        let ranked = self.ranked[partition.index()].get(&self.own_domain)?;
+        ranked.iter().position(|ranked| ranked == host)
     }
 
-    /// Returns the first `count` hosts that may grant tokens of `customer`, in the order in which
-    /// they are asked. The host itself is always among the candidates, so that a host without a
-    /// list is the only one.
-    pub fn order(&self, customer: &str, count: usize) -> Vec<HostId> {
-        let others = self.listed.keys().filter(|host| **host != self.own);
-        let candidates = others.chain(std::iter::once(&self.own));
-        let mut ranked: Vec<_> = candidates
-            .filter(|host| !self.leaving.contains_key(*host))
-            .map(|host| (Reverse(weight(customer, host)), host))
-            .collect();
-        if count < ranked.len() {
-            ranked.select_nth_unstable(count);
-            ranked.truncate(count);
-        }
-        ranked.sort_unstable();
-        ranked.into_iter().map(|(_, host)| host.clone()).collect()
+    /// Returns the first host of this host's failure domain that may keep `partition`.
+    pub(super) fn first_own(&self, partition: QuotaPartition) -> Option<&HostId> {
+        let ranked = self.ranked[partition.index()].get(&self.own_domain)?;
+        ranked.first()
     }
 
-    /// Returns the listed host, first in order, that ranks ahead of this one and is not leaving.
-    pub(super) fn ahead(&self, customer: &str) -> Option<HostId> {
-        let first = self.order(customer, 1).into_iter().next();
-        first.filter(|host| *host != self.own)
+    /// Returns the first host of each other failure domain that may keep `partition`.
+    pub(super) fn first_of_others(
+        &self,
+        partition: QuotaPartition,
+    ) -> impl Iterator<Item = &HostId> + Clone {
+        let domains = self.ranked[partition.index()].iter();
+        let others = domains.filter(|(domain, _)| **domain != self.own_domain);
+        others.filter_map(|(_, ranked)| ranked.first())
     }
 
-    /// Returns when this host may grant from an empty bucket without a handover; `None` if another
-    /// host ranks ahead of it or it is not listed. A host that is leaving may still grant until it
-    /// is off the list.
-    pub(super) fn takeover_at(&self, customer: &str) -> Option<Monotonic> {
-        let listing = self.own_listing.as_ref()?;
-        let own_weight = weight(customer, &self.own);
-        let is_ahead = |host: &HostId| weight(customer, host) > own_weight;
-        if self.listed.keys().any(is_ahead) {
-            return None;
-        }
-        let gone = self.gone_since.iter().filter(|(host, _)| is_ahead(host));
-        let last_gone_at = gone.map(|(_, since)| *since + TAKEOVER_DELAY).max();
-        last_gone_at.max(Some(listing.since + TAKEOVER_DELAY))
+    /// Returns the other listed hosts of this host's failure domain, those that are leaving
+    /// included.
+    pub fn domain_peers(&self) -> impl Iterator<Item = &HostId> {
+        let of_domain = self
+            .listed
+            .iter()
+            .filter(|(_, entry)| entry.domain == self.own_domain);
+        of_domain
+            .map(|(host, _)| host)
+            .filter(|host| **host != self.own)
     }
 }
--- a/crates/jujubehold_core/src/quota/messages.rs
+++ b/crates/jujubehold_core/src/quota/messages.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use crate::ids::HostId;
+use super::partition::PartitionSet;
+use crate::ids::{HostId, Nonce};
 use crate::value_type;
 
 value_type! {
@@ -14,24 +15,20 @@
         pub tokens: u32,
         /// How many operations the host has refused since its previous request.
         pub refused: u32,
-        /// Whether the receiver is asked instead of a host that did not answer.
-        pub is_for_backup: bool,
     }
 
     /// The answer to a request for tokens.
     pub enum TokenAnswer {
         /// The host grants tokens.
         Granted(TokenGrant),
-        /// The host does not grant for this customer. Names the host that does, if it is known.
-        NotGrantor(Option<HostId>),
+        /// The host holds no share. Names the keeper of its failure domain, if it is known.
+        NotKeeper(Option<HostId>),
     }
 
     /// Granted tokens.
     pub struct TokenGrant {
         /// How many.
         pub tokens: u32,
-        /// Whether they are from the customer's bucket, not from a backup bucket.
-        pub is_full: bool,
         /// The time until the next token is due.
         pub next_in: Duration,
         /// The time in which one more token becomes due.
@@ -40,13 +37,47 @@
         pub retry_in: Duration,
     }
 
-    /// A customer's bucket on its way to the host that grants from now on.
-    pub struct BucketHandover {
-        /// The host that grants from now on.
-        pub to: HostId,
-        /// A number that distinguishes this handover from every other.
-        pub nonce: u64,
-        /// The tokens in the bucket.
-        pub tokens: u32,
+    /// A keeper's request to lease the receiver's share.
+    pub struct ShareRequest {
+        /// A number that distinguishes this process of the keeper from every other.
+        pub process: Nonce,
+        /// The number of the request in this process.
+        pub number: u64,
+        /// The partitions for which the share is requested.
+        pub partitions: PartitionSet,
+    }
+
+    /// The answer to a keeper's request.
+    pub struct ShareAnswer {
+        /// The number of the request.
+        pub number: u64,
+        /// The partitions for which the share is leased.
+        pub leased: PartitionSet,
+        /// Those of them for which the share is leased with a start credit.
+        pub credited: PartitionSet,
+        /// When the share can be leased for the other partitions.
+        pub next_in: Duration,
+        /// The newest count of the hosts that the lessor knows.
+        pub count: Option<CountedHosts>,
+    }
+
+    /// A count of the hosts as sent to another host.
+    pub struct CountedHosts {
+        /// The number of hosts whose names are recorded in the store.
+        pub hosts: u32,
+        /// The time since the count was requested from the store.
+        pub age: Duration,
+    }
+
+    /// A keeper's message that it no longer uses what was leased to it.
+    pub struct ShareRelease {
+        /// The process of the keeper.
+        pub process: Nonce,
+        /// The number of the latest request whose leases end.
+        pub number: u64,
+        /// The partitions.
+        pub partitions: PartitionSet,
+        /// Whether the keeper is leaving.
+        pub is_leaving: bool,
     }
 }
--- a/crates/jujubehold_core/src/quota/tokens.rs
+++ b/crates/jujubehold_core/src/quota/tokens.rs
@@ -2,14 +2,16 @@
 //!
 //! The load that this addresses: a customer that sends many times its quota through all hosts. A
 //! host has at most one request in flight per customer and pauses after an answer with too few
-//! tokens, so the grantor receives a bounded number of datagrams whatever the callers send.
+//! tokens, so the keepers receive a bounded number of datagrams whatever the callers send. The
+//! keeper of the host's own failure domain is asked first, and those of the others for what it
+//! lacks.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use super::bound::TOKEN_LIFETIME;
-use super::hosts::QuotaHosts;
 use super::messages::{TokenAnswer, TokenGrant, TokenRequest};
+use super::sources::{NextSource, PartitionSources};
 use crate::ids::{HostId, Monotonic};
 use crate::refusal_reason::RefusalReason;
 use crate::value_type;
@@ -18,15 +20,9 @@
 const MIN_PAUSE: Duration = Duration::from_millis(50);
 /// How long an answer may take. A round trip between regions takes 40 ms.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
-/// How long a host is skipped that did not answer twice in a row. One lost datagram in 2,000 is
-/// normal and sends only the one request to the backup, whose bucket is small.
-const SKIP_TIME: Duration = Duration::from_secs(2);
-/// How long a host is skipped whose backup bucket is empty.
-const EMPTY_BACKUP_SKIP_TIME: Duration = Duration::from_millis(200);
-/// How long the host named by another one is asked before the order of hosts applies again.
-const REDIRECT_TIME: Duration = Duration::from_secs(2);
-/// How many hosts are asked in turn.
-const ASKED_HOSTS: usize = 3;
+/// The shortest time for which a keeper of another failure domain that had too few tokens is not
+/// asked again. What accrues to it is meant for the hosts of its own domain first.
+const OTHER_KEEPER_PAUSE: Duration = Duration::from_secs(1);
 /// When a caller should retry if no host answered.
 const UNKNOWN_RETRY_IN: Duration = Duration::from_millis(200);
 /// The longest time after which a refused caller is asked to retry.
@@ -44,8 +40,10 @@
         last_number: u64,
         ask_at: Monotonic,
         shortage: Option<Shortage>,
-        silences: BTreeMap<HostId, Silence>,
-        redirect: Option<(HostId, Monotonic)>,
+        /// The keepers that had too few tokens, and until when they are not asked again.
+        empty_keepers: BTreeMap<HostId, Monotonic>,
+        /// The position of the keeper of another failure domain that is asked first.
+        first_other: usize,
         refused: u32,
     }
 
@@ -66,16 +64,12 @@
         sent_at: Monotonic,
     }
 
-    /// What the latest answer with too few tokens from the customer's bucket said.
+    /// What the latest answer with too few tokens said.
     struct Shortage {
-        next_at: Monotonic,
         interval: Duration,
         retry_at: Monotonic,
-    }
-
-    struct Silence {
-        count: u32,
-        skipped_until: Monotonic,
+        /// When a token is due, once no keeper is left to be asked.
+        next_at: Option<Monotonic>,
     }
 
     /// What the host has to do.
@@ -130,12 +124,12 @@
     }
 
     /// Returns what to do at `now`.
-    pub fn step(&mut self, now: Monotonic, hosts: &QuotaHosts, customer: &str) -> Vec<QuotaAction> {
+    pub fn step(&mut self, now: Monotonic, keepers: &mut PartitionSources) -> Vec<QuotaAction> {
         let mut actions = Vec::new();
         self.expire(now);
         self.admit(&mut actions);
+        self.request(now, keepers, &mut actions);
         self.refuse(now, &mut actions);
-        self.request(now, hosts, customer, &mut actions);
         actions
     }
 
@@ -155,68 +149,57 @@
     }
 
     /// Applies the answer of `host` to the request `number`.
-    pub fn note_answer(&mut self, now: Monotonic, number: u64, host: &HostId, answer: TokenAnswer) {
+    pub fn note_answer(
+        &mut self,
+        now: Monotonic,
+        number: u64,
+        host: &HostId,
+        answer: TokenAnswer,
+        keepers: &mut PartitionSources,
+    ) {
         let request = self
             .request
             .take_if(|request| request.number == number && request.host == *host);
         let Some(request) = request else {
             return;
         };
-        self.silences.remove(&request.host);
+        keepers.sources.note_answered(&request.host);
+        self.ask_at = now;
         match answer {
-            TokenAnswer::Granted(grant) => self.note_grant(now, &request, &grant),
-            TokenAnswer::NotGrantor(to) => self.note_redirect(now, &request, to),
+            TokenAnswer::Granted(grant) => self.note_grant(now, &request, &grant, keepers),
+            TokenAnswer::NotKeeper(keeper) => keepers.note_not_keeper(now, &request.host, keeper),
         }
     }
 
-    fn note_grant(&mut self, now: Monotonic, request: &InFlight, grant: &TokenGrant) {
+    fn note_grant(
+        &mut self,
+        now: Monotonic,
+        request: &InFlight,
+        grant: &TokenGrant,
+        keepers: &PartitionSources,
+    ) {
         self.batches.push_back(TokenBatch {
             count: grant.tokens,
             expires_at: request.sent_at + TOKEN_LIFETIME,
         });
         if grant.tokens >= request.tokens {
+            self.empty_keepers.remove(&request.host);
             self.shortage = None;
-            self.ask_at = now;
             return;
         }
-        if grant.is_full {
-            self.ask_at = now + grant.next_in.max(MIN_PAUSE);
-            self.shortage = Some(Shortage {
-                next_at: now + grant.next_in,
-                interval: grant.interval,
-                retry_at: now + grant.retry_in,
-            });
+        let pause = if keepers.is_own_keeper(&request.host) {
+            grant.next_in.max(MIN_PAUSE)
         } else {
-            self.shortage = None;
-            self.ask_at = now + MIN_PAUSE;
-            self.skip(&request.host, now + EMPTY_BACKUP_SKIP_TIME);
-        }
-    }
-
-    fn note_redirect(&mut self, now: Monotonic, request: &InFlight, to: Option<HostId>) {
-        let was_redirected = self
-            .redirect
-            .take_if(|(host, _)| *host == request.host)
-            .is_some();
-        match to {
-            // A host that does not answer is not asked again at once.
-            Some(to) if to != request.host && !was_redirected && !self.is_skipped(now, &to) => {
-                self.redirect = Some((to, now + REDIRECT_TIME));
-                self.ask_at = now;
-            }
-            Some(_) | None => {
-                self.ask_at = now + MIN_PAUSE;
-                self.skip(&request.host, now + EMPTY_BACKUP_SKIP_TIME);
-            }
-        }
-    }
-
-    fn skip(&mut self, host: &HostId, until: Monotonic) {
-        let silence = Silence {
-            count: 0,
-            skipped_until: until,
+            self.first_other = self.first_other.wrapping_add(1);
+            grant.next_in.max(OTHER_KEEPER_PAUSE)
         };
-        self.silences.insert(host.clone(), silence);
+        let host = request.host.clone();
+        self.empty_keepers.insert(host, now + pause);
+        self.shortage = Some(Shortage {
+            interval: grant.interval,
+            retry_at: now + grant.retry_in,
+            next_at: None,
+        });
     }
 
     fn expire(&mut self, now: Monotonic) {
@@ -244,11 +227,9 @@
     // Refuses the operations that have waited long enough, and those for which no token is due
     // before they would have.
     fn refuse(&mut self, now: Monotonic, actions: &mut Vec<QuotaAction>) {
-        let mut due_at = self
-            .shortage
-            .as_ref()
-            .map(|shortage| shortage.next_at.max(self.ask_at).max(now));
-        let interval = self.shortage.as_ref().map(|shortage| shortage.interval);
+        let shortage = self.shortage.as_ref();
+        let mut due_at = shortage.and_then(|shortage| shortage.next_at);
+        let interval = shortage.map(|shortage| shortage.interval);
         for operation in std::mem::take(&mut self.waiting) {
             let is_late = due_at.is_some_and(|due_at| due_at >= operation.give_up_at);
             if now < operation.give_up_at && !is_late {
@@ -282,18 +263,16 @@
     fn request(
         &mut self,
         now: Monotonic,
-        hosts: &QuotaHosts,
-        customer: &str,
+        keepers: &mut PartitionSources,
         actions: &mut Vec<QuotaAction>,
     ) {
-        self.note_silence(now);
+        self.note_silence(now, keepers);
         let tokens = self.wanted();
         if self.request.is_some() || tokens == 0 || now < self.ask_at {
             return;
         }
-        let Some((host, is_for_backup)) = self.target(now, hosts, customer) else {
+        let Some(host) = self.next_keeper(now, keepers) else {
             self.expected = 0;
-            self.ask_at = now + MIN_PAUSE;
             return;
         };
         self.last_number += 1;
@@ -310,52 +289,43 @@
                 number: self.last_number,
                 tokens,
                 refused: std::mem::take(&mut self.refused),
-                is_for_backup,
             },
         });
     }
 
-    fn note_silence(&mut self, now: Monotonic) {
+    // Returns the keeper to ask, or notes when to ask again.
+    fn next_keeper(&mut self, now: Monotonic, keepers: &mut PartitionSources) -> Option<HostId> {
+        self.empty_keepers.retain(|_, until| now < *until);
+        let empty = &self.empty_keepers;
+        let next = keepers.next(now, self.first_other, |host| empty.contains_key(host));
+        let first_due = self.empty_keepers.values().min().copied();
+        match next {
+            NextSource::Ask(host) => return Some(host),
+            NextSource::AllEmpty => {
+                let ask_at = first_due.unwrap_or(now + MIN_PAUSE);
+                self.ask_at = ask_at;
+                if let Some(shortage) = &mut self.shortage {
+                    shortage.next_at = Some(ask_at);
+                }
+            }
+            NextSource::SomeSilent => {
+                self.shortage = None;
+                self.ask_at = now + MIN_PAUSE;
+            }
+        }
+        None
+    }
+
+    fn note_silence(&mut self, now: Monotonic, keepers: &mut PartitionSources) {
         let request = self
             .request
             .take_if(|request| now >= request.sent_at + ANSWER_TIMEOUT);
-        let Some(request) = request else {
-            return;
-        };
-        self.redirect.take_if(|(host, _)| *host == request.host);
-        let before = self.silences.get(&request.host);
-        let count = before.map_or(0, |silence| silence.count) + 1;
-        let skip = if count > 1 { SKIP_TIME } else { MIN_PAUSE };
-        let skipped_until = now + skip;
-        let silence = Silence {
-            count,
-            skipped_until,
-        };
-        self.silences.insert(request.host, silence);
-        self.shortage = None;
-        self.ask_at = now;
-    }
-
-    fn target(
-        &mut self,
-        now: Monotonic,
-        hosts: &QuotaHosts,
-        customer: &str,
-    ) -> Option<(HostId, bool)> {
-        self.redirect.take_if(|(_, until)| now >= *until);
-        if let Some((host, _)) = &self.redirect
-            && !self.is_skipped(now, host)
-        {
-            return Some((host.clone(), false));
+        if let Some(request) = request {
+            keepers
+                .sources
+                .note_silent(now, &request.host, request.sent_at);
+            self.ask_at = now;
         }
-        let order = hosts.order(customer, ASKED_HOSTS);
-        let found = order.iter().position(|host| !self.is_skipped(now, host))?;
-        Some((order.get(found)?.clone(), found > 0))
-    }
-
-    fn is_skipped(&self, now: Monotonic, host: &HostId) -> bool {
-        let silence = self.silences.get(host);
-        silence.is_some_and(|silence| now < silence.skipped_until)
     }
 
     fn wanted(&self) -> u32 {
--- a/crates/jujubehold_core/tests/quota/host.rs
+++ b/crates/jujubehold_core/tests/quota/host.rs
@@ -6,48 +6,75 @@
 use jujubehold_core::lead_table::Revision;
 use jujubehold_core::prelude::*;
 use jujubehold_core::quota::{
-    OwnListing, QuotaBound, QuotaGrantor, QuotaHosts, QuotaLimit, QuotaTokens,
+    HostCount, NameRecord, PartitionSources, QuotaAction, QuotaBound, QuotaHost, QuotaHosts,
+    QuotaLimit, QuotaPartition, QuotaShares, QuotaSources, QuotaTokens, TokenAnswer, TokenRequest,
 };
 
-/// How long a read proves the list of hosts.
-const PROOF_WINDOW: Duration = Duration::from_millis(2_400);
+/// What a host reads from the store.
+#[derive(Clone)]
+pub(crate) struct Listing {
+    pub(crate) sent_at: Duration,
+    pub(crate) hosts: BTreeMap<HostId, QuotaHost>,
+    pub(crate) name_count: u32,
+    pub(crate) own_record: NameRecord,
+    /// The revisions of the entries of processes that ran long.
+    pub(crate) long_lived: BTreeMap<HostId, Revision>,
+}
 
 /// A host with its own clock, which starts with the process.
 pub(crate) struct SimulatedHost {
     pub(crate) name: HostId,
+    pub(crate) domain: DomainId,
     pub(crate) started_at: Duration,
     pub(crate) is_up: bool,
     pub(crate) is_leaving: bool,
+    pub(crate) has_joined: bool,
+    /// The revision of the entry of the host's earlier process.
+    pub(crate) earlier_revision: Option<Revision>,
     pub(crate) frozen_until: Duration,
     pub(crate) hosts: QuotaHosts,
-    pub(crate) grantor: QuotaGrantor,
+    pub(crate) shares: QuotaShares,
+    pub(crate) sources: QuotaSources,
     pub(crate) tokens: BTreeMap<CustomerId, QuotaTokens>,
     pub(crate) limits: BTreeMap<CustomerId, QuotaLimit>,
-    pub(crate) own: Option<OwnListing>,
     pub(crate) next_read_at: Duration,
+    pub(crate) step_at: Monotonic,
 }
 
 impl SimulatedHost {
     pub(crate) fn new(
         name: HostId,
+        domain: DomainId,
         started_at: Duration,
+        process: Nonce,
         limits: &BTreeMap<CustomerId, QuotaLimit>,
     ) -> Self {
+        let is_first_start = started_at.is_zero();
+        let bound = QuotaBound::default();
         Self {
-            hosts: QuotaHosts::new(name.clone()),
+            hosts: QuotaHosts::new(name.clone(), domain.clone()),
             name,
+            domain,
             started_at,
             is_up: true,
             is_leaving: false,
+            has_joined: false,
+            earlier_revision: None,
             frozen_until: Duration::ZERO,
-            grantor: QuotaGrantor::new(QuotaBound::default()),
+            shares: QuotaShares::new(bound, process, is_first_start),
+            sources: QuotaSources::default(),
             tokens: BTreeMap::new(),
             limits: limits.clone(),
-            own: None,
             next_read_at: started_at,
+            step_at: Monotonic::ZERO,
         }
     }
 
+    /// Returns whether the process started with the whole system.
+    pub(crate) fn is_first_start(&self) -> bool {
+        self.started_at.is_zero()
+    }
+
     /// Converts a time of the simulation to the host's clock.
     pub(crate) fn local(&self, now: Duration) -> Monotonic {
         now.saturating_sub(self.started_at)
@@ -57,23 +84,72 @@
         self.is_up && now >= self.frozen_until
     }
 
-    /// Applies a read of the list that was sent at `sent_at`.
-    pub(crate) fn apply_read(
+    /// Applies a read of the store.
+    pub(crate) fn apply_listing(&mut self, now: Duration, listing: &Listing) {
+        let local = self.local(now);
+        let read_at = self.local(listing.sent_at);
+        self.hosts.set_listed(listing.hosts.clone());
+        if listing.hosts.contains_key(&self.name) {
+            self.shares.own.note_listed(read_at);
+        }
+        self.shares.own.note_record(local, listing.own_record);
+        let long_lived = listing.long_lived.get(&self.name);
+        if long_lived.is_some() && long_lived == self.earlier_revision.as_ref() {
+            self.shares.own.note_long_earlier_process();
+        }
+        let count = HostCount {
+            hosts: listing.name_count,
+            read_at,
+        };
+        self.shares.note_count(local, count);
+    }
+
+    /// Returns what the host does for the waiting operations of `customer`.
+    pub(crate) fn step_tokens(&mut self, now: Duration, customer: &CustomerId) -> Vec<QuotaAction> {
+        let local = self.local(now);
+        let Some(mut tokens) = self.tokens.remove(customer) else {
+            return Vec::new();
+        };
+        let actions = tokens.step(local, &mut self.keepers(local, customer));
+        self.tokens.insert(customer.clone(), tokens);
+        actions
+    }
+
+    pub(crate) fn note_tokens(
         &mut self,
         now: Duration,
-        sent_at: Duration,
-        listed: &BTreeMap<HostId, Revision>,
+        customer: &CustomerId,
+        (number, from): (u64, &HostId),
+        answer: TokenAnswer,
     ) {
         let local = self.local(now);
-        self.hosts.set_listed(local, listed.clone());
-        let own = listed.get(&self.name);
-        if self.own.as_ref().map(|own| &own.revision) != own {
-            self.own = own.map(|revision| OwnListing {
-                revision: *revision,
-                since: local,
-            });
+        let Some(mut tokens) = self.tokens.remove(customer) else {
+            return;
+        };
+        let mut keepers = self.keepers(local, customer);
+        tokens.note_answer(local, number, from, answer, &mut keepers);
+        self.tokens.insert(customer.clone(), tokens);
+    }
+
+    pub(crate) fn answer_tokens(
+        &mut self,
+        now: Duration,
+        customer: &CustomerId,
+        request: &TokenRequest,
+    ) -> TokenAnswer {
+        let local = self.local(now);
+        let limit = self.limits[customer];
+        self.shares
+            .answer_tokens(local, &self.hosts, customer, limit, request)
+    }
+
+    fn keepers(&mut self, local: Monotonic, customer: &CustomerId) -> PartitionSources<'_> {
+        let partition = QuotaPartition::of(customer);
+        PartitionSources {
+            sources: &mut self.sources,
+            hosts: &self.hosts,
+            partition,
+            own_keeper: self.shares.keeper_of(local, &self.hosts, partition),
         }
-        let proved_until = self.local(sent_at) + PROOF_WINDOW;
-        self.hosts.set_own(self.own.clone(), proved_until);
     }
 }
--- a/crates/jujubehold_core/tests/quota/simulation.rs
+++ b/crates/jujubehold_core/tests/quota/simulation.rs
@@ -6,15 +6,20 @@
 use jujubehold_core::lead_table::Revision;
 use jujubehold_core::prelude::*;
 use jujubehold_core::quota::{
-    BucketHandover, QuotaAction, QuotaBound, QuotaLimit, TokenAnswer, TokenRequest,
+    NameRecord, QuotaAction, QuotaBound, QuotaHost, QuotaLimit, ShareAction, ShareAnswer,
+    ShareRelease, ShareRequest, TokenAnswer, TokenRequest, min_process_age,
 };
 
-use super::host::SimulatedHost;
+use super::host::{Listing, SimulatedHost};
 use super::random::Random;
 
 const TICK: Duration = Duration::from_millis(5);
 const READ_INTERVAL: Duration = Duration::from_millis(800);
 const LEASE: Duration = Duration::from_secs(3);
+/// How long after a host left the list its name is removed.
+const FORGET_DELAY: Duration = Duration::from_secs(30);
+/// How long after its start a host accepts callers: it needs its configuration and a proof first.
+const READY_DELAY: Duration = Duration::from_millis(300);
 /// How long an operation waits for a token.
 const WAIT: Duration = Duration::from_millis(240);
 
@@ -22,9 +27,12 @@
 enum Message {
     Request(TokenRequest),
     Answer(u64, TokenAnswer),
-    Handover(BucketHandover, bool),
-    Confirmation(Nonce),
-    Read(Duration, BTreeMap<HostId, Revision>),
+    ShareRequest(ShareRequest),
+    ShareAnswer(ShareAnswer),
+    ShareRelease(ShareRelease),
+    Read(Listing),
+    /// The confirmation that the host's name was recorded.
+    Recorded(Duration, NameRecord),
 }
 
 #[derive(Clone)]
@@ -48,6 +56,7 @@
 pub(crate) struct Counts {
     pub(crate) admitted_at: Vec<Duration>,
     pub(crate) refused: BTreeMap<RefusalReason, u64>,
+    pub(crate) refused_at: Vec<Duration>,
 }
 
 pub(crate) struct Simulation {
@@ -57,12 +66,21 @@
     pub(crate) counts: BTreeMap<CustomerId, Counts>,
     pub(crate) limits: BTreeMap<CustomerId, QuotaLimit>,
     pub(crate) cut_links: BTreeSet<(usize, usize)>,
+    /// The hosts that are cut off from the store.
+    pub(crate) cut_from_store: BTreeSet<usize>,
     /// When the store is available again to all.
     pub(crate) store_available_at: Duration,
     pub(crate) faults: Faults,
     pub(crate) requests: u64,
-    pub(crate) store: BTreeMap<HostId, Revision>,
+    pub(crate) store: BTreeMap<HostId, QuotaHost>,
+    /// The recorded names, and whether each is settled.
+    pub(crate) names: BTreeMap<HostId, NameRecord>,
     leases: BTreeMap<HostId, Duration>,
+    listed_at: BTreeMap<HostId, Duration>,
+    /// Since when each host has been listed with its entry.
+    entered_at: BTreeMap<HostId, (Revision, Duration)>,
+    long_lived: BTreeMap<HostId, Revision>,
+    domain_count: usize,
     last_revision: Revision,
     last_id: u64,
     in_flight: BTreeMap<(Duration, u64), Datagram>,
@@ -71,30 +89,43 @@
 impl Simulation {
     pub(crate) fn new(
         seed: u64,
-        host_count: usize,
+        (host_count, domain_count): (usize, usize),
         limits: BTreeMap<CustomerId, QuotaLimit>,
         faults: Faults,
     ) -> Self {
-        let name = |number| HostId::from(format!("host-{number}"));
-        let hosts = (0..host_count)
-            .map(|number| SimulatedHost::new(name(number), Duration::ZERO, &limits))
-            .collect();
-        Self {
+        let mut simulation = Self {
             now: Duration::ZERO,
             random: Random::new(seed),
-            hosts,
+            hosts: Vec::new(),
             counts: BTreeMap::new(),
             limits,
             cut_links: BTreeSet::new(),
+            cut_from_store: BTreeSet::new(),
             store_available_at: Duration::ZERO,
             faults,
             requests: 0,
             store: BTreeMap::new(),
+            names: BTreeMap::new(),
             leases: BTreeMap::new(),
+            listed_at: BTreeMap::new(),
+            entered_at: BTreeMap::new(),
+            long_lived: BTreeMap::new(),
+            domain_count,
             last_revision: 0,
             last_id: 0,
             in_flight: BTreeMap::new(),
+        };
+        for index in 0..host_count {
+            let host = simulation.new_host(index, format!("host-{index}").into());
+            simulation.hosts.push(host);
         }
+        simulation
+    }
+
+    fn new_host(&mut self, index: usize, name: HostId) -> SimulatedHost {
+        self.last_id += 1;
+        let domain = DomainId::from(format!("domain-{}", index % self.domain_count));
+        SimulatedHost::new(name, domain, self.now, self.last_id, &self.limits)
     }
 
     /// Lets an operation of `customer` arrive at `host`.
@@ -110,13 +141,16 @@
         tokens.wait(id, give_up_at);
     }
 
-    /// Lets `rate_per_s` operations per second arrive at random hosts during one tick.
+    /// Lets `rate_per_s` operations per second arrive at random hosts that have run for
+    /// `READY_DELAY`, during one tick.
     pub(crate) fn arrive_at_random(&mut self, rate_per_s: u64, customer: &CustomerId) {
         let per_tick_in_1000s = rate_per_s * 5;
         let extra = self.random.below(1_000) < per_tick_in_1000s % 1_000;
         for _ in 0..per_tick_in_1000s / 1_000 + u64::from(extra) {
             let host = usize::try_from(self.random.below(self.hosts.len() as u64)).unwrap_or(0);
-            self.arrive(host, customer);
+            if self.hosts[host].local(self.now) >= READY_DELAY {
+                self.arrive(host, customer);
+            }
         }
     }
 
@@ -127,7 +161,7 @@
         for index in 0..self.hosts.len() {
             if self.hosts[index].runs(self.now) {
                 self.use_store(index);
-                self.hand_over(index);
+                self.step_shares(index);
                 self.step(index);
             }
         }
@@ -135,14 +169,21 @@
 
     pub(crate) fn restart(&mut self, index: usize) {
         let name = self.hosts[index].name.clone();
-        self.hosts[index] = SimulatedHost::new(name, self.now, &self.limits);
+        self.hosts[index] = self.new_host(index, name);
+    }
+
+    /// Starts a host of another name in the place of one that is gone for good.
+    pub(crate) fn replace(&mut self, index: usize) {
+        let name = format!("host-{index}-{}", self.last_id);
+        self.hosts[index] = self.new_host(index, name.into());
     }
 
     pub(crate) fn leave(&mut self, index: usize) {
-        self.hosts[index].is_leaving = true;
-        let name = self.hosts[index].name.clone();
-        self.hosts[index].grantor.leave();
-        self.hosts[index].hosts.note_leaving(&name);
+        let host = &mut self.hosts[index];
+        host.is_leaving = true;
+        let name = host.name.clone();
+        host.hosts.note_leaving(&name);
+        host.step_at = Monotonic::ZERO;
     }
 
     pub(crate) fn end(&mut self, index: usize) {
@@ -164,52 +205,105 @@
         let (now, leases) = (self.now, &self.leases);
         self.store
             .retain(|host, _| leases.get(host).is_some_and(|until| now < *until));
+        for host in self.store.keys() {
+            self.listed_at.insert(host.clone(), now);
+        }
+        self.note_long_lived();
+        let listed_at = &self.listed_at;
+        self.names.retain(|host, _| {
+            let listed_at = listed_at.get(host);
+            listed_at.is_none_or(|at| now < *at + FORGET_DELAY)
+        });
     }
 
-    // Renews the host's lease and reads the list. The known list is as of the time at which the
-    // read reaches the store; it proves the list from the time at which it was sent.
+    fn note_long_lived(&mut self) {
+        let min_age = min_process_age(&QuotaBound::default());
+        for (host, entry) in &self.store {
+            let entered = (entry.revision, self.now);
+            let since = self.entered_at.entry(host.clone()).or_insert(entered);
+            if since.0 != entry.revision {
+                *since = entered;
+            }
+            if self.now >= since.1 + min_age {
+                self.long_lived.insert(host.clone(), entry.revision);
+            }
+        }
+    }
+
+    // Renews the host's lease, writes what is due and reads the list. The known list is as of the
+    // time at which the read reaches the store.
     fn use_store(&mut self, index: usize) {
-        let is_store_available = self.is_store_available();
+        let is_store_available = self.is_store_available() && !self.cut_from_store.contains(&index);
+        let now = self.now;
         let host = &mut self.hosts[index];
-        if self.now < host.next_read_at {
+        if now < host.next_read_at {
             return;
         }
-        host.next_read_at = self.now + READ_INTERVAL;
+        host.next_read_at = now + READ_INTERVAL;
         if !is_store_available {
             return;
         }
         let name = host.name.clone();
-        self.leases.insert(name.clone(), self.now + LEASE);
+        self.leases.insert(name.clone(), now + LEASE);
         // A restarted host writes its entry anew, and so does one whose entry is gone.
-        if !self.store.contains_key(&name) || host.own.is_none() {
+        if !self.store.contains_key(&name) || !host.has_joined {
             self.last_revision += 1;
-            self.store.insert(name.clone(), self.last_revision);
+            if !host.has_joined {
+                let earlier = self.store.get(&name);
+                host.earlier_revision = earlier.map(|entry| entry.revision);
+            }
+            let entry = QuotaHost {
+                domain: host.domain.clone(),
+                revision: self.last_revision,
+            };
+            self.store.insert(name.clone(), entry);
+            if host.is_first_start() && !host.has_joined {
+                self.names.insert(name.clone(), NameRecord::Settled);
+                let local = host.local(now);
+                host.shares.own.note_first_listing(local);
+            }
+            host.has_joined = true;
         }
-        // A lost read leaves the host with an older list that is still proved.
-        if self.random.percent(self.faults.lost_reads_percent) {
-            return;
+        let local = host.local(now);
+        if let Some(record) = host.shares.own.record_to_write(local) {
+            self.names.insert(name.clone(), record);
+            self.answer_store_call(index, Message::Recorded(now, record));
         }
-        let read = Message::Read(self.now, self.store.clone());
-        let delay = Duration::from_millis(self.random.between(1, 300));
-        self.put(index, index, &CustomerId::default(), read, delay);
+        let listing = Listing {
+            sent_at: now,
+            hosts: self.store.clone(),
+            name_count: u32::try_from(self.names.len()).unwrap_or(u32::MAX),
+            long_lived: self.long_lived.clone(),
+            own_record: self.names.get(&name).copied().unwrap_or(NameRecord::Absent),
+        };
+        self.answer_store_call(index, Message::Read(listing));
     }
 
-    fn hand_over(&mut self, index: usize) {
-        if !self.now.as_millis().is_multiple_of(100) {
-            return;
+    fn answer_store_call(&mut self, index: usize, answer: Message) {
+        // A lost read leaves the host with an older list.
+        if !self.random.percent(self.faults.lost_reads_percent) {
+            let delay = Duration::from_millis(self.random.between(1, 300));
+            self.put(index, index, &CustomerId::default(), answer, delay);
         }
-        let random = &mut self.random;
+    }
+
+    fn step_shares(&mut self, index: usize) {
         let host = &mut self.hosts[index];
         let local = host.local(self.now);
-        let limits = |customer: &CustomerId| host.limits.get(customer).copied();
-        let handovers = host
-            .grantor
-            .handovers(local, &host.hosts, limits, || random.below(u64::MAX));
-        let is_leaving = host.is_leaving;
-        for (customer, handover) in handovers {
-            let to = handover.to.clone();
-            let message = Message::Handover(handover, is_leaving);
-            self.send(index, &to, &customer, &message);
+        if local < host.step_at {
+            return;
+        }
+        let actions = host.shares.step(local, &host.hosts, host.is_leaving);
+        host.step_at = host.shares.wake_at(local);
+        let peers: Vec<_> = host.hosts.domain_peers().cloned().collect();
+        for action in actions {
+            let message = match action {
+                ShareAction::Request(request) => Message::ShareRequest(request),
+                ShareAction::Release(release) => Message::ShareRelease(release),
+            };
+            for peer in &peers {
+                self.send(index, peer, &CustomerId::default(), &message);
+            }
         }
     }
 
@@ -218,12 +312,7 @@
         for customer in customers {
             for round in 0.. {
                 assert!(round < 10, "a host answers itself without end");
-                let host = &mut self.hosts[index];
-                let local = host.local(self.now);
-                let Some(tokens) = host.tokens.get_mut(&customer) else {
-                    break;
-                };
-                let actions = tokens.step(local, &host.hosts, &customer);
+                let actions = self.hosts[index].step_tokens(self.now, &customer);
                 if !self.act(index, &customer, actions) {
                     break;
                 }
@@ -243,14 +332,13 @@
                 QuotaAction::Refuse { reason, .. } => {
                     let counts = self.counts.entry(customer.clone()).or_default();
                     *counts.refused.entry(reason).or_default() += 1;
+                    counts.refused_at.push(self.now);
                 }
                 QuotaAction::Request { to, request } if to == self.hosts[index].name => {
-                    let answer = self.answer(index, customer, &request);
+                    let now = self.now;
                     let host = &mut self.hosts[index];
-                    let local = host.local(self.now);
-                    if let Some(tokens) = host.tokens.get_mut(customer) {
-                        tokens.note_answer(local, request.number, &to, answer);
-                    }
+                    let answer = host.answer_tokens(now, customer, &request);
+                    host.note_tokens(now, customer, (request.number, &to), answer);
                     is_answered = true;
                 }
                 QuotaAction::Request { to, request } => {
@@ -262,19 +350,6 @@
         is_answered
     }
 
-    fn answer(
-        &mut self,
-        index: usize,
-        customer: &CustomerId,
-        request: &TokenRequest,
-    ) -> TokenAnswer {
-        let host = &mut self.hosts[index];
-        let local = host.local(self.now);
-        let limit = host.limits[customer];
-        host.grantor
-            .answer(local, &host.hosts, customer, limit, request)
-    }
-
     fn send(&mut self, from: usize, to: &HostId, customer: &CustomerId, message: &Message) {
         let Some(to) = self.hosts.iter().position(|host| host.name == *to) else {
             return;
@@ -336,40 +411,40 @@
         } = datagram;
         let sender = self.hosts[from].name.clone();
         let now = self.now;
+        let host = &mut self.hosts[to];
+        let local = host.local(now);
         match message {
             Message::Request(request) => {
-                let answer = self.answer(to, &customer, &request);
+                let answer = host.answer_tokens(now, &customer, &request);
                 let message = Message::Answer(request.number, answer);
                 self.send(to, &sender, &customer, &message);
             }
             Message::Answer(number, answer) => {
-                let host = &mut self.hosts[to];
-                let local = host.local(now);
-                if let Some(tokens) = host.tokens.get_mut(&customer) {
-                    tokens.note_answer(local, number, &sender, answer);
-                }
+                host.note_tokens(now, &customer, (number, &sender), answer);
             }
-            Message::Handover(handover, is_leaving) => {
-                let host = &mut self.hosts[to];
-                if is_leaving {
+            Message::ShareRequest(request) => {
+                let answer = host.shares.answer_request(local, &sender, &request);
+                self.send(to, &sender, &customer, &Message::ShareAnswer(answer));
+            }
+            Message::ShareAnswer(answer) => {
+                host.shares.note_answer(local, &sender, &answer);
+                host.step_at = host.shares.wake_at(local);
+            }
+            Message::ShareRelease(release) => {
+                if release.is_leaving {
                     host.hosts.note_leaving(&sender);
                 }
-                let local = host.local(now);
-                let BucketHandover { nonce, tokens, .. } = handover;
-                let is_received =
-                    host.grantor
-                        .receive_handover(local, &host.hosts, &customer, nonce, tokens);
-                if is_received {
-                    self.send(to, &sender, &customer, &Message::Confirmation(nonce));
-                }
+                host.shares.note_release(local, &sender, &release);
             }
-            Message::Confirmation(nonce) => {
-                self.hosts[to].grantor.confirm_handover(&customer, nonce);
+            // The answer to a call of an earlier process of the host is lost with it.
+            Message::Read(listing) => {
+                if listing.sent_at >= host.started_at {
+                    host.apply_listing(now, &listing);
+                }
             }
-            Message::Read(sent_at, listed) => {
-                // A read of an earlier process of the host is lost with it.
-                if sent_at >= self.hosts[to].started_at {
-                    self.hosts[to].apply_read(now, sent_at, &listed);
+            Message::Recorded(sent_at, record) => {
+                if sent_at >= host.started_at {
+                    host.shares.own.note_written(local, record);
                 }
             }
         }
--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -5,6 +5,7 @@
 use jujubehold_core::lead_table::LeadTable;
 use log::{debug, info, warn};
 
+use super::host_names::apply_names;
 use super::instances::apply_member_listing;
 use super::lead_document::parse_leads;
 use super::peers::Peers;
@@ -149,6 +150,7 @@
         .watch_progress
         .borrow_mut()
         .note_store_revision(now, listing.revision);
+    apply_names(shared, &listing, sent_at);
     let is_listed = apply_member_listing(shared, &listing, sent_at);
     if is_listed && table.revision >= shared.lead_state.borrow().table.revision {
         shared.adopt_table(table);
--- a/crates/jujubehold_entry/src/control/membership.rs
+++ b/crates/jujubehold_entry/src/control/membership.rs
@@ -7,10 +7,12 @@
 
 use jujubehold_core::backoff::Backoff;
 use jujubehold_core::lead_table::Revision;
+use jujubehold_core::quota::NameRecord;
 use log::info;
 use smol_str::{SmolStr, format_smolstr};
 
 use super::HOSTS_PREFIX;
+use super::host_names::{name_key, name_value};
 use super::instances::discard_membership;
 use super::member_document::format_member;
 use super::store_calls::{STORE_CALL_TIMEOUT, call_with_timeout, wait_for_turn};
@@ -107,18 +109,22 @@
     let key: SmolStr = format_smolstr!("{HOSTS_PREFIX}{}", shared.settings.host);
     let grant = shared.store.grant_lease(lease_time);
     // Both at once: a host that has just started serves no request before it has joined.
-    let (lease, expected) = tokio::join!(
+    let (lease, earlier) = tokio::join!(
         call_with_timeout(shared, "grant_lease", STORE_CALL_TIMEOUT, grant),
         earlier_key_revision(shared, &key),
     );
-    let (lease, expected) = (lease?, expected?);
+    let (lease, earlier) = (lease?, earlier?);
+    let entry = format_member(peer, &shared.settings.domain);
+    let mut writes = vec![(key.clone(), entry, Some(lease))];
+    let records_name = shared.settings.is_first_start && shared.settings.expects_quotas;
+    if records_name {
+        let value = name_value(NameRecord::Settled);
+        writes.push((name_key(&shared.settings.host), value, None));
+    }
     let change = StoreChange {
-        expected: vec![(key.clone(), expected)],
-        writes: vec![(
-            key,
-            format_member(peer, &shared.settings.domain),
-            Some(lease),
-        )],
+        expected: vec![(key, earlier)],
+        writes,
+        ..StoreChange::default()
     };
     let commit = shared.store.commit(&change);
     let CommitOutcome::Committed(key_revision) =
@@ -128,6 +134,12 @@
     };
     let joined_at = shared.now();
     info!(lease, revision = key_revision; "joined the list of hosts");
+    if shared.earlier_key_revision.get().is_none() {
+        shared.earlier_key_revision.set(Some(earlier));
+    }
+    if records_name {
+        shared.quotas.note_first_listing(joined_at);
+    }
     let mut lead_state = shared.lead_state.borrow_mut();
     lead_state
         .proof
--- a/crates/jujubehold_entry/src/control/mod.rs
+++ b/crates/jujubehold_entry/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! each service's primary.
 
 mod first_primaries;
+mod host_names;
 mod instances;
 mod lead_document;
 mod lead_reader;
@@ -24,6 +25,7 @@
 
 use crate::prelude::*;
 
+pub(crate) use host_names::HostNames;
 pub(crate) use membership::leave;
 pub(crate) use peers::Peers;
 pub(crate) use quotas::{AdmittedOperation, Quotas, admit, expect_operation, give_back};
@@ -32,7 +34,8 @@
 /// Starts all background tasks.
 pub(crate) fn start<P: Platform>(shared: &Rc<Shared<P>>, peers: &Rc<Peers>) {
     shared.quotas.set_peers(Rc::clone(peers));
-    actix_rt::spawn(quotas::maintain_buckets(Rc::clone(shared)));
+    actix_rt::spawn(quotas::keep_shares(Rc::clone(shared)));
+    actix_rt::spawn(host_names::keep_names(Rc::clone(shared)));
     actix_rt::spawn(store_watch::watch_store(Rc::clone(shared)));
     actix_rt::spawn(membership::keep_membership(
         Rc::clone(shared),
@@ -60,3 +63,7 @@
 pub(crate) const DUTY_KEY: &str = "jh/duty";
 /// The prefix of the keys that list the hosts, one per host.
 pub(crate) const HOSTS_PREFIX: &str = "jh/host/";
+/// The key of the record of the processes that have run for long.
+pub(crate) const LONG_LIVED_KEY: &str = "jh/long-lived";
+/// The prefix of the keys that record the names of the hosts, one per host.
+pub(crate) const NAMES_PREFIX: &str = "jh/name/";
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -1,5 +1,9 @@
 //! The datagrams that hosts exchange.
 
+use std::time::Duration;
+
+use jujubehold_core::quota::CountedHosts;
+
 /// One datagram.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct PeerMessage {
@@ -64,33 +68,85 @@
     /// the digest or in `departed`.
     #[prost(bool, tag = "20")]
     pub(crate) knows_all_hosts: bool,
+    /// What the datagram says about the sender's or the receiver's share of the quotas.
+    #[prost(message, optional, tag = "21")]
+    pub(crate) share: Option<ShareMessage>,
+    /// The newest count of the hosts that the sender knows.
+    #[prost(message, optional, tag = "22")]
+    pub(crate) counted_hosts: Option<CountedHostsMessage>,
+}
+
+/// A request to lease a share of the quotas, its answer, or a release of leased shares.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub(crate) struct ShareMessage {
+    /// The process of the keeper.
+    #[prost(uint64, tag = "1")]
+    pub(crate) process: u64,
+    /// The number of the request.
+    #[prost(uint64, tag = "2")]
+    pub(crate) number: u64,
+    /// The partitions that are requested, leased or given up, as bits.
+    #[prost(uint32, tag = "3")]
+    pub(crate) partitions: u32,
+    /// The partitions that are leased with a start credit, as bits.
+    #[prost(uint32, tag = "6")]
+    pub(crate) credited: u32,
+    /// When the share can be leased for the partitions that were refused, in microseconds.
+    #[prost(uint64, tag = "4")]
+    pub(crate) next_in_us: u64,
+    /// Whether the keeper that gives up shares is leaving.
+    #[prost(bool, tag = "5")]
+    pub(crate) is_leaving: bool,
+}
+
+/// A count of the hosts as sent to another host.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub(crate) struct CountedHostsMessage {
+    /// The number of hosts whose names are recorded.
+    #[prost(uint32, tag = "1")]
+    pub(crate) hosts: u32,
+    /// The time since the count was requested from the store, in microseconds.
+    #[prost(uint64, tag = "2")]
+    pub(crate) age_us: u64,
+}
+
+impl From<CountedHosts> for CountedHostsMessage {
+    fn from(counted: CountedHosts) -> Self {
+        Self {
+            hosts: counted.hosts,
+            age_us: u64::try_from(counted.age.as_micros()).unwrap_or(u64::MAX),
+        }
+    }
 }
 
-/// A request for tokens of a customer, its answer, or the handover of the customer's bucket.
+impl From<CountedHostsMessage> for CountedHosts {
+    fn from(message: CountedHostsMessage) -> Self {
+        Self {
+            hosts: message.hosts,
+            age: Duration::from_micros(message.age_us),
+        }
+    }
+}
+
+/// A request for tokens of a customer, or its answer.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub(crate) struct QuotaMessage {
     /// The customer.
     #[prost(string, tag = "1")]
     pub(crate) customer: String,
-    /// The number of the request or of the handover.
+    /// The number of the request.
     #[prost(uint64, tag = "2")]
     pub(crate) number: u64,
-    /// How many tokens are requested, granted or handed over.
+    /// How many tokens are requested or granted.
     #[prost(uint32, tag = "3")]
     pub(crate) tokens: u32,
     /// How many operations the requesting host has refused since its previous request.
     #[prost(uint32, tag = "4")]
     pub(crate) refused: u32,
-    /// Whether the request is meant for a backup.
-    #[prost(bool, tag = "5")]
-    pub(crate) is_for_backup: bool,
-    /// If the host that answers does not grant for the customer, the host that does; empty if it is
+    /// If the host that answers holds no share, the keeper of its failure domain; empty if it is
     /// not known.
     #[prost(string, optional, tag = "7")]
-    pub(crate) grantor: Option<String>,
-    /// Whether the tokens are from the customer's bucket, not from a backup bucket.
-    #[prost(bool, tag = "8")]
-    pub(crate) is_full: bool,
+    pub(crate) keeper: Option<String>,
     /// The time until the next token is due, in microseconds.
     #[prost(uint64, tag = "9")]
     pub(crate) next_in_us: u64,
@@ -100,9 +156,6 @@
     /// The time after which the next refused caller should retry, in microseconds.
     #[prost(uint64, tag = "11")]
     pub(crate) retry_in_us: u64,
-    /// Whether the host that hands over the bucket is leaving.
-    #[prost(bool, tag = "12")]
-    pub(crate) is_leaving: bool,
 }
 
 /// How far a host knows the changes of the directory.
@@ -222,10 +275,12 @@
     TokenRequest = 7,
     /// Answers a request for tokens.
     TokenAnswer = 8,
-    /// Hands over a customer's bucket.
-    BucketHandover = 9,
-    /// Confirms a handover.
-    HandoverConfirmed = 10,
+    /// Requests the receiver's share of the quotas.
+    ShareRequest = 11,
+    /// Answers a request for a share.
+    ShareAnswer = 12,
+    /// Gives up shares.
+    ShareRelease = 13,
 }
 
 impl PeerMessageKind {
@@ -241,8 +296,9 @@
             Self::Proof => "proof",
             Self::TokenRequest => "token_request",
             Self::TokenAnswer => "token_answer",
-            Self::BucketHandover => "bucket_handover",
-            Self::HandoverConfirmed => "handover_confirmed",
+            Self::ShareRequest => "share_request",
+            Self::ShareAnswer => "share_answer",
+            Self::ShareRelease => "share_release",
         }
     }
 }
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -210,10 +210,11 @@
         PeerMessageKind::Stopped => record_stopped(peers, message),
         PeerMessageKind::ProofQuestion => answer_question(shared, peers, message),
         PeerMessageKind::Proof => peers.questions.deliver_answer(message),
-        PeerMessageKind::TokenRequest => quotas::answer_request(shared, peers, message),
-        PeerMessageKind::TokenAnswer => quotas::apply_answer(shared, message),
-        PeerMessageKind::BucketHandover => quotas::receive_handover(shared, peers, message),
-        PeerMessageKind::HandoverConfirmed => quotas::note_confirmed(shared, message),
+        PeerMessageKind::TokenRequest => quotas::answer_token_request(shared, peers, message),
+        PeerMessageKind::TokenAnswer => quotas::apply_token_answer(shared, message),
+        PeerMessageKind::ShareRequest => quotas::answer_share_request(shared, peers, message),
+        PeerMessageKind::ShareAnswer => quotas::apply_share_answer(shared, message),
+        PeerMessageKind::ShareRelease => quotas::apply_release(shared, message),
     }
 }
 
--- a/crates/jujubehold_entry/src/control/primary_change/announce.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/announce.rs
@@ -74,6 +74,7 @@
             format_leads(&new_table),
             None,
         )],
+        ..StoreChange::default()
     };
     if !holds_duty {
         let value = Bytes::copy_from_slice(host.as_bytes());
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -46,6 +46,7 @@
     answer.departed = departed.hosts;
     answer.knows_all_hosts = departed.is_complete;
     answer.read = own_read(shared);
+    answer.counted_hosts = shared.quotas.counted_hosts(shared.now()).map(Into::into);
     answer.positions = primary_positions(shared, question);
     peers.send_to(shared, &question.from, &answer);
 }
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -5,6 +5,7 @@
 use jujubehold_core::directory_progress::DirectoryNews;
 use jujubehold_core::position_demand::{PositionDemand, PositionDemandSettings};
 use jujubehold_core::proof_sharing::{SharedRead, SharedReadCheck, SharedReadFault, happened_at};
+use jujubehold_core::quota::HostCount;
 use log::warn;
 use tokio::sync::oneshot;
 
@@ -145,6 +146,11 @@
             });
     }
     apply_known_hosts(shared, sent_at, answer);
+    if let Some(counted) = answer.counted_hosts
+        && let Some(count) = HostCount::received(sent_at, &counted.into())
+    {
+        shared.quotas.note_count(shared.now(), count);
+    }
     let read = SharedRead {
         age: Duration::from_micros(shared_read.age_us),
         revision: shared_read.revision,
--- a/crates/jujubehold_entry/src/control/table_access.rs
+++ b/crates/jujubehold_entry/src/control/table_access.rs
@@ -19,6 +19,7 @@
     let change = StoreChange {
         expected: vec![(SmolStr::new_static(LEAD_KEY), table.revision)],
         writes: vec![(SmolStr::new_static(LEAD_KEY), format_leads(table), None)],
+        ..StoreChange::default()
     };
     let commit = shared.store.commit(&change);
     match call_with_timeout(shared, "commit", STORE_CALL_TIMEOUT, commit).await {
--- a/crates/jujubehold_entry/src/metric_names.rs
+++ b/crates/jujubehold_entry/src/metric_names.rs
@@ -34,7 +34,9 @@
 pub(crate) const LOG_LINES_LEFT_OUT: &str = "jujubehold_log_lines_left_out_total";
 /// Requests for tokens of customers that this host made, by whom they went `to`.
 pub(crate) const QUOTA_REQUESTS: &str = "jujubehold_quota_requests_total";
-/// Tokens of customers that this host granted, by `bucket`: full or backup.
+/// Tokens of customers that this host granted.
 pub(crate) const QUOTA_TOKENS: &str = "jujubehold_quota_tokens_total";
-/// Handovers of customers' buckets, by `direction`: sent or received.
-pub(crate) const QUOTA_HANDOVERS: &str = "jujubehold_quota_handovers_total";
+/// Rounds of requests for the shares of the quotas that this host made as a keeper.
+pub(crate) const QUOTA_SHARE_REQUESTS: &str = "jujubehold_quota_share_requests_total";
+/// How often this host gave up shares of the quotas that it kept.
+pub(crate) const QUOTA_RELEASES: &str = "jujubehold_quota_releases_total";
--- a/crates/jujubehold_entry/src/protocol/customers.rs
+++ b/crates/jujubehold_entry/src/protocol/customers.rs
@@ -87,6 +87,11 @@
         self.holders.get(key)
     }
 
+    /// Returns whether any customer has a quota.
+    pub fn has_quotas(&self) -> bool {
+        self.quotas.values().any(Option::is_some)
+    }
+
     /// Returns the quota of a customer; `None` if it has none or is not known.
     pub fn quota(&self, customer: &str) -> Option<QuotaLimit> {
         self.quotas.get(customer).copied().flatten()
--- a/crates/jujubehold_entry/src/protocol/store.rs
+++ b/crates/jujubehold_entry/src/protocol/store.rs
@@ -105,6 +105,8 @@
     pub expected: Vec<(SmolStr, Revision)>,
     /// Keys with their new values and, optionally, the lease that removes them when it ends.
     pub writes: Vec<(SmolStr, Bytes, Option<LeaseId>)>,
+    /// Keys that are removed.
+    pub removals: Vec<SmolStr>,
 }
 
 /// The result of a change.
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
-use crate::control::{Quotas, StoreHealth};
+use crate::control::{HostNames, Quotas, StoreHealth};
 use crate::decision_log::DecisionLog;
 use crate::group::{Group, LeavingPrimary};
 use crate::lead_state::LeadState;
@@ -63,6 +63,11 @@
     pub(crate) has_tried_to_join: Cell<bool>,
     /// The tokens of the customers.
     pub(crate) quotas: Quotas,
+    /// The revision of the entry that this process replaced when it was listed for the first time,
+    /// that of the host's earlier process; 0 if there was none.
+    pub(crate) earlier_key_revision: Cell<Option<u64>>,
+    /// The recorded names of the hosts.
+    pub(crate) host_names: HostNames,
 }
 
 impl<P: Platform> Shared<P> {
@@ -71,6 +76,8 @@
             log: DecisionLog::new(settings.log_lines_per_second),
             lead_state: RefCell::new(LeadState::new(settings.is_first_start)),
             quotas: Quotas::new(&settings),
+            earlier_key_revision: Cell::new(None),
+            host_names: HostNames::default(),
             settings,
             clock: Clock::start(),
             store,
--- a/crates/jujubehold_settings/src/entry_settings.rs
+++ b/crates/jujubehold_settings/src/entry_settings.rs
@@ -51,6 +51,8 @@
     pub log_lines_per_second: u32,
     /// The bound on the operations of a customer, across all hosts.
     pub quota_bound: QuotaBound,
+    /// Whether customers will have quotas, so that the hosts record their names at the first start.
+    pub expects_quotas: bool,
 }
 
 impl Default for EntrySettings {
@@ -70,6 +72,7 @@
             is_first_start: false,
             log_lines_per_second: 50,
             quota_bound: QuotaBound::default(),
+            expects_quotas: false,
         }
     }
 }
@@ -146,6 +149,12 @@
     }
 
     fn read_quota_bound(&mut self, reader: &mut IniReader, section: &mut IniSection) {
+        self.expects_quotas = reader.value(
+            section,
+            "expects_quotas",
+            self.expects_quotas,
+            "true or false",
+        );
         let bound = &mut self.quota_bound;
         let mut read = |key: &str, default: f64, max: f64| {
             // The platform renders a placeholder without a value as an empty one.
--- a/crates/jujubehold_settings/src/known_keys.rs
+++ b/crates/jujubehold_settings/src/known_keys.rs
@@ -59,6 +59,7 @@
     "membership_lease_ms",
     "first_start",
     "log_lines_per_second",
+    "expects_quotas",
     "quota_window_s",
     "quota_excess",
     "quota_slack",
