Run statements on connections that a few hosts own

No host knew how busy an instance was.

Two hosts of the instance's failure domain now own its connections, and all others send their statements to an owner over one link per pair of hosts.

--- a/crates/jujubehold_core/src/connection_share.rs
+++ b/crates/jujubehold_core/src/connection_share.rs
@@ -31,6 +31,10 @@
 /// How long an idle connection beyond the allowance is kept: longer than the pauses between the
 /// statements of one caller.
 const EXCESS_IDLE_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long an owner keeps an idle connection: longer than the pauses between the operations of a
+/// customer with little traffic. Without a limit, connections of customers that left would occupy
+/// the instance.
+const OWNER_IDLE_TIMEOUT: Duration = Duration::from_mins(5);
 
 value_type! {
     /// The limits on one host's connections to one instance.
@@ -70,6 +74,31 @@
         }
     }
 
+    /// Computes the share of a host that owns connections to an instance and may have `limit`. It
+    /// serves all customers of the service, so it keeps idle connections until their number is
+    /// needed for another customer.
+    pub fn of_owner(limit: usize) -> Self {
+        Self {
+            limit,
+            idle_allowance: limit,
+            idle_timeout: OWNER_IDLE_TIMEOUT,
+            idle_time_per_second: None,
+            may_keep_one: true,
+        }
+    }
+
+    /// Computes the share of a host that may have `limit` connections while other hosts own those
+    /// to the instance. It connects directly only while no owner responds.
+    pub fn beside_owners(limit: usize) -> Self {
+        Self {
+            limit,
+            idle_allowance: 0,
+            idle_timeout: EXCESS_IDLE_TIMEOUT,
+            idle_time_per_second: None,
+            may_keep_one: false,
+        }
+    }
+
     /// Returns whether a connection that has been idle for `idle` should be closed.
     ///
     /// `rank` is the connection's place among the idle ones, from 0 for the most recently used;
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod config_store;
 pub mod config_version;
 pub mod connection_limit;
+pub mod connection_owners;
 pub mod connection_purpose;
 pub mod connection_queue;
 pub mod connection_share;
--- a/crates/jujubehold_core/src/wait_policy.rs
+++ b/crates/jujubehold_core/src/wait_policy.rs
@@ -39,6 +39,10 @@
 }
 
 impl WaitPolicy {
+    /// The expected duration of a change of primary, which determines when a refused caller is asked
+    /// to retry.
+    pub const EXPECTED_PRIMARY_CHANGE: Duration = Duration::from_millis(600);
+
     /// Returns when a request that arrived at `arrived_at` with `objective` is refused if it still
     /// waits.
     pub fn give_up_at(&self, arrived_at: Monotonic, objective: Duration) -> Monotonic {
--- a/crates/jujubehold_entry/src/callers/attempt.rs
+++ b/crates/jujubehold_entry/src/callers/attempt.rs
@@ -20,24 +20,25 @@
     timeout: Duration,
 ) -> Result<UpstreamReply, UpstreamError> {
     let upstream = Rc::clone(lease.upstream());
-    let _in_flight = upstream.begin_request();
+    let is_direct = lease.is_direct();
+    let _in_flight = is_direct.then(|| upstream.begin_request());
+    let _at_owner = (!is_direct).then(|| upstream.begin_request_at_owner());
     let sent_at = shared.now();
-    let running = lease.run(statement, after, values);
+    let running = lease.run(statement, after, values, timeout);
     let result = match tokio::time::timeout(timeout, running).await {
         Ok(result) => result,
         Err(_) => Err(UpstreamError::TimedOut),
     };
-    let now = shared.now();
-    let mut health = upstream.health.borrow_mut();
-    match &result {
-        Ok(reply) => match reply.error() {
-            Some(_) => health.note_alive(now),
-            None => health.note_answer(now, now.saturating_sub(sent_at)),
-        },
-        Err(_) => health.note_silent(now, sent_at),
+    let waited = lease.take_owner_wait();
+    note_health(shared, &upstream, sent_at, waited, &result);
+    if let Some(waited) = waited {
+        shared.with_group(&upstream.entry().service, |group| {
+            let seconds = waited.as_secs_f64();
+            group.metrics.connection_wait_seconds.record(seconds);
+        });
     }
-    drop(health);
-    if result.as_ref().is_ok_and(UpstreamReply::is_busy) {
+    // An owner notes for itself that the instance is busy.
+    if lease.is_direct() && result.as_ref().is_ok_and(UpstreamReply::is_busy) {
         upstream.note_busy();
     }
     log_attempt(shared, &upstream, statement, after, sent_at, &result);
@@ -49,6 +50,30 @@
     result
 }
 
+// The time that a statement waited at an owner is no time of the instance, and a lost owner or an
+// expired wait says nothing about it.
+fn note_health<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    upstream: &Upstream<P>,
+    sent_at: Monotonic,
+    waited: Option<Duration>,
+    result: &Result<UpstreamReply, UpstreamError>,
+) {
+    let now = shared.now();
+    let mut health = upstream.health.borrow_mut();
+    match result {
+        Ok(reply) if reply.error().is_some() => health.note_alive(now),
+        Ok(_) => {
+            let taken = now.saturating_sub(sent_at);
+            health.note_answer(now, taken.saturating_sub(waited.unwrap_or_default()));
+        }
+        Err(UpstreamError::OwnerLost) => {}
+        Err(UpstreamError::NotRun(refusal))
+            if refusal.reason != RefusalReason::UpstreamUnreachable => {}
+        Err(_) => health.note_silent(now, sent_at),
+    }
+}
+
 // Logs an error that an instance returned, or that it did not answer, so that the cause of a failed
 // request can be found.
 fn log_attempt<P: Platform>(
--- a/crates/jujubehold_entry/src/callers/mod.rs
+++ b/crates/jujubehold_entry/src/callers/mod.rs
@@ -13,4 +13,5 @@
 mod single;
 mod transaction;
 
+pub(crate) use attempt::run_on;
 pub(crate) use listener::accept_callers;
--- a/crates/jujubehold_entry/src/callers/single.rs
+++ b/crates/jujubehold_entry/src/callers/single.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use jujubehold_core::wait_policy::WaitPolicy;
 use log::info;
 use metrics::counter;
 
@@ -12,7 +13,9 @@
 use super::primary_use::PrimaryUse;
 use super::session::Session;
 use crate::metric_names::RETRIES;
-use crate::pool::{AcquireError, ConnectionLease, Statement, Upstream, UpstreamError};
+use crate::pool::{
+    ConnectionLease, LeasePurpose, OwnerRequest, Statement, Upstream, UpstreamError,
+};
 use crate::prelude::*;
 use crate::protocol::{ErrorCode, UpstreamOutcome, UpstreamReply};
 use crate::shared::millis;
@@ -26,9 +29,8 @@
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The delay before a statement is sent again after the instance was too busy to run it.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// The expected duration of a change of primary, which determines when a refused caller is asked to
-/// retry.
-const EXPECTED_PRIMARY_CHANGE: Duration = Duration::from_millis(600);
+/// When a caller is asked to retry that was refused since there is no usable primary.
+const EXPECTED_PRIMARY_CHANGE: Duration = WaitPolicy::EXPECTED_PRIMARY_CHANGE;
 
 impl<P: Platform> Session<P> {
     /// Runs a read outside a transaction.
@@ -91,7 +93,12 @@
             .is_primary
             .then(|| PrimaryUse::begin(&self.shared, service));
         let mut lease = self
-            .acquire(operation, &candidate.upstream, arrived_at)
+            .acquire(
+                operation,
+                &candidate.upstream,
+                LeasePurpose::Read,
+                arrived_at,
+            )
             .await?;
         let timeout = self.attempt_timeout(operation, arrived_at, &candidate.upstream, is_last);
         let may_have_run = self.may_have_run.replace(true);
@@ -141,7 +148,7 @@
             let upstream = self.primary(operation, arrived_at).await?;
             let _use = PrimaryUse::begin(&self.shared, &service);
             let mut lease = self
-                .acquire(operation, &upstream, arrived_at)
+                .acquire(operation, &upstream, LeasePurpose::Write, arrived_at)
                 .await
                 .map_err(AttemptError::into_failure)?;
             let deadline = operation.deadline(arrived_at);
@@ -156,7 +163,7 @@
                 timeout,
             )
             .await;
-            let reply = result.map_err(|error| Failure::Unknown(unknown_reason(&error)))?;
+            let reply = result.map_err(|error| write_failure(&error))?;
             lease.finish();
             self.note_not_run(&reply, may_have_run);
             match reply.error() {
@@ -239,15 +246,30 @@
         }
     }
 
-    /// Leases a connection to an instance.
+    /// Leases a connection to an instance. Where other hosts own its connections, the connection is
+    /// acquired with the first statement.
     pub(crate) async fn acquire(
         &self,
         operation: &Operation,
         upstream: &Rc<Upstream<P>>,
+        purpose: LeasePurpose,
         arrived_at: Monotonic,
     ) -> Result<ConnectionLease<P>, AttemptError> {
         let asked_at = self.shared.now();
         let limits = operation.wait_limits(arrived_at);
+        let owners = self
+            .shared
+            .owners_for(upstream, operation.customer.as_ref());
+        if !owners.is_empty() {
+            let request = OwnerRequest {
+                links: Rc::clone(&self.shared.peer_links),
+                owners,
+                customer: operation.customer.clone(),
+                limits,
+                purpose,
+            };
+            return Ok(ConnectionLease::at_owner(Rc::clone(upstream), request));
+        }
         let customer = operation.customer.as_ref();
         let result = upstream.acquire(customer, &self.values, limits).await;
         let waited = self.shared.now().saturating_sub(asked_at);
@@ -257,20 +279,7 @@
                 .connection_wait_seconds
                 .record(waited.as_secs_f64());
         });
-        result.map_err(|error| {
-            let refusal = match &error {
-                AcquireError::NoneFree { expected_wait } => {
-                    refuse(RefusalReason::QueueFull, *expected_wait)
-                }
-                AcquireError::Upstream(UpstreamError::ConnectionLimit) => {
-                    refuse(RefusalReason::QueueFull, Duration::ZERO)
-                }
-                AcquireError::Upstream(_) => {
-                    refuse(RefusalReason::UpstreamUnreachable, EXPECTED_PRIMARY_CHANGE)
-                }
-            };
-            AttemptError::Retryable(refusal.into())
-        })
+        result.map_err(|error| AttemptError::Retryable(error.refusal().into()))
     }
 
     // Returns whether there is time to retry a statement that an instance was too busy to run. Such
@@ -361,7 +370,9 @@
 pub(crate) fn unknown_reason(error: &UpstreamError) -> UnknownReason {
     match error {
         UpstreamError::TimedOut => UnknownReason::TimedOut,
-        UpstreamError::Unreachable(_)
+        UpstreamError::OwnerLost => UnknownReason::OwnerLost,
+        UpstreamError::NotRun(_)
+        | UpstreamError::Unreachable(_)
         | UpstreamError::ConnectionLimit
         | UpstreamError::Refused(_)
         | UpstreamError::Broken(_)
@@ -369,11 +380,26 @@
     }
 }
 
+fn write_failure(error: &UpstreamError) -> Failure {
+    match error {
+        UpstreamError::NotRun(refusal) => refusal.clone().into(),
+        UpstreamError::TimedOut
+        | UpstreamError::OwnerLost
+        | UpstreamError::Unreachable(_)
+        | UpstreamError::ConnectionLimit
+        | UpstreamError::Refused(_)
+        | UpstreamError::Broken(_)
+        | UpstreamError::Malformed => Failure::Unknown(unknown_reason(error)),
+    }
+}
+
 // A read changes nothing, so a lost connection is reported as a refusal, which the caller may
 // retry.
 fn read_failure(error: &UpstreamError) -> Failure {
     match error {
         UpstreamError::TimedOut => Failure::Unknown(UnknownReason::TimedOut),
+        UpstreamError::NotRun(refusal) => refusal.clone().into(),
+        UpstreamError::OwnerLost => refuse(RefusalReason::OwnerUnreachable, Duration::ZERO).into(),
         UpstreamError::Unreachable(_)
         | UpstreamError::ConnectionLimit
         | UpstreamError::Refused(_)
--- a/crates/jujubehold_entry/src/callers/transaction.rs
+++ b/crates/jujubehold_entry/src/callers/transaction.rs
@@ -11,7 +11,7 @@
 use super::primary_use::PrimaryUse;
 use super::session::Session;
 use super::single::{unknown_reason, upstream_failure};
-use crate::pool::{ConnectionLease, Statement};
+use crate::pool::{ConnectionLease, LeasePurpose, Statement, UpstreamError};
 use crate::prelude::*;
 use crate::protocol::{
     Access, CallerRequest, ErrorCode, SessionState, UpstreamCommand, UpstreamReply,
@@ -214,8 +214,11 @@
         let result = run_on(&self.shared, &mut lease, &statement, None, values, timeout).await;
         let reply = match result {
             Ok(reply) => reply,
-            Err(error) if has_written => return Err(Failure::Unknown(unknown_reason(&error))),
-            // The transaction wrote nothing, so it can't have had an effect.
+            Err(error) if has_written && !matches!(error, UpstreamError::NotRun(_)) => {
+                return Err(Failure::Unknown(unknown_reason(&error)));
+            }
+            // The transaction wrote nothing, or its COMMIT was not sent and its connection is closed,
+            // so it can't have had an effect.
             Err(error) => {
                 let reason = unknown_reason(&error).as_str();
                 return Err(Failure::RolledBack(reason.into()));
@@ -311,7 +314,12 @@
             .is_primary
             .then(|| PrimaryUse::begin(&self.shared, &operation.route.service));
         let mut lease = self
-            .acquire(operation, &candidate.upstream, arrived_at)
+            .acquire(
+                operation,
+                &candidate.upstream,
+                LeasePurpose::Transaction,
+                arrived_at,
+            )
             .await
             .map_err(super::single::AttemptError::into_failure)?;
         let timeout = operation
@@ -322,12 +330,7 @@
         let after = candidate.after;
         let may_have_run = self.may_have_run.replace(true);
         let result = run_on(&self.shared, &mut lease, begin, after, values, timeout).await;
-        let reply = result.map_err(|_| {
-            Failure::from(refuse(
-                RefusalReason::UpstreamUnreachable,
-                BEGIN_RETRY_DELAY,
-            ))
-        })?;
+        let reply = result.map_err(|error| begin_failure(&error))?;
         if reply.error().is_some() {
             lease.finish();
             self.note_not_run(&reply, may_have_run);
@@ -341,6 +344,21 @@
     }
 }
 
+fn begin_failure(error: &UpstreamError) -> Failure {
+    match error {
+        UpstreamError::NotRun(refusal) => refusal.clone().into(),
+        UpstreamError::TimedOut
+        | UpstreamError::OwnerLost
+        | UpstreamError::Unreachable(_)
+        | UpstreamError::ConnectionLimit
+        | UpstreamError::Refused(_)
+        | UpstreamError::Broken(_)
+        | UpstreamError::Malformed => {
+            refuse(RefusalReason::UpstreamUnreachable, BEGIN_RETRY_DELAY).into()
+        }
+    }
+}
+
 /// The timeout for opening a transaction, which runs nothing.
 const BEGIN_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/crates/jujubehold_entry/src/entry_host.rs
+++ b/crates/jujubehold_entry/src/entry_host.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 
 use jujubehold_settings::EntrySettings;
-use log::info;
+use log::{info, warn};
 use tokio::net::TcpListener;
 
 use crate::callers::accept_callers;
 use crate::control::{self, Peers};
+use crate::peer_link::{accept_links, monitor_links};
 use crate::phase::Phase;
 use crate::prelude::*;
 use crate::readiness::Readiness;
@@ -21,6 +22,8 @@
 const END_SESSIONS_PERCENT: u32 = 40;
 const CLOSE_TRANSACTIONS_PERCENT: u32 = 55;
 const EXIT_PERCENT: u32 = 80;
+/// How many ports chosen by the operating system are tried until one is free for both protocols.
+const MAX_PORT_ATTEMPTS: u32 = 10;
 
 /// Why an entry host can't start.
 #[derive(Debug, thiserror::Error)]
@@ -62,12 +65,13 @@
                     error,
                 })?;
         let peer_address = settings.peer_address;
-        let peers = Peers::open(peer_address)
-            .await
-            .map_err(|error| EntryError::Listen {
-                address: peer_address,
-                error,
-            })?;
+        let (peers, link_listener) =
+            open_peer_sockets(peer_address)
+                .await
+                .map_err(|error| EntryError::Listen {
+                    address: peer_address,
+                    error,
+                })?;
         let caller_address = listener.local_addr().unwrap_or(caller_address);
         info!(host = settings.host.as_str(), domain = settings.domain.as_str(),
             callers:? = caller_address, version = env!("CARGO_PKG_VERSION");
@@ -75,6 +79,10 @@
         let shared = Rc::new(Shared::new(settings, store, promotion));
         control::start(&shared, &Rc::new(peers));
         actix_rt::spawn(accept_callers(Rc::clone(&shared), listener));
+        actix_rt::spawn(monitor_links(Rc::clone(&shared.peer_links)));
+        if let Some(listener) = link_listener {
+            actix_rt::spawn(accept_links(Rc::clone(&shared), listener));
+        }
         Ok(Self {
             shared,
             readiness: Rc::new(Readiness::default()),
@@ -120,15 +128,35 @@
         self.shared.phase.send_replace(phase);
     }
 
-    /// Waits until `time`. After the first phase of draining, returns early when no session is
-    /// left.
+    /// Waits until `time`. After the first phase of draining, returns early when no session and no
+    /// lease of another host is left.
     async fn wait_until(&self, time: Monotonic) {
         while self.shared.now() < time {
-            let has_no_sessions = self.shared.session_count.get() == 0;
-            if has_no_sessions && *self.shared.phase.borrow() != Phase::Draining {
+            let has_no_work =
+                self.shared.session_count.get() == 0 && self.shared.served_leases.get() == 0;
+            if has_no_work && *self.shared.phase.borrow() != Phase::Draining {
                 return;
             }
             actix_rt::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
     }
 }
+
+// Opens the datagram socket and the listener for links at the same port. Without the listener, other
+// hosts find this one unreachable as an owner and connect to its instances directly.
+async fn open_peer_sockets(address: SocketAddr) -> std::io::Result<(Peers, Option<TcpListener>)> {
+    let mut attempts = 1;
+    loop {
+        let peers = Peers::open(address).await?;
+        match TcpListener::bind(peers.address()).await {
+            Ok(listener) => return Ok((peers, Some(listener))),
+            // The operating system chose a port that is in use for TCP.
+            Err(_) if address.port() == 0 && attempts < MAX_PORT_ATTEMPTS => attempts += 1,
+            Err(error) => {
+                warn!(address:? = peers.address(), error:% = error;
+                    "can't listen for links of other hosts");
+                return Ok((peers, None));
+            }
+        }
+    }
+}
--- a/crates/jujubehold_entry/src/lib.rs
+++ b/crates/jujubehold_entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod hosts_digest;
 mod lead_state;
 mod metric_names;
+mod peer_link;
 mod phase;
 mod pool;
 mod prelude;
--- a/crates/jujubehold_entry/src/metric_names.rs
+++ b/crates/jujubehold_entry/src/metric_names.rs
@@ -40,3 +40,13 @@
 pub(crate) const QUOTA_SHARE_REQUESTS: &str = "jujubehold_quota_share_requests_total";
 /// How often this host gave up shares of the quotas that it kept.
 pub(crate) const QUOTA_RELEASES: &str = "jujubehold_quota_releases_total";
+/// Leases of connections at other hosts, by this host's `role`: `caller_host` or `owner`.
+pub(crate) const OWNER_LEASES: &str = "jujubehold_owner_leases_total";
+/// Statements that this host refused as an owner, by `reason`.
+pub(crate) const OWNER_REFUSALS: &str = "jujubehold_owner_refusals_total";
+/// Statements that this host sent elsewhere because an owner did not take them, by `reason`.
+pub(crate) const OWNER_RETRIES: &str = "jujubehold_owner_retries_total";
+/// Links that this host opened to owners.
+pub(crate) const PEER_LINK_OPENS: &str = "jujubehold_peer_link_opens_total";
+/// Bytes on links between hosts, by `direction`: sent or received.
+pub(crate) const PEER_LINK_BYTES: &str = "jujubehold_peer_link_bytes_total";
--- a/crates/jujubehold_entry/src/pool/connection.rs
+++ b/crates/jujubehold_entry/src/pool/connection.rs
@@ -39,6 +39,11 @@
     Malformed,
     #[error("the instance did not answer in time")]
     TimedOut,
+    /// An owner stated that the statement did not run, or nothing was sent to it.
+    #[error("no connection ran the statement: {}", .0.reason.as_str())]
+    NotRun(Refusal),
+    #[error("the host that owns the connection was lost")]
+    OwnerLost,
 }
 
 /// A statement as it is sent to an instance.
--- a/crates/jujubehold_entry/src/pool/mod.rs
+++ b/crates/jujubehold_entry/src/pool/mod.rs
@@ -2,8 +2,10 @@
 
 mod connection;
 mod lease;
+mod owner_lease;
 mod upstream;
 
 pub(crate) use connection::{SessionValues, Statement, UpstreamError};
 pub(crate) use lease::ConnectionLease;
-pub(crate) use upstream::{AcquireError, Upstream, WaitLimits};
+pub(crate) use owner_lease::{LeasePurpose, OwnerRequest};
+pub(crate) use upstream::{AcquireError, OwnersBasis, Upstream, WaitLimits};
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -5,11 +5,12 @@
 mod pool_state;
 mod queue_guard;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use jujubehold_core::connection_owners::ConnectionOwners;
 use jujubehold_core::connection_purpose::ConnectionPurpose;
 use jujubehold_core::connection_queue::{ConnectionRequest, WaitTicket};
 use jujubehold_core::connection_share::ConnectionShare;
@@ -26,7 +27,7 @@
 use crate::clock::Clock;
 use crate::metric_names::{UPSTREAM_OPEN_ATTEMPTS, UPSTREAM_OPENS};
 use crate::protocol::{ErrorCode, InstanceEntry, InstanceLifecycle, Platform};
-use in_flight::InFlight;
+use in_flight::{InFlight, InFlightAtOwner};
 use opening_guard::OpeningGuard;
 use pool_state::{Grant, PoolState, Waiter};
 use queue_guard::QueueGuard;
@@ -47,6 +48,23 @@
     Upstream(#[from] UpstreamError),
 }
 
+impl AcquireError {
+    /// Returns the refusal of the request that needed the connection.
+    pub(crate) fn refusal(&self) -> Refusal {
+        let (reason, expected_wait) = match self {
+            Self::NoneFree { expected_wait } => (RefusalReason::QueueFull, *expected_wait),
+            Self::Upstream(UpstreamError::ConnectionLimit) => {
+                (RefusalReason::QueueFull, Duration::ZERO)
+            }
+            Self::Upstream(_) => (
+                RefusalReason::UpstreamUnreachable,
+                WaitPolicy::EXPECTED_PRIMARY_CHANGE,
+            ),
+        };
+        WaitPolicy::default().refuse(reason, expected_wait)
+    }
+}
+
 /// How a request waits for a connection.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct WaitLimits {
@@ -69,6 +87,24 @@
     pool: RefCell<PoolState<P>>,
     /// When each unanswered request was sent, by ticket.
     in_flight: RefCell<BTreeMap<WaitTicket, Monotonic>>,
+    /// The number of unanswered requests of this host that owners run.
+    in_flight_at_owners: Cell<u32>,
+    /// The hosts that own the connections to the instance; `None` if all hosts connect directly.
+    owners: RefCell<Option<Rc<ConnectionOwners>>>,
+    /// What the owners were computed from.
+    owners_basis: Cell<Option<OwnersBasis>>,
+}
+
+jujubehold_core::key_type! {
+    /// What the owners of an instance's connections are computed from.
+    pub(crate) struct OwnersBasis {
+        /// The digest of the list of hosts.
+        pub(crate) hosts_digest: u64,
+        /// How many connections the instance accepts.
+        pub(crate) max_connections: usize,
+        /// How many hosts keep a connection for control calls.
+        pub(crate) control_connections: usize,
+    }
 }
 
 impl<P: Platform> Upstream<P> {
@@ -81,6 +117,9 @@
             lag: RefCell::new(ReplicaLag::default()),
             pool: RefCell::new(PoolState::new(limit)),
             in_flight: RefCell::new(BTreeMap::new()),
+            in_flight_at_owners: Cell::new(0),
+            owners: RefCell::new(None),
+            owners_basis: Cell::new(None),
         }
     }
 
@@ -141,8 +180,39 @@
         }
     }
 
+    /// The same as [`Self::begin_request`] for a request that an owner runs. Its silence may be that
+    /// of the owner, so it says nothing about the instance.
+    pub(crate) fn begin_request_at_owner(self: &Rc<Self>) -> InFlightAtOwner<P> {
+        let count = &self.in_flight_at_owners;
+        count.set(count.get() + 1);
+        InFlightAtOwner {
+            upstream: Rc::clone(self),
+        }
+    }
+
     fn in_flight_count(&self) -> u32 {
-        u32::try_from(self.in_flight.borrow().len()).unwrap_or(u32::MAX)
+        let direct = u32::try_from(self.in_flight.borrow().len()).unwrap_or(u32::MAX);
+        direct.saturating_add(self.in_flight_at_owners.get())
+    }
+
+    /// Returns the time by this host's clock.
+    pub(super) fn now(&self) -> Monotonic {
+        self.clock.now()
+    }
+
+    /// Returns the hosts that own the connections to the instance, if any do.
+    pub(crate) fn owners(&self) -> Option<Rc<ConnectionOwners>> {
+        self.owners.borrow().clone()
+    }
+
+    /// Returns whether the owners were computed from another basis.
+    pub(crate) fn must_compute_owners(&self, basis: OwnersBasis) -> bool {
+        self.owners_basis.replace(Some(basis)) != Some(basis)
+    }
+
+    /// Replaces the owners.
+    pub(crate) fn set_owners(&self, owners: Option<ConnectionOwners>) {
+        *self.owners.borrow_mut() = owners.map(Rc::new);
     }
 
     /// Returns since when the instance has not answered requests, or `None` if it is answering.
@@ -340,6 +410,8 @@
             UpstreamError::Refused(ErrorCode::AuthenticationFailed) => {
                 self.health.borrow_mut().note_alive(now);
             }
+            // These do not occur while a connection is opened.
+            UpstreamError::NotRun(_) | UpstreamError::OwnerLost => {}
             UpstreamError::Unreachable(_)
             | UpstreamError::Refused(_)
             | UpstreamError::Broken(_)
--- a/crates/jujubehold_entry/src/pool/upstream/in_flight.rs
+++ b/crates/jujubehold_entry/src/pool/upstream/in_flight.rs
@@ -19,3 +19,16 @@
         self.upstream.in_flight.borrow_mut().remove(&self.ticket);
     }
 }
+
+/// Counts a request that an owner runs as in flight until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlightAtOwner<P: Platform> {
+    pub(super) upstream: Rc<Upstream<P>>,
+}
+
+impl<P: Platform> Drop for InFlightAtOwner<P> {
+    fn drop(&mut self) {
+        let count = &self.upstream.in_flight_at_owners;
+        count.set(count.get().saturating_sub(1));
+    }
+}
--- a/crates/jujubehold_entry/src/protocol/error_code.rs
+++ b/crates/jujubehold_entry/src/protocol/error_code.rs
@@ -37,6 +37,30 @@
 }
 
 impl ErrorCode {
+    /// All codes.
+    pub const ALL: [Self; 15] = [
+        Self::Busy,
+        Self::RolledBack,
+        Self::Behind,
+        Self::ReadOnly,
+        Self::WrongInstance,
+        Self::ConnectionLimit,
+        Self::Failed,
+        Self::UnknownStatement,
+        Self::TimedOut,
+        Self::AuthenticationFailed,
+        Self::UnknownDatabase,
+        Self::TooLarge,
+        Self::Malformed,
+        Self::Unknown,
+        Self::Other,
+    ];
+
+    /// Returns the code with the stable name `name`.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|code| code.as_str() == name)
+    }
+
     /// Returns whether the code means that the statement did not run, so that it may be sent again.
     pub fn is_not_run(self) -> bool {
         match self {
@@ -58,7 +82,7 @@
         }
     }
 
-    /// Returns the stable name used in metrics and logs.
+    /// Returns the stable name used in metrics, in logs and between hosts.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Busy => "busy",
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use jujubehold_core::directory_progress::DirectoryProgress;
 use jujubehold_core::lead_table::LeadTable;
@@ -16,6 +17,7 @@
 use crate::decision_log::DecisionLog;
 use crate::group::{Group, LeavingPrimary};
 use crate::lead_state::LeadState;
+use crate::peer_link::PeerLinks;
 use crate::phase::Phase;
 use crate::pool::Upstream;
 use crate::prelude::*;
@@ -40,7 +42,11 @@
     /// How far this host knows the changes of the directory.
     pub(crate) directory_progress: RefCell<DirectoryProgress>,
     pub(crate) promotion: P::Promotion,
-    pub(crate) log: DecisionLog,
+    pub(crate) log: Rc<DecisionLog>,
+    /// The links that this host opened to owners of connections.
+    pub(crate) peer_links: Rc<PeerLinks>,
+    /// The number of other hosts' leases that this host runs.
+    pub(crate) served_leases: Cell<usize>,
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
     /// The version of the configuration; wakes the sessions that check their keys.
     pub(crate) configuration_version: watch::Sender<u64>,
@@ -72,14 +78,18 @@
 
 impl<P: Platform> Shared<P> {
     pub(crate) fn new(settings: EntrySettings, store: P::Store, promotion: P::Promotion) -> Self {
+        let clock = Clock::start();
+        let log = Rc::new(DecisionLog::new(settings.log_lines_per_second));
         Self {
-            log: DecisionLog::new(settings.log_lines_per_second),
+            peer_links: Rc::new(PeerLinks::new(clock, Rc::clone(&log))),
+            served_leases: Cell::new(0),
+            log,
             lead_state: RefCell::new(LeadState::new(settings.is_first_start)),
             quotas: Quotas::new(&settings),
             earlier_key_revision: Cell::new(None),
             host_names: HostNames::default(),
             settings,
-            clock: Clock::start(),
+            clock,
             store,
             store_health: StoreHealth::default(),
             watch_progress: RefCell::new(WatchProgress::default()),
@@ -150,6 +160,27 @@
         of_service.cloned().collect()
     }
 
+    /// Returns the owners at which this host runs statements of `customer` on `upstream`, in the
+    /// order in which they are tried; none if it uses its own connections.
+    pub(crate) fn owners_for(
+        &self,
+        upstream: &Upstream<P>,
+        customer: Option<&CustomerId>,
+    ) -> Vec<(HostId, SocketAddr)> {
+        let host = &self.settings.host;
+        let owners = upstream.owners().filter(|owners| !owners.is_owner(host));
+        let Some(owners) = owners else {
+            return Vec::new();
+        };
+        let lead_state = self.lead_state.borrow();
+        let address = |owner: &HostId| {
+            let member = lead_state.members.get(owner)?;
+            Some((owner.clone(), member.peer_address))
+        };
+        let key = customer.unwrap_or(host);
+        owners.order(key).filter_map(address).collect()
+    }
+
     /// Returns the instance that may receive new work as the primary of `service` now, for a request
     /// of a caller.
     pub(crate) fn usable_primary(&self, service: &ServiceId) -> Option<Rc<Upstream<P>>> {
