Give quota buckets the whole burst and a smaller start credit

Cause: what the bound leaves beside burst and rate went mostly to the start credit, and each of six domains' buckets held a sixth of the burst and less than one more token, so that short bursts were refused.

--- a/crates/jujubehold_core/src/quota/bound.rs
+++ b/crates/jujubehold_core/src/quota/bound.rs
@@ -49,7 +49,7 @@
         let max_rate = rate * window_us * factor / (1_000 * granted_us);
         let rate = rate.min(max_rate);
         let slack = u128::from(self.slack);
-        let burst = u128::from(limit.burst) * 1_000 + slack * 250;
+        let burst = u128::from(limit.burst) * factor + slack * 500;
         let granted = rate * granted_us / 1_000_000;
         let quota = u128::from(limit.rate_per_1000_s) * window_us / 1_000_000
             + u128::from(limit.burst) * 1_000;
