Hand changes of the directory on within a failure domain

Cause: a host that gets its proof from another host still asked the store itself for each change of an instance's entry or of the configuration.

The host that reads the store for its domain now answers with the changes after the asking host's revision. The store is asked if it does not answer, does not know all changes, or if they are too long for a datagram.

--- a/crates/jujubehold_core/src/directory_progress.rs
+++ b/crates/jujubehold_core/src/directory_progress.rs
@@ -43,6 +43,11 @@
         self.announced = self.announced.min(self.reached);
     }
 
+    /// Records that another host handed on all changes up to `revision`. The store may have more.
+    pub fn note_handed_on(&mut self, revision: Revision) {
+        self.reached = self.reached.max(revision);
+    }
+
     /// Records that this host read the whole directory as of `revision`. What was removed before
     /// that does not show in the items, so the whole directory counts as changed.
     ///
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod connection_purpose;
 pub mod connection_queue;
 pub mod connection_share;
+pub mod directory_log;
 pub mod directory_progress;
 pub mod drain;
 pub mod evidence_schedule;
--- a/crates/jujubehold_entry/src/control/instances.rs
+++ b/crates/jujubehold_entry/src/control/instances.rs
@@ -22,7 +22,10 @@
 /// Applies one item of the store.
 pub(crate) fn apply_item<P: Platform>(shared: &Shared<P>, item: &StoreItem) {
     let key = item.key.as_str();
-    note_directory_change(shared, key, item.revision);
+    if note_directory_change(shared, key, item.revision) {
+        let mut log = shared.directory_log.borrow_mut();
+        log.note_written(&item.key, item.revision, &item.value);
+    }
     if key == P::Directory::CONFIGURATION_KEY {
         apply_configuration(shared, &item.value);
     } else if key.starts_with(P::Directory::INSTANCES_PREFIX) {
@@ -42,7 +45,10 @@
 
 /// Applies the removal of an item at the store's `revision`.
 pub(crate) fn apply_removal<P: Platform>(shared: &Shared<P>, key: &str, revision: Revision) {
-    note_directory_change(shared, key, revision);
+    if note_directory_change(shared, key, revision) {
+        let mut log = shared.directory_log.borrow_mut();
+        log.note_removed(&key.into(), revision);
+    }
     if let Some(id) = key.strip_prefix(P::Directory::INSTANCES_PREFIX) {
         shared
             .missing_instances
@@ -55,13 +61,21 @@
     }
 }
 
-fn note_directory_change<P: Platform>(shared: &Shared<P>, key: &str, revision: Revision) {
-    if key == P::Directory::CONFIGURATION_KEY || key.starts_with(P::Directory::INSTANCES_PREFIX) {
+/// Returns whether `key` is that of an item of the directory: the configuration or an instance.
+pub(super) fn is_directory_key<P: Platform>(key: &str) -> bool {
+    key == P::Directory::CONFIGURATION_KEY || key.starts_with(P::Directory::INSTANCES_PREFIX)
+}
+
+// Returns whether the change is one of the directory.
+fn note_directory_change<P: Platform>(shared: &Shared<P>, key: &str, revision: Revision) -> bool {
+    let is_directory = is_directory_key::<P>(key);
+    if is_directory {
         shared
             .directory_progress
             .borrow_mut()
             .note_changed(revision);
     }
+    is_directory
 }
 
 fn remove_member<P: Platform>(shared: &Shared<P>, host: &str, revision: Revision) {
--- a/crates/jujubehold_entry/src/control/mod.rs
+++ b/crates/jujubehold_entry/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Background tasks of a host: configuration, membership in the list of hosts, and the choice of
 //! each service's primary.
 
+mod directory_relay;
 mod first_primaries;
 mod host_names;
 mod instances;
@@ -9,6 +10,7 @@
 mod member_document;
 mod membership;
 mod peer_message;
+mod peer_questions;
 mod peers;
 mod pool_keeper;
 mod primary_change;
@@ -36,7 +38,10 @@
     shared.quotas.set_peers(Rc::clone(peers));
     actix_rt::spawn(quotas::keep_shares(Rc::clone(shared)));
     actix_rt::spawn(host_names::keep_names(Rc::clone(shared)));
-    actix_rt::spawn(store_watch::watch_store(Rc::clone(shared)));
+    actix_rt::spawn(store_watch::watch_store(
+        Rc::clone(shared),
+        Rc::clone(peers),
+    ));
     actix_rt::spawn(membership::keep_membership(
         Rc::clone(shared),
         peers.address(),
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -74,6 +74,37 @@
     /// The newest count of the hosts that the sender knows.
     #[prost(message, optional, tag = "22")]
     pub(crate) counted_hosts: Option<CountedHostsMessage>,
+    /// Changes of the directory that are asked for or handed on.
+    #[prost(message, optional, tag = "23")]
+    pub(crate) directory_changes: Option<DirectoryChangesMessage>,
+}
+
+/// Changes of the directory.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub(crate) struct DirectoryChangesMessage {
+    /// The store's revision after which changes are asked for or handed on.
+    #[prost(uint64, tag = "1")]
+    pub(crate) after: u64,
+    /// The revision up to which all changes are handed on; 0 if the host does not know them.
+    #[prost(uint64, tag = "2")]
+    pub(crate) reached: u64,
+    /// The changes in their order.
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) changes: Vec<DirectoryChangeMessage>,
+}
+
+/// One change of the directory.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub(crate) struct DirectoryChangeMessage {
+    /// The key of the item.
+    #[prost(string, tag = "1")]
+    pub(crate) key: String,
+    /// The revision of the change.
+    #[prost(uint64, tag = "2")]
+    pub(crate) revision: u64,
+    /// The new value; absent if the item was removed.
+    #[prost(bytes = "vec", optional, tag = "3")]
+    pub(crate) value: Option<Vec<u8>>,
 }
 
 /// A request to lease a share of the quotas, its answer, or a release of leased shares.
@@ -281,6 +312,10 @@
     ShareAnswer = 12,
     /// Gives up shares.
     ShareRelease = 13,
+    /// Asks for the changes of the directory after a revision.
+    DirectoryQuestion = 14,
+    /// Hands on changes of the directory.
+    DirectoryChanges = 15,
 }
 
 impl PeerMessageKind {
@@ -299,6 +334,8 @@
             Self::ShareRequest => "share_request",
             Self::ShareAnswer => "share_answer",
             Self::ShareRelease => "share_release",
+            Self::DirectoryQuestion => "directory_question",
+            Self::DirectoryChanges => "directory_changes",
         }
     }
 }
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -15,10 +15,11 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 
+use super::directory_relay::answer_directory_question;
 use super::lead_document::{format_leads, parse_leads};
 use super::peer_message::{PeerMessage, PeerMessageKind};
+use super::peer_questions::PeerQuestions;
 use super::proof_answers::answer_question;
-use super::proof_questions::ProofQuestions;
 use super::quotas;
 use crate::metric_names::{DATAGRAM_BYTES_SENT, DATAGRAMS_SENT};
 use crate::prelude::*;
@@ -44,7 +45,9 @@
     /// The round in which this host and the other watchers vote.
     pub(super) vote_rounds: RefCell<VoteRounds>,
     /// The proof question that waits for an answer.
-    pub(super) questions: ProofQuestions,
+    pub(super) questions: PeerQuestions,
+    /// The question for changes of the directory that waits for an answer.
+    pub(super) directory_questions: PeerQuestions,
 }
 
 impl Peers {
@@ -58,7 +61,8 @@
             stopped: RefCell::new(BTreeMap::new()),
             changing: RefCell::new(BTreeSet::new()),
             vote_rounds: RefCell::default(),
-            questions: ProofQuestions::default(),
+            questions: PeerQuestions::default(),
+            directory_questions: PeerQuestions::default(),
         })
     }
 
@@ -210,6 +214,8 @@
         PeerMessageKind::Stopped => record_stopped(peers, message),
         PeerMessageKind::ProofQuestion => answer_question(shared, peers, message),
         PeerMessageKind::Proof => peers.questions.deliver_answer(message),
+        PeerMessageKind::DirectoryQuestion => answer_directory_question(shared, peers, message),
+        PeerMessageKind::DirectoryChanges => peers.directory_questions.deliver_answer(message),
         PeerMessageKind::TokenRequest => quotas::answer_token_request(shared, peers, message),
         PeerMessageKind::TokenAnswer => quotas::apply_token_answer(shared, message),
         PeerMessageKind::ShareRequest => quotas::answer_share_request(shared, peers, message),
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -1,6 +1,7 @@
 //! Follows the store: lists all items once, then watches for changes with long polls. A host that
-//! gets its proof from another host asks for changes only when that host knows some. A host that
-//! lacks more changes than the items are long lists the items again.
+//! gets its proof from another host asks that host for the changes that it knows, and the store only
+//! if it does not get them. A host that lacks more changes than the items are long lists the items
+//! again.
 
 use std::collections::BTreeSet;
 
@@ -10,7 +11,9 @@
 use jujubehold_core::watch_pace::WatchPace;
 use log::{debug, info};
 
+use super::directory_relay::fetch_changes;
 use super::instances::{apply_item, apply_removal, listed_instance_keys, remove_missing_instances};
+use super::peers::Peers;
 use super::store_calls::{STORE_CALL_TIMEOUT, transfer_with_timeout, wait_for_turn};
 use crate::prelude::*;
 use crate::protocol::{CallProgress, Directory, ItemChange, Store, StoreError, StoreListing};
@@ -34,13 +37,17 @@
 };
 
 /// Follows the store until the future is dropped.
-pub(crate) async fn watch_store<P: Platform>(shared: Rc<Shared<P>>) {
+pub(crate) async fn watch_store<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<Peers>) {
     let mut failures = 0;
     let mut is_listed = false;
     let mut listed_bytes = 0;
     loop {
         if is_listed {
             wait_until_behind(&shared).await;
+            if fetch_changes(&shared, &peers).await {
+                remove_missing_instances(&shared);
+                continue;
+            }
         }
         wait_for_turn(&shared).await;
         let begun_at = shared.now();
@@ -209,6 +216,10 @@
         list_prefix(shared, P::Directory::INSTANCES_PREFIX),
     );
     let listings = [configuration?, instances?];
+    // The watch starts from the older listing's revision and delivers what changed between the two.
+    let revisions = listings.iter().map(|(listing, _)| listing.revision);
+    let revision = revisions.min().unwrap_or_default();
+    shared.directory_log.borrow_mut().begin(revision);
     let mut present = BTreeSet::new();
     for (listing, _) in &listings {
         for item in &listing.items {
@@ -220,9 +231,6 @@
         shared.directory_followed_since.set(Some(shared.now()));
     }
     *listed_bytes = listings.iter().map(|(_, bytes)| bytes).sum();
-    // The watch starts from the older listing's revision and delivers what changed between the two.
-    let revisions = listings.iter().map(|(listing, _)| listing.revision);
-    let revision = revisions.min().unwrap_or_default();
     // Only instances are compared here: the keys of the hosts are listed regularly to prove that
     // the leads are current.
     for key in listed_instance_keys(shared) {
--- a/crates/jujubehold_entry/src/metric_names.rs
+++ b/crates/jujubehold_entry/src/metric_names.rs
@@ -36,6 +36,8 @@
 pub(crate) const QUOTA_REQUESTS: &str = "jujubehold_quota_requests_total";
 /// Tokens of customers that this host granted.
 pub(crate) const QUOTA_TOKENS: &str = "jujubehold_quota_tokens_total";
+/// Questions to another host for changes of the directory, by `outcome`: answered or failed.
+pub(crate) const DIRECTORY_CHANGES_FETCHED: &str = "jujubehold_directory_changes_fetched_total";
 /// Rounds of requests for the shares of the quotas that this host made as a keeper.
 pub(crate) const QUOTA_SHARE_REQUESTS: &str = "jujubehold_quota_share_requests_total";
 /// How often this host gave up shares of the quotas that it kept.
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use bytes::Bytes;
+use jujubehold_core::directory_log::DirectoryLog;
 use jujubehold_core::directory_progress::DirectoryProgress;
 use jujubehold_core::lead_table::LeadTable;
 use jujubehold_core::primary_positions::PrimaryPositions;
@@ -41,6 +43,8 @@
     pub(crate) watch_progress: RefCell<WatchProgress>,
     /// How far this host knows the changes of the directory.
     pub(crate) directory_progress: RefCell<DirectoryProgress>,
+    /// The changes of the directory, for the hosts that follow this one.
+    pub(crate) directory_log: RefCell<DirectoryLog<Bytes>>,
     pub(crate) promotion: P::Promotion,
     pub(crate) log: Rc<DecisionLog>,
     /// The links that this host opened to owners of connections.
@@ -94,6 +98,7 @@
             store_health: StoreHealth::default(),
             watch_progress: RefCell::new(WatchProgress::default()),
             directory_progress: RefCell::new(DirectoryProgress::default()),
+            directory_log: RefCell::default(),
             promotion,
             configuration: RefCell::new(None),
             configuration_version: watch::Sender::new(0),
