Tell processes that are listed again from restarted ones

Cause: a process whose lease had ended was listed with a new entry and counted as a new process, so that a loss of all hosts within 9 s after a store outage found no start credit: 4,437 refusals by quotas in 4 s.

A host's entry in the list now names its process.

--- a/crates/jujubehold_core/tests/quota/host.rs
+++ b/crates/jujubehold_core/tests/quota/host.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use jujubehold_core::lead_table::Revision;
 use jujubehold_core::prelude::*;
 use jujubehold_core::quota::{
     HostCount, NameRecord, PartitionSources, QuotaAction, QuotaBound, QuotaHost, QuotaHosts,
@@ -17,8 +16,8 @@
     pub(crate) hosts: BTreeMap<HostId, QuotaHost>,
     pub(crate) name_count: u32,
     pub(crate) own_record: NameRecord,
-    /// The revisions of the entries of processes that ran long.
-    pub(crate) long_lived: BTreeMap<HostId, Revision>,
+    /// The processes that ran for long.
+    pub(crate) long_lived: BTreeMap<HostId, Nonce>,
 }
 
 /// A host with its own clock, which starts with the process.
@@ -29,8 +28,9 @@
     pub(crate) is_up: bool,
     pub(crate) is_leaving: bool,
     pub(crate) has_joined: bool,
-    /// The revision of the entry of the host's earlier process.
-    pub(crate) earlier_revision: Option<Revision>,
+    pub(crate) process: Nonce,
+    /// The host's earlier process.
+    pub(crate) earlier_process: Option<Nonce>,
     pub(crate) frozen_until: Duration,
     pub(crate) hosts: QuotaHosts,
     pub(crate) shares: QuotaShares,
@@ -59,7 +59,8 @@
             is_up: true,
             is_leaving: false,
             has_joined: false,
-            earlier_revision: None,
+            process,
+            earlier_process: None,
             frozen_until: Duration::ZERO,
             shares: QuotaShares::new(bound, process, is_first_start),
             sources: QuotaSources::default(),
@@ -94,7 +95,7 @@
         }
         self.shares.own.note_record(local, listing.own_record);
         let long_lived = listing.long_lived.get(&self.name);
-        if long_lived.is_some() && long_lived == self.earlier_revision.as_ref() {
+        if long_lived.is_some() && long_lived == self.earlier_process.as_ref() {
             self.shares.own.note_long_earlier_process();
         }
         let count = HostCount {
--- a/crates/jujubehold_core/tests/quota/simulation.rs
+++ b/crates/jujubehold_core/tests/quota/simulation.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use jujubehold_core::lead_table::Revision;
+use jujubehold_core::long_lived::ListedProcesses;
 use jujubehold_core::prelude::*;
 use jujubehold_core::quota::{
     NameRecord, QuotaAction, QuotaBound, QuotaHost, QuotaLimit, ShareAction, ShareAnswer,
@@ -77,9 +78,10 @@
     pub(crate) names: BTreeMap<HostId, NameRecord>,
     leases: BTreeMap<HostId, Duration>,
     listed_at: BTreeMap<HostId, Duration>,
-    /// Since when each host has been listed with its entry.
-    entered_at: BTreeMap<HostId, (Revision, Duration)>,
-    long_lived: BTreeMap<HostId, Revision>,
+    /// The process that wrote each entry.
+    entry_processes: BTreeMap<HostId, Nonce>,
+    listed_processes: ListedProcesses,
+    long_lived: BTreeMap<HostId, Nonce>,
     domain_count: usize,
     last_revision: Revision,
     last_id: u64,
@@ -108,7 +110,8 @@
             names: BTreeMap::new(),
             leases: BTreeMap::new(),
             listed_at: BTreeMap::new(),
-            entered_at: BTreeMap::new(),
+            entry_processes: BTreeMap::new(),
+            listed_processes: ListedProcesses::default(),
             long_lived: BTreeMap::new(),
             domain_count,
             last_revision: 0,
@@ -218,16 +221,13 @@
 
     fn note_long_lived(&mut self) {
         let min_age = min_process_age(&QuotaBound::default());
-        for (host, entry) in &self.store {
-            let entered = (entry.revision, self.now);
-            let since = self.entered_at.entry(host.clone()).or_insert(entered);
-            if since.0 != entry.revision {
-                *since = entered;
-            }
-            if self.now >= since.1 + min_age {
-                self.long_lived.insert(host.clone(), entry.revision);
-            }
-        }
+        let listed = self.store.keys();
+        let listed = listed.map(|host| (host.clone(), self.entry_processes[host]));
+        self.listed_processes.note_listed(self.now, listed);
+        let record = self
+            .listed_processes
+            .record(self.now, min_age, &self.long_lived);
+        self.long_lived = record.unwrap_or(std::mem::take(&mut self.long_lived));
     }
 
     // Renews the host's lease, writes what is due and reads the list. The known list is as of the
@@ -249,14 +249,16 @@
         if !self.store.contains_key(&name) || !host.has_joined {
             self.last_revision += 1;
             if !host.has_joined {
-                let earlier = self.store.get(&name);
-                host.earlier_revision = earlier.map(|entry| entry.revision);
+                let is_listed = self.store.contains_key(&name);
+                let earlier = self.entry_processes.get(&name).copied();
+                host.earlier_process = earlier.filter(|_| is_listed);
             }
             let entry = QuotaHost {
                 domain: host.domain.clone(),
                 revision: self.last_revision,
             };
             self.store.insert(name.clone(), entry);
+            self.entry_processes.insert(name.clone(), host.process);
             if host.is_first_start() && !host.has_joined {
                 self.names.insert(name.clone(), NameRecord::Settled);
                 let local = host.local(now);
--- a/crates/jujubehold_entry/src/control/host_names.rs
+++ b/crates/jujubehold_entry/src/control/host_names.rs
@@ -16,6 +16,7 @@
 use log::{debug, info};
 use smol_str::{SmolStr, format_smolstr};
 
+use super::member_document::parse_member;
 use super::quotas::has_quotas;
 use super::store_calls::{STORE_CALL_TIMEOUT, call_with_timeout, wait_for_turn};
 use super::{HOSTS_PREFIX, LONG_LIVED_KEY, NAMES_PREFIX};
@@ -40,10 +41,10 @@
     long_lived: RefCell<LongLivedRecord>,
 }
 
-/// The record of the processes that have run for long, by the revisions of their entries.
+/// The record of the processes that have run for long.
 #[derive(Debug, Default)]
 struct LongLivedRecord {
-    processes: BTreeMap<HostId, Revision>,
+    processes: BTreeMap<HostId, Nonce>,
     /// The revision of the record itself.
     revision: Revision,
 }
@@ -122,34 +123,35 @@
         revision: item.revision,
     });
     let record = record.unwrap_or_default();
-    let earlier = shared.earlier_key_revision.get().unwrap_or_default();
+    let earlier = shared.earlier_process.get().unwrap_or_default();
     if earlier > 0 && record.processes.get(&shared.settings.host) == Some(&earlier) {
         shared.quotas.note_long_earlier_process();
     }
     *shared.host_names.long_lived.borrow_mut() = record;
     let hosts = listing.items.iter().filter_map(|item| {
         let host = item.key.strip_prefix(HOSTS_PREFIX)?;
-        Some((HostId::from(host), item.revision))
+        let process = parse_member(&item.value, item.revision)?.process;
+        Some((HostId::from(host), process))
     });
     let mut processes = shared.host_names.processes.borrow_mut();
     processes.note_listed(shared.now(), hosts);
 }
 
-fn format_processes(processes: &BTreeMap<HostId, Revision>) -> Bytes {
+fn format_processes(processes: &BTreeMap<HostId, Nonce>) -> Bytes {
     let mut text = String::new();
-    for (host, revision) in processes {
+    for (host, process) in processes {
         // Writing to a string can't fail.
-        let _ = writeln!(text, "{host} {revision}");
+        let _ = writeln!(text, "{host} {process:x}");
     }
     Bytes::from(text)
 }
 
 // Lines that are invalid are left out.
-fn parse_processes(value: &[u8]) -> BTreeMap<HostId, Revision> {
+fn parse_processes(value: &[u8]) -> BTreeMap<HostId, Nonce> {
     let text = std::str::from_utf8(value).unwrap_or_default();
     let parse = |line: &str| {
-        let (host, revision) = line.split_once(' ')?;
-        Some((HostId::from(host), revision.parse().ok()?))
+        let (host, process) = line.split_once(' ')?;
+        Some((HostId::from(host), Nonce::from_str_radix(process, 16).ok()?))
     };
     text.lines().filter_map(parse).collect()
 }
--- a/crates/jujubehold_entry/src/control/membership.rs
+++ b/crates/jujubehold_entry/src/control/membership.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 
 use jujubehold_core::backoff::Backoff;
-use jujubehold_core::lead_table::Revision;
 use jujubehold_core::quota::NameRecord;
 use log::info;
 use smol_str::{SmolStr, format_smolstr};
@@ -14,12 +13,12 @@
 use super::HOSTS_PREFIX;
 use super::host_names::{name_key, name_value};
 use super::instances::discard_membership;
-use super::member_document::format_member;
+use super::member_document::{format_member, parse_member};
 use super::store_calls::{STORE_CALL_TIMEOUT, call_with_timeout, wait_for_turn};
 use crate::lead_state::Membership;
 use crate::phase::Phase;
 use crate::prelude::*;
-use crate::protocol::{CommitOutcome, Store, StoreChange, StoreError};
+use crate::protocol::{CommitOutcome, Store, StoreChange, StoreError, StoreItem};
 
 /// The delays after failures.
 const BACKOFF: Backoff = Backoff {
@@ -85,22 +84,21 @@
     Ok(())
 }
 
-// Returns the revision of the key of an earlier process of this host, which is overwritten; 0 if
-// there is none.
-async fn earlier_key_revision<P: Platform>(
+// Returns the entry of this host, which is overwritten, if there is one.
+async fn earlier_entry<P: Platform>(
     shared: &Shared<P>,
     key: &str,
-) -> Result<Revision, StoreError> {
+) -> Result<Option<StoreItem>, StoreError> {
     // Hundreds of hosts that start together for the first time need no call to know that. If this
     // process has been listed before, or another one is listed, the write fails and is repeated.
     let has_been_listed = shared.lead_state.borrow().members_revision > 0;
     if shared.settings.is_first_start && !has_been_listed && !shared.has_tried_to_join.replace(true)
     {
-        return Ok(0);
+        return Ok(None);
     }
     let read = shared.store.read(key);
     let (item, _) = call_with_timeout(shared, "read", STORE_CALL_TIMEOUT, read).await?;
-    Ok(item.map_or(0, |item| item.revision))
+    Ok(item)
 }
 
 async fn join<P: Platform>(shared: &Shared<P>, peer: SocketAddr) -> Result<(), StoreError> {
@@ -111,10 +109,10 @@
     // Both at once: a host that has just started serves no request before it has joined.
     let (lease, earlier) = tokio::join!(
         call_with_timeout(shared, "grant_lease", STORE_CALL_TIMEOUT, grant),
-        earlier_key_revision(shared, &key),
+        earlier_entry(shared, &key),
     );
     let (lease, earlier) = (lease?, earlier?);
-    let entry = format_member(peer, &shared.settings.domain);
+    let entry = format_member(peer, &shared.settings.domain, shared.process);
     let mut writes = vec![(key.clone(), entry, Some(lease))];
     let records_name = shared.settings.is_first_start && shared.settings.expects_quotas;
     if records_name {
@@ -122,7 +120,7 @@
         writes.push((name_key(&shared.settings.host), value, None));
     }
     let change = StoreChange {
-        expected: vec![(key, earlier)],
+        expected: vec![(key, earlier.as_ref().map_or(0, |item| item.revision))],
         writes,
         ..StoreChange::default()
     };
@@ -134,8 +132,10 @@
     };
     let joined_at = shared.now();
     info!(lease, revision = key_revision; "joined the list of hosts");
-    if shared.earlier_key_revision.get().is_none() {
-        shared.earlier_key_revision.set(Some(earlier));
+    if shared.earlier_process.get().is_none() {
+        let member = earlier.and_then(|item| parse_member(&item.value, item.revision));
+        let process = member.map_or(0, |member| member.process);
+        shared.earlier_process.set(Some(process));
     }
     if records_name {
         shared.quotas.note_first_listing(joined_at);
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -115,7 +115,7 @@
 fn host_message((host, member): (&HostId, &Member)) -> HostMessage {
     HostMessage {
         host: host.to_string(),
-        entry: format_member(member.peer_address, &member.domain).to_vec(),
+        entry: format_member(member.peer_address, &member.domain, member.process).to_vec(),
         revision: member.key_revision,
     }
 }
@@ -138,7 +138,7 @@
     let latest = departed.into_iter().take(MAX_DEPARTED_PER_DATAGRAM);
     let hosts = latest.map(|(host, member, at)| DepartedHostMessage {
         host: host.to_string(),
-        entry: format_member(member.peer_address, &member.domain).to_vec(),
+        entry: format_member(member.peer_address, &member.domain, member.process).to_vec(),
         age_us: micros(now.saturating_sub(at)),
     });
     DepartedHosts {
--- a/crates/jujubehold_entry/src/control/quotas/mod.rs
+++ b/crates/jujubehold_entry/src/control/quotas/mod.rs
@@ -42,9 +42,8 @@
 }
 
 impl Quotas {
-    pub(crate) fn new(settings: &EntrySettings) -> Self {
+    pub(crate) fn new(settings: &EntrySettings, process: Nonce) -> Self {
         let hosts = QuotaHosts::new(settings.host.clone(), settings.domain.clone());
-        let process = rand::random();
         let shares = QuotaShares::new(settings.quota_bound, process, settings.is_first_start);
         Self {
             hosts: RefCell::new(hosts),
--- a/crates/jujubehold_entry/src/lead_state.rs
+++ b/crates/jujubehold_entry/src/lead_state.rs
@@ -54,6 +54,8 @@
     pub(crate) peer_address: SocketAddr,
     /// Empty if the host's entry does not state it.
     pub(crate) domain: DomainId,
+    /// The process that wrote the entry; 0 if the entry does not state it.
+    pub(crate) process: Nonce,
     /// The store's revision of its entry.
     pub(crate) key_revision: Revision,
 }
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -73,9 +73,11 @@
     pub(crate) has_tried_to_join: Cell<bool>,
     /// The tokens of the customers.
     pub(crate) quotas: Quotas,
-    /// The revision of the entry that this process replaced when it was listed for the first time,
-    /// that of the host's earlier process; 0 if there was none.
-    pub(crate) earlier_key_revision: Cell<Option<u64>>,
+    /// A number that distinguishes this process from every other one.
+    pub(crate) process: Nonce,
+    /// The process whose entry this one replaced when it was listed for the first time; 0 if there
+    /// was none or its entry does not say.
+    pub(crate) earlier_process: Cell<Option<Nonce>>,
     /// The recorded names of the hosts.
     pub(crate) host_names: HostNames,
 }
@@ -83,14 +85,16 @@
 impl<P: Platform> Shared<P> {
     pub(crate) fn new(settings: EntrySettings, store: P::Store, promotion: P::Promotion) -> Self {
         let clock = Clock::start();
+        let process = rand::random();
         let log = Rc::new(DecisionLog::new(settings.log_lines_per_second));
         Self {
             peer_links: Rc::new(PeerLinks::new(clock, Rc::clone(&log))),
             served_leases: Cell::new(0),
             log,
             lead_state: RefCell::new(LeadState::new(settings.is_first_start)),
-            quotas: Quotas::new(&settings),
-            earlier_key_revision: Cell::new(None),
+            quotas: Quotas::new(&settings, process),
+            process,
+            earlier_process: Cell::new(None),
             host_names: HostNames::default(),
             settings,
             clock,
