Rely on a recorded name only if the host was listed since

Cause: a host that was recorded at its first start and cut off before its first listing did not notice that its name had been removed meanwhile. When it was listed again it leased a share that nobody counted.

A record counts only while the host is listed, and from the time at which the store was asked.

--- a/crates/jujubehold_core/src/quota/own_share.rs
+++ b/crates/jujubehold_core/src/quota/own_share.rs
@@ -64,12 +64,15 @@
         self.listed_at = self.listed_at.max(Some(time));
     }
 
-    /// Records what the store said about the name at `now`.
-    pub fn note_record(&mut self, now: Monotonic, record: NameRecord) {
+    /// Records what the store said about the name at `now`, in answer to a call that was made at
+    /// `asked_at` while this host was listed. A name that is found while the host is not listed may
+    /// be removed at any time.
+    pub fn note_record(&mut self, asked_at: Monotonic, now: Monotonic, record: NameRecord) {
         if self.record.is_some() {
             return;
         }
         self.record = Some(record);
+        self.listed_at = self.listed_at.max(Some(asked_at));
         self.counted_from = match record {
             NameRecord::Settled => Some(Monotonic::ZERO),
             NameRecord::Recent => Some(now + RECORDED_DELAY),
@@ -86,6 +89,7 @@
             RECORDED_DELAY
         };
         self.record = Some(NameRecord::Settled);
+        self.listed_at = self.listed_at.max(Some(now));
         self.counted_from.get_or_insert(now + delay);
     }
 
--- a/crates/jujubehold_core/tests/quota.rs
+++ b/crates/jujubehold_core/tests/quota.rs
@@ -102,6 +102,13 @@
     seeds(2).for_each(check_bound);
 }
 
+// Guards against a host that leases its share although its name was removed: it was recorded at its
+// first start, cut off before its first listing, and listed again half a minute later.
+#[test]
+fn the_bound_holds_in_the_seeds_that_exceeded_it() {
+    [452, 580, 5_910].into_iter().for_each(check_bound);
+}
+
 fn check_bound(seed: u64) {
     let customer = CustomerId::from("customer");
     let before = limit(400, if seed.is_multiple_of(3) { 20 } else { 1_000 });
--- a/crates/jujubehold_core/tests/quota/host.rs
+++ b/crates/jujubehold_core/tests/quota/host.rs
@@ -92,8 +92,9 @@
         self.hosts.set_listed(listing.hosts.clone());
         if listing.hosts.contains_key(&self.name) {
             self.shares.own.note_listed(read_at);
+            let record = listing.own_record;
+            self.shares.own.note_record(read_at, local, record);
         }
-        self.shares.own.note_record(local, listing.own_record);
         let long_lived = listing.long_lived.get(&self.name);
         if long_lived.is_some() && long_lived == self.earlier_process.as_ref() {
             self.shares.own.note_long_earlier_process();
--- a/crates/jujubehold_entry/src/control/host_names.rs
+++ b/crates/jujubehold_entry/src/control/host_names.rs
@@ -88,18 +88,15 @@
         if host == own {
             own_record = parse_name(&item.value);
         }
-        let key = format_smolstr!("{HOSTS_PREFIX}{host}");
-        let is_listed = listing
-            .items
-            .binary_search_by(|item| item.key.cmp(&key))
-            .is_ok();
-        if !is_listed {
+        if !lists_host(listing, host) {
             unlisted.push(HostId::from(host));
         }
     }
     let now = shared.now();
     apply_long_lived(shared, listing);
-    shared.quotas.note_own_record(now, own_record);
+    if lists_host(listing, own) {
+        shared.quotas.note_own_record(sent_at, now, own_record);
+    }
     shared
         .host_names
         .unlisted
@@ -115,6 +112,12 @@
     }
 }
 
+fn lists_host(listing: &StoreListing, host: &str) -> bool {
+    let key = format_smolstr!("{HOSTS_PREFIX}{host}");
+    let found = listing.items.binary_search_by(|item| item.key.cmp(&key));
+    found.is_ok()
+}
+
 fn apply_long_lived<P: Platform>(shared: &Shared<P>, listing: &StoreListing) {
     let mut items = listing.items.iter();
     let record = items.find(|item| item.key == LONG_LIVED_KEY);
@@ -212,17 +215,21 @@
 
 async fn record_own<P: Platform>(shared: &Shared<P>) -> Result<(), StoreError> {
     let key = name_key(&shared.settings.host);
-    if shared.quotas.needs_own_record() && shared.now() >= LOOKUP_DELAY {
+    let is_listed = || shared.lead_state.borrow().membership.is_some();
+    if shared.quotas.needs_own_record() && is_listed() && shared.now() >= LOOKUP_DELAY {
         wait_for_turn(shared).await;
+        let asked_at = shared.now();
         let read = shared.store.read(&key);
         let (item, _) = call_with_timeout(shared, "read", STORE_CALL_TIMEOUT, read).await?;
         let record = item.map_or(NameRecord::Absent, |item| parse_name(&item.value));
-        shared.quotas.note_own_record(shared.now(), record);
+        if is_listed() {
+            let now = shared.now();
+            shared.quotas.note_own_record(asked_at, now, record);
+        }
     }
     // A host that is not listed is not counted for long.
-    let is_listed = shared.lead_state.borrow().membership.is_some();
     let due = shared.quotas.own_record_to_write(shared.now());
-    let Some(record) = due.filter(|_| is_listed) else {
+    let Some(record) = due.filter(|_| is_listed()) else {
         return Ok(());
     };
     wait_for_turn(shared).await;
--- a/crates/jujubehold_entry/src/control/quotas/mod.rs
+++ b/crates/jujubehold_entry/src/control/quotas/mod.rs
@@ -68,9 +68,11 @@
         self.shares.borrow_mut().own.note_first_listing(now);
     }
 
-    /// Records what the store said about this host's name.
-    pub(super) fn note_own_record(&self, now: Monotonic, record: NameRecord) {
-        self.shares.borrow_mut().own.note_record(now, record);
+    /// Records what the store said at `now` about this host's name, in answer to a call that was
+    /// made at `asked_at` while the host was listed.
+    pub(super) fn note_own_record(&self, asked_at: Monotonic, now: Monotonic, record: NameRecord) {
+        let mut shares = self.shares.borrow_mut();
+        shares.own.note_record(asked_at, now, record);
     }
 
     /// Returns whether the store has to be asked about this host's name.
