--- a/crates/jujubehold_core/src/connection_share.rs
+++ b/crates/jujubehold_core/src/connection_share.rs
@@ -77,10 +77,13 @@
     /// Computes the share of a host that owns connections to an instance and may have `limit`. It
     /// serves all customers of the service, so it keeps idle connections until their number is
     /// needed for another customer.
+    ///
+    /// Half of the limit stays free: an instance counts the connections of hosts that lost power
+    /// for some seconds, and hosts that start again have no room beside them.
     pub fn of_owner(limit: usize) -> Self {
         Self {
             limit,
-            idle_allowance: limit,
+            idle_allowance: (limit / 2).max(1),
             idle_timeout: OWNER_IDLE_TIMEOUT,
             idle_time_per_second: None,
             may_keep_one: true,
