Allocate the buffer of a link when there is something to read

Cause: each end of a link between hosts held a buffer of 8 KB while it waited for data, and a host has some 80 of them.

--- a/crates/jujubehold_entry/src/peer_link/link_io.rs
+++ b/crates/jujubehold_entry/src/peer_link/link_io.rs
@@ -1,10 +1,11 @@
 //! The socket side of a link, the same for both ends.
 
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 
 use bytes::BytesMut;
 use metrics::Counter;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::Notify;
 
@@ -101,16 +102,22 @@
 
 /// Reads messages from the socket and passes each to `handle` until the socket fails.
 pub(crate) async fn read_all(
-    mut socket: OwnedReadHalf,
+    socket: OwnedReadHalf,
     received_bytes: &Counter,
     mut handle: impl FnMut(Frame),
 ) -> LinkError {
     let mut buffer = BytesMut::new();
     loop {
+        // Most links of a host are idle, so a buffer is allocated only when there is something to
+        // read.
+        if let Err(error) = socket.readable().await {
+            return error.into();
+        }
         buffer.reserve(READ_CHUNK_BYTES);
-        match socket.read_buf(&mut buffer).await {
+        match socket.try_read_buf(&mut buffer) {
             Ok(0) => return LinkError::Closed,
             Ok(length) => received_bytes.increment(u64::try_from(length).unwrap_or(u64::MAX)),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
             Err(error) => return error.into(),
         }
         loop {
