Answer a question for the directory's changes after any revision

Cause: the end of the range was computed as the asked revision and one, which overflows for the largest number: a malformed datagram ended a host that is built with overflow checks. Found in reading.

--- a/crates/jujubehold_core/src/directory_log.rs
+++ b/crates/jujubehold_core/src/directory_log.rs
@@ -5,6 +5,7 @@
 //! of every host.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use smol_str::SmolStr;
 
@@ -96,7 +97,10 @@
                 value: Some(value.clone()),
             })
             .collect();
-        for (revision, keys) in self.removals.range(after + 1..) {
+        for (revision, keys) in self
+            .removals
+            .range((Bound::Excluded(after), Bound::Unbounded))
+        {
             changes.extend(keys.iter().map(|key| DirectoryChange {
                 key: key.clone(),
                 revision: *revision,
--- a/crates/jujubehold_core/tests/directory_log.rs
+++ b/crates/jujubehold_core/tests/directory_log.rs
@@ -25,6 +25,8 @@
     assert_eq!(log.changes_after(10), Some(all));
     assert_eq!(log.changes_after(12), Some(vec![change("a", 14, None)]));
     assert_eq!(log.changes_after(14), Some(Vec::new()));
+    // A datagram may ask for any revision.
+    assert_eq!(log.changes_after(u64::MAX), Some(Vec::new()));
 }
 
 // Guards against a host that hands on what it can't know: removals before its own listing.
