--- a/crates/jujubehold_core/src/quota/start_credit.rs
+++ b/crates/jujubehold_core/src/quota/start_credit.rs
@@ -3,8 +3,8 @@
 //! The load that this addresses: all hosts are killed at the same moment. The tokens of the buckets
 //! are lost with them, and the callers that could not be served come back at once. What the bound
 //! leaves beside the burst and the rate is granted when a share is leased for the first time by a
-//! new process, unless the host's earlier process began less than [`MIN_PROCESS_AGE`] before its
-//! end. So no window contains two start credits of the same share.
+//! new process, unless the host's earlier process ended before it had run for
+//! [`min_process_age`]. So no window contains two start credits of the same share.
 
 use std::time::Duration;
 
