Report how old a host's knowledge of the directory is

A host now records the latest time at which the store certainly had no change that it lacks, from its own calls and from the reads that other hosts share. A gauge shows the age, a log line an age beyond half of the time that a configuration may take. The line of an applied configuration says where it came from, a failed request which version decided it. No decision uses the age yet.

--- a/crates/jujubehold_core/src/directory_progress.rs
+++ b/crates/jujubehold_core/src/directory_progress.rs
@@ -6,6 +6,7 @@
 //! others ask the store only when there is such a change; changes of the hosts and of the leads
 //! reach them from that host directly. See docs/notes/large-fleet.md.
 
+use crate::ids::Monotonic;
 use crate::lead_table::Revision;
 use crate::value_type;
 
@@ -19,6 +20,19 @@
         changed: Revision,
         /// The revision of the newest change that another host knows.
         announced: Revision,
+        /// The latest time at which the store certainly had no change that this host lacks.
+        confirmed_at: Monotonic,
+        /// The earliest read since then that showed a revision that this host has not reached.
+        unconfirmed_read: Option<StoreRead>,
+    }
+
+    /// A read of the store, by this host or by another one.
+    #[derive(Copy)]
+    pub struct StoreRead {
+        /// A time no later than the read.
+        pub read_at: Monotonic,
+        /// The store's revision at the read.
+        pub revision: Revision,
     }
 
     /// What a host tells the others of the directory.
@@ -36,40 +50,60 @@
         self.changed = self.changed.max(revision);
     }
 
-    /// Records that the store's answers have shown all changes up to `revision`.
-    pub fn note_reached(&mut self, revision: Revision) {
-        self.reached = self.reached.max(revision);
+    /// Records that the store's answer to a watch has shown all changes up to those of `read`.
+    pub fn note_reached(&mut self, read: &StoreRead) {
+        self.advance(read.revision);
+        self.note_read(read);
         // The store does not have what it did not return.
         self.announced = self.announced.min(self.reached);
     }
 
     /// Records that another host handed on all changes up to `revision`. The store may have more.
     pub fn note_handed_on(&mut self, revision: Revision) {
-        self.reached = self.reached.max(revision);
+        self.advance(revision);
     }
 
-    /// Records that this host read the whole directory as of `revision`. What was removed before
-    /// that does not show in the items, so the whole directory counts as changed.
+    /// Records that this host read the whole directory. What was removed before that does not show
+    /// in the items, so the whole directory counts as changed.
     ///
     /// The revision is lower than an earlier one if the store was restored from a copy. The host
     /// continues from there, because the store does not know the higher one.
-    pub fn note_listed(&mut self, revision: Revision) {
+    pub fn note_listed(&mut self, read: &StoreRead) {
         *self = Self {
-            reached: revision,
-            changed: revision,
+            reached: read.revision,
+            changed: read.revision,
             announced: 0,
+            confirmed_at: read.read_at,
+            unconfirmed_read: None,
         };
     }
 
     /// Records what another host knows.
     pub fn note_news(&mut self, news: &DirectoryNews) {
         if news.changed <= self.reached {
-            self.reached = self.reached.max(news.reached);
+            self.advance(news.reached);
         } else {
             self.announced = self.announced.max(news.changed);
         }
     }
 
+    /// Records that a read has shown the store's revision. It confirms the directory as soon as this
+    /// host has reached that revision.
+    pub fn note_read(&mut self, read: &StoreRead) {
+        if read.revision <= self.reached {
+            self.confirmed_at = self.confirmed_at.max(read.read_at);
+        } else {
+            self.unconfirmed_read.get_or_insert(*read);
+        }
+    }
+
+    fn advance(&mut self, revision: Revision) {
+        self.reached = self.reached.max(revision);
+        if let Some(read) = self.unconfirmed_read.take() {
+            self.note_read(&read);
+        }
+    }
+
     /// Returns what this host tells others.
     pub fn news(&self) -> DirectoryNews {
         DirectoryNews {
@@ -83,6 +117,11 @@
         self.reached
     }
 
+    /// Returns the latest time at which the store certainly had no change that this host lacks.
+    pub fn confirmed_at(&self) -> Monotonic {
+        self.confirmed_at
+    }
+
     /// Returns whether the store has changes that this host does not know.
     pub fn is_behind(&self) -> bool {
         self.announced > self.reached
--- a/crates/jujubehold_core/tests/directory_progress.rs
+++ b/crates/jujubehold_core/tests/directory_progress.rs
@@ -1,14 +1,23 @@
 //! Tests when a host asks the store for changes of the directory.
 
-use jujubehold_core::directory_progress::{DirectoryNews, DirectoryProgress};
+use std::time::Duration;
+
+use jujubehold_core::directory_progress::{DirectoryNews, DirectoryProgress, StoreRead};
 
 fn news(reached: u64, changed: u64) -> DirectoryNews {
     DirectoryNews { reached, changed }
 }
 
+fn read(read_at_ms: u64, revision: u64) -> StoreRead {
+    StoreRead {
+        read_at: Duration::from_millis(read_at_ms),
+        revision,
+    }
+}
+
 fn listed(revision: u64) -> DirectoryProgress {
     let mut progress = DirectoryProgress::default();
-    progress.note_listed(revision);
+    progress.note_listed(&read(0, revision));
     progress
 }
 
@@ -26,7 +35,7 @@
     progress.note_news(&news(25, 20));
     assert!(progress.is_behind());
     assert_eq!(progress.reached(), 10);
-    progress.note_reached(26);
+    progress.note_reached(&read(0, 26));
     assert!(!progress.is_behind());
     progress.note_news(&news(27, 20));
     assert!(!progress.is_behind());
@@ -46,7 +55,7 @@
 fn a_change_that_the_store_does_not_have_is_given_up() {
     let mut progress = listed(10);
     progress.note_news(&news(40, 40));
-    progress.note_reached(12);
+    progress.note_reached(&read(0, 12));
     assert!(!progress.is_behind());
 }
 
@@ -55,6 +64,30 @@
 #[test]
 fn a_listing_of_a_restored_store_is_continued_from() {
     let mut progress = listed(40);
-    progress.note_listed(12);
+    progress.note_listed(&read(0, 12));
     assert_eq!(progress.reached(), 12);
 }
+
+#[test]
+fn a_read_of_a_known_revision_confirms_the_directory() {
+    let mut progress = listed(10);
+    progress.note_read(&read(500, 10));
+    assert_eq!(progress.confirmed_at(), Duration::from_millis(500));
+    // An older read that arrives later changes nothing.
+    progress.note_read(&read(300, 9));
+    assert_eq!(progress.confirmed_at(), Duration::from_millis(500));
+}
+
+// The host that reads for others shares its read before its watch has shown the latest changes.
+#[test]
+fn a_read_confirms_the_directory_once_its_revision_is_reached() {
+    let mut progress = listed(10);
+    progress.note_read(&read(500, 12));
+    progress.note_read(&read(900, 14));
+    assert_eq!(progress.confirmed_at(), Duration::ZERO);
+    progress.note_news(&news(13, 8));
+    assert_eq!(progress.confirmed_at(), Duration::from_millis(500));
+    progress.note_read(&read(1_300, 14));
+    progress.note_handed_on(14);
+    assert_eq!(progress.confirmed_at(), Duration::from_millis(1_300));
+}
--- a/crates/jujubehold_entry/src/callers/session/failure_log.rs
+++ b/crates/jujubehold_entry/src/callers/session/failure_log.rs
@@ -58,6 +58,7 @@
             told = code.as_str(), detail = detail.as_str(),
             state = format_smolstr!("{:?}", self.state()).as_str(),
             taken_ms = millis(now.saturating_sub(arrived_at)),
+            configuration = *self.shared.configuration_version.borrow(),
             lead_revision = revision, lead_age_ms = read_age;
             "request failed");
     }
--- a/crates/jujubehold_entry/src/control/directory_relay.rs
+++ b/crates/jujubehold_entry/src/control/directory_relay.rs
@@ -5,7 +5,7 @@
 use log::debug;
 use metrics::counter;
 
-use super::instances::{apply_item, apply_removal, is_directory_key};
+use super::instances::{ChangeOrigin, apply_item, apply_removal, is_directory_key};
 use super::peer_message::{
     DirectoryChangeMessage, DirectoryChangesMessage, PeerMessage, PeerMessageKind,
 };
@@ -51,25 +51,24 @@
     };
     counter!(DIRECTORY_CHANGES_FETCHED, "outcome" => "answered").increment(1);
     for change in changes.changes {
-        apply_change(shared, change);
+        apply_change(shared, change, &source);
     }
     let mut progress = shared.directory_progress.borrow_mut();
     progress.note_handed_on(changes.reached);
     true
 }
 
-fn apply_change<P: Platform>(shared: &Shared<P>, change: DirectoryChangeMessage) {
-    match change.value {
-        Some(value) => apply_item(
-            shared,
-            &StoreItem {
-                key: change.key.into(),
-                value: value.into(),
-                revision: change.revision,
-            },
-        ),
-        None => apply_removal(shared, &change.key, change.revision),
-    }
+fn apply_change<P: Platform>(shared: &Shared<P>, change: DirectoryChangeMessage, source: &HostId) {
+    let Some(value) = change.value else {
+        apply_removal(shared, &change.key, change.revision);
+        return;
+    };
+    let item = StoreItem {
+        key: change.key.into(),
+        value: value.into(),
+        revision: change.revision,
+    };
+    apply_item(shared, &item, ChangeOrigin::Host(source));
 }
 
 /// Answers a host that asks for changes. If they are not all known, or too long, the answer contains
--- a/crates/jujubehold_entry/src/control/instances.rs
+++ b/crates/jujubehold_entry/src/control/instances.rs
@@ -12,6 +12,7 @@
 use crate::pool::Upstream;
 use crate::prelude::*;
 use crate::protocol::{Customers, Directory, InstanceEntry, StoreItem, StoreListing};
+use crate::shared::millis;
 
 /// How long to wait, once the store is available again, for instance entries that expired during
 /// the outage to be written again.
@@ -19,15 +20,41 @@
 /// The connection limit of an instance until its service's limit is known.
 const INITIAL_CONNECTION_LIMIT: usize = 4;
 
+/// Where a change of the store's items comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ChangeOrigin<'a> {
+    /// A listing of all items.
+    Listing,
+    /// A watch of this host.
+    Watch,
+    /// Another host, which handed it on.
+    Host(&'a HostId),
+}
+
+impl ChangeOrigin<'_> {
+    // Returns the name used in logs.
+    fn as_str(&self) -> &str {
+        match self {
+            Self::Listing => "listing",
+            Self::Watch => "watch",
+            Self::Host(host) => host,
+        }
+    }
+}
+
 /// Applies one item of the store.
-pub(crate) fn apply_item<P: Platform>(shared: &Shared<P>, item: &StoreItem) {
+pub(super) fn apply_item<P: Platform>(
+    shared: &Shared<P>,
+    item: &StoreItem,
+    origin: ChangeOrigin<'_>,
+) {
     let key = item.key.as_str();
     if note_directory_change(shared, key, item.revision) {
         let mut log = shared.directory_log.borrow_mut();
         log.note_written(&item.key, item.revision, &item.value);
     }
     if key == P::Directory::CONFIGURATION_KEY {
-        apply_configuration(shared, &item.value);
+        apply_configuration(shared, item, origin);
     } else if key.starts_with(P::Directory::INSTANCES_PREFIX) {
         match P::Directory::instance(key, &item.value) {
             Some(entry) => apply_instance(shared, entry),
@@ -169,8 +196,12 @@
         .collect()
 }
 
-fn apply_configuration<P: Platform>(shared: &Shared<P>, value: &[u8]) {
-    let configuration = match P::Directory::configuration(value) {
+fn apply_configuration<P: Platform>(
+    shared: &Shared<P>,
+    item: &StoreItem,
+    origin: ChangeOrigin<'_>,
+) {
+    let configuration = match P::Directory::configuration(&item.value) {
         Ok(configuration) => configuration,
         Err(error) => {
             warn!(error:% = error; "ignoring an invalid configuration");
@@ -187,7 +218,8 @@
         return;
     }
     let customers = configuration.customers.as_ref().map_or(0, Customers::len);
-    info!(version = configuration.version, databases = configuration.routes.len(), customers;
+    info!(version = configuration.version, databases = configuration.routes.len(), customers,
+        revision = item.revision, from = origin.as_str(), now_ms = millis(shared.now());
         "configuration applied");
     shared.configuration_applied_at.set(shared.now());
     shared
--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -1,6 +1,7 @@
 //! Keeps the proof that the table of leads is current: reads the table from the store, or asks a
 //! host that does.
 
+use jujubehold_core::directory_progress::StoreRead;
 use jujubehold_core::host_history::HostHistoryQuestions;
 use jujubehold_core::lead_table::LeadTable;
 use log::{debug, info, warn};
@@ -150,6 +151,13 @@
         .watch_progress
         .borrow_mut()
         .note_store_revision(now, listing.revision);
+    shared
+        .directory_progress
+        .borrow_mut()
+        .note_read(&StoreRead {
+            read_at: sent_at,
+            revision: listing.revision,
+        });
     apply_names(shared, &listing, sent_at);
     let is_listed = apply_member_listing(shared, &listing, sent_at);
     if is_listed && table.revision >= shared.lead_state.borrow().table.revision {
--- a/crates/jujubehold_entry/src/control/mod.rs
+++ b/crates/jujubehold_entry/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Background tasks of a host: configuration, membership in the list of hosts, and the choice of
 //! each service's primary.
 
+mod directory_age;
 mod directory_relay;
 mod first_primaries;
 mod host_names;
@@ -42,6 +43,7 @@
         Rc::clone(shared),
         Rc::clone(peers),
     ));
+    actix_rt::spawn(directory_age::report_directory_age(Rc::clone(shared)));
     actix_rt::spawn(membership::keep_membership(
         Rc::clone(shared),
         peers.address(),
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -1,6 +1,6 @@
 //! Asks another host of the failure domain for its latest read of the store.
 
-use jujubehold_core::directory_progress::DirectoryNews;
+use jujubehold_core::directory_progress::{DirectoryNews, StoreRead};
 use jujubehold_core::position_demand::{PositionDemand, PositionDemandSettings};
 use jujubehold_core::proof_sharing::{SharedRead, SharedReadCheck, SharedReadFault, happened_at};
 use jujubehold_core::quota::HostCount;
@@ -133,6 +133,13 @@
         .watch_progress
         .borrow_mut()
         .note_store_revision(now, read.revision);
+    shared
+        .directory_progress
+        .borrow_mut()
+        .note_read(&StoreRead {
+            read_at: happened_at(sent_at, read.age),
+            revision: read.revision,
+        });
     {
         let mut lead_state = shared.lead_state.borrow_mut();
         let membership = lead_state.membership.as_ref();
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -6,13 +6,16 @@
 use std::collections::BTreeSet;
 
 use jujubehold_core::backoff::Backoff;
+use jujubehold_core::directory_progress::StoreRead;
 use jujubehold_core::history_limit::HistoryLimit;
 use jujubehold_core::lead_table::Revision;
 use jujubehold_core::watch_pace::WatchPace;
 use log::{debug, info};
 
 use super::directory_relay::fetch_changes;
-use super::instances::{apply_item, apply_removal, listed_instance_keys, remove_missing_instances};
+use super::instances::{
+    ChangeOrigin, apply_item, apply_removal, listed_instance_keys, remove_missing_instances,
+};
 use super::peers::Peers;
 use super::store_calls::{STORE_CALL_TIMEOUT, transfer_with_timeout, wait_for_turn};
 use crate::prelude::*;
@@ -64,7 +67,12 @@
         };
         match result {
             Ok(revision) => {
-                note_reached(&shared, is_listed, revision);
+                // The answer holds all changes until it was sent, which was after the call began.
+                let read = StoreRead {
+                    read_at: begun_at,
+                    revision,
+                };
+                note_reached(&shared, is_listed, &read);
                 is_listed = true;
                 failures = 0;
                 let now = shared.now();
@@ -121,12 +129,12 @@
     }
 }
 
-fn note_reached<P: Platform>(shared: &Shared<P>, is_listed: bool, revision: Revision) {
+fn note_reached<P: Platform>(shared: &Shared<P>, is_listed: bool, read: &StoreRead) {
     let mut progress = shared.directory_progress.borrow_mut();
     if is_listed {
-        progress.note_reached(revision);
+        progress.note_reached(read);
     } else {
-        progress.note_listed(revision);
+        progress.note_listed(read);
     }
 }
 
@@ -174,7 +182,7 @@
     };
     for change in &changes {
         match change {
-            ItemChange::Written(item) => apply_item(shared, item),
+            ItemChange::Written(item) => apply_item(shared, item, ChangeOrigin::Watch),
             ItemChange::Removed { key, revision } => apply_removal(shared, key, *revision),
         }
     }
@@ -224,7 +232,7 @@
     for (listing, _) in &listings {
         for item in &listing.items {
             present.insert(item.key.to_string());
-            apply_item(shared, item);
+            apply_item(shared, item, ChangeOrigin::Listing);
         }
     }
     if shared.directory_followed_since.get().is_none() {
