--- a/crates/jujubehold_standin/src/users_platform/faults.rs
+++ b/crates/jujubehold_standin/src/users_platform/faults.rs
@@ -12,6 +12,8 @@
     pub watches_to_hang: u32,
     /// The HTTP status that every call fails with, without any effect.
     pub error_status: Option<u16>,
+    /// Watches, and listings of what operators and instances write, get no answer; other calls do.
+    pub hides_directory: bool,
     /// Writes take effect but their answers are lost.
     pub loses_write_answers: bool,
     /// The delay before each call is processed.
--- a/crates/jujubehold_standin/src/users_platform/store_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/store_server.rs
@@ -40,6 +40,9 @@
     if let Some(status) = faults.error_status {
         return Some((status, json!({})));
     }
+    if faults.hides_directory && reads_directory(&call) {
+        return None;
+    }
     actix_rt::time::sleep(faults.delay).await;
     state.borrow_mut().expire();
     if call.path == "/-/kv-watch" {
@@ -59,6 +62,12 @@
     Some(answer)
 }
 
+fn reads_directory(call: &Call) -> bool {
+    let prefix = call.value("prefix");
+    let is_listing = prefix.starts_with("op/") || prefix.starts_with("servers/");
+    call.path == "/-/kv-watch" || (call.path == "/-/kv-range" && is_listing)
+}
+
 fn run(call: &Call, state: &mut KvState) -> (u16, Value) {
     if call.method == Method::GET && call.path == "/-/kv-key" {
         return read(call.value("key"), state);
