Bound how long a host relies on another one for the absence of changes

Callers saw requests decided by a configuration whose successor had been confirmed more than six seconds before, at hosts that were not impaired themselves.

Cause: since hosts of a failure domain follow one of them, a host that had any host to ask asked the store for changes only if that host told of some. An answer without a read, no answer, and an answer of a host whose own copy was old all counted as the absence of changes, and nothing limited how long. It is a fault of the class 'no news is taken for good news': the proofs of the leads have a window, the directory had none.

A host now records when something last confirmed that it lacks no change: its own read or another host's, as soon as it has reached that read's revision, or its own answered watch. Beyond half of the time that a configuration may take it asks the store itself, whichever hosts it could ask. A counter tells the reasons apart.

--- a/crates/jujubehold_core/src/directory_progress.rs
+++ b/crates/jujubehold_core/src/directory_progress.rs
@@ -5,11 +5,21 @@
 //! it knows all changes and which was the newest one of the configuration or of an instance. The
 //! others ask the store only when there is such a change; changes of the hosts and of the leads
 //! reach them from that host directly. See docs/notes/large-fleet.md.
+//!
+//! A host that is told of no change may only rely on that while something confirms it: the other
+//! host may be cut off from the store, may receive changes slowly, or may not answer. So a host whose
+//! knowledge has not been confirmed for a while asks the store, whoever else it could ask.
+
+use std::time::Duration;
 
 use crate::ids::Monotonic;
 use crate::lead_table::Revision;
 use crate::value_type;
 
+/// How long a host relies on others without a confirmation: half of the time within which a
+/// configuration has to take effect, which leaves the other half for asking the store.
+pub const MAX_UNCONFIRMED_TIME: Duration = Duration::from_millis(2_500);
+
 value_type! {
     /// What one host knows of the directory's changes.
     #[derive(Default)]
@@ -44,6 +54,18 @@
     }
 }
 
+crate::key_type! {
+    /// What a host that follows another one has to do next to know all changes.
+    pub enum DirectoryNeed {
+        /// Nothing: no change is known that this host lacks.
+        Nothing,
+        /// Get the changes that the other host knows.
+        Changes,
+        /// Ask the store, since nothing has confirmed lately that this host lacks no change.
+        Confirmation,
+    }
+}
+
 impl DirectoryProgress {
     /// Records that this host has applied a change of the directory.
     pub fn note_changed(&mut self, revision: Revision) {
@@ -126,4 +148,15 @@
     pub fn is_behind(&self) -> bool {
         self.announced > self.reached
     }
+
+    /// Returns what this host has to do at `now` if it follows another host.
+    pub fn need(&self, now: Monotonic) -> DirectoryNeed {
+        if now.saturating_sub(self.confirmed_at) > MAX_UNCONFIRMED_TIME {
+            DirectoryNeed::Confirmation
+        } else if self.is_behind() {
+            DirectoryNeed::Changes
+        } else {
+            DirectoryNeed::Nothing
+        }
+    }
 }
--- a/crates/jujubehold_core/tests/directory_progress.rs
+++ b/crates/jujubehold_core/tests/directory_progress.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use jujubehold_core::directory_progress::{DirectoryNews, DirectoryProgress, StoreRead};
+use jujubehold_core::directory_progress::{
+    DirectoryNeed, DirectoryNews, DirectoryProgress, MAX_UNCONFIRMED_TIME, StoreRead,
+};
 
 fn news(reached: u64, changed: u64) -> DirectoryNews {
     DirectoryNews { reached, changed }
@@ -91,3 +93,34 @@
     progress.note_handed_on(14);
     assert_eq!(progress.confirmed_at(), Duration::from_millis(1_300));
 }
+
+// The host that is followed may be cut off from the store, or behind itself.
+#[test]
+fn a_host_that_nothing_confirms_asks_the_store() {
+    let mut progress = listed(10);
+    let confirmed_at = Duration::from_millis(500);
+    progress.note_read(&read(500, 10));
+    let relied_until = confirmed_at + MAX_UNCONFIRMED_TIME;
+    assert_eq!(progress.need(relied_until), DirectoryNeed::Nothing);
+    progress.note_news(&news(20, 20));
+    assert_eq!(progress.need(relied_until), DirectoryNeed::Changes);
+    let later = relied_until + Duration::from_millis(1);
+    assert_eq!(progress.need(later), DirectoryNeed::Confirmation);
+}
+
+// The other host's own reads are recent, but its watch has not shown what they show.
+#[test]
+fn reads_of_revisions_that_are_not_reached_confirm_nothing() {
+    let mut progress = listed(10);
+    let mut now = Duration::ZERO;
+    for step in 1..10 {
+        now += MAX_UNCONFIRMED_TIME / 4;
+        let read = StoreRead {
+            read_at: now,
+            revision: 10 + step,
+        };
+        progress.note_read(&read);
+        progress.note_news(&news(10, 10));
+    }
+    assert_eq!(progress.need(now), DirectoryNeed::Confirmation);
+}
--- a/crates/jujubehold_entry/src/control/directory_age.rs
+++ b/crates/jujubehold_entry/src/control/directory_age.rs
@@ -3,6 +3,7 @@
 //! A host that hears of no change can't tell by itself whether there is none. The age tells a host
 //! that is up to date from one that hears nothing.
 
+use jujubehold_core::directory_progress::MAX_UNCONFIRMED_TIME;
 use log::{info, warn};
 use metrics::gauge;
 
@@ -12,9 +13,6 @@
 
 /// How often the age is reported.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// The age from which on the host says so in its log: half of the time within which a configuration
-/// has to take effect.
-const REPORTED_AGE: Duration = Duration::from_millis(2_500);
 
 /// Reports the age until the future is dropped.
 pub(crate) async fn report_directory_age<P: Platform>(shared: Rc<Shared<P>>) {
@@ -28,7 +26,7 @@
         let confirmed_at = shared.directory_progress.borrow().confirmed_at();
         let age = now.saturating_sub(confirmed_at);
         gauge!(DIRECTORY_AGE_SECONDS).set(age.as_secs_f64());
-        let was_old = std::mem::replace(&mut is_old, age > REPORTED_AGE);
+        let was_old = std::mem::replace(&mut is_old, age > MAX_UNCONFIRMED_TIME);
         if is_old && !was_old {
             log_old_directory(&shared, now, age);
         } else if was_old && !is_old {
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -1,16 +1,17 @@
 //! Follows the store: lists all items once, then watches for changes with long polls. A host that
 //! gets its proof from another host asks that host for the changes that it knows, and the store only
-//! if it does not get them. A host that lacks more changes than the items are long lists the items
-//! again.
+//! if it does not get them, or if nothing confirms any more that there are none. A host that lacks
+//! more changes than the items are long lists the items again.
 
 use std::collections::BTreeSet;
 
 use jujubehold_core::backoff::Backoff;
-use jujubehold_core::directory_progress::StoreRead;
+use jujubehold_core::directory_progress::{DirectoryNeed, StoreRead};
 use jujubehold_core::history_limit::HistoryLimit;
 use jujubehold_core::lead_table::Revision;
 use jujubehold_core::watch_pace::WatchPace;
 use log::{debug, info};
+use metrics::counter;
 
 use super::directory_relay::fetch_changes;
 use super::instances::{
@@ -18,14 +19,15 @@
 };
 use super::peers::Peers;
 use super::store_calls::{STORE_CALL_TIMEOUT, transfer_with_timeout, wait_for_turn};
+use crate::metric_names::DIRECTORY_FOLLOWED;
 use crate::prelude::*;
 use crate::protocol::{CallProgress, Directory, ItemChange, Store, StoreError, StoreListing};
 
 /// How long the store holds a watch without changes. This is near the longest time that it allows,
 /// since other answers of the store reveal a stalled watch.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
-/// How often a host that follows another one checks whether that one knows more.
-const BEHIND_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How often a host that follows another one checks whether it has to ask for changes.
+const NEED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How often a waiting watch is checked for a stall.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How much longer than [`WATCH_WAIT`] the answer may take.
@@ -46,8 +48,9 @@
     let mut listed_bytes = 0;
     loop {
         if is_listed {
-            wait_until_behind(&shared).await;
-            if fetch_changes(&shared, &peers).await {
+            let reason = wait_for_reason(&shared).await;
+            count_reason(reason);
+            if reason == FollowReason::Changes && fetch_changes(&shared, &peers).await {
                 remove_missing_instances(&shared);
                 continue;
             }
@@ -99,6 +102,17 @@
     }
 }
 
+/// Why a host that has listed the directory asks for changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FollowReason {
+    /// It follows no other host.
+    NoSource,
+    /// The host that it follows knows changes that this one lacks.
+    Changes,
+    /// Nothing has confirmed lately that this host lacks no change.
+    Unconfirmed,
+}
+
 /// Why a call to follow the store brought no changes.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
 enum FollowError {
@@ -138,14 +152,30 @@
     }
 }
 
-// Returns when only a call of this host can show it further changes: it asks no other host for its
-// proof, or that host knows changes that this one lacks.
-async fn wait_until_behind<P: Platform>(shared: &Shared<P>) {
-    while shared.proof_source().is_some() && !shared.directory_progress.borrow().is_behind() {
-        actix_rt::time::sleep(BEHIND_CHECK_INTERVAL).await;
+// Returns when this host has to ask for changes.
+async fn wait_for_reason<P: Platform>(shared: &Shared<P>) -> FollowReason {
+    loop {
+        if shared.proof_source().is_none() {
+            return FollowReason::NoSource;
+        }
+        let need = shared.directory_progress.borrow().need(shared.now());
+        match need {
+            DirectoryNeed::Nothing => actix_rt::time::sleep(NEED_CHECK_INTERVAL).await,
+            DirectoryNeed::Changes => return FollowReason::Changes,
+            DirectoryNeed::Confirmation => return FollowReason::Unconfirmed,
+        }
     }
 }
 
+fn count_reason(reason: FollowReason) {
+    let reason = match reason {
+        FollowReason::NoSource => "no_source",
+        FollowReason::Changes => "changes",
+        FollowReason::Unconfirmed => "unconfirmed",
+    };
+    counter!(DIRECTORY_FOLLOWED, "reason" => reason).increment(1);
+}
+
 // Spaces the watch calls out, so that one call returns several changes that come close together.
 async fn limit_watch_rate<P: Platform>(shared: &Shared<P>, taken: Duration) {
     let pace = WatchPace::default();
