List the directory again after the store was restored from a copy

Callers could be served by a configuration of before a restore for as long as the operators wrote no other one.

Cause: a restored store gives out the revisions of the lost changes again. A host compared revisions of both histories: it watched from, or took from another host's news, a number of the lost history, and never asked for a change that the new history had written below it. Only a store that had not yet reached that number said so, with 410.

The stand-in's store can be restored from a copy now, states its era and answers 410 to revisions that it does not have.

A host takes the era from the header of every answer of the store, so the renewal of its lease, each second, shows a restore. It then lists the directory again, also while a watch waits. Reads, news and changes of another host count only if they state the same era; hosts of earlier versions state none.

--- a/crates/jujubehold_core/src/directory_progress.rs
+++ b/crates/jujubehold_core/src/directory_progress.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use crate::ids::Monotonic;
-use crate::lead_table::Revision;
+use crate::lead_table::{Revision, StoreEra};
 use crate::value_type;
 
 /// How long a host relies on others without a confirmation: half of the time within which a
@@ -24,6 +24,8 @@
     /// What one host knows of the directory's changes.
     #[derive(Default)]
     pub struct DirectoryProgress {
+        /// The era of the store to which the revisions belong.
+        era: StoreEra,
         /// The revision up to which this host knows all changes of the directory.
         reached: Revision,
         /// The revision of the newest change of the directory that this host has applied.
@@ -41,12 +43,16 @@
     pub struct StoreRead {
         /// A time no later than the read.
         pub read_at: Monotonic,
+        /// The store's era at the read.
+        pub era: StoreEra,
         /// The store's revision at the read.
         pub revision: Revision,
     }
 
     /// What a host tells the others of the directory.
     pub struct DirectoryNews {
+        /// The era of the store to which the revisions belong.
+        pub era: StoreEra,
         /// The revision up to which the host knows all changes of the directory.
         pub reached: Revision,
         /// The revision of the newest of these changes.
@@ -92,6 +98,7 @@
     /// continues from there, because the store does not know the higher one.
     pub fn note_listed(&mut self, read: &StoreRead) {
         *self = Self {
+            era: read.era,
             reached: read.revision,
             changed: read.revision,
             announced: 0,
@@ -102,6 +109,9 @@
 
     /// Records what another host knows.
     pub fn note_news(&mut self, news: &DirectoryNews) {
+        if news.era != self.era {
+            return;
+        }
         if news.changed <= self.reached {
             self.advance(news.reached);
         } else {
@@ -112,6 +122,9 @@
     /// Records that a read has shown the store's revision. It confirms the directory as soon as this
     /// host has reached that revision.
     pub fn note_read(&mut self, read: &StoreRead) {
+        if read.era != self.era {
+            return;
+        }
         if read.revision <= self.reached {
             self.confirmed_at = self.confirmed_at.max(read.read_at);
         } else {
@@ -129,11 +142,17 @@
     /// Returns what this host tells others.
     pub fn news(&self) -> DirectoryNews {
         DirectoryNews {
+            era: self.era,
             reached: self.reached,
             changed: self.changed,
         }
     }
 
+    /// Returns the era of the store of which this host knows the directory.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// Returns the revision up to which this host knows all changes.
     pub fn reached(&self) -> Revision {
         self.reached
--- a/crates/jujubehold_core/src/lead_table.rs
+++ b/crates/jujubehold_core/src/lead_table.rs
@@ -11,6 +11,10 @@
 /// The store's revision of a value; 0 before the first one.
 pub type Revision = u64;
 
+/// A number that rises each time that the store is restored from a copy; 0 if the store states none.
+/// A restored store gives out revisions again, so that those of two eras can't be compared.
+pub type StoreEra = u64;
+
 value_type! {
     /// The leads of all services as of one revision.
     #[derive(Default)]
--- a/crates/jujubehold_core/tests/directory_progress.rs
+++ b/crates/jujubehold_core/tests/directory_progress.rs
@@ -7,12 +7,17 @@
 };
 
 fn news(reached: u64, changed: u64) -> DirectoryNews {
-    DirectoryNews { reached, changed }
+    DirectoryNews {
+        era: 1,
+        reached,
+        changed,
+    }
 }
 
 fn read(read_at_ms: u64, revision: u64) -> StoreRead {
     StoreRead {
         read_at: Duration::from_millis(read_at_ms),
+        era: 1,
         revision,
     }
 }
@@ -115,12 +120,33 @@
     let mut now = Duration::ZERO;
     for step in 1..10 {
         now += MAX_UNCONFIRMED_TIME / 4;
-        let read = StoreRead {
+        progress.note_read(&StoreRead {
             read_at: now,
-            revision: 10 + step,
-        };
-        progress.note_read(&read);
+            ..read(0, 10 + step)
+        });
         progress.note_news(&news(10, 10));
     }
     assert_eq!(progress.need(now), DirectoryNeed::Confirmation);
 }
+
+// The store gives out revisions again after it was restored, so the same number stands for two
+// states.
+#[test]
+fn revisions_of_another_era_say_nothing() {
+    let mut progress = listed(10);
+    progress.note_news(&DirectoryNews {
+        era: 2,
+        ..news(25, 8)
+    });
+    assert_eq!(progress.reached(), 10);
+    progress.note_news(&DirectoryNews {
+        era: 2,
+        ..news(25, 20)
+    });
+    assert!(!progress.is_behind());
+    progress.note_read(&StoreRead {
+        era: 2,
+        ..read(500, 9)
+    });
+    assert_eq!(progress.confirmed_at(), Duration::ZERO);
+}
--- a/crates/jujubehold_entry/src/control/directory_relay.rs
+++ b/crates/jujubehold_entry/src/control/directory_relay.rs
@@ -26,7 +26,10 @@
     let Some(source) = shared.proof_source() else {
         return false;
     };
-    let after = shared.directory_progress.borrow().reached();
+    let (era, after) = {
+        let progress = shared.directory_progress.borrow();
+        (progress.era(), progress.reached())
+    };
     let (number, receiver) = peers.directory_questions.begin();
     let mut question = new_message(shared, PeerMessageKind::DirectoryQuestion);
     question.question = number;
@@ -40,7 +43,8 @@
     let changes = answer.and_then(|answer| answer.directory_changes);
     let is_usable = |changes: &DirectoryChangesMessage| {
         let mut keys = changes.changes.iter();
-        changes.after == after
+        changes.era == era
+            && changes.after == after
             && changes.reached > after
             && keys.all(|change| is_directory_key::<P>(&change.key))
     };
@@ -72,7 +76,8 @@
 }
 
 /// Answers a host that asks for changes. If they are not all known, or too long, the answer contains
-/// none, so that the other host asks the store at once.
+/// none, so that the other host asks the store at once. The same applies if this host has to list the
+/// directory again.
 pub(super) fn answer_directory_question<P: Platform>(
     shared: &Shared<P>,
     peers: &Peers,
@@ -81,14 +86,16 @@
     let Some(asked) = &question.directory_changes else {
         return;
     };
-    let reached = shared.directory_progress.borrow().reached();
+    let news = shared.directory_progress.borrow().news();
     let changes = shared.directory_log.borrow().changes_after(asked.after);
-    let changes = changes.filter(|changes| total_bytes(changes) <= MAX_CHANGES_BYTES);
+    let changes = changes
+        .filter(|changes| total_bytes(changes) <= MAX_CHANGES_BYTES && !shared.is_store_restored());
     let mut answer = new_message(shared, PeerMessageKind::DirectoryChanges);
     answer.question = question.question;
     answer.directory_changes = Some(DirectoryChangesMessage {
         after: asked.after,
-        reached: changes.as_ref().map_or(0, |_| reached),
+        reached: changes.as_ref().map_or(0, |_| news.reached),
+        era: news.era,
         changes: changes.into_iter().flatten().map(change_message).collect(),
     });
     peers.send_to(shared, &question.from, &answer);
--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -146,18 +146,11 @@
         warn!(revision = listing.revision; "the table of leads is invalid");
         return Err(StoreError::Unreadable);
     };
-    let now = shared.now();
-    shared
-        .watch_progress
-        .borrow_mut()
-        .note_store_revision(now, listing.revision);
-    shared
-        .directory_progress
-        .borrow_mut()
-        .note_read(&StoreRead {
-            read_at: sent_at,
-            revision: listing.revision,
-        });
+    shared.note_store_read(&StoreRead {
+        read_at: sent_at,
+        era: listing.era,
+        revision: listing.revision,
+    });
     apply_names(shared, &listing, sent_at);
     let is_listed = apply_member_listing(shared, &listing, sent_at);
     if is_listed && table.revision >= shared.lead_state.borrow().table.revision {
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -91,6 +91,9 @@
     /// The changes in their order.
     #[prost(message, repeated, tag = "3")]
     pub(crate) changes: Vec<DirectoryChangeMessage>,
+    /// The era of the store to which the revisions of an answer belong.
+    #[prost(uint64, tag = "4")]
+    pub(crate) era: u64,
 }
 
 /// One change of the directory.
@@ -198,6 +201,9 @@
     /// The revision of the newest of these changes.
     #[prost(uint64, tag = "2")]
     pub(crate) changed: u64,
+    /// The era of the store to which both revisions belong.
+    #[prost(uint64, tag = "3")]
+    pub(crate) era: u64,
 }
 
 /// A host that is no longer listed, and that may still use a primary.
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -37,11 +37,7 @@
     if answer.hosts_digest != question.hosts_digest {
         answer.hosts = hosts(shared, question.hosts_revision);
     }
-    let news = shared.directory_progress.borrow().news();
-    answer.directory = Some(DirectoryMessage {
-        reached: news.reached,
-        changed: news.changed,
-    });
+    answer.directory = directory_news(shared);
     let departed = departed_hosts(shared);
     answer.departed = departed.hosts;
     answer.knows_all_hosts = departed.is_complete;
@@ -51,6 +47,19 @@
     peers.send_to(shared, &question.from, &answer);
 }
 
+// Returns what this host knows of the directory, unless it has to list the directory again.
+fn directory_news<P: Platform>(shared: &Shared<P>) -> Option<DirectoryMessage> {
+    if shared.is_store_restored() {
+        return None;
+    }
+    let news = shared.directory_progress.borrow().news();
+    Some(DirectoryMessage {
+        reached: news.reached,
+        changed: news.changed,
+        era: news.era,
+    })
+}
+
 fn own_read<P: Platform>(shared: &Shared<P>) -> Option<ReadMessage> {
     let lead_state = shared.lead_state.borrow();
     let read = lead_state.own_read?;
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -9,7 +9,8 @@
 use super::instances::discard_membership;
 use super::member_document::parse_member;
 use super::peer_message::{
-    DepartedHostMessage, HostMessage, HostsMessage, PeerMessage, PeerMessageKind, PositionMessage,
+    DepartedHostMessage, DirectoryMessage, HostMessage, HostsMessage, PeerMessage, PeerMessageKind,
+    PositionMessage,
 };
 use super::peers::{Peers, new_message};
 use crate::prelude::*;
@@ -107,15 +108,6 @@
     answer: &PeerMessage,
 ) -> Result<Duration, QuestionError> {
     let shared_read = answer.read.as_ref().ok_or(QuestionError::NoRead)?;
-    if let Some(directory) = &answer.directory {
-        shared
-            .directory_progress
-            .borrow_mut()
-            .note_news(&DirectoryNews {
-                reached: directory.reached,
-                changed: directory.changed,
-            });
-    }
     apply_known_hosts(shared, sent_at, answer);
     if let Some(counted) = answer.counted_hosts
         && let Some(count) = HostCount::received(sent_at, &counted.into())
@@ -128,18 +120,14 @@
         table_revision: answer.table_revision,
         hosts_digest: answer.hosts_digest,
     };
-    let now = shared.now();
-    shared
-        .watch_progress
-        .borrow_mut()
-        .note_store_revision(now, read.revision);
-    shared
-        .directory_progress
-        .borrow_mut()
-        .note_read(&StoreRead {
+    if let Some(directory) = &answer.directory {
+        let read = StoreRead {
             read_at: happened_at(sent_at, read.age),
+            era: directory.era,
             revision: read.revision,
-        });
+        };
+        apply_directory_news(shared, directory, &read);
+    }
     {
         let mut lead_state = shared.lead_state.borrow_mut();
         let membership = lead_state.membership.as_ref();
@@ -165,6 +153,21 @@
     Ok(read.age)
 }
 
+// Applies what another host knows of the directory, and the read by which it knows it.
+fn apply_directory_news<P: Platform>(
+    shared: &Shared<P>,
+    directory: &DirectoryMessage,
+    read: &StoreRead,
+) {
+    let news = DirectoryNews {
+        era: directory.era,
+        reached: directory.reached,
+        changed: directory.changed,
+    };
+    shared.directory_progress.borrow_mut().note_news(&news);
+    shared.note_store_read(read);
+}
+
 // Applies the hosts that another host knows, which was asked at `sent_at`.
 fn apply_known_hosts<P: Platform>(shared: &Shared<P>, sent_at: Monotonic, answer: &PeerMessage) {
     let knows_departed = apply_departed(shared, &answer.departed);
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -9,7 +9,7 @@
 use jujubehold_core::directory_progress::{DirectoryNeed, StoreRead};
 use jujubehold_core::history_limit::HistoryLimit;
 use jujubehold_core::lead_table::Revision;
-use jujubehold_core::watch_pace::WatchPace;
+use jujubehold_core::watch_pace::{WatchPace, WatchProgress};
 use log::{debug, info};
 use metrics::counter;
 
@@ -28,7 +28,7 @@
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// How often a host that follows another one checks whether it has to ask for changes.
 const NEED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// How often a waiting watch is checked for a stall.
+/// How often a waiting watch is checked for a stall, and for a restore of the store.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How much longer than [`WATCH_WAIT`] the answer may take.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(900);
@@ -54,6 +54,7 @@
                 remove_missing_instances(&shared);
                 continue;
             }
+            is_listed = reason != FollowReason::Restored;
         }
         wait_for_turn(&shared).await;
         let begun_at = shared.now();
@@ -69,12 +70,7 @@
             list(&shared, &mut listed_bytes).await
         };
         match result {
-            Ok(revision) => {
-                // The answer holds all changes until it was sent, which was after the call began.
-                let read = StoreRead {
-                    read_at: begun_at,
-                    revision,
-                };
+            Ok(read) => {
                 note_reached(&shared, is_listed, &read);
                 is_listed = true;
                 failures = 0;
@@ -82,7 +78,7 @@
                 shared
                     .watch_progress
                     .borrow_mut()
-                    .note_watch_revision(now, revision);
+                    .note_watch_revision(now, read.revision);
                 limit_watch_rate(&shared, now.saturating_sub(begun_at)).await;
             }
             Err(error) => {
@@ -111,6 +107,8 @@
     Changes,
     /// Nothing has confirmed lately that this host lacks no change.
     Unconfirmed,
+    /// The store was restored from a copy, so that all items have to be listed again.
+    Restored,
 }
 
 /// Why a call to follow the store brought no changes.
@@ -125,13 +123,16 @@
         history_bytes: u64,
         listed_bytes: u64,
     },
+    /// The store was restored from a copy and gives out the known revisions again.
+    #[error("the store was restored from a copy")]
+    Restored,
 }
 
 impl FollowError {
     // Whether another watch from the same revision would not bring the changes either.
     fn needs_listing(&self) -> bool {
         match self {
-            Self::LongHistory { .. } | Self::Store(StoreError::Compacted) => true,
+            Self::LongHistory { .. } | Self::Restored | Self::Store(StoreError::Compacted) => true,
             Self::Store(
                 StoreError::Refused { .. }
                 | StoreError::LeaseEnded
@@ -149,12 +150,17 @@
         progress.note_reached(read);
     } else {
         progress.note_listed(read);
+        // Answers to earlier calls may have shown revisions of another era.
+        *shared.watch_progress.borrow_mut() = WatchProgress::default();
     }
 }
 
 // Returns when this host has to ask for changes.
 async fn wait_for_reason<P: Platform>(shared: &Shared<P>) -> FollowReason {
     loop {
+        if shared.is_store_restored() {
+            return FollowReason::Restored;
+        }
         if shared.proof_source().is_none() {
             return FollowReason::NoSource;
         }
@@ -172,6 +178,7 @@
         FollowReason::NoSource => "no_source",
         FollowReason::Changes => "changes",
         FollowReason::Unconfirmed => "unconfirmed",
+        FollowReason::Restored => "restored",
     };
     counter!(DIRECTORY_FOLLOWED, "reason" => reason).increment(1);
 }
@@ -192,7 +199,8 @@
     shared: &Shared<P>,
     after: Revision,
     listed_bytes: u64,
-) -> Result<Revision, FollowError> {
+) -> Result<StoreRead, FollowError> {
+    let begun_at = shared.now();
     let progress = CallProgress::default();
     let call = shared
         .store
@@ -209,14 +217,30 @@
         history_bytes = wait_for_long_history(&progress, listed_bytes) => {
             return Err(FollowError::LongHistory { history_bytes, listed_bytes });
         }
+        () = wait_for_restore(shared) => return Err(FollowError::Restored),
     };
+    if shared.is_store_restored() {
+        return Err(FollowError::Restored);
+    }
     for change in &changes {
         match change {
             ItemChange::Written(item) => apply_item(shared, item, ChangeOrigin::Watch),
             ItemChange::Removed { key, revision } => apply_removal(shared, key, *revision),
         }
     }
-    Ok(revision)
+    // The answer holds all changes until it was sent, which was after the call began.
+    Ok(StoreRead {
+        read_at: begun_at,
+        era: shared.store.era(),
+        revision,
+    })
+}
+
+// Returns when another answer of the store shows that it was restored from a copy.
+async fn wait_for_restore<P: Platform>(shared: &Shared<P>) {
+    while !shared.is_store_restored() {
+        actix_rt::time::sleep(STALL_CHECK_INTERVAL).await;
+    }
 }
 
 // Returns when the watch has not delivered changes that the store is known to hold, and nothing of
@@ -247,7 +271,8 @@
 async fn list<P: Platform>(
     shared: &Shared<P>,
     listed_bytes: &mut u64,
-) -> Result<Revision, FollowError> {
+) -> Result<StoreRead, FollowError> {
+    let begun_at = shared.now();
     // Both at once: a host that has just started serves no request before it has both.
     let (configuration, instances) = tokio::join!(
         list_prefix(shared, P::Directory::CONFIGURATION_KEY),
@@ -257,6 +282,9 @@
     // The watch starts from the older listing's revision and delivers what changed between the two.
     let revisions = listings.iter().map(|(listing, _)| listing.revision);
     let revision = revisions.min().unwrap_or_default();
+    // If the store was restored between the two, its later era makes this host list them again.
+    let eras = listings.iter().map(|(listing, _)| listing.era);
+    let era = eras.min().unwrap_or_default();
     shared.directory_log.borrow_mut().begin(revision);
     let mut present = BTreeSet::new();
     for (listing, _) in &listings {
@@ -276,7 +304,11 @@
             apply_removal(shared, &key, revision);
         }
     }
-    Ok(revision)
+    Ok(StoreRead {
+        read_at: begun_at,
+        era,
+        revision,
+    })
 }
 
 // Returns the listing and the size of the answers in bytes.
--- a/crates/jujubehold_entry/src/metric_names.rs
+++ b/crates/jujubehold_entry/src/metric_names.rs
@@ -38,8 +38,8 @@
 pub(crate) const QUOTA_TOKENS: &str = "jujubehold_quota_tokens_total";
 /// Questions to another host for changes of the directory, by `outcome`: answered or failed.
 pub(crate) const DIRECTORY_CHANGES_FETCHED: &str = "jujubehold_directory_changes_fetched_total";
-/// How often this host asked for changes of the directory, by `reason`: `no_source`, `changes` or
-/// `unconfirmed`.
+/// How often this host asked for changes of the directory, by `reason`: `no_source`, `changes`,
+/// `unconfirmed` or `restored`.
 pub(crate) const DIRECTORY_FOLLOWED: &str = "jujubehold_directory_followed_total";
 /// Seconds since the store certainly had no change of the directory that this host lacks.
 pub(crate) const DIRECTORY_AGE_SECONDS: &str = "jujubehold_directory_age_seconds";
--- a/crates/jujubehold_entry/src/protocol/store.rs
+++ b/crates/jujubehold_entry/src/protocol/store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use jujubehold_core::lead_table::Revision;
+use jujubehold_core::lead_table::{Revision, StoreEra};
 use smol_str::SmolStr;
 
 use super::CallProgress;
@@ -13,6 +13,9 @@
 
 /// A key-value service with compare-and-swap, leases and watches.
 pub trait Store: std::fmt::Debug + 'static {
+    /// Returns the latest era that an answer of the store has stated; 0 if none has.
+    fn era(&self) -> StoreEra;
+
     /// Reads the current value of one item. Also returns the store's revision.
     fn read(
         &self,
@@ -82,6 +85,8 @@
     pub items: Vec<StoreItem>,
     /// The store's revision before the first page was read.
     pub revision: Revision,
+    /// The era of that revision.
+    pub era: StoreEra,
 }
 
 /// One change to an item.
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use jujubehold_core::directory_log::DirectoryLog;
-use jujubehold_core::directory_progress::DirectoryProgress;
+use jujubehold_core::directory_progress::{DirectoryProgress, StoreRead};
 use jujubehold_core::lead_table::LeadTable;
 use jujubehold_core::primary_positions::PrimaryPositions;
 use jujubehold_core::watch_pace::WatchProgress;
@@ -23,7 +23,7 @@
 use crate::phase::Phase;
 use crate::pool::Upstream;
 use crate::prelude::*;
-use crate::protocol::{Configuration, Route};
+use crate::protocol::{Configuration, Route, Store};
 
 /// How long statements and transactions that began before a planned change of primary may still use
 /// the old primary. The time is limited because all other requests wait for the change.
@@ -135,6 +135,23 @@
         watchers.contains(&self.settings.host)
     }
 
+    /// Records a read of the store, by this host or another one. Revisions of different eras are not
+    /// compared.
+    pub(crate) fn note_store_read(&self, read: &StoreRead) {
+        let mut progress = self.directory_progress.borrow_mut();
+        progress.note_read(read);
+        if read.era == progress.era() {
+            let mut watch_progress = self.watch_progress.borrow_mut();
+            watch_progress.note_store_revision(self.now(), read.revision);
+        }
+    }
+
+    /// Returns whether the store was restored from a copy after this host listed the directory, so
+    /// that the revisions that this host knows are those of a lost history.
+    pub(crate) fn is_store_restored(&self) -> bool {
+        self.store.era() != self.directory_progress.borrow().era()
+    }
+
     /// Returns the route of `database` in the current configuration.
     pub(crate) fn route(&self, database: &str) -> Option<Route> {
         let configuration = self.configuration.borrow();
--- a/crates/jujubehold_standin/src/users_platform/handle.rs
+++ b/crates/jujubehold_standin/src/users_platform/handle.rs
@@ -11,10 +11,10 @@
 use tokio::net::TcpListener;
 
 use super::group::Group;
-use super::http::{Call, serve};
+use super::http::{Call, Reply, serve};
 use super::instance::Instance;
 use super::instance_server::serve_instance;
-use super::kv_state::KvState;
+use super::kv_state::{KvState, StoreCopy};
 use super::store_endpoint::StoreEndpoint;
 use super::store_server::serve_store;
 
@@ -184,6 +184,17 @@
         self.store.borrow_mut().compact();
     }
 
+    /// Returns a copy of the store's current state.
+    pub fn copy_store(&self) -> StoreCopy {
+        self.store.borrow().copy()
+    }
+
+    /// Restores the store from a copy: it loses all later changes and all leases, and gives out the
+    /// revisions of the lost changes again.
+    pub fn restore_store(&self, copy: &StoreCopy) {
+        self.store.borrow_mut().restore(copy);
+    }
+
     /// Pauses or resumes the expiry of leases.
     pub fn set_lease_expiry_paused(&self, is_paused: bool) {
         self.store.borrow_mut().is_lease_expiry_paused = is_paused;
@@ -203,10 +214,14 @@
     }
 }
 
-fn promote(call: &Call, group: &Rc<RefCell<Group>>) -> (u16, Value) {
+fn promote(call: &Call, group: &Rc<RefCell<Group>>) -> Reply {
     let id = call.body["id"].as_str().unwrap_or_default();
     let is_promoted = group.borrow_mut().promote(id, call.fencing_token);
-    (if is_promoted { 200 } else { 409 }, json!({}))
+    Reply {
+        status: if is_promoted { 200 } else { 409 },
+        body: json!({}),
+        store_era: None,
+    }
 }
 
 async fn replicate(group: Rc<RefCell<Group>>) {
--- a/crates/jujubehold_standin/src/users_platform/http.rs
+++ b/crates/jujubehold_standin/src/users_platform/http.rs
@@ -25,8 +25,17 @@
     pub(crate) body: Value,
 }
 
-/// The status and body that answer a call, or `None` to leave the call unanswered.
-pub(crate) type Answer = Option<(u16, Value)>;
+/// The answer to a call.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) body: Value,
+    /// The era that the store states, if the store answers.
+    pub(crate) store_era: Option<u64>,
+}
+
+/// The answer to a call, or `None` to leave the call unanswered.
+pub(crate) type Answer = Option<Reply>;
 
 /// Accepts connections on `listener` and answers their calls over `link` until the future is
 /// dropped.
@@ -59,15 +68,18 @@
     F: Fn(Call) -> R,
     R: Future<Output = Answer>,
 {
-    let Some((status, body)) = answer(read_call(request).await).await else {
+    let Some(reply) = answer(read_call(request).await).await else {
         // A lost answer leaves the caller waiting.
         return std::future::pending().await;
     };
-    let body = ThinBody::new(link, Bytes::from(body.to_string()));
+    let body = ThinBody::new(link, Bytes::from(reply.body.to_string()));
     let mut response = Response::new(body);
-    if let Ok(status) = status.try_into() {
+    if let Ok(status) = reply.status.try_into() {
         *response.status_mut() = status;
     }
+    if let Some(era) = reply.store_era {
+        response.headers_mut().insert("Store-Era", era.into());
+    }
     Ok(response)
 }
 
--- a/crates/jujubehold_standin/src/users_platform/kv_state.rs
+++ b/crates/jujubehold_standin/src/users_platform/kv_state.rs
@@ -27,9 +27,18 @@
     ends_at: Instant,
 }
 
+/// A copy of the store, from which it can be restored.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    revision: u64,
+}
+
 /// The state of the store.
 #[derive(Debug, Default)]
 pub(crate) struct KvState {
+    /// How often the store was restored from a copy.
+    pub(crate) era: u64,
     pub(crate) items: BTreeMap<String, Item>,
     pub(crate) revision: u64,
     pub(crate) history: Vec<Change>,
@@ -88,10 +97,29 @@
         self.compacted_revision = self.revision;
     }
 
+    /// Returns a copy of the current state.
+    pub(crate) fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            items: self.items.clone(),
+            revision: self.revision,
+        }
+    }
+
+    /// Goes back to `copy`. Later changes are lost, and so are all leases with their keys. The
+    /// revisions of the lost changes are given out again.
+    pub(crate) fn restore(&mut self, copy: &StoreCopy) {
+        self.era += 1;
+        self.items = copy.items.clone();
+        self.items.retain(|_, item| item.lease_id == 0);
+        self.leases.clear();
+        self.revision = copy.revision;
+        self.compact();
+    }
+
     /// Returns the changes after revision `after` to keys that start with `prefix`, or `None` if
-    /// they have been discarded.
+    /// they have been discarded or there is no such revision.
     pub(crate) fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Change>> {
-        if after < self.compacted_revision {
+        if after < self.compacted_revision || after > self.revision {
             return None;
         }
         let changes = self.history.iter();
--- a/crates/jujubehold_standin/src/users_platform/mod.rs
+++ b/crates/jujubehold_standin/src/users_platform/mod.rs
@@ -19,5 +19,6 @@
 pub use group::{ExecutedStatement, Group};
 pub use handle::{InstanceSpec, UsersPlatformHandle};
 pub use instance::Instance;
+pub use kv_state::StoreCopy;
 pub use store_endpoint::StoreEndpoint;
 pub use thin_link::ThinLink;
--- a/crates/jujubehold_standin/src/users_platform/store_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/store_server.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
-use super::http::{Answer, Call, serve};
+use super::http::{Call, Reply, serve};
 use super::kv_state::{Change, Item, KvState};
 use super::store_endpoint::StoreEndpoint;
 
@@ -27,12 +27,25 @@
 ) {
     let link = Rc::clone(&endpoint.link);
     serve(listener, link, move |call| {
-        answer(call, Rc::clone(&state), endpoint.clone())
+        let (state, endpoint) = (Rc::clone(&state), endpoint.clone());
+        async move {
+            let (status, body) = answer(call, &state, endpoint).await?;
+            let store_era = Some(state.borrow().era);
+            Some(Reply {
+                status,
+                body,
+                store_era,
+            })
+        }
     })
     .await;
 }
 
-async fn answer(call: Call, state: Rc<RefCell<KvState>>, endpoint: StoreEndpoint) -> Answer {
+async fn answer(
+    call: Call,
+    state: &Rc<RefCell<KvState>>,
+    endpoint: StoreEndpoint,
+) -> Option<(u16, Value)> {
     let faults = endpoint.faults.borrow().clone();
     if faults.is_unresponsive {
         return None;
@@ -46,7 +59,7 @@
     actix_rt::time::sleep(faults.delay).await;
     state.borrow_mut().expire();
     if call.path == "/-/kv-watch" {
-        return watch(&call, &state, &endpoint).await;
+        return watch(&call, state, &endpoint).await;
     }
     if call.path == "/-/kv-range" {
         endpoint.range_count.set(endpoint.range_count.get() + 1);
@@ -171,7 +184,11 @@
     }
 }
 
-async fn watch(call: &Call, state: &Rc<RefCell<KvState>>, endpoint: &StoreEndpoint) -> Answer {
+async fn watch(
+    call: &Call,
+    state: &Rc<RefCell<KvState>>,
+    endpoint: &StoreEndpoint,
+) -> Option<(u16, Value)> {
     let deadline = Instant::now() + Duration::from_millis(call.number("wait_ms"));
     loop {
         if endpoint.faults.borrow().is_unresponsive {
