Ask a host for its read again after one lost answer

Callers saw dropped databases served by a host that heard of no change for 3.8 s although no link of its own was impaired: half of the way to a configuration that is not in force in its bound.

Cause: one question without an answer made the host pass over the reader of its failure domain for 3 s. The hosts that it asked instead had no read to share, since they still got answers from the reader, so it heard no news until the 3 s had ended.

A host that did not answer once is now asked again, after the host has read the store itself; the second silence passes it over as before.

--- a/crates/jujubehold_core/src/proof_sharing.rs
+++ b/crates/jujubehold_core/src/proof_sharing.rs
@@ -21,7 +21,7 @@
 value_type! {
     /// The limits of sharing proofs.
     pub struct ProofSharingSettings {
-        /// How long a host that did not answer, a silent host, is not asked again.
+        /// How long a silent host, which did not answer or had no read, is not asked again.
         pub silence_pause: Duration,
         /// The maximum age of a read that is shared with other hosts.
         pub max_shared_age: Duration,
@@ -56,6 +56,8 @@
     /// Selects the host to ask for a proof.
     pub struct ProofSources {
         silent: SilentHosts,
+        /// The host that did not answer the latest question.
+        unanswered: Option<HostId>,
     }
 }
 
@@ -131,6 +133,7 @@
     fn default() -> Self {
         Self {
             silent: SilentHosts::new(ProofSharingSettings::default().silence_pause),
+            unanswered: None,
         }
     }
 }
@@ -152,10 +155,27 @@
         (first.0 != host).then(|| first.0.clone())
     }
 
-    /// Records that `host` did not answer.
-    pub fn note_silent(&mut self, now: Monotonic, host: &HostId) {
+    /// Records that the latest question was answered.
+    pub fn note_answered(&mut self) {
+        self.unanswered = None;
+    }
+
+    /// Records that `host` had no read to share.
+    pub fn note_without_read(&mut self, now: Monotonic, host: &HostId) {
+        self.unanswered = None;
         self.silent.note_silent(now, host);
     }
+
+    /// Records that `host` did not answer. A single datagram may be lost, and the other hosts of the
+    /// failure domain have no reads as long as they get answers from `host`. So it is passed over
+    /// only after two questions.
+    pub fn note_unanswered(&mut self, now: Monotonic, host: &HostId) {
+        if self.unanswered.as_ref() == Some(host) {
+            self.note_without_read(now, host);
+        } else {
+            self.unanswered = Some(host.clone());
+        }
+    }
 }
 
 impl ProofSharingSettings {
--- a/crates/jujubehold_core/tests/proof_sharing.rs
+++ b/crates/jujubehold_core/tests/proof_sharing.rs
@@ -131,15 +131,30 @@
 }
 
 #[test]
-fn a_silent_host_is_skipped_and_asked_again_later() {
+fn a_host_without_a_read_is_skipped_and_asked_again_later() {
     let mut sources = ProofSources::default();
-    sources.note_silent(ms(1_000), &"b".into());
+    sources.note_without_read(ms(1_000), &"b".into());
     let asked = |now| source(&sources, now, "d", "west");
     assert_eq!(asked(ms(1_500)).as_deref(), Some("c"));
     assert_eq!(asked(ms(5_000)).as_deref(), Some("b"));
     assert_eq!(source(&sources, ms(1_500), "c", "west"), None);
 }
 
+// Guards against a host that hears of no change for four seconds after one lost datagram, while it
+// asks hosts that have no reads because they still get answers.
+#[test]
+fn a_host_is_asked_again_after_one_lost_answer() {
+    let mut sources = ProofSources::default();
+    let asked = |sources: &ProofSources, now| source(sources, now, "d", "west");
+    sources.note_unanswered(ms(1_000), &"b".into());
+    assert_eq!(asked(&sources, ms(1_000)).as_deref(), Some("b"));
+    sources.note_answered();
+    sources.note_unanswered(ms(2_000), &"b".into());
+    assert_eq!(asked(&sources, ms(2_000)).as_deref(), Some("b"));
+    sources.note_unanswered(ms(3_000), &"b".into());
+    assert_eq!(asked(&sources, ms(3_000)).as_deref(), Some("c"));
+}
+
 // Guards against a failure in which 74 hosts started within a second and each new entry ended the
 // waiting calls of all others: 5,400 calls before the first request.
 #[test]
--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -61,23 +61,20 @@
 /// `None` if this host has to read the store itself.
 async fn ask_source<P: Platform>(shared: &Shared<P>, peers: &Peers) -> Option<Duration> {
     let source = shared.proof_source()?;
-    let error = match ask(shared, peers, &source).await {
+    let result = ask(shared, peers, &source).await;
+    let now = shared.now();
+    note_result(shared, now, &source, &result);
+    let error = match result {
         Ok(age) => {
             let until_next = NEXT_READ_DELAY.saturating_sub(age);
             return Some(until_next.clamp(MIN_PAUSE, ASK_INTERVAL));
         }
         Err(error) => error,
     };
-    let now = shared.now();
     match error {
         QuestionError::NoAnswer | QuestionError::NoRead => {
             info!(source = source.as_str(), error:% = error, now_ms = millis(now);
                 "no proof from the other host; reading the store instead");
-            shared
-                .lead_state
-                .borrow_mut()
-                .proof_sources
-                .note_silent(now, &source);
             None
         }
         // The watches of both hosts soon bring them to the same state.
@@ -91,6 +88,20 @@
     }
 }
 
+fn note_result<P: Platform>(
+    shared: &Shared<P>,
+    now: Monotonic,
+    source: &HostId,
+    result: &Result<Duration, QuestionError>,
+) {
+    let sources = &mut shared.lead_state.borrow_mut().proof_sources;
+    match result {
+        Ok(_) | Err(QuestionError::Unusable(_)) => sources.note_answered(),
+        Err(QuestionError::NoRead) => sources.note_without_read(now, source),
+        Err(QuestionError::NoAnswer) => sources.note_unanswered(now, source),
+    }
+}
+
 /// Asks another host which hosts were listed before this one followed the list, if this host may have
 /// to replace a primary and does not know.
 async fn complete_host_list<P: Platform>(
