Run the stand-in of the users' platform as a program

Hosts of two versions can only run side by side as processes of their own, so the platform that they share has to be one as well.

--- a/crates/jujubehold/src/command.rs
+++ b/crates/jujubehold/src/command.rs
@@ -5,7 +5,7 @@
 use crate::cli_error::CliError;
 use crate::commands::{
     check, demo, drain, entry, experiment, explain, faults, host, load, replay, show,
-    standin_database, standin_platform, status, submit,
+    standin_database, standin_platform, standin_users_platform, status, submit,
 };
 
 /// A subcommand.
@@ -33,6 +33,8 @@
     StandinDatabase,
     /// Runs a stand-in of the platform's key-value service.
     StandinPlatform,
+    /// Runs a stand-in of the users' platform.
+    StandinUsersPlatform,
     /// Runs the fault proxy.
     Faults,
     /// Replays recorded traces and compares their outcomes with the expected ones.
@@ -47,7 +49,7 @@
 
 impl Command {
     /// Every command, in the order of the overview.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::Host,
         Self::Entry,
         Self::Check,
@@ -59,6 +61,7 @@
         Self::Explain,
         Self::StandinDatabase,
         Self::StandinPlatform,
+        Self::StandinUsersPlatform,
         Self::Faults,
         Self::Replay,
         Self::Load,
@@ -80,6 +83,7 @@
             Self::Explain => "explain",
             Self::StandinDatabase => "standin-database",
             Self::StandinPlatform => "standin-platform",
+            Self::StandinUsersPlatform => "standin-users-platform",
             Self::Faults => "faults",
             Self::Replay => "replay",
             Self::Load => "load",
@@ -106,6 +110,7 @@
             Self::Explain => "show what happened to one request, from the hosts' logs",
             Self::StandinDatabase => "run a stand-in of a database instance",
             Self::StandinPlatform => "run a stand-in of the platform's key-value service",
+            Self::StandinUsersPlatform => "run a stand-in of the users' platform",
             Self::Faults => "run a proxy that injects faults",
             Self::Replay => "run recorded traces and compare the outcomes with the expected ones",
             Self::Load => "repeat a statement and measure the answers",
@@ -131,6 +136,7 @@
             Self::Explain => explain::run(arguments),
             Self::StandinDatabase => standin_database::run(arguments),
             Self::StandinPlatform => standin_platform::run(arguments),
+            Self::StandinUsersPlatform => standin_users_platform::run(arguments),
             Self::Faults => faults::run(arguments),
             Self::Replay => replay::run(arguments),
             Self::Load => load::run(arguments),
@@ -144,7 +150,7 @@
 pub(crate) fn overview() -> String {
     let mut text = String::from("Usage: jujubehold COMMAND [OPTIONS]\n\nCommands:\n");
     for command in Command::ALL {
-        let _ = writeln!(text, "    {:<18} {}", command.name(), command.summary());
+        let _ = writeln!(text, "    {:<22} {}", command.name(), command.summary());
     }
     text.push_str(
         "\n`jujubehold COMMAND --help` shows a command's options, exit codes and an example.\n\
--- a/crates/jujubehold/src/commands/mod.rs
+++ b/crates/jujubehold/src/commands/mod.rs
@@ -20,6 +20,7 @@
 pub(crate) mod show;
 pub(crate) mod standin_database;
 pub(crate) mod standin_platform;
+pub(crate) mod standin_users_platform;
 pub(crate) mod status;
 pub(crate) mod submit;
 
--- a/crates/jujubehold_standin/src/users_platform/handle.rs
+++ b/crates/jujubehold_standin/src/users_platform/handle.rs
@@ -32,6 +32,25 @@
     pub is_primary: bool,
 }
 
+/// A primary and two replicas, each in a failure domain of its own.
+pub const THREE_INSTANCES: [InstanceSpec; 3] = [
+    InstanceSpec {
+        id: "i-a",
+        domain: "east",
+        is_primary: true,
+    },
+    InstanceSpec {
+        id: "i-b",
+        domain: "west",
+        is_primary: false,
+    },
+    InstanceSpec {
+        id: "i-c",
+        domain: "south",
+        is_primary: false,
+    },
+];
+
 /// A running platform with one service.
 #[derive(Debug)]
 pub struct UsersPlatformHandle {
