--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -54,7 +54,10 @@
                 remove_missing_instances(&shared);
                 continue;
             }
-            is_listed = reason != FollowReason::Restored;
+            if reason == FollowReason::Restored {
+                info!(era = shared.store.era(); "the store was restored; listing all items again");
+                is_listed = false;
+            }
         }
         wait_for_turn(&shared).await;
         let begun_at = shared.now();
--- a/tools/side_by_side.py
+++ b/tools/side_by_side.py
@@ -6,16 +6,19 @@
 target/side-by-side. Starts the stand-in of the users' platform and nine hosts in three failure
 domains, each a process of its own on loopback: first all of the old version. Replaces them one after
 the other by the new version, most by SIGTERM and some by SIGKILL, and back again. Meanwhile the
-operators write a configuration every 0.8 s that adds a database and drops an old one, the store turns
-hosts away, and callers write and read.
+operators write a configuration every 0.8 s that adds a database and a key and drops an old one of each,
+the store turns hosts away, primaries die, a customer sends more than its quota at every host, and
+callers write and read.
 
 Exits with 1 and prints the seed, the rule and what broke it if a rule is broken:
 
-- in force: a host that has run for a while admits sessions for an added database, and rejects those
-  for a dropped one, within 5 s;
+- in force: a host that has run for a while admits sessions for an added database or key, and rejects
+  those for a dropped one, within 5 s;
 - no return: a process that has shown one version of the configuration does not show an earlier one;
-- own writes: a read of the primary's data returns the latest acknowledged write;
+- own writes: a read of the primary's data returns the latest acknowledged write, unless the primary was
+  replaced in between;
 - at most once: no instance runs a write twice;
+- quota: in no window of 5 s do all hosts together run more operations of the customer than it may;
 - shutdown: a host that gets SIGTERM answers every request that it had received.
 
 Exits with 2 if a commit is missing, a build fails, a port is in use or a host ends by itself.
@@ -52,12 +55,25 @@
 KEPT_VERSIONS = 15
 PROBED_VERSIONS = 30
 PROBE_INTERVAL_S = 0.2
+CALLERS_KEY = "callers"
+LIMITED_KEY = "limited"
+RATE_PER_S = 20
+BURST = 10
+QUOTA_WINDOW_S = 5.0
+# (rate x window + burst) x (1 + excess) + slack, with the default excess and slack.
+MAX_OPERATIONS = (RATE_PER_S * QUOTA_WINDOW_S + BURST) * 1.1 + 20
+# How long a customer that is at its quota waits before it asks again.
+REFUSED_PAUSE_S = 0.02
+PRIMARY_LIFE_S = 12.0
+PRIMARY_DEATH_S = 5.0
 READY_TIMEOUT_S = 20.0
 DRAIN_TIMEOUT_S = 4.0
 STOP_TIMEOUT_S = DRAIN_TIMEOUT_S + 4.0
 CALL_TIMEOUT_S = 6.0
 KILL_SHARE = 0.25
 STORE_FAULT_S = 4.0
+# Longer than hosts that start for the first time admit no operation of a customer with a quota.
+START_S = 22.0
 # How long a request may take to arrive at a host on loopback.
 ARRIVAL_S = 0.05
 
@@ -162,12 +178,12 @@
         self.writer = writer
 
     @classmethod
-    async def open(cls, host: Host, database: str) -> tuple[Session | None, str]:
+    async def open(cls, host: Host, database: str, key: str) -> tuple[Session | None, str]:
         """Returns the session, or None and the line that refused it."""
         process = host.process
         reader, writer = await asyncio.open_connection("127.0.0.1", host.caller_port)
         session = cls(process, reader, writer)
-        writer.write(f"START {database} someone\r\n".encode())
+        writer.write(f"START {database} {key}\r\n".encode())
         line = await session.line()
         if line.startswith("READY"):
             return session, line
@@ -215,6 +231,10 @@
     # When each of them was confirmed.
     confirmed_at: dict[int, float] = field(default_factory=dict)
     counts: dict[str, int] = field(default_factory=dict)
+    # When the operations of the limited customer that ran were sent.
+    limited_runs: list[float] = field(default_factory=list)
+    # How often a primary died.
+    primary_deaths: int = 0
     control: Control | None = None
     is_over: bool = False
 
@@ -306,8 +326,9 @@
     async def write_configuration(self) -> None:
         version = (self.sent_versions or [0])[-1] + self.random.choice([1, 1, 2, 3])
         self.sent_versions.append(version)
-        databases = [f"version-{kept}" for kept in self.sent_versions[-KEPT_VERSIONS:]]
-        await self.control.run("configure", str(version), routes(databases))
+        names = [f"version-{kept}" for kept in self.sent_versions[-KEPT_VERSIONS:]]
+        more = {"tenants": customers(names)}
+        await self.control.run("configure", str(version), routes(names), compact(more))
         self.confirmed_at[version] = time.monotonic()
 
     def oldest_kept(self, version: int) -> int:
@@ -332,12 +353,14 @@
             await self.check_version(host, self.random.choice(self.sent_versions[-PROBED_VERSIONS:]))
 
     async def check_version(self, host: Host, version: int) -> None:
-        """Asks the host for the database of `version`, and checks whether it may have it."""
+        """Asks the host for the database or the key of `version`, and checks whether it may know it."""
         sent_at = time.monotonic()
         process = host.process
         was_settled = host.is_settled(sent_at)
+        name = f"version-{version}"
+        database, key = self.random.choice([(name, CALLERS_KEY), ("newest", name)])
         try:
-            session, line = await Session.open(host, f"version-{version}")
+            session, line = await Session.open(host, database, key)
         except OSError:
             return
         if session:
@@ -345,7 +368,7 @@
         if process is not host.process or host.stopped_at is not None:
             return
         is_known = session is not None
-        if not is_known and not line.startswith("ERROR NODB"):
+        if not is_known and not line.startswith(("ERROR NODB", "ERROR NOAUTH")):
             return
         self.count("configuration checks")
         self.check_at_least(host, "no return", host.shown_version, version, is_known)
@@ -367,8 +390,8 @@
             does = "admits" if is_known else "rejects"
             self.report(
                 rule,
-                f"{host.name} ({host.version}) {does} a session for the database of {version}, "
-                f"as before version {lowest}",
+                f"{host.name} ({host.version}) {does} a session for the database or key of "
+                f"{version}, as before version {lowest}",
             )
 
     def version_in_force(self, confirmed_before: float) -> int | None:
@@ -379,14 +402,14 @@
     async def call(self, number: int) -> None:
         item = f"item{number}"
         sequence = 0
-        acknowledged = 0
+        acknowledged, deaths = 0, self.primary_deaths
         while not self.is_over:
             host = self.random.choice(self.hosts)
             if host.stopped_at is not None:
                 await asyncio.sleep(0.02)
                 continue
             try:
-                session, _ = await Session.open(host, "newest")
+                session, _ = await Session.open(host, "newest", CALLERS_KEY)
             except OSError:
                 await asyncio.sleep(0.02)
                 continue
@@ -395,16 +418,18 @@
             for _ in range(self.random.choice([1, 3, 30])):
                 sequence += 1
                 request = f"c{number}n{sequence}"
+                # A promotion may roll back what was sent before the death of the primary.
+                deaths_before = self.primary_deaths
                 outcome, _ = await self.statement(host, session, request, f"WRITE {item} {sequence}")
                 if not outcome:
                     break
                 if outcome.startswith("COMPLETE"):
-                    acknowledged = sequence
+                    acknowledged, deaths = sequence, deaths_before
                     self.count("acknowledged writes")
                 outcome, rows = await self.statement(host, session, f"r{request}", f"READ {item}")
                 if not outcome:
                     break
-                if outcome.startswith("COMPLETE") and acknowledged:
+                if outcome.startswith("COMPLETE") and deaths == self.primary_deaths:
                     self.check_read(host, request, rows, acknowledged)
                 await asyncio.sleep(self.random.uniform(0.0, 0.05))
             session.close()
@@ -438,6 +463,52 @@
         if host.stopped_at is None or sent_at < host.stopped_at - ARRIVAL_S:
             self.report("shutdown", f"{host.name} ({host.version}) did not answer {request}")
 
+    async def exceed_quota(self, host: Host) -> None:
+        number = 0
+        while not self.is_over:
+            await asyncio.sleep(REFUSED_PAUSE_S)
+            try:
+                session, _ = await Session.open(host, "newest", LIMITED_KEY)
+            except OSError:
+                continue
+            while session and not self.is_over:
+                number += 1
+                sent_at = time.monotonic()
+                outcome, _ = await self.statement(
+                    host, session, f"l{host.index}n{number}", "READ limited"
+                )
+                if not outcome:
+                    break
+                if outcome.startswith("COMPLETE"):
+                    self.count("limited operations")
+                    self.limited_runs.append(sent_at)
+                else:
+                    await asyncio.sleep(REFUSED_PAUSE_S)
+            if session:
+                session.close()
+
+    def check_quota(self) -> None:
+        runs = sorted(self.limited_runs)
+        begin = 0
+        largest = 0
+        for end, sent_at in enumerate(runs):
+            while runs[begin] < sent_at - QUOTA_WINDOW_S:
+                begin += 1
+            largest = max(largest, end - begin + 1)
+        self.counts["most limited operations in a window"] = largest
+        if largest > MAX_OPERATIONS:
+            self.report("quota", f"{largest} operations in a window, {MAX_OPERATIONS:.0f} may run")
+
+    async def kill_primaries(self) -> None:
+        while not self.is_over:
+            await asyncio.sleep(self.random.uniform(0.5, 1.5) * PRIMARY_LIFE_S)
+            primary = await self.control.run("primary")
+            self.primary_deaths += 1
+            await self.control.run("kill", primary)
+            self.primary_deaths += 1
+            await asyncio.sleep(PRIMARY_DEATH_S)
+            await self.control.run("revive", primary)
+
     async def check_at_most_once(self) -> None:
         repeated = await self.control.run("repeated")
         if repeated:
@@ -455,11 +526,12 @@
                 await self.start_host(host, first, is_first_start=True)
             for host in self.hosts:
                 await self.wait_until_ready(host)
-            tasks = [self.write_configurations(), self.turn_hosts_away()]
+            tasks = [self.write_configurations(), self.turn_hosts_away(), self.kill_primaries()]
+            tasks += [self.exceed_quota(host) for host in self.hosts]
             tasks += [self.check_configuration(host) for host in self.hosts]
             tasks += [self.call(number) for number in range(CALLER_COUNT)]
             running = [asyncio.create_task(task) for task in tasks]
-            await asyncio.sleep(SETTLING_S)
+            await asyncio.sleep(START_S)
             for version in ways:
                 await self.replace_hosts(version)
             await asyncio.sleep(SETTLING_S)
@@ -468,6 +540,7 @@
                 if isinstance(result, Exception):
                     raise result
             await self.check_at_most_once()
+            self.check_quota()
         finally:
             self.is_over = True
             self.control.writer.close()
@@ -492,7 +565,27 @@
         }
         for name in ["newest", *databases]
     ]
-    return json.dumps(documents, separators=(",", ":"))
+    return compact(documents)
+
+
+def customers(rotated_keys: list[str]) -> list[dict[str, object]]:
+    """Returns the callers' customer, which has `rotated_keys` as well, and one with a quota."""
+    keys = [CALLERS_KEY, *rotated_keys]
+    return [
+        {"name": "callers", "api_keys": keys, "priority": 1},
+        {
+            "name": "limited",
+            "api_keys": [LIMITED_KEY],
+            "priority": 1,
+            "rate_per_s": RATE_PER_S,
+            "burst": BURST,
+        },
+    ]
+
+
+def compact(document: object) -> str:
+    """Returns the document as JSON without blanks, which end a word of the control port."""
+    return json.dumps(document, separators=(",", ":"))
 
 
 async def is_ready(host: Host) -> bool:
