--- a/crates/jujubehold_standin/src/users_platform/kv_state.rs
+++ b/crates/jujubehold_standin/src/users_platform/kv_state.rs
@@ -38,7 +38,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct KvState {
     /// How often the store was restored from a copy.
-    pub(crate) era: u64,
+    pub(crate) restore_count: u64,
     pub(crate) items: BTreeMap<String, Item>,
     pub(crate) revision: u64,
     pub(crate) history: Vec<Change>,
@@ -108,7 +108,7 @@
     /// Goes back to `copy`. Later changes are lost, and so are all leases with their keys. The
     /// revisions of the lost changes are given out again.
     pub(crate) fn restore(&mut self, copy: &StoreCopy) {
-        self.era += 1;
+        self.restore_count += 1;
         self.items = copy.items.clone();
         self.items.retain(|_, item| item.lease_id == 0);
         self.leases.clear();
--- a/crates/jujubehold_standin/src/users_platform/store_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/store_server.rs
@@ -16,6 +16,8 @@
 const MAX_PAGE_ITEMS: usize = 500;
 /// The maximum size of the values in one page of a range, in bytes.
 const MAX_PAGE_BYTES: usize = 1_000_000;
+/// The era of a store that was never restored.
+const FIRST_ERA: u64 = 1;
 /// How often a waiting watch checks for changes.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -30,7 +32,7 @@
         let (state, endpoint) = (Rc::clone(&state), endpoint.clone());
         async move {
             let (status, body) = answer(call, &state, endpoint).await?;
-            let store_era = Some(state.borrow().era);
+            let store_era = Some(FIRST_ERA + state.borrow().restore_count);
             Some(Reply {
                 status,
                 body,
