--- a/crates/jujubehold_entry/src/control/mod.rs
+++ b/crates/jujubehold_entry/src/control/mod.rs
@@ -4,6 +4,8 @@
 mod directory_age;
 mod directory_relay;
 mod first_primaries;
+mod follow_error;
+mod follow_reason;
 mod host_names;
 mod instances;
 mod lead_document;
@@ -23,6 +25,7 @@
 mod replica_evidence;
 mod status_calls;
 mod store_calls;
+mod store_listing;
 mod store_watch;
 mod table_access;
 
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -3,31 +3,26 @@
 //! if it does not get them, or if nothing confirms any more that there are none. A host that lacks
 //! more changes than the items are long lists the items again.
 
-use std::collections::BTreeSet;
-
 use jujubehold_core::backoff::Backoff;
-use jujubehold_core::directory_progress::{DirectoryNeed, StoreRead};
+use jujubehold_core::directory_progress::StoreRead;
 use jujubehold_core::history_limit::HistoryLimit;
 use jujubehold_core::lead_table::Revision;
 use jujubehold_core::watch_pace::{WatchPace, WatchProgress};
 use log::{debug, info};
-use metrics::counter;
 
 use super::directory_relay::fetch_changes;
-use super::instances::{
-    ChangeOrigin, apply_item, apply_removal, listed_instance_keys, remove_missing_instances,
-};
+use super::follow_error::FollowError;
+use super::follow_reason::{FollowReason, wait_for_reason};
+use super::instances::{ChangeOrigin, apply_item, apply_removal, remove_missing_instances};
 use super::peers::Peers;
-use super::store_calls::{STORE_CALL_TIMEOUT, transfer_with_timeout, wait_for_turn};
-use crate::metric_names::DIRECTORY_FOLLOWED;
+use super::store_calls::{transfer_with_timeout, wait_for_turn};
+use super::store_listing::list_directory;
 use crate::prelude::*;
-use crate::protocol::{CallProgress, Directory, ItemChange, Store, StoreError, StoreListing};
+use crate::protocol::{CallProgress, ItemChange, Store, StoreError};
 
 /// How long the store holds a watch without changes. This is near the longest time that it allows,
 /// since other answers of the store reveal a stalled watch.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
-/// How often a host that follows another one checks whether it has to ask for changes.
-const NEED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How often a waiting watch is checked for a stall, and for a restore of the store.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How much longer than [`WATCH_WAIT`] the answer may take.
@@ -49,7 +44,6 @@
     loop {
         if is_listed {
             let reason = wait_for_reason(&shared).await;
-            count_reason(reason);
             if reason == FollowReason::Changes && fetch_changes(&shared, &peers).await {
                 remove_missing_instances(&shared);
                 continue;
@@ -70,7 +64,7 @@
                 .note_watch_revision(begun_at, after);
             watch(&shared, after, listed_bytes).await
         } else {
-            list(&shared, &mut listed_bytes).await
+            list_directory(&shared, &mut listed_bytes).await
         };
         match result {
             Ok(read) => {
@@ -101,52 +95,6 @@
     }
 }
 
-/// Why a host that has listed the directory asks for changes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum FollowReason {
-    /// It follows no other host.
-    NoSource,
-    /// The host that it follows knows changes that this one lacks.
-    Changes,
-    /// Nothing has confirmed lately that this host lacks no change.
-    Unconfirmed,
-    /// The store was restored from a copy, so that all items have to be listed again.
-    Restored,
-}
-
-/// Why a call to follow the store brought no changes.
-#[derive(Debug, PartialEq, Eq, thiserror::Error)]
-enum FollowError {
-    /// The call failed.
-    #[error(transparent)]
-    Store(#[from] StoreError),
-    /// The answer is much longer than all items are.
-    #[error("the changes take {history_bytes} bytes, all items took {listed_bytes}")]
-    LongHistory {
-        history_bytes: u64,
-        listed_bytes: u64,
-    },
-    /// The store was restored from a copy and gives out the known revisions again.
-    #[error("the store was restored from a copy")]
-    Restored,
-}
-
-impl FollowError {
-    // Whether another watch from the same revision would not bring the changes either.
-    fn needs_listing(&self) -> bool {
-        match self {
-            Self::LongHistory { .. } | Self::Restored | Self::Store(StoreError::Compacted) => true,
-            Self::Store(
-                StoreError::Refused { .. }
-                | StoreError::LeaseEnded
-                | StoreError::TimedOut
-                | StoreError::Broken(_)
-                | StoreError::Unreadable,
-            ) => false,
-        }
-    }
-}
-
 fn note_reached<P: Platform>(shared: &Shared<P>, is_listed: bool, read: &StoreRead) {
     let mut progress = shared.directory_progress.borrow_mut();
     if is_listed {
@@ -158,34 +106,6 @@
     }
 }
 
-// Returns when this host has to ask for changes.
-async fn wait_for_reason<P: Platform>(shared: &Shared<P>) -> FollowReason {
-    loop {
-        if shared.is_store_restored() {
-            return FollowReason::Restored;
-        }
-        if shared.proof_source().is_none() {
-            return FollowReason::NoSource;
-        }
-        let need = shared.directory_progress.borrow().need(shared.now());
-        match need {
-            DirectoryNeed::Nothing => actix_rt::time::sleep(NEED_CHECK_INTERVAL).await,
-            DirectoryNeed::Changes => return FollowReason::Changes,
-            DirectoryNeed::Confirmation => return FollowReason::Unconfirmed,
-        }
-    }
-}
-
-fn count_reason(reason: FollowReason) {
-    let reason = match reason {
-        FollowReason::NoSource => "no_source",
-        FollowReason::Changes => "changes",
-        FollowReason::Unconfirmed => "unconfirmed",
-        FollowReason::Restored => "restored",
-    };
-    counter!(DIRECTORY_FOLLOWED, "reason" => reason).increment(1);
-}
-
 // Spaces the watch calls out, so that one call returns several changes that come close together.
 async fn limit_watch_rate<P: Platform>(shared: &Shared<P>, taken: Duration) {
     let pace = WatchPace::default();
@@ -269,59 +189,3 @@
     }
     std::future::pending().await
 }
-
-// Sets `listed_bytes` to the size of the answers.
-async fn list<P: Platform>(
-    shared: &Shared<P>,
-    listed_bytes: &mut u64,
-) -> Result<StoreRead, FollowError> {
-    let begun_at = shared.now();
-    // Both at once: a host that has just started serves no request before it has both.
-    let (configuration, instances) = tokio::join!(
-        list_prefix(shared, P::Directory::CONFIGURATION_KEY),
-        list_prefix(shared, P::Directory::INSTANCES_PREFIX),
-    );
-    let listings = [configuration?, instances?];
-    // The watch starts from the older listing's revision and delivers what changed between the two.
-    let revisions = listings.iter().map(|(listing, _)| listing.revision);
-    let revision = revisions.min().unwrap_or_default();
-    // If the store was restored between the two, its later era makes this host list them again.
-    let eras = listings.iter().map(|(listing, _)| listing.era);
-    let era = eras.min().unwrap_or_default();
-    shared.directory_log.borrow_mut().begin(revision);
-    let mut present = BTreeSet::new();
-    for (listing, _) in &listings {
-        for item in &listing.items {
-            present.insert(item.key.to_string());
-            apply_item(shared, item, ChangeOrigin::Listing);
-        }
-    }
-    if shared.directory_followed_since.get().is_none() {
-        shared.directory_followed_since.set(Some(shared.now()));
-    }
-    *listed_bytes = listings.iter().map(|(_, bytes)| bytes).sum();
-    // Only instances are compared here: the keys of the hosts are listed regularly to prove that
-    // the leads are current.
-    for key in listed_instance_keys(shared) {
-        if !present.contains(&key) {
-            apply_removal(shared, &key, revision);
-        }
-    }
-    Ok(StoreRead {
-        read_at: begun_at,
-        era,
-        revision,
-    })
-}
-
-// Returns the listing and the size of the answers in bytes.
-async fn list_prefix<P: Platform>(
-    shared: &Shared<P>,
-    prefix: &str,
-) -> Result<(StoreListing, u64), FollowError> {
-    let progress = CallProgress::default();
-    let call = shared.store.list(prefix, &progress);
-    let listing =
-        transfer_with_timeout(shared, "list", STORE_CALL_TIMEOUT, &progress, call).await?;
-    Ok((listing, progress.received_bytes()))
-}
