--- a/tools/side_by_side.py
+++ b/tools/side_by_side.py
@@ -72,6 +72,8 @@
 CALL_TIMEOUT_S = 6.0
 KILL_SHARE = 0.25
 STORE_FAULT_S = 4.0
+# Ports do not depend on the seed, so that two runs of one seed can be made at once.
+PORT_RANDOM = random.SystemRandom()
 # Longer than hosts that start for the first time admit no operation of a customer with a quota.
 START_S = 22.0
 # How long a request may take to arrive at a host on loopback.
@@ -117,9 +119,14 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that is free for TCP and UDP, below those that the system gives to connections."""
+    while True:
+        port = PORT_RANDOM.randrange(15000, 30000)
+        with contextlib.suppress(OSError), socket.socket() as stream:
+            stream.bind(("127.0.0.1", port))
+            with socket.socket(type=socket.SOCK_DGRAM) as datagram:
+                datagram.bind(("127.0.0.1", port))
+                return port
 
 
 def git(*arguments: str) -> str:
@@ -288,13 +295,17 @@
         give_up_at = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < give_up_at:
             if host.process.poll() is not None:
-                raise SetupError(f"{host.name} ({host.version}) ended by itself")
+                raise SetupError(f"{host.name} ({host.version}) ended: {self.last_line(host)}")
             if await is_ready(host):
                 host.settled_at = time.monotonic()
                 return
             await asyncio.sleep(0.05)
         raise SetupError(f"{host.name} ({host.version}) does not become ready")
 
+    def last_line(self, host: Host) -> str:
+        lines = (self.folder / f"{host.name}.log").read_text(errors="replace").splitlines()
+        return lines[-1] if lines else "without a line in its log"
+
     async def stop_host(self, host: Host, number: signal.Signals) -> None:
         host.is_killed = number == signal.SIGKILL
         host.stopped_at = time.monotonic()
