Log how old the directory is when it decides, and when a late host asks

The hypotheses on hosts that return from a cut can't be told apart by the logs: they do not say when a call for changes begins, how long it has waited for its turn, or whether the host is in the list of hosts then, and a session that is rejected does not say how old the knowledge is on which that rests. No decision changes.

--- a/crates/jujubehold_entry/src/callers/session/failure_log.rs
+++ b/crates/jujubehold_entry/src/callers/session/failure_log.rs
@@ -17,7 +17,8 @@
         if self.shared.log.allows(self.shared.now()) {
             let version = self.checked_version;
             info!(database = self.database.as_str(), reason = failure.reason().as_str(),
-                configuration = version;
+                configuration = version,
+                directory_age_ms = millis(self.shared.directory_age());
                 "session rejected");
         }
     }
@@ -59,6 +60,7 @@
             state = format_smolstr!("{:?}", self.state()).as_str(),
             taken_ms = millis(now.saturating_sub(arrived_at)),
             configuration = *self.shared.configuration_version.borrow(),
+            directory_age_ms = millis(self.shared.directory_age()),
             lead_revision = revision, lead_age_ms = read_age;
             "request failed");
     }
--- a/crates/jujubehold_entry/src/control/directory_age.rs
+++ b/crates/jujubehold_entry/src/control/directory_age.rs
@@ -23,8 +23,7 @@
             continue;
         }
         let now = shared.now();
-        let confirmed_at = shared.directory_progress.borrow().confirmed_at();
-        let age = now.saturating_sub(confirmed_at);
+        let age = shared.directory_age();
         gauge!(DIRECTORY_AGE_SECONDS).set(age.as_secs_f64());
         let was_old = std::mem::replace(&mut is_old, age > MAX_UNCONFIRMED_TIME);
         if is_old && !was_old {
--- a/crates/jujubehold_entry/src/control/instances.rs
+++ b/crates/jujubehold_entry/src/control/instances.rs
@@ -219,7 +219,8 @@
     }
     let customers = configuration.customers.as_ref().map_or(0, Customers::len);
     info!(version = configuration.version, databases = configuration.routes.len(), customers,
-        revision = item.revision, from = origin.as_str(), now_ms = millis(shared.now());
+        revision = item.revision, from = origin.as_str(),
+        directory_age_ms = millis(shared.directory_age()), now_ms = millis(shared.now());
         "configuration applied");
     shared.configuration_applied_at.set(shared.now());
     shared
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -4,7 +4,7 @@
 //! more changes than the items are long lists the items again.
 
 use jujubehold_core::backoff::Backoff;
-use jujubehold_core::directory_progress::StoreRead;
+use jujubehold_core::directory_progress::{MAX_UNCONFIRMED_TIME, StoreRead};
 use jujubehold_core::history_limit::HistoryLimit;
 use jujubehold_core::lead_table::Revision;
 use jujubehold_core::watch_pace::{WatchPace, WatchProgress};
@@ -19,6 +19,7 @@
 use super::store_listing::list_directory;
 use crate::prelude::*;
 use crate::protocol::{CallProgress, ItemChange, Store, StoreError};
+use crate::shared::millis;
 
 /// How long the store holds a watch without changes. This is near the longest time that it allows,
 /// since other answers of the store reveal a stalled watch.
@@ -53,8 +54,10 @@
                 is_listed = false;
             }
         }
+        let due_at = shared.now();
         wait_for_turn(&shared).await;
         let begun_at = shared.now();
+        log_late_call(&shared, due_at, begun_at);
         let result = if is_listed {
             let after = shared.directory_progress.borrow().reached();
             // What other answers have shown before this call does not make it a stalled one.
@@ -95,6 +98,18 @@
     }
 }
 
+// Logs a call to the store of a host that may be behind, with what it has waited for.
+fn log_late_call<P: Platform>(shared: &Shared<P>, due_at: Monotonic, begun_at: Monotonic) {
+    let age = shared.directory_age();
+    if age <= MAX_UNCONFIRMED_TIME || shared.directory_followed_since.get().is_none() {
+        return;
+    }
+    let is_listed = shared.lead_state.borrow().membership.is_some();
+    info!(directory_age_ms = millis(age), is_listed,
+        waited_ms = millis(begun_at.saturating_sub(due_at)), now_ms = millis(begun_at);
+        "asking the store for changes that this host may lack");
+}
+
 fn note_reached<P: Platform>(shared: &Shared<P>, is_listed: bool, read: &StoreRead) {
     let mut progress = shared.directory_progress.borrow_mut();
     if is_listed {
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -152,6 +152,12 @@
         self.store.era() != self.directory_progress.borrow().era()
     }
 
+    /// Returns how long ago the store certainly had no change of the directory that this host lacks.
+    pub(crate) fn directory_age(&self) -> Duration {
+        let confirmed_at = self.directory_progress.borrow().confirmed_at();
+        self.now().saturating_sub(confirmed_at)
+    }
+
     /// Returns the route of `database` in the current configuration.
     pub(crate) fn route(&self, database: &str) -> Option<Route> {
         let configuration = self.configuration.borrow();
