Follow the directory without an entry in the list and without a proof

A host that was cut off from the store for longer than its lease denied databases that had been added, up to 6.0 s after the cut. Its watch had been pending since before the cut, and only a read of the leads showed that it had gone silent; that read needs the host's entry, the entry two writes. During the cut it asked no other host, since only listed hosts follow one.

The directory is followed on its own now. Knowledge that nothing has confirmed for 2.5 s goes before any waiting: the host asks up to two hosts of its failure domain, whether or not they read the store, and then the store, by a call that does not wait for changes. A pending watch ends at that age. A host that answers states when its own copy was confirmed, in a new field at the end of the message: an answer of an earlier version hands on changes and confirms nothing.

--- a/crates/jujubehold_core/src/directory_progress.rs
+++ b/crates/jujubehold_core/src/directory_progress.rs
@@ -8,7 +8,8 @@
 //!
 //! A host that is told of no change may only rely on that while something confirms it: the other
 //! host may be cut off from the store, may receive changes slowly, or may not answer. So a host whose
-//! knowledge has not been confirmed for a while asks the store, whoever else it could ask.
+//! knowledge has not been confirmed for a while asks, first the other hosts and then the store. This
+//! needs no place in the list of hosts and no proof of the leads.
 
 use std::time::Duration;
 
@@ -61,13 +62,13 @@
 }
 
 crate::key_type! {
-    /// What a host that follows another one has to do next to know all changes.
+    /// What a host has to do next to know all changes.
     pub enum DirectoryNeed {
         /// Nothing: no change is known that this host lacks.
         Nothing,
-        /// Get the changes that the other host knows.
+        /// Get the changes that the host that it follows knows.
         Changes,
-        /// Ask the store, since nothing has confirmed lately that this host lacks no change.
+        /// Ask, since nothing has confirmed lately that this host lacks no change.
         Confirmation,
     }
 }
@@ -86,9 +87,11 @@
         self.announced = self.announced.min(self.reached);
     }
 
-    /// Records that another host handed on all changes up to `revision`. The store may have more.
-    pub fn note_handed_on(&mut self, revision: Revision) {
+    /// Records that another host handed on all changes that it knows, up to `revision`, and that the
+    /// store certainly had no other one at `confirmed_at`, if that host said so.
+    pub fn note_handed_on(&mut self, revision: Revision, confirmed_at: Option<Monotonic>) {
         self.advance(revision);
+        self.confirmed_at = self.confirmed_at.max(confirmed_at.unwrap_or_default());
     }
 
     /// Records that this host read the whole directory. What was removed before that does not show
@@ -168,7 +171,7 @@
         self.announced > self.reached
     }
 
-    /// Returns what this host has to do at `now` if it follows another host.
+    /// Returns what this host has to do at `now`.
     pub fn need(&self, now: Monotonic) -> DirectoryNeed {
         if now.saturating_sub(self.confirmed_at) > MAX_UNCONFIRMED_TIME {
             DirectoryNeed::Confirmation
--- a/crates/jujubehold_core/src/watch_pace.rs
+++ b/crates/jujubehold_core/src/watch_pace.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use crate::directory_progress::MAX_UNCONFIRMED_TIME;
 use crate::ids::Monotonic;
 use crate::lead_table::Revision;
 use crate::value_type;
@@ -35,6 +36,8 @@
         behind_since: Option<Monotonic>,
         /// How much of the watch's answer has arrived.
         received_bytes: u64,
+        /// When the latest part of a watch's answer arrived.
+        received_at: Monotonic,
     }
 }
 
@@ -92,6 +95,7 @@
     pub fn note_received(&mut self, now: Monotonic, received_bytes: u64) {
         if received_bytes > self.received_bytes {
             self.received_bytes = received_bytes;
+            self.received_at = now;
             self.behind_since = self.behind_since.map(|_| now);
         }
     }
@@ -101,4 +105,12 @@
         self.behind_since
             .is_some_and(|since| now.saturating_sub(since) >= pace.max_watch_lag)
     }
+
+    /// Returns whether a waiting watch should be given up because nothing has confirmed the directory
+    /// since `confirmed_at`. A connection that went silent says as little as a store without changes,
+    /// and a host that is not listed makes no other call that would show the difference.
+    pub fn is_unconfirmed(&self, confirmed_at: Monotonic, now: Monotonic) -> bool {
+        let heard_at = confirmed_at.max(self.received_at);
+        now.saturating_sub(heard_at) > MAX_UNCONFIRMED_TIME
+    }
 }
--- a/crates/jujubehold_core/tests/directory_progress.rs
+++ b/crates/jujubehold_core/tests/directory_progress.rs
@@ -95,7 +95,7 @@
     progress.note_news(&news(13, 8));
     assert_eq!(progress.confirmed_at(), Duration::from_millis(500));
     progress.note_read(&read(1_300, 14));
-    progress.note_handed_on(14);
+    progress.note_handed_on(14, None);
     assert_eq!(progress.confirmed_at(), Duration::from_millis(1_300));
 }
 
@@ -129,6 +129,22 @@
     assert_eq!(progress.need(now), DirectoryNeed::Confirmation);
 }
 
+// Guards against a host that is cut off from the store and relies on an age that its neighbour did
+// not state, or on one that is as old as its own.
+#[test]
+fn another_host_confirms_the_directory_by_its_own_age() {
+    let mut progress = listed(10);
+    let now = MAX_UNCONFIRMED_TIME * 2;
+    progress.note_handed_on(12, None);
+    assert_eq!(progress.reached(), 12);
+    assert_eq!(progress.need(now), DirectoryNeed::Confirmation);
+    let recent = now.saturating_sub(Duration::from_secs(1));
+    progress.note_handed_on(12, Some(recent));
+    assert_eq!(progress.need(now), DirectoryNeed::Nothing);
+    progress.note_handed_on(13, Some(Duration::ZERO));
+    assert_eq!(progress.confirmed_at(), recent);
+}
+
 // The store gives out revisions again after it was restored, so the same number stands for two
 // states.
 #[test]
--- a/crates/jujubehold_entry/src/control/directory_relay.rs
+++ b/crates/jujubehold_entry/src/control/directory_relay.rs
@@ -1,7 +1,9 @@
-//! Hands changes of the directory on to the hosts that follow this one, and fetches them.
+//! Hands changes of the directory on to other hosts, and fetches them.
 
 use bytes::Bytes;
 use jujubehold_core::directory_log::DirectoryChange;
+use jujubehold_core::directory_progress::DirectoryNeed;
+use jujubehold_core::proof_sharing::happened_at;
 use log::debug;
 use metrics::counter;
 
@@ -13,6 +15,7 @@
 use crate::metric_names::DIRECTORY_CHANGES_FETCHED;
 use crate::prelude::*;
 use crate::protocol::StoreItem;
+use crate::shared::micros;
 
 /// The timeout of an answer within a failure domain, as of a proof.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -20,12 +23,13 @@
 /// be lost, and the store sends them as well.
 const MAX_CHANGES_BYTES: usize = 40_000;
 
-/// Asks the host that reads the store for this one for the changes that this host lacks, and applies
-/// them. Returns `false` if this host has to ask the store.
-pub(super) async fn fetch_changes<P: Platform>(shared: &Shared<P>, peers: &Peers) -> bool {
-    let Some(source) = shared.proof_source() else {
-        return false;
-    };
+/// Asks `source` for the changes that this host lacks, and applies them. Returns whether this host
+/// knows more than before, or needs nothing now.
+pub(super) async fn fetch_changes<P: Platform>(
+    shared: &Shared<P>,
+    peers: &Peers,
+    source: &HostId,
+) -> bool {
     let (era, after) = {
         let progress = shared.directory_progress.borrow();
         (progress.era(), progress.reached())
@@ -37,7 +41,8 @@
         after,
         ..DirectoryChangesMessage::default()
     });
-    peers.send_to(shared, &source, &question);
+    let sent_at = shared.now();
+    peers.send_to(shared, source, &question);
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, receiver).await;
     let answer = answer.ok().and_then(Result::ok);
     let changes = answer.and_then(|answer| answer.directory_changes);
@@ -45,7 +50,7 @@
         let mut keys = changes.changes.iter();
         changes.era == era
             && changes.after == after
-            && changes.reached > after
+            && changes.reached >= after
             && keys.all(|change| is_directory_key::<P>(&change.key))
     };
     let Some(changes) = changes.filter(is_usable) else {
@@ -55,11 +60,13 @@
     };
     counter!(DIRECTORY_CHANGES_FETCHED, "outcome" => "answered").increment(1);
     for change in changes.changes {
-        apply_change(shared, change, &source);
+        apply_change(shared, change, source);
     }
+    let confirmed_age = changes.confirmed_age_us.map(Duration::from_micros);
+    let confirmed_at = confirmed_age.map(|age| happened_at(sent_at, age));
     let mut progress = shared.directory_progress.borrow_mut();
-    progress.note_handed_on(changes.reached);
-    true
+    progress.note_handed_on(changes.reached, confirmed_at);
+    changes.reached > after || progress.need(shared.now()) == DirectoryNeed::Nothing
 }
 
 fn apply_change<P: Platform>(shared: &Shared<P>, change: DirectoryChangeMessage, source: &HostId) {
@@ -96,6 +103,7 @@
         after: asked.after,
         reached: changes.as_ref().map_or(0, |_| news.reached),
         era: news.era,
+        confirmed_age_us: Some(micros(shared.directory_age())),
         changes: changes.into_iter().flatten().map(change_message).collect(),
     });
     peers.send_to(shared, &question.from, &answer);
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -94,6 +94,10 @@
     /// The era of the store to which the revisions of an answer belong.
     #[prost(uint64, tag = "4")]
     pub(crate) era: u64,
+    /// How long ago the store certainly had no change that the answering host lacks, in microseconds;
+    /// absent in questions and in answers of earlier versions.
+    #[prost(uint64, optional, tag = "5")]
+    pub(crate) confirmed_age_us: Option<u64>,
 }
 
 /// One change of the directory.
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -14,6 +14,7 @@
 use super::peers::{Peers, attach_table, new_message};
 use crate::lead_state::{LeadState, Member};
 use crate::prelude::*;
+use crate::shared::micros;
 
 /// The maximum number of hosts in one datagram: an entry takes about 80 bytes, which leaves half of
 /// the longest datagram for the rest.
@@ -194,7 +195,3 @@
     };
     services.into_iter().filter_map(of_service).collect()
 }
-
-fn micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/jujubehold_entry/src/control/store_watch.rs
+++ b/crates/jujubehold_entry/src/control/store_watch.rs
@@ -1,11 +1,14 @@
 //! Follows the store: lists all items once, then watches for changes with long polls. A host that
 //! gets its proof from another host asks that host for the changes that it knows, and the store only
-//! if it does not get them, or if nothing confirms any more that there are none. A host that lacks
-//! more changes than the items are long lists the items again.
+//! if it does not get them. If nothing confirms any more that there are none, the host asks other
+//! hosts of its failure domain, and then the store, whose answer it does not wait for longer than for
+//! any other. A host that lacks more changes than the items are long lists the items again.
 
 use jujubehold_core::backoff::Backoff;
 use jujubehold_core::call_gate::CallKind;
 use jujubehold_core::directory_progress::{MAX_UNCONFIRMED_TIME, StoreRead};
+use jujubehold_core::directory_sources::DirectorySources;
+use jujubehold_core::follow_reason::FollowReason;
 use jujubehold_core::history_limit::HistoryLimit;
 use jujubehold_core::lead_table::Revision;
 use jujubehold_core::watch_pace::{WatchPace, WatchProgress};
@@ -13,10 +16,10 @@
 
 use super::directory_relay::fetch_changes;
 use super::follow_error::FollowError;
-use super::follow_reason::{FollowReason, wait_for_reason};
+use super::follow_reason::wait_for_reason;
 use super::instances::{ChangeOrigin, apply_item, apply_removal, remove_missing_instances};
 use super::peers::Peers;
-use super::store_calls::{StoreCall, transfer_with_timeout, wait_for_turn};
+use super::store_calls::{STORE_CALL_TIMEOUT, StoreCall, transfer_with_timeout, wait_for_turn};
 use super::store_listing::list_directory;
 use crate::prelude::*;
 use crate::protocol::{CallProgress, ItemChange, Store, StoreError};
@@ -27,8 +30,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// How often a waiting watch is checked for a stall, and for a restore of the store.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// How much longer than [`WATCH_WAIT`] the answer may take.
-const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(900);
+/// How many other hosts are asked, one after the other, before the store is.
+const MAX_HOSTS_ASKED: usize = 2;
 /// The empty prefix, which matches all keys in the store.
 const WATCH_PREFIX: &str = "";
 /// The delays after failures; the configuration must take effect soon after the store is available
@@ -43,20 +46,31 @@
     let mut failures = 0;
     let mut is_listed = false;
     let mut listed_bytes = 0;
+    let mut sources = DirectorySources::default();
     loop {
+        let mut wait = WATCH_WAIT;
         if is_listed {
             let reason = wait_for_reason(&shared).await;
-            if reason == FollowReason::Changes && fetch_changes(&shared, &peers).await {
+            if ask_other_hosts(&shared, &peers, &mut sources, reason).await {
                 remove_missing_instances(&shared);
                 continue;
             }
-            if reason == FollowReason::Restored {
-                info!(era = shared.store.era(); "the store was restored; listing all items again");
-                is_listed = false;
+            match reason {
+                FollowReason::Restored => {
+                    info!(era = shared.store.era(); "the store was restored; listing all items again");
+                    is_listed = false;
+                }
+                FollowReason::Unconfirmed => wait = Duration::ZERO,
+                FollowReason::NoSource | FollowReason::Changes => {}
             }
         }
         let due_at = shared.now();
-        wait_for_turn(&shared, CallKind::Read).await;
+        let may_wait = is_listed && !wait.is_zero();
+        tokio::select! {
+            () = wait_for_turn(&shared, CallKind::Read) => {}
+            // Other hosts can tell more than a store that answers nothing.
+            () = wait_until_unconfirmed(&shared), if may_wait => continue,
+        }
         let begun_at = shared.now();
         log_late_call(&shared, due_at, begun_at);
         let result = if is_listed {
@@ -66,7 +80,7 @@
                 .watch_progress
                 .borrow_mut()
                 .note_watch_revision(begun_at, after);
-            watch(&shared, after, listed_bytes).await
+            watch(&shared, after, wait, listed_bytes).await
         } else {
             list_directory(&shared, &mut listed_bytes).await
         };
@@ -99,6 +113,47 @@
     }
 }
 
+// Asks other hosts for what this host may lack. Returns whether the store need not be asked.
+async fn ask_other_hosts<P: Platform>(
+    shared: &Shared<P>,
+    peers: &Peers,
+    sources: &mut DirectorySources,
+    reason: FollowReason,
+) -> bool {
+    match reason {
+        FollowReason::Restored | FollowReason::NoSource => false,
+        FollowReason::Changes => match shared.proof_source() {
+            Some(source) => fetch_changes(shared, peers, &source).await,
+            None => false,
+        },
+        FollowReason::Unconfirmed => confirm_with_other_hosts(shared, peers, sources).await,
+    }
+}
+
+async fn confirm_with_other_hosts<P: Platform>(
+    shared: &Shared<P>,
+    peers: &Peers,
+    sources: &mut DirectorySources,
+) -> bool {
+    for _ in 0..MAX_HOSTS_ASKED {
+        let Some(source) = shared.directory_source(sources) else {
+            return false;
+        };
+        if fetch_changes(shared, peers, &source).await {
+            return true;
+        }
+        sources.note_unhelpful(shared.now(), &source);
+    }
+    false
+}
+
+// Returns when nothing has confirmed the directory lately.
+async fn wait_until_unconfirmed<P: Platform>(shared: &Shared<P>) {
+    while shared.directory_age() <= MAX_UNCONFIRMED_TIME {
+        actix_rt::time::sleep(MAX_UNCONFIRMED_TIME.saturating_sub(shared.directory_age())).await;
+    }
+}
+
 // Logs a call to the store of a host that may be behind, with what it has waited for.
 fn log_late_call<P: Platform>(shared: &Shared<P>, due_at: Monotonic, begun_at: Monotonic) {
     let age = shared.directory_age();
@@ -137,20 +192,21 @@
 async fn watch<P: Platform>(
     shared: &Shared<P>,
     after: Revision,
+    wait: Duration,
     listed_bytes: u64,
 ) -> Result<StoreRead, FollowError> {
     let begun_at = shared.now();
     let progress = CallProgress::default();
-    let call = shared
-        .store
-        .watch(WATCH_PREFIX, after, WATCH_WAIT, &progress);
-    let idle_limit = WATCH_WAIT + WATCH_TIMEOUT_MARGIN;
+    let call = shared.store.watch(WATCH_PREFIX, after, wait, &progress);
+    let idle_limit = wait + STORE_CALL_TIMEOUT;
     let answer = transfer_with_timeout(shared, StoreCall::Watch, idle_limit, &progress, call);
     let (changes, revision) = tokio::select! {
         answer = answer => answer?,
-        () = wait_for_stall(shared, &progress) => {
+        () = wait_for_stall(shared, !wait.is_zero(), &progress) => {
             let received_bytes = progress.received_bytes();
-            info!(after, received_bytes; "the watch has stalled; starting it again");
+            let directory_age_ms = millis(shared.directory_age());
+            info!(after, received_bytes, directory_age_ms;
+                "the watch has stalled; starting it again");
             return Err(StoreError::TimedOut.into());
         }
         history_bytes = wait_for_long_history(&progress, listed_bytes) => {
@@ -182,16 +238,22 @@
     }
 }
 
-// Returns when the watch has not delivered changes that the store is known to hold, and nothing of
-// its answer arrives.
-async fn wait_for_stall<P: Platform>(shared: &Shared<P>, progress: &CallProgress) {
+// Returns when the watch has not delivered changes that the store is known to hold, or it waits and
+// nothing has confirmed the directory lately, and nothing of its answer arrives.
+async fn wait_for_stall<P: Platform>(
+    shared: &Shared<P>,
+    is_waiting: bool,
+    progress: &CallProgress,
+) {
     let pace = WatchPace::default();
     loop {
         actix_rt::time::sleep(STALL_CHECK_INTERVAL).await;
         let now = shared.now();
         let mut watch_progress = shared.watch_progress.borrow_mut();
         watch_progress.note_received(now, progress.received_bytes());
-        if watch_progress.is_stalled(&pace, now) {
+        let confirmed_at = shared.directory_progress.borrow().confirmed_at();
+        let is_unconfirmed = is_waiting && watch_progress.is_unconfirmed(confirmed_at, now);
+        if is_unconfirmed || watch_progress.is_stalled(&pace, now) {
             return;
         }
     }
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use jujubehold_core::directory_log::DirectoryLog;
 use jujubehold_core::directory_progress::{DirectoryProgress, StoreRead};
+use jujubehold_core::directory_sources::DirectorySources;
 use jujubehold_core::lead_table::LeadTable;
 use jujubehold_core::primary_positions::PrimaryPositions;
 use jujubehold_core::watch_pace::WatchProgress;
@@ -129,6 +130,15 @@
         lead_state.proof_source(self.now(), &self.settings.host, &self.settings.domain)
     }
 
+    /// Returns the host that this one asks next to confirm its copy of the directory, if there is one.
+    pub(crate) fn directory_source(&self, sources: &DirectorySources) -> Option<HostId> {
+        let lead_state = self.lead_state.borrow();
+        let hosts = lead_state.members.iter();
+        let domains = hosts.map(|(host, member)| (host, &member.domain));
+        let (host, domain) = (&self.settings.host, &self.settings.domain);
+        sources.next(self.now(), host, domain, domains)
+    }
+
     /// Returns whether this host watches the primaries.
     pub(crate) fn is_watcher(&self) -> bool {
         let watchers = self.lead_state.borrow().primary_watchers();
@@ -334,6 +344,11 @@
     }
 }
 
+/// Converts a duration to whole microseconds, for datagrams.
+pub(crate) fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Converts a duration to whole milliseconds, for logs and callers' messages.
 pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
