--- a/crates/jujubehold_core/src/directory_progress.rs
+++ b/crates/jujubehold_core/src/directory_progress.rs
@@ -171,6 +171,15 @@
         self.announced > self.reached
     }
 
+    /// Returns whether an item that this host does not know is certainly absent from the directory,
+    /// unless it was added within the time that a configuration takes to take effect.
+    ///
+    /// A caller takes the answer that something does not exist for final, so it must not rest on the
+    /// knowledge of a host that hears nothing.
+    pub fn is_absence_certain(&self, now: Monotonic) -> bool {
+        self.reached > 0 && self.need(now) != DirectoryNeed::Confirmation
+    }
+
     /// Returns what this host has to do at `now`.
     pub fn need(&self, now: Monotonic) -> DirectoryNeed {
         if now.saturating_sub(self.confirmed_at) > MAX_UNCONFIRMED_TIME {
--- a/crates/jujubehold_core/src/refusal_reason.rs
+++ b/crates/jujubehold_core/src/refusal_reason.rs
@@ -9,6 +9,8 @@
     pub enum RefusalReason {
         /// No service has the name that the caller asked for.
         UnknownService,
+        /// This host does not know the service or the caller, and may lack the newest configuration.
+        DirectoryUnconfirmed,
         /// The caller failed to authenticate.
         AuthenticationFailed,
         /// The service's queue on this host is full.
@@ -52,8 +54,9 @@
 
 impl RefusalReason {
     /// All reasons, in the order of the metrics page.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::UnknownService,
+        Self::DirectoryUnconfirmed,
         Self::AuthenticationFailed,
         Self::QueueFull,
         Self::DeadlineTooShort,
@@ -79,6 +82,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::UnknownService => "unknown_service",
+            Self::DirectoryUnconfirmed => "directory_unconfirmed",
             Self::AuthenticationFailed => "authentication_failed",
             Self::QueueFull => "queue_full",
             Self::DeadlineTooShort => "deadline_too_short",
@@ -116,7 +120,8 @@
             | Self::CallerOverShare
             | Self::RetryBudgetSpent
             | Self::QuotaExceeded => "53300",
-            Self::NoPrimary
+            Self::DirectoryUnconfirmed
+            | Self::NoPrimary
             | Self::NoFreshReplica
             | Self::UpstreamUnreachable
             | Self::Leaving
@@ -134,7 +139,8 @@
     /// Returns whether the same request can succeed later without a change by the caller.
     pub fn is_transient(self) -> bool {
         match self {
-            Self::QueueFull
+            Self::DirectoryUnconfirmed
+            | Self::QueueFull
             | Self::DeadlineTooShort
             | Self::CallerOverShare
             | Self::NoPrimary
--- a/crates/jujubehold_core/tests/directory_progress.rs
+++ b/crates/jujubehold_core/tests/directory_progress.rs
@@ -145,6 +145,20 @@
     assert_eq!(progress.confirmed_at(), recent);
 }
 
+// Guards against a denial that rests on the absence of news.
+#[test]
+fn only_recent_knowledge_denies_that_something_exists() {
+    let mut progress = DirectoryProgress::default();
+    assert!(!progress.is_absence_certain(Duration::ZERO));
+    progress.note_listed(&read(500, 10));
+    let confirmed_at = Duration::from_millis(500);
+    assert!(progress.is_absence_certain(confirmed_at + MAX_UNCONFIRMED_TIME));
+    let later = confirmed_at + MAX_UNCONFIRMED_TIME + Duration::from_millis(1);
+    assert!(!progress.is_absence_certain(later));
+    progress.note_read(&read(3_000, 10));
+    assert!(progress.is_absence_certain(later));
+}
+
 // The store gives out revisions again after it was restored, so the same number stands for two
 // states.
 #[test]
--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -371,7 +371,7 @@
     }
 
     fn unknown_database(&self) -> Failure {
-        Failure::error(ErrorCode::UnknownDatabase, &self.database)
+        self.deny(Failure::error(ErrorCode::UnknownDatabase, &self.database))
     }
 
     fn state(&self) -> SessionState {
--- a/crates/jujubehold_entry/src/callers/session/access.rs
+++ b/crates/jujubehold_entry/src/callers/session/access.rs
@@ -3,9 +3,13 @@
 use super::{Session, authentication_failed};
 use crate::callers::failure::Failure;
 use crate::callers::identity::{Identity, UnknownCaller};
+use crate::callers::operation::refuse;
 use crate::prelude::*;
 use crate::protocol::{CallerKey, RequestKind};
 
+/// The time that a host whose knowledge is old usually takes to renew it, once others answer.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(700);
+
 impl<P: Platform> Session<P> {
     /// Identifies the caller by its key under the current configuration.
     pub(super) fn identify(&mut self, key: Option<CallerKey>) -> Result<(), Failure> {
@@ -15,10 +19,25 @@
             .filter(|configuration| configuration.routes.contains_key(&self.database))
             .ok_or_else(|| self.unknown_database())?;
         self.identity = Identity::new(&configuration, &self.database, key)
-            .map_err(|UnknownCaller| authentication_failed())?;
+            .map_err(|UnknownCaller| self.deny(authentication_failed()))?;
         Ok(())
     }
 
+    /// Returns `denial`, the answer that something is not in the configuration, or a refusal if this
+    /// host may lack a version that has it.
+    pub(super) fn deny(&self, denial: Failure) -> Failure {
+        let now = self.shared.now();
+        if self
+            .shared
+            .directory_progress
+            .borrow()
+            .is_absence_certain(now)
+        {
+            return denial;
+        }
+        refuse(RefusalReason::DirectoryUnconfirmed, CONFIRMATION_TIME).into()
+    }
+
     /// Checks the caller's key against the current configuration if that has changed.
     pub(super) fn check_identity(&mut self) {
         let version = *self.configuration_version.borrow();
