Move what follows the directory into a module of its own

It needs neither the entry in the list of hosts nor the proof of the leads, and stood between the files that do. The loop, the call that waits, the questions to other hosts and the listing are a file each. No behaviour changes.

--- a/crates/jujubehold_entry/src/control/store_listing.rs
+++ b/crates/jujubehold_entry/src/control/directory/listing.rs
@@ -4,9 +4,9 @@
 
 use jujubehold_core::directory_progress::StoreRead;
 
+use super::super::instances::{ChangeOrigin, apply_item, apply_removal, listed_instance_keys};
+use super::super::store_calls::{STORE_CALL_TIMEOUT, StoreCall, transfer_with_timeout};
 use super::follow_error::FollowError;
-use super::instances::{ChangeOrigin, apply_item, apply_removal, listed_instance_keys};
-use super::store_calls::{STORE_CALL_TIMEOUT, StoreCall, transfer_with_timeout};
 use crate::prelude::*;
 use crate::protocol::{CallProgress, Directory, Store, StoreListing};
 
--- a/crates/jujubehold_entry/src/control/directory_relay.rs
+++ b/crates/jujubehold_entry/src/control/directory/relay.rs
@@ -7,11 +7,11 @@
 use log::debug;
 use metrics::counter;
 
-use super::instances::{ChangeOrigin, apply_item, apply_removal, is_directory_key};
-use super::peer_message::{
+use super::super::instances::{ChangeOrigin, apply_item, apply_removal, is_directory_key};
+use super::super::peer_message::{
     DirectoryChangeMessage, DirectoryChangesMessage, PeerMessage, PeerMessageKind,
 };
-use super::peers::{Peers, new_message};
+use super::super::peers::{Peers, new_message};
 use crate::metric_names::DIRECTORY_CHANGES_FETCHED;
 use crate::prelude::*;
 use crate::protocol::StoreItem;
@@ -85,7 +85,7 @@
 /// Answers a host that asks for changes. If they are not all known, or too long, the answer contains
 /// none, so that the other host asks the store at once. The same applies if this host has to list the
 /// directory again.
-pub(super) fn answer_directory_question<P: Platform>(
+pub(in super::super) fn answer_directory_question<P: Platform>(
     shared: &Shared<P>,
     peers: &Peers,
     question: &PeerMessage,
--- a/crates/jujubehold_entry/src/control/mod.rs
+++ b/crates/jujubehold_entry/src/control/mod.rs
@@ -1,11 +1,8 @@
 //! Background tasks of a host: configuration, membership in the list of hosts, and the choice of
 //! each service's primary.
 
-mod directory_age;
-mod directory_relay;
+mod directory;
 mod first_primaries;
-mod follow_error;
-mod follow_reason;
 mod host_names;
 mod instances;
 mod lead_document;
@@ -25,8 +22,6 @@
 mod replica_evidence;
 mod status_calls;
 mod store_calls;
-mod store_listing;
-mod store_watch;
 mod table_access;
 
 use crate::prelude::*;
@@ -42,11 +37,11 @@
     shared.quotas.set_peers(Rc::clone(peers));
     actix_rt::spawn(quotas::keep_shares(Rc::clone(shared)));
     actix_rt::spawn(host_names::keep_names(Rc::clone(shared)));
-    actix_rt::spawn(store_watch::watch_store(
+    actix_rt::spawn(directory::follow_directory(
         Rc::clone(shared),
         Rc::clone(peers),
     ));
-    actix_rt::spawn(directory_age::report_directory_age(Rc::clone(shared)));
+    actix_rt::spawn(directory::report_directory_age(Rc::clone(shared)));
     actix_rt::spawn(membership::keep_membership(
         Rc::clone(shared),
         peers.address(),
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -15,7 +15,7 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use super::directory_relay::answer_directory_question;
+use super::directory::answer_directory_question;
 use super::lead_document::{format_leads, parse_leads};
 use super::peer_message::{PeerMessage, PeerMessageKind};
 use super::peer_questions::PeerQuestions;
