--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -167,6 +167,7 @@
 }
 
 /// A request for tokens of a customer, or its answer.
+// The numbers 5, 8 and 12 had other meanings in earlier versions and are not used again.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub(crate) struct QuotaMessage {
     /// The customer.
@@ -316,6 +317,7 @@
     TokenRequest = 7,
     /// Answers a request for tokens.
     TokenAnswer = 8,
+    // 9 and 10 had other meanings in earlier versions and are not used again.
     /// Requests the receiver's share of the quotas.
     ShareRequest = 11,
     /// Answers a request for a share.
