--- a/tools/side_by_side.py
+++ b/tools/side_by_side.py
@@ -74,6 +74,7 @@
 STORE_FAULT_S = 4.0
 # Ports do not depend on the seed, so that two runs of one seed can be made at once.
 PORT_RANDOM = random.SystemRandom()
+GIVEN_PORTS: set[int] = set()
 # Longer than hosts that start for the first time admit no operation of a customer with a quota.
 START_S = 22.0
 # How long a request may take to arrive at a host on loopback.
@@ -119,13 +120,19 @@
 
 
 def free_port() -> int:
-    """Returns a port that is free for TCP and UDP, below those that the system gives to connections."""
+    """Returns a port that is free for TCP and UDP, below those that the system gives to connections.
+
+    No port is returned twice: a host that is not running at the moment keeps its ports.
+    """
     while True:
         port = PORT_RANDOM.randrange(15000, 30000)
+        if port in GIVEN_PORTS:
+            continue
         with contextlib.suppress(OSError), socket.socket() as stream:
             stream.bind(("127.0.0.1", port))
             with socket.socket(type=socket.SOCK_DGRAM) as datagram:
                 datagram.bind(("127.0.0.1", port))
+                GIVEN_PORTS.add(port)
                 return port
 
 
