--- a/crates/jujubehold_core/tests/transfer_timeout.rs
+++ b/crates/jujubehold_core/tests/transfer_timeout.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jujubehold_core::directory_progress::MAX_UNCONFIRMED_TIME;
 use jujubehold_core::ids::Monotonic;
 use jujubehold_core::transfer_timeout::TransferTimeout;
 use jujubehold_core::watch_pace::{WatchPace, WatchProgress};
@@ -101,3 +102,18 @@
     assert!(!progress.is_stalled(&pace, ms(3_400)));
     assert!(progress.is_stalled(&pace, ms(3_500)));
 }
+
+// The load: a host that is not listed waits for changes on a connection that a cut has silenced.
+// Guards against a watch that is ended only by other answers, and against one that is ended while its
+// long answer arrives over a thin link.
+#[test]
+fn a_watch_that_nothing_confirms_is_given_up_unless_its_answer_arrives() {
+    let mut progress = WatchProgress::default();
+    let confirmed_at = ms(1_000);
+    let relied_until = confirmed_at + MAX_UNCONFIRMED_TIME;
+    assert!(!progress.is_unconfirmed(confirmed_at, relied_until));
+    assert!(progress.is_unconfirmed(confirmed_at, relied_until + ms(1)));
+    progress.note_received(ms(3_400), 42_000);
+    assert!(!progress.is_unconfirmed(confirmed_at, ms(5_900)));
+    assert!(progress.is_unconfirmed(confirmed_at, ms(5_901)));
+}
