Split the loop that follows the directory into its steps

The loop held the choice of the call, the waiting, the call and its result in one function. The kinds of calls are a type now, and each step is a function.

--- a/crates/jujubehold_entry/src/control/directory/follow.rs
+++ b/crates/jujubehold_entry/src/control/directory/follow.rs
@@ -15,6 +15,7 @@
 use super::super::instances::remove_missing_instances;
 use super::super::peers::Peers;
 use super::super::store_calls::wait_for_turn;
+use super::follow_error::FollowError;
 use super::follow_reason::wait_for_reason;
 use super::listing::list_directory;
 use super::other_hosts::ask_other_hosts;
@@ -33,78 +34,132 @@
     limit: Duration::from_millis(600),
 };
 
-/// Follows the store until the future is dropped.
+/// Follows the directory until the future is dropped.
 pub(crate) async fn follow_directory<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<Peers>) {
-    let mut failures = 0;
-    let mut is_listed = false;
-    let mut listed_bytes = 0;
-    let mut sources = DirectorySources::default();
+    let mut follower = Follower::default();
     loop {
-        let mut wait = WATCH_WAIT;
-        if is_listed {
-            let reason = wait_for_reason(&shared).await;
-            if ask_other_hosts(&shared, &peers, &mut sources, reason).await {
-                remove_missing_instances(&shared);
-                continue;
-            }
-            match reason {
-                FollowReason::Restored => {
-                    info!(era = shared.store.era(); "the store was restored; listing all items again");
-                    is_listed = false;
-                }
-                FollowReason::Unconfirmed => wait = Duration::ZERO,
-                FollowReason::NoSource | FollowReason::Changes => {}
-            }
+        if let Some(call) = follower.next_call(&shared, &peers).await
+            && wait_for_call(&shared, call).await
+        {
+            let begun_at = shared.now();
+            let result = follower.make_call(&shared, call).await;
+            follower.note_result(&shared, call, begun_at, result).await;
+        }
+        remove_missing_instances(&shared);
+    }
+}
+
+/// A call of the store that returns items of the directory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DirectoryCall {
+    /// Lists all items.
+    List,
+    /// Asks for the changes until now.
+    Confirm,
+    /// Waits for the next change.
+    Wait,
+}
+
+/// What the calls so far have led to.
+#[derive(Debug, Default)]
+struct Follower {
+    /// Whether the items were listed and changes continue from there.
+    is_listed: bool,
+    /// The size of the latest listing.
+    listed_bytes: u64,
+    /// The number of calls that have failed since the last one that was answered.
+    failures: u32,
+    sources: DirectorySources,
+}
+
+impl Follower {
+    // Waits until there is a reason to ask. Returns the call to make, or `None` if other hosts have
+    // told what this one lacked.
+    async fn next_call<P: Platform>(
+        &mut self,
+        shared: &Shared<P>,
+        peers: &Peers,
+    ) -> Option<DirectoryCall> {
+        if !self.is_listed {
+            return Some(DirectoryCall::List);
         }
-        let due_at = shared.now();
-        let may_wait = is_listed && !wait.is_zero();
-        tokio::select! {
-            () = wait_for_turn(&shared, CallKind::Read) => {}
-            // Other hosts can tell more than a store that answers nothing.
-            () = wait_until_unconfirmed(&shared), if may_wait => continue,
+        let reason = wait_for_reason(shared).await;
+        if ask_other_hosts(shared, peers, &mut self.sources, reason).await {
+            return None;
         }
-        let begun_at = shared.now();
-        log_late_call(&shared, due_at, begun_at);
-        let result = if is_listed {
-            let after = shared.directory_progress.borrow().reached();
-            // What other answers have shown before this call does not make it a stalled one.
-            shared
-                .watch_progress
-                .borrow_mut()
-                .note_watch_revision(begun_at, after);
-            watch(&shared, after, wait, listed_bytes).await
-        } else {
-            list_directory(&shared, &mut listed_bytes).await
+        let call = match reason {
+            FollowReason::Restored => {
+                info!(era = shared.store.era(); "the store was restored; listing all items again");
+                self.is_listed = false;
+                DirectoryCall::List
+            }
+            FollowReason::Unconfirmed => DirectoryCall::Confirm,
+            FollowReason::NoSource | FollowReason::Changes => DirectoryCall::Wait,
         };
+        Some(call)
+    }
+
+    async fn make_call<P: Platform>(
+        &mut self,
+        shared: &Shared<P>,
+        call: DirectoryCall,
+    ) -> Result<StoreRead, FollowError> {
+        let wait = match call {
+            DirectoryCall::List => return list_directory(shared, &mut self.listed_bytes).await,
+            DirectoryCall::Confirm => Duration::ZERO,
+            DirectoryCall::Wait => WATCH_WAIT,
+        };
+        let after = shared.directory_progress.borrow().reached();
+        let now = shared.now();
+        // What other answers have shown before this call does not make it a stalled one.
+        shared
+            .watch_progress
+            .borrow_mut()
+            .note_watch_revision(now, after);
+        watch(shared, after, wait, self.listed_bytes).await
+    }
+
+    async fn note_result<P: Platform>(
+        &mut self,
+        shared: &Shared<P>,
+        call: DirectoryCall,
+        begun_at: Monotonic,
+        result: Result<StoreRead, FollowError>,
+    ) {
         match result {
             Ok(read) => {
-                note_reached(&shared, is_listed, &read);
-                is_listed = true;
-                failures = 0;
-                let now = shared.now();
-                shared
-                    .watch_progress
-                    .borrow_mut()
-                    .note_watch_revision(now, read.revision);
-                limit_watch_rate(&shared, now.saturating_sub(begun_at)).await;
+                note_reached(shared, call, &read);
+                self.is_listed = true;
+                self.failures = 0;
+                limit_watch_rate(shared, shared.now().saturating_sub(begun_at)).await;
+            }
+            Err(error) if error.needs_listing() => {
+                info!(reason:% = error; "listing all items again");
+                self.is_listed = false;
             }
+            // A watch that lost its connection continues from its last revision.
             Err(error) => {
                 debug!("failed to follow the store: {error}");
-                // A watch that lost its connection continues from its last revision.
-                if error.needs_listing() {
-                    info!(reason:% = error; "listing all items again");
-                    is_listed = false;
-                } else {
-                    let pause = BACKOFF.delay(failures, rand::random());
-                    failures += 1;
-                    actix_rt::time::sleep(pause).await;
-                }
+                let pause = BACKOFF.delay(self.failures, rand::random());
+                self.failures += 1;
+                actix_rt::time::sleep(pause).await;
             }
         }
-        remove_missing_instances(&shared);
     }
 }
 
+// Waits until the host may call the store. Returns `false` if it should ask other hosts meanwhile:
+// they can tell more than a store that answers nothing.
+async fn wait_for_call<P: Platform>(shared: &Shared<P>, call: DirectoryCall) -> bool {
+    let due_at = shared.now();
+    tokio::select! {
+        () = wait_for_turn(shared, CallKind::Read) => {}
+        () = wait_until_unconfirmed(shared), if call == DirectoryCall::Wait => return false,
+    }
+    log_late_call(shared, due_at);
+    true
+}
+
 // Returns when nothing has confirmed the directory lately.
 async fn wait_until_unconfirmed<P: Platform>(shared: &Shared<P>) {
     while shared.directory_age() <= MAX_UNCONFIRMED_TIME {
@@ -113,26 +168,30 @@
 }
 
 // Logs a call to the store of a host that may be behind, with what it has waited for.
-fn log_late_call<P: Platform>(shared: &Shared<P>, due_at: Monotonic, begun_at: Monotonic) {
+fn log_late_call<P: Platform>(shared: &Shared<P>, due_at: Monotonic) {
+    let now = shared.now();
     let age = shared.directory_age();
     if age <= MAX_UNCONFIRMED_TIME || shared.directory_followed_since.get().is_none() {
         return;
     }
     let is_listed = shared.lead_state.borrow().membership.is_some();
     info!(directory_age_ms = millis(age), is_listed,
-        waited_ms = millis(begun_at.saturating_sub(due_at)), now_ms = millis(begun_at);
+        waited_ms = millis(now.saturating_sub(due_at)), now_ms = millis(now);
         "asking the store for changes that this host may lack");
 }
 
-fn note_reached<P: Platform>(shared: &Shared<P>, is_listed: bool, read: &StoreRead) {
+fn note_reached<P: Platform>(shared: &Shared<P>, call: DirectoryCall, read: &StoreRead) {
     let mut progress = shared.directory_progress.borrow_mut();
-    if is_listed {
-        progress.note_reached(read);
-    } else {
-        progress.note_listed(read);
-        // Answers to earlier calls may have shown revisions of another era.
-        *shared.watch_progress.borrow_mut() = WatchProgress::default();
+    let mut watch_progress = shared.watch_progress.borrow_mut();
+    match call {
+        DirectoryCall::List => {
+            progress.note_listed(read);
+            // Answers to earlier calls may have shown revisions of another era.
+            *watch_progress = WatchProgress::default();
+        }
+        DirectoryCall::Confirm | DirectoryCall::Wait => progress.note_reached(read),
     }
+    watch_progress.note_watch_revision(shared.now(), read.revision);
 }
 
 // Spaces the watch calls out, so that one call returns several changes that come close together.
