Show a replaced primary that is believed after a restore of the store

The table of leads is believed by its revision alone, without the store's era, so a host that starts after a restore reads the table of a lost history. review/5 shows it: 5 of 5 runs, 60 of 60 reads stale. fence.py beside it shows that the number of a promotion order falls: 59, then 36, 3 of 3 runs.

--- a/review/standin/database.py
+++ b/review/standin/database.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import time
 from dataclasses import dataclass, field
 from typing import Callable
 
@@ -93,6 +95,15 @@
             if writer.transport:
                 writer.transport.abort()
 
+    async def come_back(self) -> None:
+        """Starts the process of the instance again, with the log that it had."""
+        self.is_alive = True
+        if self.group.leader is not self:
+            self.role, self.held, self.term = "replica", 0, self.group.leader.term
+            self.log = self.group.leader.log[:]
+        self.born_ms = int(time.time() * 1000)
+        await self.start()
+
     def receive_all(self, source: Instance, length: int) -> None:
         """Receives the log of the primary up to `length`."""
         is_paused = self.held > self.term
@@ -178,8 +189,6 @@
     async def promote(
         self, _method: str, _target: str, headers: dict[str, str], body: bytes
     ) -> tuple[int, object]:
-        import json
-
         call = json.loads(body)
         fence = int(headers.get("x-fence-token", "0"))
         holder = headers.get("x-duty-holder", "")
--- a/review/standin/installation.py
+++ b/review/standin/installation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import random
@@ -16,7 +17,7 @@
 from pathlib import Path
 
 from database import Group, Instance
-from store import HttpServer, Store
+from store import HttpServer, Item, Store
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 PROGRAM = ROOT / "target" / "release" / "jujubehold"
@@ -31,10 +32,22 @@
 }
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    with socket.socket(type=kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+# Ports that were given.
+GIVEN_PORTS: set[int] = set()
+
+
+def free_port() -> int:
+    """Returns a port that is free for TCP and UDP, below those that the system gives to connections."""
+    while True:
+        port = random.SystemRandom().randrange(15_000, 30_000)
+        if port in GIVEN_PORTS:
+            continue
+        with contextlib.suppress(OSError), socket.socket() as stream:
+            stream.bind(("127.0.0.1", port))
+            with socket.socket(type=socket.SOCK_DGRAM) as datagram:
+                datagram.bind(("127.0.0.1", port))
+                GIVEN_PORTS.add(port)
+                return port
 
 
 class Relay(asyncio.DatagramProtocol):
@@ -64,7 +77,7 @@
         self.promotion_port = promotion_port
         self.caller_port = free_port()
         self.ready_port = free_port()
-        self.peer_port = free_port(socket.SOCK_DGRAM)
+        self.peer_port = free_port()
         self.metrics_port = free_port()
         self.relay_port = 0
         self.process: subprocess.Popen[bytes] | None = None
@@ -73,8 +86,8 @@
 class Installation:
     """All of it. `record` writes a line of the record."""
 
-    def __init__(self, folder: Path, sync_replicas: int):
-        self.record_file = (folder / "record.txt").open("w")
+    def __init__(self, folder: Path, sync_replicas: int, record_name: str = "record.txt"):
+        self.record_file = (folder / record_name).open("w")
         self.began_at = time.monotonic()
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
@@ -100,7 +113,7 @@
         promotion_port = free_port()
         await promotion.start("127.0.0.1", promotion_port)
         for index, zone in enumerate(HOSTS):
-            server = HttpServer(self.handle_store)
+            server = HttpServer(self.handle_store, lambda: f"Store-Era: {self.store.era}\r\n")
             port = free_port()
             await server.start("127.0.0.1", port)
             self.store_servers.append(server)
@@ -108,7 +121,7 @@
             self.hosts.append(host)
             target = ("127.0.0.1", host.peer_port)
             transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-                lambda target=target: Relay(target, self.cut_ports), local_addr=("127.0.0.1", 0)
+                lambda target=target: Relay(target, self.cut_ports), local_addr=("127.0.0.1", free_port())
             )
             host.relay_port = transport.get_extra_info("sockname")[1]
 
@@ -136,6 +149,15 @@
         (self.cut_ports.add if is_cut else self.cut_ports.discard)(host.peer_port)
         self.record("cut off" if is_cut else "no longer cut off", host=host.name)
 
+    def restore_store(self, copy: tuple[int, dict[str, Item]], version: int) -> None:
+        """Restores the store from a copy; the operator and the instances write again what they wrote."""
+        self.store.restore(copy)
+        self.record("store restored", revision=copy[0], era=self.store.era)
+        self.configure(version)
+        for instance in self.group.instances.values():
+            if instance.is_alive:
+                instance.publish()
+
     def configure(self, version: int) -> None:
         routes = [
             {
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -41,6 +41,10 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.last_lease = 1000
         self.changed = asyncio.Event()
+        # Rises each time that the store is restored from a copy.
+        self.era = 1
+        # The oldest revision from which the history is known.
+        self.known_since = 0
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -64,6 +68,20 @@
     def put_document(self, key: str, document: object) -> int:
         return self.commit([(key, json.dumps(document).encode(), 0)], [])
 
+    def copy(self) -> tuple[int, dict[str, Item]]:
+        return self.revision, dict(self.items)
+
+    def restore(self, copy: tuple[int, dict[str, Item]]) -> None:
+        """Goes back to a copy. What was written since is gone, and so are all leases and their keys."""
+        self.revision, items = copy
+        self.items = {key: item for key, item in items.items() if item.lease == 0}
+        self.history = []
+        self.known_since = self.revision
+        self.leases = {}
+        self.era += 1
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
     async def expire_leases(self) -> None:
         while True:
             await asyncio.sleep(LEASE_CHECK_S)
@@ -92,7 +110,7 @@
         if call == "kv-range":
             return 200, self.range(query["prefix"], query.get("after", ""))
         if call == "kv-watch":
-            return 200, await self.watch(query)
+            return await self.watch(query)
         if call == "kv-txn":
             return self.transact(json.loads(body))
         if call == "kv-lease":
@@ -120,10 +138,12 @@
             "at_rev": self.revision,
         }
 
-    async def watch(self, query: dict[str, str]) -> dict[str, object]:
+    async def watch(self, query: dict[str, str]) -> tuple[int, object]:
         prefix, after = query["prefix"] if "prefix" in query else "", int(query["after"])
         give_up_at = self.now() + min(int(query.get("wait_ms", "0")), MAX_WATCH_MS) / 1000
         while True:
+            if after > self.revision or after < self.known_since:
+                return 410, {}
             events = [
                 event
                 for revision, event in self.history
@@ -131,7 +151,7 @@
             ]
             left = give_up_at - self.now()
             if events or left <= 0:
-                return {"events": events, "at_rev": self.revision}
+                return 200, {"events": events, "at_rev": self.revision}
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
@@ -161,8 +181,10 @@
 class HttpServer:
     """An HTTP/1.1 server with connections that are kept open."""
 
-    def __init__(self, handler: Handler):
+    def __init__(self, handler: Handler, headers: Callable[[], str] = str):
         self.handler = handler
+        # Returns the lines of further headers of an answer.
+        self.headers = headers
         # While set, requests are neither read nor answered: the way to the server is cut.
         self.is_cut = False
         self.writers: set[asyncio.StreamWriter] = set()
@@ -190,7 +212,7 @@
                     await asyncio.sleep(0.01)
                 out = json.dumps(document).encode()
                 writer.write(
-                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+                    f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{self.headers()}"
                     f"Content-Length: {len(out)}\r\n\r\n".encode()
                     + out
                 )
