--- a/review/1/case.py
+++ b/review/1/case.py
@@ -76,6 +76,7 @@
             installation.record("deaf", instance=replica.name, log=replica.position_text())
     await asyncio.sleep(2.0)
     acknowledged_before_crash = len(acknowledged)
+    draining: set[tuple[str, str]] = set()
     if is_troubled:
         primary.crash()
         draining = {(entry.item, entry.data) for entry in group.instances["i-r1"].log}
