Record the leads anew after the store was restored from a copy

Everything in the store was ordered by its revision, and a restored store gives revisions out again. The log of the restarted host shows `lead changed` to the old primary at the copy's revision 12, 2 ms after the instances' entries had said that another one is the primary; the others hold revision 15 and reject 12. So the restored table was believed, not another host's or the replicas' word.

The table of leads, lists of hosts, shared reads, announcements and fencing tokens are ordered by the store's era and revision now. The era in which a table was written stands in a key beside it, so a table that came back with a copy proves nothing. One host asks all instances for role and term and records the leads in the new era; a lead that is not certain is recorded with a change in progress. Hosts that ran go on with what they know until then.

For the version before: it ignores the new key and the two new fields of datagrams, and states no era, which counts as the first one that a host saw. In the first era tokens are unchanged; on a store that was restored before the upgrade, the earlier version's tokens are lower than this one's.

--- a/crates/jujubehold_core/src/directory_log.rs
+++ b/crates/jujubehold_core/src/directory_log.rs
@@ -9,7 +9,7 @@
 
 use smol_str::SmolStr;
 
-use crate::lead_table::Revision;
+use crate::store_version::Revision;
 use crate::value_type;
 
 /// How many removals are kept. A host that lacks more of them asks the store.
--- a/crates/jujubehold_core/src/directory_progress.rs
+++ b/crates/jujubehold_core/src/directory_progress.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use crate::ids::Monotonic;
-use crate::lead_table::{Revision, StoreEra};
+use crate::store_version::{Revision, StoreEra};
 use crate::value_type;
 
 /// How long a host relies on others without a confirmation: half of the time within which a
--- a/crates/jujubehold_core/src/first_records.rs
+++ b/crates/jujubehold_core/src/first_records.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use crate::ids::Monotonic;
-use crate::lead_table::Revision;
 use crate::primary_watchers::PRIMARY_WATCHERS;
+use crate::store_version::Revision;
 use crate::value_type;
 
 /// The maximum number of services that are recorded with one change: each instance is asked for its
--- a/crates/jujubehold_core/src/host_history.rs
+++ b/crates/jujubehold_core/src/host_history.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::ids::{HostId, Monotonic};
-use crate::lead_table::Revision;
+use crate::store_version::Revision;
 use crate::value_type;
 
 /// The time between two questions. A host rarely needs more than one; after a loss of all hosts none
--- a/crates/jujubehold_core/src/lead_proof.rs
+++ b/crates/jujubehold_core/src/lead_proof.rs
@@ -80,11 +80,22 @@
             // At a first start no host can be listed before the first read, but one can during a
             // gap.
             self.has_complete_list &= self.read_sent_at.is_none();
-            self.steady_since = Some(sent_at);
+            self.steady_since = None;
         }
+        self.steady_since.get_or_insert(sent_at);
         self.read_sent_at = self.read_sent_at.max(Some(sent_at));
     }
 
+    /// Records that the store was restored from a copy, which lost the entries of all hosts.
+    ///
+    /// Hosts that joined shortly before the restore, or that are cut off, may rely on what the store
+    /// said before it and are unknown to this host. What this host proved stays valid: whoever
+    /// replaces a primary after a restore does not know all hosts, and waits.
+    pub fn note_restored(&mut self) {
+        self.steady_since = None;
+        self.has_complete_list = false;
+    }
+
     /// Records that the store lists this host at least until `until`.
     pub fn note_listed_until(&mut self, until: Monotonic) {
         self.listed_until = self.listed_until.max(until);
--- a/crates/jujubehold_core/src/lead_table.rs
+++ b/crates/jujubehold_core/src/lead_table.rs
@@ -1,24 +1,22 @@
 //! Which instance is the primary of each service, and which primaries are being replaced.
 //!
 //! The table is stored in the platform's store under one key and changes by compare-and-swap, so
-//! its revision orders all changes of primary. See docs/notes/platform-path.md.
+//! its revision orders all changes of primary within an era of the store. See
+//! docs/notes/platform-path.md.
 
 use std::collections::BTreeMap;
 
 use crate::ids::{HostId, InstanceId, ServiceId, Term};
+use crate::store_version::{Revision, StoreEra, StoreVersion};
 use crate::value_type;
 
-/// The store's revision of a value; 0 before the first one.
-pub type Revision = u64;
-
-/// A number that rises each time that the store is restored from a copy; 0 if the store states none.
-/// A restored store gives out revisions again, so that those of two eras can't be compared.
-pub type StoreEra = u64;
-
 value_type! {
     /// The leads of all services as of one revision.
     #[derive(Default)]
     pub struct LeadTable {
+        /// The era of the store in which a host wrote the table. A table that the store holds from an
+        /// earlier era came back with a copy and may name primaries that were replaced.
+        pub era: StoreEra,
         /// The store's revision of the table.
         pub revision: Revision,
         /// The lead of each service.
@@ -48,13 +46,21 @@
     /// Replaces this table by a newer one from the store; returns whether it was newer. An older
     /// table changes nothing.
     pub fn adopt(&mut self, table: LeadTable) -> bool {
-        if table.revision <= self.revision {
+        if table.version() <= self.version() {
             return false;
         }
         *self = table;
         true
     }
 
+    /// Returns the point in the store's history at which the table was written.
+    pub fn version(&self) -> StoreVersion {
+        StoreVersion {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+
     /// Returns the instance that may be used as the primary of `service`.
     pub fn usable_primary(&self, service: &str) -> Option<&InstanceId> {
         let lead = self.leads.get(service)?;
--- a/crates/jujubehold_core/src/proof_sharing.rs
+++ b/crates/jujubehold_core/src/proof_sharing.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use crate::ids::{DomainId, HostId, Monotonic};
-use crate::lead_table::Revision;
 use crate::silent_hosts::SilentHosts;
+use crate::store_version::{Revision, StoreEra, StoreVersion};
 use crate::value_type;
 
 /// A fixed allowance for rounding, added to an age along with the one for clock drift.
@@ -31,10 +31,12 @@
     pub struct SharedRead {
         /// How long ago the read was requested from the store.
         pub age: Duration,
+        /// The store's era at the read.
+        pub era: StoreEra,
         /// The store's revision at the read.
         pub revision: Revision,
-        /// The revision of the lead table that the answering host uses.
-        pub table_revision: Revision,
+        /// The version of the lead table that the answering host uses.
+        pub table: StoreVersion,
         /// The digest of the list of hosts that the answering host uses.
         pub hosts_digest: u64,
     }
@@ -43,12 +45,14 @@
     pub struct SharedReadCheck {
         /// When the request was sent.
         pub sent_at: Monotonic,
+        /// The store's era of its list of hosts.
+        pub era: StoreEra,
         /// The revision at which it wrote its own entry in the list of hosts.
         pub own_key_revision: Revision,
         /// The revision of that entry in its copy of the list; `None` if the entry is missing.
         pub listed_revision: Option<Revision>,
-        /// The revision of its lead table, after it adopted a newer one from the answer.
-        pub table_revision: Revision,
+        /// The version of its lead table, after it adopted a newer one from the answer.
+        pub table: StoreVersion,
         /// The digest of its list of hosts.
         pub hosts_digest: u64,
     }
@@ -64,6 +68,8 @@
 crate::key_type! {
     /// Why another host's read proves nothing to this host.
     pub enum SharedReadFault {
+        /// Only one of the two hosts has noticed that the store was restored from a copy.
+        OtherEra,
         /// This host is not listed, so a host that announces a change does not ask it.
         NotListed,
         /// The read was made before this host's entry was written, so a host that announced a
@@ -73,6 +79,8 @@
         OtherHosts,
         /// This host knows a newer table.
         OlderTable,
+        /// This host lacks the table that the read proves.
+        NewerTable,
     }
 }
 
@@ -92,10 +100,12 @@
     /// Returns the name used in logs.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::OtherEra => "other_era",
             Self::NotListed => "not_listed",
             Self::BeforeJoin => "before_join",
             Self::OtherHosts => "other_hosts",
             Self::OlderTable => "older_table",
+            Self::NewerTable => "newer_table",
         }
     }
 }
@@ -113,6 +123,9 @@
     ///
     /// Returns an error if the read proves nothing about this host or its lead table.
     pub fn sent_at(&self, check: &SharedReadCheck) -> Result<Monotonic, SharedReadFault> {
+        if self.era != check.era {
+            return Err(SharedReadFault::OtherEra);
+        }
         if check.listed_revision != Some(check.own_key_revision) {
             return Err(SharedReadFault::NotListed);
         }
@@ -122,9 +135,12 @@
         if self.hosts_digest != check.hosts_digest {
             return Err(SharedReadFault::OtherHosts);
         }
-        if self.table_revision < check.table_revision {
+        if self.table < check.table {
             return Err(SharedReadFault::OlderTable);
         }
+        if self.table > check.table {
+            return Err(SharedReadFault::NewerTable);
+        }
         Ok(happened_at(check.sent_at, self.age))
     }
 }
--- a/crates/jujubehold_core/src/quota/hosts.rs
+++ b/crates/jujubehold_core/src/quota/hosts.rs
@@ -5,8 +5,8 @@
 
 use super::partition::{PARTITION_COUNT, QuotaPartition};
 use crate::ids::{DomainId, HostId};
-use crate::lead_table::Revision;
 use crate::ownership::weight;
+use crate::store_version::Revision;
 use crate::value_type;
 
 value_type! {
--- a/crates/jujubehold_core/src/watch_pace.rs
+++ b/crates/jujubehold_core/src/watch_pace.rs
@@ -9,7 +9,7 @@
 
 use crate::directory_progress::MAX_UNCONFIRMED_TIME;
 use crate::ids::Monotonic;
-use crate::lead_table::Revision;
+use crate::store_version::Revision;
 use crate::value_type;
 
 value_type! {
--- a/crates/jujubehold_core/tests/lead_proof.rs
+++ b/crates/jujubehold_core/tests/lead_proof.rs
@@ -213,3 +213,22 @@
     assert!(!wait.is_over(ms(3_100)));
     assert!(wait.is_over(ms(3_550)));
 }
+
+// A restored store lists no host of before. Guards against a change of primary that does not wait for
+// hosts which rely on what the store said before.
+#[test]
+fn a_host_does_not_know_all_hosts_after_a_restore() {
+    let mut proof = LeadProof::new(SETTINGS, true);
+    proof.note_read(ms(1_000));
+    assert!(proof.knows_all_hosts(ms(1_500)));
+    proof.note_restored();
+    proof.note_read(ms(1_800));
+    assert!(!proof.knows_all_hosts(ms(1_900)));
+    let max_use = SETTINGS.max_use_after_listing();
+    let mut now = ms(1_800);
+    while now < ms(1_800) + max_use {
+        now += ms(800);
+        proof.note_read(now);
+    }
+    assert!(proof.knows_all_hosts(now));
+}
--- a/crates/jujubehold_core/tests/proof_sharing.rs
+++ b/crates/jujubehold_core/tests/proof_sharing.rs
@@ -7,24 +7,32 @@
 use jujubehold_core::proof_sharing::{
     ProofSharingSettings, ProofSources, SharedRead, SharedReadCheck, SharedReadFault, happened_at,
 };
+use jujubehold_core::store_version::StoreVersion;
 use jujubehold_core::watch_pace::{WatchPace, WatchProgress};
 
 fn ms(value: u64) -> Monotonic {
     Duration::from_millis(value)
 }
 
+const TABLE: StoreVersion = StoreVersion {
+    era: 2,
+    revision: 40,
+};
+
 const READ: SharedRead = SharedRead {
     age: Duration::from_millis(700),
+    era: 2,
     revision: 50,
-    table_revision: 40,
+    table: TABLE,
     hosts_digest: 7,
 };
 
 const CHECK: SharedReadCheck = SharedReadCheck {
     sent_at: Duration::from_secs(10),
+    era: 2,
     own_key_revision: 30,
     listed_revision: Some(30),
-    table_revision: 40,
+    table: TABLE,
     hosts_digest: 7,
 };
 
@@ -87,12 +95,36 @@
 #[test]
 fn a_host_with_a_newer_table_takes_no_proof_of_an_older_one() {
     let check = SharedReadCheck {
-        table_revision: 41,
+        table: StoreVersion {
+            revision: 41,
+            ..TABLE
+        },
         ..CHECK
     };
     assert_eq!(READ.sent_at(&check), Err(SharedReadFault::OlderTable));
 }
 
+// Guards against proofs across a restore of the store, which gives out revisions again.
+#[test]
+fn a_read_of_another_era_proves_nothing() {
+    for era in [1, 3] {
+        let read = SharedRead { era, ..READ };
+        assert_eq!(read.sent_at(&CHECK), Err(SharedReadFault::OtherEra));
+    }
+}
+
+#[test]
+fn a_host_takes_no_proof_of_a_table_that_it_lacks() {
+    let check = SharedReadCheck {
+        table: StoreVersion {
+            revision: 39,
+            ..TABLE
+        },
+        ..CHECK
+    };
+    assert_eq!(READ.sent_at(&check), Err(SharedReadFault::NewerTable));
+}
+
 #[test]
 fn an_old_read_is_not_shared() {
     let settings = ProofSharingSettings::default();
--- a/crates/jujubehold_core/tests/quota/simulation.rs
+++ b/crates/jujubehold_core/tests/quota/simulation.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use jujubehold_core::lead_table::Revision;
 use jujubehold_core::long_lived::ListedProcesses;
 use jujubehold_core::prelude::*;
 use jujubehold_core::quota::{
     NameRecord, QuotaAction, QuotaBound, QuotaHost, QuotaLimit, ShareAction, ShareAnswer,
     ShareRelease, ShareRequest, TokenAnswer, TokenRequest, min_process_age,
 };
+use jujubehold_core::store_version::Revision;
 
 use super::host::{Listing, SimulatedHost};
 use super::random::Random;
--- a/crates/jujubehold_entry/src/control/directory/follow_error.rs
+++ b/crates/jujubehold_entry/src/control/directory/follow_error.rs
@@ -27,6 +27,7 @@
             Self::Store(
                 StoreError::Refused { .. }
                 | StoreError::LeaseEnded
+                | StoreError::Restored
                 | StoreError::TimedOut
                 | StoreError::Broken(_)
                 | StoreError::Unreadable,
--- a/crates/jujubehold_entry/src/control/directory/watch.rs
+++ b/crates/jujubehold_entry/src/control/directory/watch.rs
@@ -3,7 +3,7 @@
 
 use jujubehold_core::directory_progress::StoreRead;
 use jujubehold_core::history_limit::HistoryLimit;
-use jujubehold_core::lead_table::Revision;
+use jujubehold_core::store_version::Revision;
 use jujubehold_core::watch_pace::WatchPace;
 use log::info;
 
--- a/crates/jujubehold_entry/src/control/first_primaries.rs
+++ b/crates/jujubehold_entry/src/control/first_primaries.rs
@@ -55,13 +55,19 @@
 }
 
 // Without an answer the term stays unknown: the primary may be lost already, and has to be on record
-// before it can be replaced.
+// before it can be replaced. An instance that answers that it is a replica has an outdated entry.
 async fn first_lead<P: Platform>(shared: Rc<Shared<P>>, service: ServiceId) -> Option<Lead> {
     let primary = claimed_primary(&shared, &service)?;
     let status = match shared.upstream(&primary.id) {
         Some(upstream) => query_status(&upstream, ConnectionPurpose::Status).await,
         None => None,
     };
+    if status
+        .as_ref()
+        .is_some_and(|status| status.role != Role::Primary)
+    {
+        return None;
+    }
     Some(Lead {
         primary: primary.id,
         term: status.map(|status| status.term).unwrap_or_default(),
--- a/crates/jujubehold_entry/src/control/host_names.rs
+++ b/crates/jujubehold_entry/src/control/host_names.rs
@@ -10,10 +10,10 @@
 
 use bytes::Bytes;
 use jujubehold_core::call_gate::CallKind;
-use jujubehold_core::lead_table::Revision;
 use jujubehold_core::long_lived::ListedProcesses;
 use jujubehold_core::quota::{HostCount, NameRecord, min_process_age};
 use jujubehold_core::recorded_names::UnlistedNames;
+use jujubehold_core::store_version::Revision;
 use log::{debug, info};
 use smol_str::{SmolStr, format_smolstr};
 
--- a/crates/jujubehold_entry/src/control/instances.rs
+++ b/crates/jujubehold_entry/src/control/instances.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use jujubehold_core::lead_table::Revision;
-use log::{info, warn};
+use jujubehold_core::store_version::Revision;
+use log::{debug, info, warn};
 
-use super::lead_document::parse_leads;
 use super::member_document::parse_member;
+use super::table_access::adopt_item;
 use super::{HOSTS_PREFIX, LEAD_KEY};
 use crate::lead_state::LeadState;
 use crate::pool::Upstream;
@@ -62,11 +62,8 @@
         }
     } else if let Some(host) = key.strip_prefix(HOSTS_PREFIX) {
         apply_member(shared, host, &item.value, item.revision);
-    } else if key == LEAD_KEY {
-        match parse_leads(&item.value, item.revision) {
-            Some(table) => shared.adopt_table(table),
-            None => warn!(revision = item.revision; "ignoring an invalid table of leads"),
-        }
+    } else if key == LEAD_KEY && !adopt_item(shared, item) {
+        debug!("ignoring the table of leads of revision {}", item.revision);
     }
 }
 
--- a/crates/jujubehold_entry/src/control/lead_document.rs
+++ b/crates/jujubehold_entry/src/control/lead_document.rs
@@ -7,7 +7,8 @@
 use std::fmt::Write;
 
 use bytes::Bytes;
-use jujubehold_core::lead_table::{Lead, LeadChange, LeadTable, Revision};
+use jujubehold_core::lead_table::{Lead, LeadChange, LeadTable};
+use jujubehold_core::store_version::{StoreEra, StoreVersion};
 
 use crate::prelude::*;
 
@@ -33,11 +34,12 @@
     Bytes::from(text)
 }
 
-/// Parses the table as of `revision`; `None` if it is invalid.
-pub(crate) fn parse_leads(value: &[u8], revision: Revision) -> Option<LeadTable> {
+/// Parses the table as of `version`; `None` if it is invalid.
+pub(crate) fn parse_leads(value: &[u8], version: StoreVersion) -> Option<LeadTable> {
     let text = std::str::from_utf8(value).ok()?;
     let mut table = LeadTable {
-        revision,
+        era: version.era,
+        revision: version.revision,
         ..LeadTable::default()
     };
     for line in text.lines() {
@@ -47,6 +49,17 @@
     Some(table)
 }
 
+/// Formats the era in which a table was written.
+pub(crate) fn format_era(era: StoreEra) -> Bytes {
+    Bytes::from(era.to_string())
+}
+
+/// Parses the era in which a table was written; 0 if it is invalid.
+pub(crate) fn parse_era(value: &[u8]) -> StoreEra {
+    let text = std::str::from_utf8(value).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
 fn parse_lead(line: &str) -> Option<(ServiceId, Lead)> {
     let (line, term) = match line.rsplit_once(' ') {
         Some((rest, last)) if last.starts_with(TERM_PREFIX) => {
--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -5,18 +5,19 @@
 use jujubehold_core::directory_progress::StoreRead;
 use jujubehold_core::host_history::HostHistoryQuestions;
 use jujubehold_core::lead_table::LeadTable;
+use jujubehold_core::store_version::StoreVersion;
 use log::{debug, info, warn};
 
 use super::host_names::apply_names;
 use super::instances::apply_member_listing;
-use super::lead_document::parse_leads;
+use super::lead_document::{parse_era, parse_leads};
 use super::peers::Peers;
 use super::proof_questions::{QuestionError, ask, ask_for_departed_hosts};
 use super::store_calls::{StoreCall, transfer_with_timeout, wait_for_turn};
-use super::{ENTRY_KEYS_PREFIX, LEAD_KEY};
+use super::{ENTRY_KEYS_PREFIX, LEAD_ERA_KEY, LEAD_KEY};
 use crate::lead_state::OwnRead;
 use crate::prelude::*;
-use crate::protocol::{CallProgress, Store, StoreError};
+use crate::protocol::{CallProgress, Store, StoreError, StoreListing};
 use crate::shared::millis;
 
 /// How often the table is read: a third of the proof window, so that two reads may fail.
@@ -149,13 +150,10 @@
     let call = shared.store.list(ENTRY_KEYS_PREFIX, &progress);
     let listing =
         transfer_with_timeout(shared, StoreCall::ListOwn, READ_TIMEOUT, &progress, call).await?;
-    let mut table = Some(LeadTable::default());
-    for item in &listing.items {
-        if item.key == LEAD_KEY {
-            table = parse_leads(&item.value, item.revision);
-        }
+    if listing.era < shared.lead_state.borrow().era {
+        return Err(StoreError::Restored);
     }
-    let Some(table) = table else {
+    let Some(mut table) = listed_table(&listing) else {
         warn!(revision = listing.revision; "the table of leads is invalid");
         return Err(StoreError::Unreadable);
     };
@@ -166,7 +164,12 @@
     });
     apply_names(shared, &listing, sent_at);
     let is_listed = apply_member_listing(shared, &listing, sent_at);
-    if is_listed && table.revision >= shared.lead_state.borrow().table.revision {
+    if table.era < listing.era && shared.lead_state.borrow().may_be_replaced(&table) {
+        shared.lead_state.borrow_mut().restored_table = Some(table);
+        return Err(StoreError::Restored);
+    }
+    table.era = listing.era;
+    if is_listed && table.version() >= shared.lead_state.borrow().table.version() {
         shared.adopt_table(table);
         let mut lead_state = shared.lead_state.borrow_mut();
         lead_state.proof.note_read(sent_at);
@@ -179,3 +182,20 @@
     }
     Ok(())
 }
+
+// Returns the table of a listing with the era in which it was written, which is earlier than that of
+// the listing if the store was restored from a copy since; `None` if the table is invalid.
+fn listed_table(listing: &StoreListing) -> Option<LeadTable> {
+    let item = |key: &str| listing.items.iter().find(|item| item.key == key);
+    let Some(table) = item(LEAD_KEY) else {
+        return Some(LeadTable::default());
+    };
+    // Both keys were written at once. If the table is the older one, the listing's pages are from
+    // before and after that.
+    let era = item(LEAD_ERA_KEY).filter(|era| era.revision <= table.revision);
+    let version = StoreVersion {
+        era: era.map_or(0, |era| parse_era(&era.value)),
+        revision: table.revision,
+    };
+    parse_leads(&table.value, version)
+}
--- a/crates/jujubehold_entry/src/control/member_document.rs
+++ b/crates/jujubehold_entry/src/control/member_document.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use jujubehold_core::lead_table::Revision;
+use jujubehold_core::store_version::Revision;
 
 use crate::lead_state::Member;
 use crate::prelude::*;
--- a/crates/jujubehold_entry/src/control/membership.rs
+++ b/crates/jujubehold_entry/src/control/membership.rs
@@ -105,6 +105,7 @@
 }
 
 async fn join<P: Platform>(shared: &Shared<P>, peer: SocketAddr) -> Result<(), StoreError> {
+    let era = shared.lead_state.borrow().era;
     let lease_time = shared.settings.membership_lease;
     let grant_sent_at = shared.now();
     let key: SmolStr = format_smolstr!("{HOSTS_PREFIX}{}", shared.settings.host);
@@ -144,6 +145,10 @@
         shared.quotas.note_first_listing(joined_at);
     }
     let mut lead_state = shared.lead_state.borrow_mut();
+    // Before the first answer, no era was known.
+    if era != 0 && lead_state.era != era {
+        return Err(StoreError::Restored);
+    }
     lead_state
         .proof
         .note_listed_until(grant_sent_at + lease_time);
--- a/crates/jujubehold_entry/src/control/mod.rs
+++ b/crates/jujubehold_entry/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod instances;
 mod lead_document;
 mod lead_reader;
+mod lead_recovery;
 mod member_document;
 mod membership;
 mod peer_message;
@@ -64,6 +65,9 @@
 pub(crate) const ENTRY_KEYS_PREFIX: &str = "jh/";
 /// The key of the table with the leads of all services.
 pub(crate) const LEAD_KEY: &str = "jh/lead";
+/// The key that states the era of the store in which the table was written. It is written together
+/// with the first table of an era, so a table that came back with a copy has an earlier era.
+pub(crate) const LEAD_ERA_KEY: &str = "jh/lead-era";
 /// The key that names the host that last ordered a promotion.
 pub(crate) const DUTY_KEY: &str = "jh/duty";
 /// The prefix of the keys that list the hosts, one per host.
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -77,6 +77,13 @@
     /// Changes of the directory that are asked for or handed on.
     #[prost(message, optional, tag = "23")]
     pub(crate) directory_changes: Option<DirectoryChangesMessage>,
+    /// The era of the store in which the sender's table of leads was written; 0 in earlier versions.
+    #[prost(uint64, tag = "24")]
+    pub(crate) table_era: u64,
+    /// The era of the store to which the sender's list of hosts and its read belong; 0 in earlier
+    /// versions.
+    #[prost(uint64, tag = "25")]
+    pub(crate) hosts_era: u64,
 }
 
 /// Changes of the directory.
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use jujubehold_core::lead_table::Revision;
+use jujubehold_core::store_version::StoreVersion;
 use jujubehold_core::vote_budget::VoteRounds;
 use log::{debug, warn};
 use metrics::counter;
@@ -37,9 +37,9 @@
 pub(crate) struct Peers {
     socket: UdpSocket,
     address: SocketAddr,
-    /// The hosts that stopped using a primary, by service and by the revision of the change that
+    /// The hosts that stopped using a primary, by service and by the announcement of the change that
     /// required it.
-    stopped: RefCell<BTreeMap<(ServiceId, Revision), BTreeSet<HostId>>>,
+    stopped: RefCell<BTreeMap<(ServiceId, StoreVersion), BTreeSet<HostId>>>,
     /// The services whose primary this host is replacing.
     changing: RefCell<BTreeSet<ServiceId>>,
     /// The round in which this host and the other watchers vote.
@@ -108,33 +108,33 @@
         self.send_to_all(shared, &message);
     }
 
-    /// Asks `hosts` to stop using the primary of `service`. `revision` is that of the announced
-    /// change; the table may have a later one because of other services' changes.
+    /// Asks `hosts` to stop using the primary of `service`. `announcement` is that of the change;
+    /// the table may be later because of other services' changes.
     pub(crate) fn send_stop<P: Platform>(
         &self,
         shared: &Shared<P>,
         service: &str,
-        revision: Revision,
+        announcement: StoreVersion,
         hosts: &BTreeSet<HostId>,
     ) {
         let mut message = attach_table(shared, new_message(shared, PeerMessageKind::Stop));
         service.clone_into(&mut message.service);
-        message.announcement = revision;
+        message.announcement = announcement.revision;
         for host in hosts {
             self.send_to(shared, host, &message);
         }
     }
 
-    /// Returns the hosts that stopped using the primary of `service` for the change announced at
-    /// `revision`.
+    /// Returns the hosts that stopped using the primary of `service` for the change that was
+    /// announced at `announcement`.
     pub(crate) fn stopped_hosts(
         &self,
         service: &ServiceId,
-        revision: Revision,
+        announcement: StoreVersion,
     ) -> BTreeSet<HostId> {
         let stopped = self.stopped.borrow();
         stopped
-            .get(&(service.clone(), revision))
+            .get(&(service.clone(), announcement))
             .cloned()
             .unwrap_or_default()
     }
@@ -190,7 +190,7 @@
 
 fn handle_message<P: Platform>(shared: &Rc<Shared<P>>, peers: &Peers, message: &PeerMessage) {
     if let Some(table) = &message.table
-        && let Some(table) = parse_leads(table, message.table_revision)
+        && let Some(table) = parse_leads(table, table_version(shared, message))
     {
         shared.adopt_table(table);
     }
@@ -211,7 +211,7 @@
             record_vote(shared, message, false);
         }
         PeerMessageKind::Stop => answer_stop(shared, peers, message),
-        PeerMessageKind::Stopped => record_stopped(peers, message),
+        PeerMessageKind::Stopped => record_stopped(shared, peers, message),
         PeerMessageKind::ProofQuestion => answer_question(shared, peers, message),
         PeerMessageKind::Proof => peers.questions.deliver_answer(message),
         PeerMessageKind::DirectoryQuestion => answer_directory_question(shared, peers, message),
@@ -259,7 +259,11 @@
 // again.
 fn answer_stop<P: Platform>(shared: &Shared<P>, peers: &Peers, request: &PeerMessage) {
     let service: ServiceId = request.service.as_str().into();
-    let has_table = shared.lead_state.borrow().table.revision >= request.table_revision;
+    // A request of another era is from a host whose announcement is gone, or that knows of a restore
+    // of which this host does not.
+    let requested = table_version(shared, request);
+    let known = shared.lead_state.borrow().table.version();
+    let has_table = known.era == requested.era && known >= requested;
     if !has_table || peers.is_changing(&service) || !stop_using_primary(shared, &service) {
         return;
     }
@@ -269,11 +273,15 @@
     peers.send_to(shared, &request.from, &answer);
 }
 
-fn record_stopped(peers: &Peers, answer: &PeerMessage) {
-    let key = (answer.service.as_str().into(), answer.announcement);
+fn record_stopped<P: Platform>(shared: &Shared<P>, peers: &Peers, answer: &PeerMessage) {
+    let announcement = StoreVersion {
+        era: table_version(shared, answer).era,
+        revision: answer.announcement,
+    };
+    let key = (answer.service.as_str().into(), announcement);
     let mut stopped = peers.stopped.borrow_mut();
     // Keep only the latest change of a service.
-    stopped.retain(|(service, revision), _| *service != key.0 || *revision >= key.1);
+    stopped.retain(|(service, announced), _| *service != key.0 || *announced >= key.1);
     let hosts = stopped.entry(key).or_default();
     hosts.insert(answer.from.as_str().into());
 }
@@ -296,14 +304,28 @@
 }
 
 pub(super) fn new_message<P: Platform>(shared: &Shared<P>, kind: PeerMessageKind) -> PeerMessage {
+    let lead_state = shared.lead_state.borrow();
     PeerMessage {
         from: shared.settings.host.to_string(),
         kind: kind.into(),
-        table_revision: shared.lead_state.borrow().table.revision,
+        table_revision: lead_state.table.revision,
+        table_era: lead_state.table.era,
+        hosts_era: lead_state.era,
         ..PeerMessage::default()
     }
 }
 
+/// Returns the version of the table that the sender of `message` knows.
+pub(super) fn table_version<P: Platform>(
+    shared: &Shared<P>,
+    message: &PeerMessage,
+) -> StoreVersion {
+    StoreVersion {
+        era: shared.lead_state.borrow().sender_era(message.table_era),
+        revision: message.table_revision,
+    }
+}
+
 pub(super) fn attach_table<P: Platform>(
     shared: &Shared<P>,
     mut message: PeerMessage,
--- a/crates/jujubehold_entry/src/control/primary_change.rs
+++ b/crates/jujubehold_entry/src/control/primary_change.rs
@@ -58,7 +58,8 @@
         lead_state.proof.knows_all_hosts(announced.announced_at)
     };
     info!(service = service.as_str(), old = announced.old_primary.as_str(), knows_all_hosts,
-        revision = announced.revision, fencing_token = announced.fencing_token;
+        era = announced.version.era, revision = announced.version.revision,
+        fencing_token = announced.duty.fencing_token();
         "change of primary announced");
     let limit = CHANGE_TIMEOUT;
     let finished = tokio::time::timeout(limit, complete_change(shared, peers, &announced)).await;
@@ -87,7 +88,7 @@
         Rc::clone(shared),
         Rc::clone(peers),
         announced.service.clone(),
-        announced.revision,
+        announced.version,
     )));
     let min_position = if announced.is_planned {
         wait_for_open_work(shared, peers, announced).await?;
--- a/crates/jujubehold_entry/src/control/primary_change/announce.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/announce.rs
@@ -1,7 +1,8 @@
 //! Announces a change of primary, so that exactly one host makes it.
 
 use bytes::Bytes;
-use jujubehold_core::lead_table::{Lead, LeadChange, LeadTable, Revision};
+use jujubehold_core::lead_table::{Lead, LeadChange, LeadTable};
+use jujubehold_core::store_version::{Revision, StoreVersion};
 use smol_str::{SmolStr, format_smolstr};
 
 use super::super::lead_document::format_leads;
@@ -22,10 +23,10 @@
     pub(super) old_primary: InstanceId,
     /// The term in which it leads; 0 if it is not known.
     pub(super) old_term: Term,
-    /// The store's revision of the announcement.
-    pub(super) revision: Revision,
-    /// The revision at which this host's name was written to [`DUTY_KEY`].
-    pub(super) fencing_token: Revision,
+    /// The point in the store's history at which the change was announced.
+    pub(super) version: StoreVersion,
+    /// The point at which this host's name was written to [`DUTY_KEY`].
+    pub(super) duty: StoreVersion,
     pub(super) is_planned: bool,
     pub(super) announced_at: Monotonic,
 }
@@ -36,7 +37,12 @@
     service: &ServiceId,
     reason: ChangeReason,
 ) -> Option<AnnouncedChange> {
-    let table = shared.lead_state.borrow().table.clone();
+    let table = {
+        let lead_state = shared.lead_state.borrow();
+        lead_state
+            .has_present_table()
+            .then(|| lead_state.table.clone())?
+    };
     let lead = table.leads.get(service)?.clone();
     let is_planned = reason == ChangeReason::Leaving;
     let host = shared.settings.host.clone();
@@ -83,16 +89,24 @@
             .push((SmolStr::new_static(DUTY_KEY), value, None));
     }
     let revision = commit_announcement(shared, &store_change, &new_table).await?;
+    // After a restore the announcement is gone, and so is the duty.
+    if shared.lead_state.borrow().era != table.era {
+        return None;
+    }
     shared.adopt_table(LeadTable {
         revision,
         ..new_table
     });
+    let version = |revision| StoreVersion {
+        era: table.era,
+        revision,
+    };
     Some(AnnouncedChange {
         service: service.clone(),
         old_primary: lead.primary,
         old_term: lead.term,
-        revision,
-        fencing_token: if holds_duty { duty_revision } else { revision },
+        version: version(revision),
+        duty: version(if holds_duty { duty_revision } else { revision }),
         is_planned,
         announced_at: shared.now(),
     })
@@ -136,6 +150,9 @@
 /// Returns whether this host still makes the change, according to the table that it knows.
 pub(super) fn is_current<P: Platform>(shared: &Shared<P>, announced: &AnnouncedChange) -> bool {
     let lead_state = shared.lead_state.borrow();
+    if lead_state.era != announced.version.era {
+        return false;
+    }
     let Some(lead) = lead_state.table.leads.get(&announced.service) else {
         return false;
     };
--- a/crates/jujubehold_entry/src/control/primary_change/promotion.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/promotion.rs
@@ -3,10 +3,10 @@
 use jujubehold_core::candidate_choice::{CandidateChoice, choose_candidate};
 use log::info;
 
-use super::super::lead_document::parse_leads;
+use super::super::DUTY_KEY;
 use super::super::peers::Peers;
 use super::super::store_calls::{STORE_CALL_TIMEOUT, StoreCall, call_with_timeout};
-use super::super::{DUTY_KEY, LEAD_KEY};
+use super::super::table_access::read_table;
 use super::STATUS_POLL_INTERVAL;
 use super::STEP_RETRY_PAUSE;
 use super::announce::{AnnouncedChange, is_current};
@@ -105,7 +105,8 @@
     let call = shared.store.read(DUTY_KEY);
     let read = call_with_timeout(shared, StoreCall::ReadDuty, STORE_CALL_TIMEOUT, call).await;
     let (item, _) = read.ok()?;
-    Some(item.is_some_and(|item| item.revision == announced.fencing_token))
+    let is_of_era = shared.lead_state.borrow().era == announced.duty.era;
+    Some(is_of_era && item.is_some_and(|item| item.revision == announced.duty.revision))
 }
 
 /// Orders a promotion. Returns whether the order was accepted, or `None` if another host took the
@@ -120,17 +121,13 @@
     instance: &InstanceId,
 ) -> Option<bool> {
     let read_sent_at = shared.now();
-    let call = shared.store.read(LEAD_KEY);
-    let read = call_with_timeout(shared, StoreCall::ReadLead, STORE_CALL_TIMEOUT, call).await;
-    let Ok((Some(item), _)) = read else {
-        return Some(false);
-    };
-    if let Some(table) = parse_leads(&item.value, item.revision) {
-        shared.adopt_table(table);
-    }
+    let has_read = read_table(shared).await == Ok(true);
     if !is_current(shared, announced) {
         return None;
     }
+    if !has_read {
+        return Some(false);
+    }
     // Another host's orders for another service have a higher number. This host announces its change
     // again, with a number that is higher still.
     match holds_duty(shared, announced).await {
@@ -142,14 +139,14 @@
         service: announced.service.clone(),
         instance: instance.clone(),
         host: shared.settings.host.clone(),
-        fencing_token: announced.fencing_token,
+        fencing_token: announced.duty.fencing_token(),
     };
     if shared.now().saturating_sub(read_sent_at) > MAX_ORDER_PROOF_AGE {
         return Some(false);
     }
     let outcome = shared.promotion.promote(&order, ORDER_TIMEOUT).await;
     info!(service = announced.service.as_str(), instance = instance.as_str(),
-        fencing_token = announced.fencing_token, outcome:? = outcome, now_ms = millis(shared.now());
+        fencing_token = order.fencing_token, outcome:? = outcome, now_ms = millis(shared.now());
         "promotion ordered");
     Some(match outcome {
         // If the order had no answer, the instance's status shows whether it was accepted.
--- a/crates/jujubehold_entry/src/control/primary_change/stopping.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/stopping.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use jujubehold_core::lead_proof::LeadProofSettings;
-use jujubehold_core::lead_table::Revision;
 use jujubehold_core::stop_wait::StopWait;
+use jujubehold_core::store_version::StoreVersion;
 use log::{info, warn};
 
 use super::super::HOSTS_PREFIX;
@@ -27,17 +27,17 @@
     shared: Rc<Shared<P>>,
     peers: Rc<Peers>,
     service: ServiceId,
-    revision: Revision,
+    announcement: StoreVersion,
 ) {
     loop {
         let mut hosts = shared
             .lead_state
             .borrow()
             .other_hosts(&shared.settings.host, shared.now());
-        for host in peers.stopped_hosts(&service, revision) {
+        for host in peers.stopped_hosts(&service, announcement) {
             hosts.remove(&host);
         }
-        peers.send_stop(&shared, &service, revision, &hosts);
+        peers.send_stop(&shared, &service, announcement, &hosts);
         actix_rt::time::sleep(STOP_REQUEST_INTERVAL).await;
     }
 }
@@ -54,7 +54,7 @@
         if !is_current(shared, announced) {
             return None;
         }
-        let stopped = peers.stopped_hosts(&announced.service, announced.revision);
+        let stopped = peers.stopped_hosts(&announced.service, announced.version);
         let others = shared
             .lead_state
             .borrow()
@@ -79,7 +79,7 @@
             return None;
         }
         let now = shared.now();
-        for host in peers.stopped_hosts(&announced.service, announced.revision) {
+        for host in peers.stopped_hosts(&announced.service, announced.version) {
             wait.note_stopped(&host);
         }
         if stop_using_primary(shared, &announced.service) && wait.is_over(now) {
--- a/crates/jujubehold_entry/src/control/primary_keeper.rs
+++ b/crates/jujubehold_entry/src/control/primary_keeper.rs
@@ -12,6 +12,7 @@
 use jujubehold_core::stall_detector::StallDetector;
 
 use super::first_primaries::{has_claimed_primary, record_first_primaries};
+use super::lead_recovery::LeadRecovery;
 use super::peers::Peers;
 use super::primary_change::change_primary;
 use crate::prelude::*;
@@ -20,7 +21,7 @@
 /// How often the services are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The additional delay of each further host.
-const RANK_DELAY: Duration = Duration::from_millis(150);
+pub(super) const RANK_DELAY: Duration = Duration::from_millis(150);
 /// The additional delay of a host that may not know all hosts: it has to wait until all proof
 /// windows expire, while another host can ask the hosts to stop.
 const INCOMPLETE_LIST_DELAY: Duration = Duration::from_secs(1);
@@ -51,6 +52,8 @@
 struct MonitorState {
     /// Detects that this host reads answers late.
     stalls: StallDetector,
+    /// Records the leads anew after the store was restored.
+    recovery: LeadRecovery,
     /// Since when services have had no primary on record.
     first_records: FirstRecords,
     /// The services whose primaries this host last began to record.
@@ -65,6 +68,7 @@
 pub(crate) async fn monitor_primaries<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<Peers>) {
     let mut monitor = MonitorState {
         stalls: StallDetector::new(CHECK_INTERVAL),
+        recovery: LeadRecovery::default(),
         first_records: FirstRecords::default(),
         recording: Vec::new(),
         reasons: BTreeMap::new(),
@@ -76,6 +80,7 @@
         let Some(configuration) = shared.configuration.borrow().clone() else {
             continue;
         };
+        monitor.recovery.check(&shared, &peers).await;
         let is_watcher = shared.is_watcher();
         if is_watcher {
             vote(&shared, &peers, &mut monitor, configuration.services.keys());
@@ -208,13 +213,14 @@
     });
 }
 
-// Returns none while this host is not listed, as it may not write the table then.
+// Returns none while this host is not listed, as it may not write the table then, and while the leads
+// have to be recorded anew, as those that are known are not lost.
 fn services_without_record<'a, P: Platform>(
     shared: &Shared<P>,
     services: impl Iterator<Item = &'a ServiceId>,
 ) -> Vec<ServiceId> {
     let lead_state = shared.lead_state.borrow();
-    if lead_state.membership.is_none() {
+    if lead_state.membership.is_none() || !lead_state.has_present_table() {
         return Vec::new();
     }
     let leads = &lead_state.table.leads;
@@ -238,6 +244,9 @@
     let lead_state = shared.lead_state.borrow();
     lead_state.membership.as_ref()?;
     let lead = lead_state.table.leads.get(service)?;
+    if !lead_state.has_present_table() {
+        return None;
+    }
     if let Some(change) = &lead.change {
         let is_own = change.by == shared.settings.host;
         let is_member = lead_state.members.contains_key(&change.by);
--- a/crates/jujubehold_entry/src/control/proof_answers.rs
+++ b/crates/jujubehold_entry/src/control/proof_answers.rs
@@ -3,15 +3,15 @@
 use std::collections::BTreeSet;
 
 use jujubehold_core::lead_proof::LeadProofSettings;
-use jujubehold_core::lead_table::Revision;
 use jujubehold_core::proof_sharing::ProofSharingSettings;
+use jujubehold_core::store_version::Revision;
 
 use super::member_document::format_member;
 use super::peer_message::{
     DepartedHostMessage, DirectoryMessage, HostMessage, HostsMessage, PeerMessage, PeerMessageKind,
     PositionMessage, ReadMessage, RemovedHostMessage,
 };
-use super::peers::{Peers, attach_table, new_message};
+use super::peers::{Peers, attach_table, new_message, table_version};
 use crate::lead_state::{LeadState, Member};
 use crate::prelude::*;
 use crate::shared::micros;
@@ -30,12 +30,16 @@
     question: &PeerMessage,
 ) {
     let mut answer = new_message(shared, PeerMessageKind::Proof);
-    if question.table_revision < answer.table_revision {
+    if table_version(shared, question) < shared.lead_state.borrow().table.version() {
         answer = attach_table(shared, answer);
     }
     answer.question = question.question;
     answer.hosts_digest = shared.lead_state.borrow().members_digest;
-    if answer.hosts_digest != question.hosts_digest {
+    let has_same_era = {
+        let lead_state = shared.lead_state.borrow();
+        lead_state.sender_era(question.hosts_era) == lead_state.era
+    };
+    if has_same_era && answer.hosts_digest != question.hosts_digest {
         answer.hosts = hosts(shared, question.hosts_revision);
     }
     answer.directory = directory_news(shared);
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -12,7 +12,7 @@
     DepartedHostMessage, DirectoryMessage, HostMessage, HostsMessage, PeerMessage, PeerMessageKind,
     PositionMessage,
 };
-use super::peers::{Peers, new_message};
+use super::peers::{Peers, new_message, table_version};
 use crate::prelude::*;
 
 /// The timeout of an answer within a failure domain: enough for a busy host, and much more than the
@@ -108,6 +108,7 @@
     answer: &PeerMessage,
 ) -> Result<Duration, QuestionError> {
     let shared_read = answer.read.as_ref().ok_or(QuestionError::NoRead)?;
+    let hosts_era = shared.lead_state.borrow().sender_era(answer.hosts_era);
     apply_known_hosts(shared, sent_at, answer);
     if let Some(counted) = answer.counted_hosts
         && let Some(count) = HostCount::received(sent_at, &counted.into())
@@ -116,8 +117,9 @@
     }
     let read = SharedRead {
         age: Duration::from_micros(shared_read.age_us),
+        era: hosts_era,
         revision: shared_read.revision,
-        table_revision: answer.table_revision,
+        table: table_version(shared, answer),
         hosts_digest: answer.hosts_digest,
     };
     if let Some(directory) = &answer.directory {
@@ -133,9 +135,10 @@
         let membership = lead_state.membership.as_ref();
         let check = SharedReadCheck {
             sent_at,
+            era: lead_state.era,
             own_key_revision: membership.map_or(u64::MAX, |own| own.key_revision),
             listed_revision: lead_state.listed_revision(&shared.settings.host),
-            table_revision: lead_state.table.revision,
+            table: lead_state.table.version(),
             hosts_digest: lead_state.members_digest,
         };
         let result = read.sent_at(&check);
@@ -170,7 +173,14 @@
 
 // Applies the hosts that another host knows, which was asked at `sent_at`.
 fn apply_known_hosts<P: Platform>(shared: &Shared<P>, sent_at: Monotonic, answer: &PeerMessage) {
+    let has_same_era = {
+        let lead_state = shared.lead_state.borrow();
+        lead_state.sender_era(answer.hosts_era) == lead_state.era
+    };
     let knows_departed = apply_departed(shared, &answer.departed);
+    if !has_same_era {
+        return;
+    }
     if let Some(hosts) = &answer.hosts {
         apply_hosts(shared, sent_at, hosts);
     }
--- a/crates/jujubehold_entry/src/control/store_calls.rs
+++ b/crates/jujubehold_entry/src/control/store_calls.rs
@@ -88,6 +88,12 @@
         self.unavailable_since.get().is_some() || self.recovered_at.get().is_some_and(is_recent)
     }
 
+    /// Records that the store was restored from a copy. Entries may be missing for as long as after an
+    /// outage.
+    pub(crate) fn note_restored(&self, now: Monotonic) {
+        self.recovered_at.set(Some(now));
+    }
+
     fn note(&self, now: Monotonic, call: StoreCall, error: Option<&StoreError>) {
         let mut gate = self.gate.borrow_mut();
         match error {
@@ -187,12 +193,13 @@
         .err()
         .filter(|error| indicates_outage(error));
     shared.store_health.note(shared.now(), name, error);
+    shared.note_store_era();
 }
 
 // An error that the store returns on purpose shows that it is available.
 fn indicates_outage(error: &StoreError) -> bool {
     match error {
-        StoreError::Compacted | StoreError::LeaseEnded => false,
+        StoreError::Compacted | StoreError::LeaseEnded | StoreError::Restored => false,
         StoreError::Refused { .. }
         | StoreError::TimedOut
         | StoreError::Broken(_)
--- a/crates/jujubehold_entry/src/lead_state.rs
+++ b/crates/jujubehold_entry/src/lead_state.rs
@@ -9,10 +9,11 @@
 use std::net::SocketAddr;
 
 use jujubehold_core::lead_proof::{LeadProof, LeadProofSettings};
-use jujubehold_core::lead_table::{LeadTable, Revision};
+use jujubehold_core::lead_table::LeadTable;
 use jujubehold_core::primary_watchers::primary_watchers;
 use jujubehold_core::proof_sharing::ProofSources;
 use jujubehold_core::replica_evidence::ReplicaEvidence;
+use jujubehold_core::store_version::{Revision, StoreEra};
 
 use crate::hosts_digest::hosts_digest;
 use crate::prelude::*;
@@ -23,6 +24,14 @@
 #[derive(Debug)]
 pub(crate) struct LeadState {
     pub(crate) table: LeadTable,
+    /// The latest era that the store has stated. The revisions of the list of hosts and of this
+    /// host's own entry and read belong to it.
+    pub(crate) era: StoreEra,
+    /// The era that the store stated first.
+    first_era: StoreEra,
+    /// The table that the store holds from before it was restored, if no host has recorded the leads
+    /// anew since.
+    pub(crate) restored_table: Option<LeadTable>,
     pub(crate) proof: LeadProof,
     /// All hosts that the store lists, including this one.
     pub(crate) members: BTreeMap<HostId, Member>,
@@ -81,6 +90,9 @@
     pub(crate) fn new(is_first_start: bool) -> Self {
         Self {
             table: LeadTable::default(),
+            era: 0,
+            first_era: 0,
+            restored_table: None,
             proof: LeadProof::new(LeadProofSettings::default(), is_first_start),
             members: BTreeMap::new(),
             members_digest: 0,
@@ -96,6 +108,57 @@
         }
     }
 
+    /// Records that the store states `era`. In a later era than the known one, all entries of hosts
+    /// are gone and revisions are given out again, so nothing that the store said before is compared
+    /// with its answers. Returns whether this host has lost its own entry.
+    pub(crate) fn note_era(&mut self, era: StoreEra, now: Monotonic) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        let is_first = self.era == 0;
+        self.era = era;
+        if is_first {
+            self.first_era = era;
+            return false;
+        }
+        // Every host that was listed may still rely on what it proved until now. The list is kept until
+        // the first one of the new era.
+        self.note_all_listed(now);
+        self.members_revision = 0;
+        self.removed = RemovedMembers::default();
+        self.own_read = None;
+        self.restored_table = None;
+        self.proof.note_restored();
+        self.membership.take().is_some()
+    }
+
+    /// Returns the era to which revisions in a datagram belong that states `era`. Earlier versions
+    /// state none; until this host sees a restore, theirs is the same as its own.
+    pub(crate) fn sender_era(&self, era: StoreEra) -> StoreEra {
+        if era == 0 && self.era == self.first_era {
+            self.era
+        } else {
+            era
+        }
+    }
+
+    /// Returns whether the known table was written in the store's present era.
+    pub(crate) fn has_present_table(&self) -> bool {
+        self.table.era == self.era
+    }
+
+    /// Returns whether `table`, which the store holds from an earlier era, or this host's own one
+    /// names primaries that may have been replaced.
+    pub(crate) fn may_be_replaced(&self, table: &LeadTable) -> bool {
+        !table.leads.is_empty() || !self.table.leads.is_empty()
+    }
+
+    /// Returns whether the leads have to be recorded anew, because the store was restored.
+    pub(crate) fn needs_recovery(&self) -> bool {
+        let is_listed = self.membership.is_some();
+        is_listed && self.restored_table.is_some() && !self.has_present_table()
+    }
+
     /// Returns the hosts that were listed at any time since `since`, including this one.
     pub(crate) fn listed_since(&self, since: Monotonic) -> BTreeSet<HostId> {
         let listed = self
--- a/crates/jujubehold_entry/src/protocol/store.rs
+++ b/crates/jujubehold_entry/src/protocol/store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use jujubehold_core::lead_table::{Revision, StoreEra};
+use jujubehold_core::store_version::{Revision, StoreEra};
 use smol_str::SmolStr;
 
 use super::CallProgress;
@@ -138,6 +138,9 @@
     /// The lease has ended.
     #[error("the lease has ended")]
     LeaseEnded,
+    /// The answer is from before the store was restored from a copy.
+    #[error("the store was restored from a copy meanwhile")]
+    Restored,
     /// The call timed out; a change may have been made or may still be made.
     #[error("the store did not answer in time")]
     TimedOut,
--- a/crates/jujubehold_entry/src/removed_members.rs
+++ b/crates/jujubehold_entry/src/removed_members.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use jujubehold_core::lead_table::Revision;
+use jujubehold_core::store_version::Revision;
 
 use crate::prelude::*;
 
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -12,7 +12,7 @@
 use jujubehold_core::primary_positions::PrimaryPositions;
 use jujubehold_core::watch_pace::WatchProgress;
 use jujubehold_settings::EntrySettings;
-use log::info;
+use log::{info, warn};
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
@@ -156,6 +156,22 @@
         }
     }
 
+    /// Records the era that the store states. In a later one the store was restored from a copy.
+    pub(crate) fn note_store_era(&self) {
+        let (era, now) = (self.store.era(), self.now());
+        let mut lead_state = self.lead_state.borrow_mut();
+        let before = lead_state.era;
+        let has_lost_entry = lead_state.note_era(era, now);
+        if lead_state.era == before || before == 0 {
+            return;
+        }
+        warn!(era, has_lost_entry, now_ms = millis(now); "the store was restored from a copy");
+        drop(lead_state);
+        // Entries of instances that are newer than the copy are written again.
+        self.store_health.note_restored(now);
+        self.membership_changed.notify_waiters();
+    }
+
     /// Returns whether the store was restored from a copy after this host listed the directory, so
     /// that the revisions that this host knows are those of a lost history.
     pub(crate) fn is_store_restored(&self) -> bool {
@@ -314,7 +330,7 @@
             let proved_until = self.lead_state.borrow().proved_until(service);
             let by = lead.change.as_ref().map(|change| change.by.as_str());
             info!(service = service.as_str(), primary = lead.primary.as_str(),
-                change_by = by.unwrap_or("nobody"), revision = new.revision,
+                change_by = by.unwrap_or("nobody"), era = new.era, revision = new.revision,
                 proved_until_ms = millis(proved_until), now_ms = millis(now);
                 "lead changed");
             self.with_group(service, |group| {
