Promote the replica with the newest commit where replicas confirm commits

The choice preferred any replica that stays to one that leaves, whatever they had received. That is right where the primary alone acknowledges, and breaks the promise where replicas confirm.

Where replicas confirm commits, the newest position decides now, and staying decides between equals. Services with `sync_replicas` 0 keep their order.

Datagrams and the table of leads are unchanged.

--- a/crates/jujubehold_core/src/candidate_choice.rs
+++ b/crates/jujubehold_core/src/candidate_choice.rs
@@ -40,11 +40,13 @@
 /// itself, but has not noticed because it cannot reach its successors.
 ///
 /// The replica that received the most loses the fewest commits. A replica that is about to leave
-/// ranks last, since it would have to be replaced at once.
+/// ranks last, since it would have to be replaced at once. Where `confirming_replicas` acknowledge a
+/// commit, it may be the only one that has it, so it ranks last among those that received as much.
 pub fn choose_candidate(
     old: &InstanceId,
     old_term: Term,
     statuses: &[CandidateStatus],
+    confirming_replicas: usize,
 ) -> CandidateChoice {
     let others = || statuses.iter().filter(|status| status.instance != *old);
     let newest_term = statuses.iter().map(|status| status.term).max();
@@ -57,7 +59,10 @@
     }
     others()
         .filter(|status| status.role == Role::Replica)
-        .max_by_key(|status| (!status.is_leaving, status.received))
+        .max_by_key(|status| {
+            let stays_unconfirmed = confirming_replicas == 0 && !status.is_leaving;
+            (stays_unconfirmed, status.received, !status.is_leaving)
+        })
         .map_or(CandidateChoice::None, |status| {
             CandidateChoice::Promote(status.instance.clone())
         })
--- a/crates/jujubehold_entry/src/control/primary_change/candidates.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/candidates.rs
@@ -66,6 +66,41 @@
     }
 }
 
+/// Logs what the instances reported when `chosen` was chosen to take over.
+pub(super) fn log_choice(
+    announced: &AnnouncedChange,
+    chosen: &InstanceId,
+    statuses: &[CandidateStatus],
+) {
+    let reports: Vec<_> = statuses.iter().map(describe).collect();
+    info!(service = announced.service.as_str(), chosen = chosen.as_str(),
+        reports = reports.join(", ").as_str();
+        "replica chosen to take over");
+}
+
+fn describe(status: &CandidateStatus) -> String {
+    let CandidateStatus {
+        instance, received, ..
+    } = status;
+    let is_marked = status.role == Role::Replica && !status.is_unmarked;
+    let mark = if is_marked { " marked" } else { "" };
+    let leaving = if status.is_leaving { " leaving" } else { "" };
+    format!(
+        "{instance} {} {received}{mark}{leaving}",
+        status.role.as_str()
+    )
+}
+
+/// Returns how many replicas of `service` must receive a commit before it is acknowledged.
+pub(super) fn confirming_replicas<P: Platform>(shared: &Shared<P>, service: &str) -> usize {
+    let configuration = shared.configuration.borrow();
+    let limits = configuration
+        .as_ref()
+        .and_then(|configuration| configuration.services.get(service));
+    let confirming = limits.map_or(0, |limits| limits.sync_replicas);
+    usize::try_from(confirming).unwrap_or(usize::MAX)
+}
+
 /// Returns whether enough instances answered that one of them has every acknowledged commit. If
 /// replicas confirm commits, a replica that does not answer may be the only one that has an
 /// acknowledged commit.
@@ -74,11 +109,7 @@
     announced: &AnnouncedChange,
     statuses: &[CandidateStatus],
 ) -> bool {
-    let configuration = shared.configuration.borrow();
-    let limits = configuration
-        .as_ref()
-        .and_then(|configuration| configuration.services.get(&announced.service).cloned());
-    let confirming = limits.map_or(0, |limits| limits.sync_replicas);
+    let confirming = confirming_replicas(shared, &announced.service);
     if confirming == 0 {
         return true;
     }
@@ -87,7 +118,6 @@
         .iter()
         .filter(|upstream| upstream.id() != announced.old_primary)
         .count();
-    let confirming = usize::try_from(confirming).unwrap_or(usize::MAX);
     statuses.len() + confirming > others
 }
 
--- a/crates/jujubehold_entry/src/control/primary_change/promotion.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/promotion.rs
@@ -11,8 +11,8 @@
 use super::STEP_RETRY_PAUSE;
 use super::announce::{AnnouncedChange, is_current};
 use super::candidates::{
-    PromotedInstance, ensure_marked, has_all_answers, is_marked, query_candidates,
-    resume_other_replicas, wait_until_primary,
+    PromotedInstance, confirming_replicas, ensure_marked, has_all_answers, is_marked, log_choice,
+    query_candidates, resume_other_replicas, wait_until_primary,
 };
 use super::stopping::{start_stop_wait, wait_for_stop};
 use crate::prelude::*;
@@ -42,7 +42,9 @@
             return None;
         }
         let statuses = query_candidates(shared, announced).await;
-        let chosen = match choose_candidate(&announced.old_primary, announced.old_term, &statuses) {
+        let old = &announced.old_primary;
+        let confirming = confirming_replicas(shared, &announced.service);
+        let chosen = match choose_candidate(old, announced.old_term, &statuses, confirming) {
             CandidateChoice::AlreadyPrimary(instance) => {
                 let mut wait = start_stop_wait(shared, announced, announced.announced_at).await;
                 wait_for_stop(shared, peers, announced, &mut wait).await?;
@@ -85,6 +87,7 @@
             wait.restart(marked_at);
         }
         wait_for_stop(shared, peers, announced, wait).await?;
+        log_choice(announced, &chosen, &statuses);
         if is_marked(shared, &chosen).await
             && order_promotion(shared, announced, &chosen).await?
             && let Some(promoted) = wait_until_primary(shared, &chosen).await
--- a/crates/jujubehold_standin/src/users_platform/group.rs
+++ b/crates/jujubehold_standin/src/users_platform/group.rs
@@ -34,6 +34,8 @@
     pub promotions: Vec<(String, u64)>,
     /// The connection limit of each instance.
     pub max_connections: u32,
+    /// How many replicas must receive a commit before it is acknowledged.
+    pub sync_replicas: u32,
     /// The customers and hosts that may open connections; `None` if everybody may.
     pub known_users: Option<BTreeSet<String>>,
 }
@@ -88,14 +90,33 @@
         }
     }
 
-    /// Appends the writes as one commit to the log of the instance with this id.
-    pub(crate) fn commit(&mut self, id: &str, writes: Vec<(String, String)>) {
-        if let Some(instance) = self.instance(id)
-            && !writes.is_empty()
-        {
-            let term = instance.term;
-            instance.log.push(LogEntry { term, writes });
+    /// Appends the writes as one commit to the log of the instance with this id. Returns the number of
+    /// the commit, or `None` if there are no writes.
+    pub(crate) fn commit(&mut self, id: &str, writes: Vec<(String, String)>) -> Option<usize> {
+        let instance = self.instance(id)?;
+        if writes.is_empty() {
+            return None;
         }
+        let term = instance.term;
+        instance.log.push(LogEntry { term, writes });
+        Some(instance.log.len())
+    }
+
+    /// Returns whether commit `number` of the instance with this id may be acknowledged; `None` if the
+    /// instance no longer has it.
+    pub(crate) fn is_confirmed(&self, id: &str, number: usize) -> Option<bool> {
+        let mut instances = self.instances.iter();
+        let primary = instances.find(|instance| instance.id == id)?;
+        if !primary.is_primary {
+            return None;
+        }
+        let entry = primary.log.get(number - 1)?;
+        let others = self
+            .instances
+            .iter()
+            .filter(|instance| instance.id != id && !instance.faults.is_dead);
+        let confirming = others.filter(|instance| instance.log.get(number - 1) == Some(entry));
+        Some(confirming.count() >= usize::try_from(self.sync_replicas).unwrap_or(usize::MAX))
     }
 
     /// Promotes the instance with this id to primary of the next term; returns false if it is
--- a/crates/jujubehold_standin/src/users_platform/handle.rs
+++ b/crates/jujubehold_standin/src/users_platform/handle.rs
@@ -135,10 +135,13 @@
     pub fn configure_with(&self, version: u64, routes: &Value, more: &Value) {
         let service = self.group.borrow().service.clone();
         let max_conns = self.group.borrow().max_connections;
+        let sync_replicas = self.group.borrow().sync_replicas;
+        let service_limits =
+            json!({"name": service, "max_conns": max_conns, "sync_replicas": sync_replicas});
         let mut configuration = json!({
             "version": version,
             "routes": routes,
-            "services": [{"name": service, "max_conns": max_conns, "sync_replicas": 0}],
+            "services": [service_limits],
             "limits": {"tx_idle_ms": 1_000},
         });
         for (name, value) in more.as_object().into_iter().flatten() {
--- a/crates/jujubehold_standin/src/users_platform/instance_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance_server.rs
@@ -32,6 +32,8 @@
     session_values: BTreeMap<String, String>,
     prepared_statements: BTreeMap<String, (bool, String)>,
     transaction: Option<Transaction>,
+    /// The number of a commit that replicas may not have received yet.
+    unconfirmed_commit: Option<usize>,
     is_in_connection_count: bool,
 }
 
@@ -60,6 +62,7 @@
             session_values: BTreeMap::new(),
             prepared_statements: BTreeMap::new(),
             transaction: None,
+            unconfirmed_commit: None,
             is_in_connection_count: false,
         }
     }
@@ -101,6 +104,9 @@
             let Ok(answer) = self.answer(&message) else {
                 return;
             };
+            if !self.wait_until_confirmed().await {
+                return;
+            }
             let is_refused = answer.starts_with("ERROR") && !answer.contains("READY");
             if write.write_all(answer.as_bytes()).await.is_err() || is_refused {
                 return;
@@ -116,6 +122,21 @@
         self.with_instance(|instance| instance.opening_count -= 1);
     }
 
+    // Returns `false` if the commit is no longer in the log: its outcome is unknown.
+    async fn wait_until_confirmed(&mut self) -> bool {
+        let Some(number) = self.unconfirmed_commit.take() else {
+            return true;
+        };
+        loop {
+            let is_confirmed = self.group.borrow().is_confirmed(&self.id, number);
+            match is_confirmed {
+                Some(false) => actix_rt::time::sleep(FAULT_POLL_INTERVAL).await,
+                Some(true) => return true,
+                None => return false,
+            }
+        }
+    }
+
     fn answer(&mut self, message: &str) -> Result<String, ConnectionAborted> {
         if self.is_dead() {
             return Err(ConnectionAborted);
@@ -289,7 +310,7 @@
         self.record_statement(id, "COMMIT");
         if let Some(transaction) = self.transaction.take() {
             let group = Rc::clone(&self.group);
-            group.borrow_mut().commit(&self.id, transaction.writes);
+            self.unconfirmed_commit = group.borrow_mut().commit(&self.id, transaction.writes);
         }
         Outcome::Rows(Vec::new())
     }
@@ -328,7 +349,7 @@
         let write = (item.to_owned(), data.to_owned());
         match &mut self.transaction {
             Some(transaction) => transaction.writes.push(write),
-            None => self.group.borrow_mut().commit(&self.id, vec![write]),
+            None => self.unconfirmed_commit = self.group.borrow_mut().commit(&self.id, vec![write]),
         }
         Outcome::Rows(Vec::new())
     }
