Mark all replicas and compare them after the wait where replicas confirm commits

One replica was marked and chosen before that wait, and the other one confirmed the commits meanwhile.

Where replicas confirm commits, all that answer are marked now, the hosts are waited for, and the choice is made by what all report after that. Positions are final then: nothing receives, and nobody passes an acknowledgement on. The wait starts anew for a mark that this host has not seen before. Services with `sync_replicas` 0 keep their order of choice and their times.

Marks are removed after a promotion for 20 s; there was one attempt, and a replica that missed it would have confirmed nothing any more.

Datagrams and the table of leads are unchanged.

--- a/crates/jujubehold_core/src/candidate_choice.rs
+++ b/crates/jujubehold_core/src/candidate_choice.rs
@@ -20,12 +20,14 @@
         pub is_unmarked: bool,
         /// Whether it is about to leave the group.
         pub is_leaving: bool,
+        /// Whether it may be promoted. Others are asked for what they received.
+        pub may_lead: bool,
     }
 
     /// The result of a choice.
     pub enum CandidateChoice {
         /// The instance is already primary: an earlier promotion took effect.
-        AlreadyPrimary(InstanceId),
+        AlreadyPrimary(CandidateStatus),
         /// The instance should be promoted.
         Promote(InstanceId),
         /// No instance can take over yet.
@@ -33,36 +35,43 @@
     }
 }
 
-/// Chooses among `statuses` the instance that replaces the primary `old` of `old_term`, which is 0
-/// if the term is not known.
+/// Returns the instance among `statuses` that was promoted after the primary `old` of `old_term`,
+/// which is 0 if the term is not known.
 ///
 /// Only a primary of a later term was promoted after `old`. One of an earlier term was replaced
 /// itself, but has not noticed because it cannot reach its successors.
+pub fn newer_primary<'a>(
+    old: &InstanceId,
+    old_term: Term,
+    statuses: &'a [CandidateStatus],
+) -> Option<&'a CandidateStatus> {
+    let newest_term = statuses.iter().map(|status| status.term).max();
+    statuses
+        .iter()
+        .filter(|status| status.role == Role::Primary)
+        // The old primary itself may have been promoted again.
+        .filter(|status| status.instance != *old || old_term > 0)
+        .filter(|status| status.term > old_term && Some(status.term) >= newest_term)
+        .max_by_key(|status| status.received)
+}
+
+/// Chooses among `statuses` the instance that replaces the primary `old` of `old_term`, which is 0
+/// if the term is not known, where commits are acknowledged by the primary alone.
 ///
 /// The replica that received the most loses the fewest commits. A replica that is about to leave
-/// ranks last, since it would have to be replaced at once. Where `confirming_replicas` acknowledge a
-/// commit, it may be the only one that has it, so it ranks last among those that received as much.
+/// ranks last, since it would have to be replaced at once.
 pub fn choose_candidate(
     old: &InstanceId,
     old_term: Term,
     statuses: &[CandidateStatus],
-    confirming_replicas: usize,
 ) -> CandidateChoice {
-    let others = || statuses.iter().filter(|status| status.instance != *old);
-    let newest_term = statuses.iter().map(|status| status.term).max();
-    let newer_primary = others()
-        .filter(|status| status.role == Role::Primary)
-        .filter(|status| status.term > old_term && Some(status.term) >= newest_term)
-        .max_by_key(|status| status.received);
-    if let Some(newer_primary) = newer_primary {
-        return CandidateChoice::AlreadyPrimary(newer_primary.instance.clone());
+    if let Some(newer_primary) = newer_primary(old, old_term, statuses) {
+        return CandidateChoice::AlreadyPrimary(newer_primary.clone());
     }
-    others()
-        .filter(|status| status.role == Role::Replica)
-        .max_by_key(|status| {
-            let stays_unconfirmed = confirming_replicas == 0 && !status.is_leaving;
-            (stays_unconfirmed, status.received, !status.is_leaving)
-        })
+    statuses
+        .iter()
+        .filter(|status| status.instance != *old && status.role == Role::Replica)
+        .max_by_key(|status| (!status.is_leaving, status.received))
         .map_or(CandidateChoice::None, |status| {
             CandidateChoice::Promote(status.instance.clone())
         })
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod candidate_choice;
 pub mod config_store;
 pub mod config_version;
+pub mod confirmed_choice;
 pub mod connection_limit;
 pub mod connection_owners;
 pub mod connection_purpose;
--- /dev/null
+++ b/crates/jujubehold_core/tests/confirmed_choice.rs
@@ -0,0 +1,146 @@
+//! Tests which replica takes over where replicas confirm commits.
+
+use jujubehold_core::candidate_choice::{CandidateStatus, newer_primary};
+use jujubehold_core::confirmed_choice::{ConfirmedChoice, ConfirmedStep};
+use jujubehold_core::log_position::LogPosition;
+use jujubehold_core::prelude::*;
+
+const CONFIRMING: usize = 1;
+
+fn at(position: Position) -> LogPosition {
+    LogPosition { term: 3, position }
+}
+
+fn marked(instance: &str, position: Position) -> CandidateStatus {
+    CandidateStatus {
+        instance: instance.into(),
+        role: Role::Replica,
+        term: 3,
+        received: at(position),
+        is_unmarked: false,
+        is_leaving: false,
+        may_lead: true,
+    }
+}
+
+fn unmarked(instance: &str, position: Position) -> CandidateStatus {
+    CandidateStatus {
+        is_unmarked: true,
+        ..marked(instance, position)
+    }
+}
+
+fn promote(instance: &str) -> ConfirmedStep {
+    ConfirmedStep::Promote(instance.into())
+}
+
+fn step(
+    choice: &mut ConfirmedChoice,
+    statuses: &[CandidateStatus],
+    expected: usize,
+) -> ConfirmedStep {
+    choice.next_step(&"a".into(), statuses, expected)
+}
+
+// Guards against comparing positions that still grow.
+#[test]
+fn all_replicas_are_marked_before_one_is_chosen() {
+    let mut choice = ConfirmedChoice::new(CONFIRMING, None);
+    let statuses = [marked("b", 7), unmarked("c", 9)];
+    let next = step(&mut choice, &statuses, 2);
+    assert_eq!(next, ConfirmedStep::Mark(vec!["c".into()]));
+    let statuses = [marked("b", 7), marked("c", 10)];
+    assert_eq!(step(&mut choice, &statuses, 2), promote("c"));
+}
+
+// Guards against passing over the only replica that has what was acknowledged.
+#[test]
+fn a_leaving_replica_with_more_commits_takes_over() {
+    let mut choice = ConfirmedChoice::new(CONFIRMING, None);
+    let leaving = CandidateStatus {
+        is_leaving: true,
+        ..marked("b", 10)
+    };
+    let statuses = [leaving.clone(), marked("c", 9)];
+    assert_eq!(step(&mut choice, &statuses, 2), promote("b"));
+    let statuses = [leaving, marked("c", 10)];
+    assert_eq!(step(&mut choice, &statuses, 2), promote("c"));
+}
+
+// Guards against a silent replica that alone has a commit. Of two confirmations, one is known.
+#[test]
+fn a_replica_that_does_not_answer_is_waited_for() {
+    let statuses = [marked("b", 7)];
+    let mut choice = ConfirmedChoice::new(1, None);
+    assert_eq!(step(&mut choice, &statuses, 2), ConfirmedStep::AwaitAnswers);
+    assert_eq!(step(&mut choice, &statuses, 1), promote("b"));
+    let mut choice = ConfirmedChoice::new(2, None);
+    assert_eq!(step(&mut choice, &statuses, 2), promote("b"));
+}
+
+// Guards against forgetting what an instance reported that has stopped answering, or that lost its
+// log in a restart.
+#[test]
+fn a_position_that_was_reported_is_waited_for() {
+    let mut choice = ConfirmedChoice::new(CONFIRMING, None);
+    step(&mut choice, &[unmarked("b", 10), unmarked("c", 9)], 2);
+    let next = step(&mut choice, &[marked("c", 9)], 1);
+    assert_eq!(next, ConfirmedStep::AwaitCommits);
+    let next = step(&mut choice, &[marked("b", 0), marked("c", 9)], 2);
+    assert_eq!(next, ConfirmedStep::AwaitCommits);
+    let next = step(&mut choice, &[marked("b", 10), marked("c", 9)], 2);
+    assert_eq!(next, promote("b"));
+}
+
+// Guards against promoting an instance that callers can't reach, and against one that has less.
+#[test]
+fn an_instance_that_may_not_lead_counts_for_what_it_has() {
+    let mut choice = ConfirmedChoice::new(CONFIRMING, None);
+    let unlisted = CandidateStatus {
+        may_lead: false,
+        ..marked("b", 10)
+    };
+    let next = step(&mut choice, &[unlisted, marked("c", 9)], 2);
+    assert_eq!(next, ConfirmedStep::AwaitCommits);
+}
+
+// The replicas still receive the log of a primary that stepped down. Guards against marking them
+// before they have all of it.
+#[test]
+fn replicas_catch_up_with_a_primary_that_stepped_down_before_they_are_marked() {
+    let mut choice = ConfirmedChoice::new(CONFIRMING, Some(at(10)));
+    let old = CandidateStatus {
+        may_lead: false,
+        ..unmarked("a", 10)
+    };
+    let statuses = [old.clone(), unmarked("b", 8), unmarked("c", 9)];
+    assert_eq!(step(&mut choice, &statuses, 2), ConfirmedStep::AwaitCommits);
+    let statuses = [old, unmarked("b", 8), unmarked("c", 10)];
+    let next = step(&mut choice, &statuses, 2);
+    let all = vec!["a".into(), "b".into(), "c".into()];
+    assert_eq!(next, ConfirmedStep::Mark(all));
+    // Its log has every acknowledged commit, so others need not answer.
+    assert_eq!(step(&mut choice, &[marked("c", 10)], 2), promote("c"));
+}
+
+// Guards against a change that waits for ever for a log that nobody receives.
+#[test]
+fn the_old_primary_takes_over_again_if_it_alone_has_its_log() {
+    let mut choice = ConfirmedChoice::new(CONFIRMING, Some(at(10)));
+    let statuses = [marked("a", 10), marked("b", 8)];
+    assert_eq!(step(&mut choice, &statuses, 1), promote("a"));
+}
+
+#[test]
+fn an_old_primary_that_was_promoted_again_is_found() {
+    let promoted = CandidateStatus {
+        role: Role::Primary,
+        term: 4,
+        ..marked("a", 10)
+    };
+    let statuses = [promoted, marked("b", 10)];
+    let found = |old_term| newer_primary(&"a".into(), old_term, &statuses);
+    assert_eq!(found(3), Some(&statuses[0]));
+    assert_eq!(found(4), None);
+    assert_eq!(found(0), None);
+}
--- a/crates/jujubehold_core/tests/primary_replacement.rs
+++ b/crates/jujubehold_core/tests/primary_replacement.rs
@@ -22,6 +22,7 @@
         received: LogPosition { term, position },
         is_unmarked: true,
         is_leaving: false,
+        may_lead: true,
     }
 }
 
@@ -154,7 +155,7 @@
         status("b", Role::Replica, 3, 1_200),
         status("c", Role::Replica, 3, 1_207),
     ];
-    let choice = choose_candidate(&"a".into(), 3, &statuses, 0);
+    let choice = choose_candidate(&"a".into(), 3, &statuses);
     assert_eq!(choice, CandidateChoice::Promote("c".into()));
 }
 
@@ -163,33 +164,20 @@
     let mut leaving = status("c", Role::Replica, 3, 1_207);
     leaving.is_leaving = true;
     let statuses = [leaving.clone(), status("b", Role::Replica, 3, 1_200)];
-    let choice = choose_candidate(&"a".into(), 3, &statuses, 0);
+    let choice = choose_candidate(&"a".into(), 3, &statuses);
     assert_eq!(choice, CandidateChoice::Promote("b".into()));
-    let choice = choose_candidate(&"a".into(), 3, &[leaving], 0);
+    let choice = choose_candidate(&"a".into(), 3, &[leaving]);
     assert_eq!(choice, CandidateChoice::Promote("c".into()));
 }
 
-// Guards against passing over the only replica that has what was acknowledged.
-#[test]
-fn a_leaving_replica_with_more_commits_takes_over_where_replicas_confirm_them() {
-    let mut leaving = status("c", Role::Replica, 3, 1_207);
-    leaving.is_leaving = true;
-    let statuses = [leaving.clone(), status("b", Role::Replica, 3, 1_200)];
-    let choice = choose_candidate(&"a".into(), 3, &statuses, 1);
-    assert_eq!(choice, CandidateChoice::Promote("c".into()));
-    let statuses = [leaving, status("b", Role::Replica, 3, 1_207)];
-    let choice = choose_candidate(&"a".into(), 3, &statuses, 1);
-    assert_eq!(choice, CandidateChoice::Promote("b".into()));
-}
-
 #[test]
 fn an_earlier_promotion_that_took_effect_is_kept() {
     let statuses = [
         status("b", Role::Primary, 4, 1_190),
         status("c", Role::Replica, 3, 1_207),
     ];
-    let choice = choose_candidate(&"a".into(), 3, &statuses, 0);
-    assert_eq!(choice, CandidateChoice::AlreadyPrimary("b".into()));
+    let choice = choose_candidate(&"a".into(), 3, &statuses);
+    assert_eq!(choice, CandidateChoice::AlreadyPrimary(statuses[0].clone()));
 }
 
 // "a" was replaced by "b" in term 2, but has not noticed, because it cannot reach "b". No commit of
@@ -200,14 +188,14 @@
         status("a", Role::Primary, 1, 1_207),
         status("c", Role::Replica, 1, 1_200),
     ];
-    let choice = choose_candidate(&"b".into(), 2, &statuses, 0);
+    let choice = choose_candidate(&"b".into(), 2, &statuses);
     assert_eq!(choice, CandidateChoice::Promote("c".into()));
 }
 
 #[test]
 fn the_old_primary_is_not_chosen() {
     let statuses = [status("a", Role::Primary, 3, 1_207)];
-    let choice = choose_candidate(&"a".into(), 3, &statuses, 0);
+    let choice = choose_candidate(&"a".into(), 3, &statuses);
     assert_eq!(choice, CandidateChoice::None);
 }
 
--- a/crates/jujubehold_entry/src/control/primary_change.rs
+++ b/crates/jujubehold_entry/src/control/primary_change.rs
@@ -5,7 +5,8 @@
 //!    the old primary.
 //! 2. In a planned change, the old primary becomes a replica as soon as all hosts have stopped.
 //!    This host then waits for a replica that has received the old primary's whole log.
-//! 3. The replica that received most is marked. Hosts that are cut off from the store see the mark.
+//! 3. The replica that received most is marked; all replicas where they confirm commits. Hosts that
+//!    are cut off from the store see the mark.
 //! 4. This host waits for the hosts that have not stopped until their proof of the old table must
 //!    have expired.
 //! 5. The marked replica is promoted, and recorded in the table once it is the primary.
@@ -14,6 +15,7 @@
 
 mod announce;
 mod candidates;
+mod confirmed_promotion;
 mod promotion;
 mod record;
 mod stopping;
@@ -29,6 +31,7 @@
 use crate::shared::millis;
 use announce::{AnnouncedChange, announce};
 use candidates::fence_old_primary;
+use confirmed_promotion::{confirming_replicas, promote_confirmed_replica};
 use promotion::promote_replica;
 use record::record_primary;
 use stopping::{request_stop, wait_for_open_work};
@@ -96,7 +99,11 @@
     } else {
         None
     };
-    let primary = promote_replica(shared, peers, announced, min_position).await?;
+    let primary = if confirming_replicas(shared, &announced.service) > 0 {
+        promote_confirmed_replica(shared, peers, announced, min_position).await?
+    } else {
+        promote_replica(shared, peers, announced, min_position).await?
+    };
     drop(stop_requests);
     record_primary(shared, peers, announced, primary).await
 }
--- a/crates/jujubehold_entry/src/control/primary_change/candidates.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/candidates.rs
@@ -14,6 +14,11 @@
 /// The timeout for a promoted instance to become primary.
 const PROMOTION_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How long it is tried to remove a replica's mark: longer than a replica is expected to be cut off.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(20);
+/// The pause before a replica that does not answer is asked again.
+const RESUME_RETRY_PAUSE: Duration = Duration::from_millis(500);
+
 /// Makes the old primary of a planned change a replica if it can be reached. Returns the position
 /// that it had received, up to which its log should be kept.
 pub(super) async fn fence_old_primary<P: Platform>(
@@ -36,19 +41,27 @@
     shared: &Rc<Shared<P>>,
     announced: &AnnouncedChange,
 ) -> Vec<CandidateStatus> {
-    let mut tasks = Vec::new();
-    for upstream in shared.upstreams_of(&announced.service) {
-        if upstream.id() != announced.old_primary {
-            tasks.push(actix_rt::spawn(async move {
-                let report = query_status(&upstream, ConnectionPurpose::Promotion).await;
-                (upstream, report)
-            }));
-        }
-    }
+    let mut upstreams = shared.upstreams_of(&announced.service);
+    upstreams.retain(|upstream| upstream.id() != announced.old_primary);
+    query_statuses(&upstreams).await
+}
+
+/// Returns the status of every one of `upstreams` that answers.
+pub(super) async fn query_statuses<P: Platform>(
+    upstreams: &[Rc<Upstream<P>>],
+) -> Vec<CandidateStatus> {
+    let ask = |upstream: Rc<Upstream<P>>| async move {
+        let report = query_status(&upstream, ConnectionPurpose::Promotion).await?;
+        Some(candidate_status(&upstream, &report))
+    };
+    let tasks: Vec<_> = upstreams
+        .iter()
+        .map(|upstream| actix_rt::spawn(ask(Rc::clone(upstream))))
+        .collect();
     let mut statuses = Vec::new();
     for task in tasks {
-        if let Ok((upstream, Some(report))) = task.await {
-            statuses.push(candidate_status(&upstream, &report));
+        if let Ok(Some(status)) = task.await {
+            statuses.push(status);
         }
     }
     statuses
@@ -63,6 +76,7 @@
         term: report.term,
         is_unmarked: report.is_unmarked_replica(),
         is_leaving: entry.lifecycle == InstanceLifecycle::Leaving,
+        may_lead: true,
     }
 }
 
@@ -91,36 +105,6 @@
     )
 }
 
-/// Returns how many replicas of `service` must receive a commit before it is acknowledged.
-pub(super) fn confirming_replicas<P: Platform>(shared: &Shared<P>, service: &str) -> usize {
-    let configuration = shared.configuration.borrow();
-    let limits = configuration
-        .as_ref()
-        .and_then(|configuration| configuration.services.get(service));
-    let confirming = limits.map_or(0, |limits| limits.sync_replicas);
-    usize::try_from(confirming).unwrap_or(usize::MAX)
-}
-
-/// Returns whether enough instances answered that one of them has every acknowledged commit. If
-/// replicas confirm commits, a replica that does not answer may be the only one that has an
-/// acknowledged commit.
-pub(super) fn has_all_answers<P: Platform>(
-    shared: &Shared<P>,
-    announced: &AnnouncedChange,
-    statuses: &[CandidateStatus],
-) -> bool {
-    let confirming = confirming_replicas(shared, &announced.service);
-    if confirming == 0 {
-        return true;
-    }
-    let others = shared
-        .upstreams_of(&announced.service)
-        .iter()
-        .filter(|upstream| upstream.id() != announced.old_primary)
-        .count();
-    statuses.len() + confirming > others
-}
-
 /// Marks a replica unless it is already marked. Returns the time of the mark if it was set now; the
 /// outer `None` means that marking failed.
 pub(super) async fn ensure_marked<P: Platform>(
@@ -135,9 +119,7 @@
         return Some(None);
     }
     let upstream = shared.upstream(instance)?;
-    let newest_term = statuses.iter().map(|status| status.received.term).max()?;
-    let term = newest_term.max(status.term) + 1;
-    let report = mark(&upstream, term).await?;
+    let report = mark(&upstream, mark_term(status, statuses)).await?;
     let is_marked = !report.is_unmarked_replica();
     is_marked.then(|| Some(shared.now()))
 }
@@ -151,30 +133,77 @@
     report.is_some_and(|report| !report.is_unmarked_replica())
 }
 
-// Marks of an earlier attempt would keep these replicas from receiving the log.
+/// Marks these replicas; returns `false` if some can't be marked.
+pub(super) async fn mark_replicas<P: Platform>(
+    upstreams: &[Rc<Upstream<P>>],
+    replicas: &[InstanceId],
+    statuses: &[CandidateStatus],
+) -> bool {
+    let mut tasks = Vec::new();
+    for status in statuses {
+        let upstream = upstreams
+            .iter()
+            .find(|upstream| upstream.id() == status.instance);
+        if let Some(upstream) = upstream.filter(|_| replicas.contains(&status.instance)) {
+            let (upstream, term) = (Rc::clone(upstream), mark_term(status, statuses));
+            tasks.push(actix_rt::spawn(async move { mark(&upstream, term).await }));
+        }
+    }
+    let mut are_marked = true;
+    for task in tasks {
+        let report = task.await.ok().flatten();
+        are_marked &= report.is_some_and(|report| !report.is_unmarked_replica());
+    }
+    are_marked
+}
+
+// Returns the term with which a replica is marked, which is above every known one.
+fn mark_term(status: &CandidateStatus, statuses: &[CandidateStatus]) -> Term {
+    let terms = statuses.iter().map(|status| status.received.term);
+    terms.max().unwrap_or_default().max(status.term) + 1
+}
+
+/// Removes the marks of the replicas that were not promoted, which would receive nothing any more.
 pub(super) fn resume_other_replicas<P: Platform>(
     shared: &Rc<Shared<P>>,
     announced: &AnnouncedChange,
-    primary: &InstanceId,
+    promoted: &PromotedInstance,
 ) {
     for upstream in shared.upstreams_of(&announced.service) {
-        if upstream.id() == *primary {
-            continue;
+        if upstream.id() != promoted.id {
+            let service = announced.service.clone();
+            let resuming = resume_replica(Rc::clone(shared), service, upstream, promoted.clone());
+            actix_rt::spawn(resuming);
         }
-        actix_rt::spawn(async move {
-            let report = query_status(&upstream, ConnectionPurpose::Promotion).await;
-            let is_marked = report.is_some_and(|report| {
-                report.role == Role::Replica && !report.is_unmarked_replica()
-            });
-            if is_marked && resume(&upstream).await.is_none() {
-                warn!(instance = upstream.id().as_str(); "failed to remove a replica's mark");
+    }
+}
+
+async fn resume_replica<P: Platform>(
+    shared: Rc<Shared<P>>,
+    service: ServiceId,
+    upstream: Rc<Upstream<P>>,
+    promoted: PromotedInstance,
+) {
+    let give_up_at = shared.now() + RESUME_TIMEOUT;
+    while shared.now() < give_up_at {
+        if let Some(report) = query_status(&upstream, ConnectionPurpose::Promotion).await {
+            let is_marked = report.role == Role::Replica && !report.is_unmarked_replica();
+            // A later change needs its own marks.
+            let is_later = report.held_term > promoted.term && {
+                let lead_state = shared.lead_state.borrow();
+                lead_state.table.usable_primary(&service) != Some(&promoted.id)
+            };
+            if !is_marked || is_later || resume(&upstream).await.is_some() {
+                return;
             }
-        });
+        }
+        actix_rt::time::sleep(RESUME_RETRY_PAUSE).await;
     }
+    warn!(instance = upstream.id().as_str(); "failed to remove a replica's mark");
 }
 
 /// An instance that has become the primary.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct PromotedInstance {
     pub(super) id: InstanceId,
     /// The term in which it leads.
--- a/crates/jujubehold_entry/src/control/primary_change/promotion.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/promotion.rs
@@ -1,6 +1,6 @@
 //! Promotes a replica to primary.
 
-use jujubehold_core::candidate_choice::{CandidateChoice, choose_candidate};
+use jujubehold_core::candidate_choice::{CandidateChoice, CandidateStatus, choose_candidate};
 use log::info;
 
 use super::super::DUTY_KEY;
@@ -11,8 +11,8 @@
 use super::STEP_RETRY_PAUSE;
 use super::announce::{AnnouncedChange, is_current};
 use super::candidates::{
-    PromotedInstance, confirming_replicas, ensure_marked, has_all_answers, is_marked, log_choice,
-    query_candidates, resume_other_replicas, wait_until_primary,
+    PromotedInstance, ensure_marked, is_marked, log_choice, query_candidates,
+    resume_other_replicas, wait_until_primary,
 };
 use super::stopping::{start_stop_wait, wait_for_stop};
 use crate::prelude::*;
@@ -27,7 +27,8 @@
 /// The timeout for a replica to receive what the old primary of a planned change had.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Promotes a replica and waits until it is primary; `None` if another host took the change over.
+/// Promotes a replica where commits are acknowledged by the primary alone, and waits until it is
+/// primary; `None` if another host took the change over.
 pub(super) async fn promote_replica<P: Platform>(
     shared: &Rc<Shared<P>>,
     peers: &Rc<Peers>,
@@ -42,15 +43,9 @@
             return None;
         }
         let statuses = query_candidates(shared, announced).await;
-        let old = &announced.old_primary;
-        let confirming = confirming_replicas(shared, &announced.service);
-        let chosen = match choose_candidate(old, announced.old_term, &statuses, confirming) {
-            CandidateChoice::AlreadyPrimary(instance) => {
-                let mut wait = start_stop_wait(shared, announced, announced.announced_at).await;
-                wait_for_stop(shared, peers, announced, &mut wait).await?;
-                let status = statuses.iter().find(|status| status.instance == instance);
-                let term = status.map_or(0, |status| status.term);
-                return Some(PromotedInstance { id: instance, term });
+        let chosen = match choose_candidate(&announced.old_primary, announced.old_term, &statuses) {
+            CandidateChoice::AlreadyPrimary(promoted) => {
+                return await_promoted(shared, peers, announced, &promoted).await;
             }
             CandidateChoice::Promote(instance) => instance,
             CandidateChoice::None => {
@@ -67,9 +62,7 @@
             let received = statuses.iter().find(|status| status.instance == chosen);
             received.is_some_and(|status| status.received >= min_position)
         });
-        let may_proceed = has_all_answers(shared, announced, &statuses)
-            && (has_caught_up || shared.now() >= catch_up_until);
-        if !may_proceed {
+        if !has_caught_up && shared.now() < catch_up_until {
             actix_rt::time::sleep(STATUS_POLL_INTERVAL).await;
             continue;
         }
@@ -92,13 +85,29 @@
             && order_promotion(shared, announced, &chosen).await?
             && let Some(promoted) = wait_until_primary(shared, &chosen).await
         {
-            resume_other_replicas(shared, announced, &chosen);
+            resume_other_replicas(shared, announced, &promoted);
             return Some(promoted);
         }
         actix_rt::time::sleep(STEP_RETRY_PAUSE).await;
     }
 }
 
+/// Waits until no host uses the old primary, which `promoted` has already replaced; `None` if another
+/// host took the change over.
+pub(super) async fn await_promoted<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    peers: &Rc<Peers>,
+    announced: &AnnouncedChange,
+    promoted: &CandidateStatus,
+) -> Option<PromotedInstance> {
+    let mut wait = start_stop_wait(shared, announced, announced.announced_at).await;
+    wait_for_stop(shared, peers, announced, &mut wait).await?;
+    Some(PromotedInstance {
+        id: promoted.instance.clone(),
+        term: promoted.term,
+    })
+}
+
 // Returns whether the duty to order promotions is still this host's; `None` if the store does not
 // answer.
 async fn holds_duty<P: Platform>(
@@ -118,7 +127,7 @@
 /// First reads from the store which host makes the change, and gives the order only shortly after:
 /// a host that was suspended in between must not give an order after a later host has given its
 /// own.
-async fn order_promotion<P: Platform>(
+pub(super) async fn order_promotion<P: Platform>(
     shared: &Rc<Shared<P>>,
     announced: &AnnouncedChange,
     instance: &InstanceId,
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -61,6 +61,8 @@
     pub(crate) upstreams: RefCell<BTreeMap<InstanceId, Rc<Upstream<P>>>>,
     /// Since when this host has followed the directory; `None` before it was first listed.
     pub(crate) directory_followed_since: Cell<Option<Monotonic>>,
+    /// The instances that were removed from the list lately. They may be running.
+    pub(crate) removed_upstreams: RefCell<BTreeMap<InstanceId, RemovedUpstream<P>>>,
     /// The instances whose entries were removed, and when this host learned of it.
     pub(crate) missing_instances: RefCell<BTreeMap<InstanceId, Monotonic>>,
     pub(crate) groups: RefCell<BTreeMap<ServiceId, Group>>,
@@ -83,6 +85,13 @@
     pub(crate) host_names: HostNames,
 }
 
+/// An instance that was removed from the list.
+#[derive(Debug)]
+pub(crate) struct RemovedUpstream<P: Platform> {
+    pub(crate) upstream: Rc<Upstream<P>>,
+    pub(crate) removed_at: Monotonic,
+}
+
 impl<P: Platform> Shared<P> {
     pub(crate) fn new(settings: EntrySettings, store: P::Store, promotion: P::Promotion) -> Self {
         let clock = Clock::start();
@@ -110,6 +119,7 @@
             configuration_applied_at: Cell::new(Monotonic::ZERO),
             upstreams: RefCell::new(BTreeMap::new()),
             directory_followed_since: Cell::new(None),
+            removed_upstreams: RefCell::new(BTreeMap::new()),
             missing_instances: RefCell::new(BTreeMap::new()),
             groups: RefCell::new(BTreeMap::new()),
             changed: Notify::new(),
@@ -200,15 +210,19 @@
     /// listed the directory before that.
     pub(crate) fn is_directory_complete(&self) -> bool {
         let now = self.now();
-        let followed_since = self.directory_followed_since.get();
-        let is_followed =
-            followed_since.is_some_and(|since| now.saturating_sub(since) > ENTRY_RECOVERY_TIME);
-        is_followed
+        self.has_followed_directory()
             && !self
                 .store_health
                 .was_unavailable_within(now, ENTRY_RECOVERY_TIME)
     }
 
+    /// Returns whether this host has followed the directory for long enough to have seen the entries
+    /// that were missing when it started.
+    pub(crate) fn has_followed_directory(&self) -> bool {
+        let followed_since = self.directory_followed_since.get();
+        followed_since.is_some_and(|since| self.now().saturating_sub(since) > ENTRY_RECOVERY_TIME)
+    }
+
     /// Returns all listed instances of `service`.
     pub(crate) fn upstreams_of(&self, service: &str) -> Vec<Rc<Upstream<P>>> {
         let upstreams = self.upstreams.borrow();
@@ -218,6 +232,22 @@
         of_service.cloned().collect()
     }
 
+    /// Returns the instances of `service` that were removed from the list after `since` and have not
+    /// been listed again.
+    pub(crate) fn removed_upstreams_of(
+        &self,
+        service: &str,
+        since: Monotonic,
+    ) -> Vec<Rc<Upstream<P>>> {
+        let removed = self.removed_upstreams.borrow();
+        removed
+            .values()
+            .filter(|removed| removed.removed_at >= since)
+            .map(|removed| Rc::clone(&removed.upstream))
+            .filter(|upstream| upstream.belongs_to(service))
+            .collect()
+    }
+
     /// Returns the owners at which this host runs statements of `customer` on `upstream`, in the
     /// order in which they are tried; none if it uses its own connections.
     pub(crate) fn owners_for(
