Ask the primary itself for evidence while the store does not answer

The evidence now needs the primary's own word that it leads in the recorded term, and a replica of a later term is none.

The wire and the store's keys are unchanged.

--- a/crates/jujubehold_core/tests/lead_proof.rs
+++ b/crates/jujubehold_core/tests/lead_proof.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use jujubehold_core::lead_proof::{LeadProof, LeadProofSettings};
+use jujubehold_core::lead_table::Lead;
 use jujubehold_core::prelude::*;
-use jujubehold_core::replica_evidence::{ReplicaEvidence, is_unmarked_replica};
+use jujubehold_core::replica_evidence::{ReplicaEvidence, confirms_lead, is_unmarked_replica};
 use jujubehold_core::stop_wait::StopWait;
 
 const SETTINGS: LeadProofSettings = LeadProofSettings {
@@ -101,6 +102,30 @@
     assert!(is_unmarked_replica(Role::Replica, 4, 0));
 }
 
+// The replica that took over is not known to this host. Guards against taking the others' word for a
+// primary that was replaced.
+#[test]
+fn a_lead_needs_the_primarys_own_word_and_no_later_term() {
+    let mut lead = Lead {
+        primary: "a".into(),
+        term: 3,
+        change: None,
+    };
+    let confirms = |lead: &Lead, instance: &str, role, term| {
+        confirms_lead(lead, &instance.into(), role, term, 0)
+    };
+    assert!(confirms(&lead, "a", Role::Primary, 3));
+    assert!(!confirms(&lead, "a", Role::Replica, 3));
+    assert!(!confirms(&lead, "a", Role::Primary, 4));
+    assert!(confirms(&lead, "b", Role::Replica, 2));
+    assert!(confirms(&lead, "b", Role::Replica, 3));
+    assert!(!confirms(&lead, "b", Role::Replica, 4));
+    assert!(!confirms(&lead, "b", Role::Primary, 3));
+    lead.term = 0;
+    assert!(confirms(&lead, "a", Role::Primary, 3));
+    assert!(confirms(&lead, "b", Role::Replica, 4));
+}
+
 #[test]
 fn replica_evidence_is_limited_by_the_age_of_the_last_read() {
     let mut proof = listed_proof();
--- a/crates/jujubehold_entry/src/lead_state.rs
+++ b/crates/jujubehold_entry/src/lead_state.rs
@@ -51,7 +51,7 @@
     pub(crate) own_read: Option<OwnRead>,
     /// The hosts that may be asked for their reads.
     pub(crate) proof_sources: ProofSources,
-    /// The replicas' evidence, by service, that no host is replacing their primary.
+    /// The instances' evidence, by service, that no host is replacing the primary.
     pub(crate) evidence: BTreeMap<ServiceId, ReplicaEvidence>,
     /// Until when the replicas' evidence proves the lead of each service.
     evidence_until: BTreeMap<ServiceId, Monotonic>,
@@ -328,19 +328,20 @@
         self.proof_sources.source(now, host, domain, domains)
     }
 
-    /// Records the answer of a replica of `service` that was asked at `sent_at`.
+    /// Records whether an instance of `service` that was asked at `sent_at` confirmed the primary.
+    /// The lead is proved if all of `required` have.
     pub(crate) fn note_evidence(
         &mut self,
         service: &ServiceId,
-        replica: &InstanceId,
+        instance: &InstanceId,
         sent_at: Monotonic,
-        is_unmarked: bool,
-        replicas: &BTreeSet<InstanceId>,
+        has_confirmed: bool,
+        required: &BTreeSet<InstanceId>,
     ) {
         let evidence = self.evidence.entry(service.clone()).or_default();
-        evidence.note(replica, sent_at, is_unmarked);
-        let until = if is_unmarked {
-            self.proof.valid_until(evidence, replicas)
+        evidence.note(instance, sent_at, has_confirmed);
+        let until = if has_confirmed {
+            self.proof.valid_until(evidence, required)
         } else {
             None
         };
