Check the store's era before the leads are recorded anew

If the store is restored again while the instances are asked, their answers are from before that, and another host may have replaced a primary in between. The answers are dropped then.

--- a/crates/jujubehold_entry/src/control/lead_recovery.rs
+++ b/crates/jujubehold_entry/src/control/lead_recovery.rs
@@ -17,7 +17,7 @@
 use super::peers::Peers;
 use super::primary_keeper::RANK_DELAY;
 use super::status_calls::query_status;
-use super::table_access::{commit_table, refresh_table};
+use super::table_access::commit_table;
 use crate::pool::Upstream;
 use crate::prelude::*;
 use crate::shared::millis;
@@ -28,9 +28,10 @@
 /// to return after a restore.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_600);
 
-/// Since when this host has seen that the leads have to be recorded anew.
+/// Decides when this host records the leads anew.
 #[derive(Debug, Default)]
 pub(super) struct LeadRecovery {
+    /// The era in which that is needed, and since when this host has seen so.
     pending: Option<(StoreEra, Monotonic)>,
 }
 
@@ -57,7 +58,7 @@
         let (_, since) = *self.pending.insert(pending.unwrap_or((era, now)));
         let waited = now.saturating_sub(since);
         if is_due(shared, waited) {
-            record_leads(shared, peers, waited >= ANSWER_TIMEOUT).await;
+            record_leads(shared, peers, era, waited >= ANSWER_TIMEOUT).await;
         }
     }
 }
@@ -76,6 +77,7 @@
 async fn record_leads<P: Platform>(
     shared: &Rc<Shared<P>>,
     peers: &Peers,
+    era: StoreEra,
     accepts_missing_answers: bool,
 ) {
     let restored = shared.lead_state.borrow().restored_table.clone();
@@ -91,12 +93,9 @@
         leads: recovered.leads,
         ..LeadTable::default()
     };
-    // Only the table that was asked about may be replaced.
-    if shared.lead_state.borrow().restored_table != Some(restored) {
-        return;
-    }
-    if commit_table(shared, &table).await.is_none() {
-        refresh_table(shared).await;
+    // After another restore the answers may be outdated. If another host was faster, the write
+    // conflicts, and the next read of the store shows its table.
+    if shared.lead_state.borrow().era != era || commit_table(shared, &table).await.is_none() {
         return;
     }
     log_leads(shared, &table, recovered.is_complete);
