Remove the marks of replicas without an entry too

Where replicas confirm commits, an instance whose entry is gone is marked if it answers. Its mark stayed after the promotion, so it would have received nothing when it was listed again.

--- a/crates/jujubehold_entry/src/control/instances.rs
+++ b/crates/jujubehold_entry/src/control/instances.rs
@@ -12,14 +12,11 @@
 use crate::pool::Upstream;
 use crate::prelude::*;
 use crate::protocol::{Customers, Directory, InstanceEntry, StoreItem, StoreListing};
-use crate::shared::{RemovedUpstream, millis};
+use crate::shared::millis;
 
 /// How long to wait, once the store is available again, for instance entries that expired during
 /// the outage to be written again.
 const REMOVAL_GRACE_PERIOD: Duration = Duration::from_secs(2);
-/// For how long an instance is remembered whose entry is gone. One that is cut off from the store may
-/// be running and confirm commits.
-pub(super) const REMOVED_INSTANCE_WINDOW: Duration = Duration::from_secs(20);
 /// The connection limit of an instance until its service's limit is known.
 const INITIAL_CONNECTION_LIMIT: usize = 4;
 
@@ -184,16 +181,8 @@
         };
         upstream.close_idle();
         info!(instance = id.as_str(); "instance removed");
-        let removed = RemovedUpstream {
-            upstream,
-            removed_at: now,
-        };
-        shared.removed_upstreams.borrow_mut().insert(id, removed);
+        shared.note_removed_upstream(upstream);
     }
-    shared
-        .removed_upstreams
-        .borrow_mut()
-        .retain(|_, removed| now.saturating_sub(removed.removed_at) < REMOVED_INSTANCE_WINDOW);
     shared.changed.notify_waiters();
 }
 
--- a/crates/jujubehold_entry/src/control/primary_change/candidates.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/candidates.rs
@@ -163,13 +163,15 @@
     terms.max().unwrap_or_default().max(status.term) + 1
 }
 
-/// Removes the marks of the replicas that were not promoted, which would receive nothing any more.
+/// Removes the marks of those of `upstreams` that were not promoted, which would receive nothing any
+/// more.
 pub(super) fn resume_other_replicas<P: Platform>(
     shared: &Rc<Shared<P>>,
     announced: &AnnouncedChange,
+    upstreams: Vec<Rc<Upstream<P>>>,
     promoted: &PromotedInstance,
 ) {
-    for upstream in shared.upstreams_of(&announced.service) {
+    for upstream in upstreams {
         if upstream.id() != promoted.id {
             let service = announced.service.clone();
             let resuming = resume_replica(Rc::clone(shared), service, upstream, promoted.clone());
--- a/crates/jujubehold_entry/src/control/primary_change/confirmed_promotion.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/confirmed_promotion.rs
@@ -9,7 +9,6 @@
 use jujubehold_core::confirmed_choice::{ConfirmedChoice, ConfirmedStep};
 use log::info;
 
-use super::super::instances::REMOVED_INSTANCE_WINDOW;
 use super::super::peers::Peers;
 use super::announce::{AnnouncedChange, is_current};
 use super::candidates::{
@@ -61,7 +60,7 @@
         let statuses = members.query(shared, announced).await;
         if let Some(newer) = newer_primary(&announced.old_primary, announced.old_term, &statuses) {
             let promoted = await_promoted(shared, peers, announced, newer).await?;
-            resume_other_replicas(shared, announced, &promoted);
+            resume_other_replicas(shared, announced, members.all(), &promoted);
             return Some(promoted);
         }
         // Hosts that are cut off may have seen a replica without a mark until now.
@@ -90,7 +89,7 @@
                 if order_promotion(shared, announced, &instance).await?
                     && let Some(promoted) = wait_until_primary(shared, &instance).await
                 {
-                    resume_other_replicas(shared, announced, &promoted);
+                    resume_other_replicas(shared, announced, members.all(), &promoted);
                     return Some(promoted);
                 }
                 actix_rt::time::sleep(STEP_RETRY_PAUSE).await;
@@ -142,10 +141,9 @@
 
 impl<P: Platform> GroupMembers<P> {
     fn new(shared: &Shared<P>, announced: &AnnouncedChange) -> Self {
-        let since = shared.now().saturating_sub(REMOVED_INSTANCE_WINDOW);
         let is_old = |upstream: &Rc<Upstream<P>>| upstream.id() == announced.old_primary;
         let mut listed = shared.upstreams_of(&announced.service);
-        let mut removed = shared.removed_upstreams_of(&announced.service, since);
+        let mut removed = shared.removed_upstreams_of(&announced.service);
         let old_primary = listed
             .iter()
             .chain(&removed)
--- a/crates/jujubehold_entry/src/control/primary_change/promotion.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/promotion.rs
@@ -85,7 +85,8 @@
             && order_promotion(shared, announced, &chosen).await?
             && let Some(promoted) = wait_until_primary(shared, &chosen).await
         {
-            resume_other_replicas(shared, announced, &promoted);
+            let upstreams = shared.upstreams_of(&announced.service);
+            resume_other_replicas(shared, announced, upstreams, &promoted);
             return Some(promoted);
         }
         actix_rt::time::sleep(STEP_RETRY_PAUSE).await;
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -30,6 +30,10 @@
 /// the old primary. The time is limited because all other requests wait for the change.
 const LEAVING_PRIMARY_GRACE: Duration = Duration::from_millis(900);
 
+/// For how long an instance is remembered whose entry is gone. One that is cut off from the store may
+/// be running and confirm commits.
+const REMOVED_INSTANCE_WINDOW: Duration = Duration::from_secs(20);
+
 /// How long the entries of instances may take to return after a store outage, with some margin.
 const ENTRY_RECOVERY_TIME: Duration = Duration::from_millis(2_600);
 
@@ -88,8 +92,8 @@
 /// An instance that was removed from the list.
 #[derive(Debug)]
 pub(crate) struct RemovedUpstream<P: Platform> {
-    pub(crate) upstream: Rc<Upstream<P>>,
-    pub(crate) removed_at: Monotonic,
+    upstream: Rc<Upstream<P>>,
+    removed_at: Monotonic,
 }
 
 impl<P: Platform> Shared<P> {
@@ -232,13 +236,10 @@
         of_service.cloned().collect()
     }
 
-    /// Returns the instances of `service` that were removed from the list after `since` and have not
-    /// been listed again.
-    pub(crate) fn removed_upstreams_of(
-        &self,
-        service: &str,
-        since: Monotonic,
-    ) -> Vec<Rc<Upstream<P>>> {
+    /// Returns the instances of `service` that were removed from the list within the last
+    /// [`REMOVED_INSTANCE_WINDOW`] and have not been listed again.
+    pub(crate) fn removed_upstreams_of(&self, service: &str) -> Vec<Rc<Upstream<P>>> {
+        let since = self.now().saturating_sub(REMOVED_INSTANCE_WINDOW);
         let removed = self.removed_upstreams.borrow();
         removed
             .values()
@@ -248,6 +249,22 @@
             .collect()
     }
 
+    /// Records that an instance was removed from the list.
+    pub(crate) fn note_removed_upstream(&self, upstream: Rc<Upstream<P>>) {
+        let now = self.now();
+        let mut removed = self.removed_upstreams.borrow_mut();
+        removed
+            .retain(|_, removed| now.saturating_sub(removed.removed_at) < REMOVED_INSTANCE_WINDOW);
+        let removed_at = now;
+        removed.insert(
+            upstream.id(),
+            RemovedUpstream {
+                upstream,
+                removed_at,
+            },
+        );
+    }
+
     /// Returns the owners at which this host runs statements of `customer` on `upstream`, in the
     /// order in which they are tried; none if it uses its own connections.
     pub(crate) fn owners_for(
