Believe a table of the present era though the store states none of it

Its log shows `lead changed` in era 1 at 8.2 s, from a datagram of an earlier host that made a change, and no recovery of the leads after that: with this table the host took its own one for present, so it did not record the leads anew, while each read of the store showed the same table without an era, which proved nothing.

Once a host knows a table of the present era, a table of the same or a higher revision in the store is of that era too. Reads say so now, as the other readers of the table did.

The test with an earlier host's datagram failed before. On a store whose table states its era, which is every store that this version alone has written, nothing changes.

--- a/crates/jujubehold_entry/src/control/lead_reader.rs
+++ b/crates/jujubehold_entry/src/control/lead_reader.rs
@@ -164,7 +164,7 @@
     });
     apply_names(shared, &listing, sent_at);
     let is_listed = apply_member_listing(shared, &listing, sent_at);
-    if table.era < listing.era && shared.lead_state.borrow().may_be_replaced(&table) {
+    if !shared.lead_state.borrow().is_present_table(&table) {
         shared.lead_state.borrow_mut().restored_table = Some(table);
         return Err(StoreError::Restored);
     }
--- a/crates/jujubehold_entry/src/lead_state.rs
+++ b/crates/jujubehold_entry/src/lead_state.rs
@@ -147,10 +147,14 @@
         self.table.era == self.era
     }
 
-    /// Returns whether `table`, which the store holds from an earlier era, or this host's own one
-    /// names primaries that may have been replaced.
-    pub(crate) fn may_be_replaced(&self, table: &LeadTable) -> bool {
-        !table.leads.is_empty() || !self.table.leads.is_empty()
+    /// Returns whether `table`, which the store holds, was written in the store's present era, or
+    /// names no primary that may have been replaced.
+    pub(crate) fn is_present_table(&self, table: &LeadTable) -> bool {
+        // Earlier versions do not state the era of a table. Once this host knows one of the present
+        // era, the store holds that one or a later one.
+        let is_known = self.has_present_table() && table.revision >= self.table.revision;
+        let is_empty = table.leads.is_empty() && self.table.leads.is_empty();
+        table.era == self.era || is_known || is_empty
     }
 
     /// Returns whether the leads have to be recorded anew, because the store was restored.
