Log the names under which statements are prepared

No line or counter showed the name that is sent to an instance, so the three hypotheses on changed statements could not be told apart. Adds one bounded line for each preparation, and counters of the commands that set up a session on a connection and of those that an instance rejects.

--- a/crates/jujubehold_entry/src/callers/attempt.rs
+++ b/crates/jujubehold_entry/src/callers/attempt.rs
@@ -41,6 +41,7 @@
     if lease.is_direct() && result.as_ref().is_ok_and(UpstreamReply::is_busy) {
         upstream.note_busy();
     }
+    log_preparation(shared, lease, statement);
     log_attempt(shared, &upstream, statement, after, sent_at, &result);
     if let Ok(reply) = &result {
         let entry = upstream.entry();
@@ -74,6 +75,22 @@
     }
 }
 
+// Logs the name under which a connection has a statement from now on, which relates what an instance
+// ran to the request that had it prepared.
+fn log_preparation<P: Platform>(
+    shared: &Shared<P>,
+    lease: &mut ConnectionLease<P>,
+    statement: &Statement,
+) {
+    let Some(name) = lease.take_newly_prepared() else {
+        return;
+    };
+    if shared.log.allows(shared.now()) {
+        info!(request = statement.id(), instance = lease.upstream().id().as_str(),
+            name = name.as_str(); "prepared a statement on a connection");
+    }
+}
+
 // Logs an error that an instance returned, or that it did not answer, so that the cause of a failed
 // request can be found.
 fn log_attempt<P: Platform>(
--- a/crates/jujubehold_entry/src/metric_names.rs
+++ b/crates/jujubehold_entry/src/metric_names.rs
@@ -18,6 +18,11 @@
 pub(crate) const SESSIONS: &str = "jujubehold_sessions";
 /// Upstream connections that were opened, by `service` and `instance`.
 pub(crate) const UPSTREAM_OPENS: &str = "jujubehold_upstream_opens_total";
+/// Commands that were sent ahead of statements to set up a session on a connection, by `command`:
+/// set, prepare or reset.
+pub(crate) const SESSION_SETUP_COMMANDS: &str = "jujubehold_session_setup_commands_total";
+/// Statements ahead of which the instance rejected a command that set up the session.
+pub(crate) const SESSION_SETUP_ERRORS: &str = "jujubehold_session_setup_errors_total";
 /// Attempts to open an upstream connection, by `purpose` and `outcome`.
 pub(crate) const UPSTREAM_OPEN_ATTEMPTS: &str = "jujubehold_upstream_open_attempts_total";
 /// Datagrams sent to other hosts, by `kind`.
--- a/crates/jujubehold_entry/src/pool/connection.rs
+++ b/crates/jujubehold_entry/src/pool/connection.rs
@@ -7,11 +7,13 @@
 use bytes::{Bytes, BytesMut};
 use jujubehold_core::log_position::LogPosition;
 use jujubehold_core::prelude::*;
+use metrics::counter;
 use smol_str::{SmolStr, format_smolstr};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::metric_names::{SESSION_SETUP_COMMANDS, SESSION_SETUP_ERRORS};
 use crate::protocol::{
     Access, ErrorCode, Platform, SessionState, UpstreamCodec, UpstreamCommand, UpstreamReply,
 };
@@ -79,6 +81,8 @@
     codec: P::Upstreams,
     values: SessionValues,
     prepared: BTreeSet<SmolStr>,
+    /// The name that the last statement prepared, until it is taken for the log.
+    newly_prepared: Option<SmolStr>,
     state: SessionState,
     pending_replies: usize,
     is_broken: bool,
@@ -123,6 +127,7 @@
             codec: P::Upstreams::default(),
             values: SessionValues::new(),
             prepared: BTreeSet::new(),
+            newly_prepared: None,
             state: SessionState::Idle,
             pending_replies: 0,
             is_broken: false,
@@ -171,6 +176,11 @@
         }
     }
 
+    /// Returns the name that the last statement prepared on the connection, once.
+    pub(super) fn take_newly_prepared(&mut self) -> Option<SmolStr> {
+        self.newly_prepared.take()
+    }
+
     /// Makes closing the connection discard unsent data, so that it can't arrive later.
     pub(crate) fn reset_on_close(&self) {
         // If the option can't be set, the connection is closed normally and unsent data may still
@@ -209,6 +219,7 @@
         self.send(&out, setup_commands + 1).await?;
         for _ in 0..setup_commands {
             if self.receive().await?.error().is_some() {
+                counter!(SESSION_SETUP_ERRORS).increment(1);
                 self.is_broken = true;
                 return Err(UpstreamError::Malformed);
             }
@@ -228,6 +239,7 @@
             self.codec.encode(&UpstreamCommand::Reset, out);
             self.values.clear();
             self.prepared.clear();
+            count_setup_command("reset");
             count += 1;
         }
         for (name, value) in values {
@@ -235,6 +247,7 @@
                 self.codec
                     .encode(&UpstreamCommand::Set { name, value }, out);
                 self.values.insert(name.clone(), value.clone());
+                count_setup_command("set");
                 count += 1;
             }
         }
@@ -247,6 +260,8 @@
                     shape,
                 };
                 self.codec.encode(&prepare, out);
+                count_setup_command("prepare");
+                self.newly_prepared = Some(name);
                 count += 1;
             }
         }
@@ -335,6 +350,10 @@
     }
 }
 
+fn count_setup_command(command: &'static str) {
+    counter!(SESSION_SETUP_COMMANDS, "command" => command).increment(1);
+}
+
 /// Returns the name of a prepared statement on every connection. It is derived from the statement's
 /// access and content, so that sessions that prepare the same statement share it.
 fn statement_name(access: Access, shape: &str) -> SmolStr {
--- a/crates/jujubehold_entry/src/pool/lease.rs
+++ b/crates/jujubehold_entry/src/pool/lease.rs
@@ -6,6 +6,7 @@
 
 use jujubehold_core::log_position::LogPosition;
 use jujubehold_core::prelude::*;
+use smol_str::SmolStr;
 
 use super::connection::{SessionValues, Statement, UpstreamConnection, UpstreamError};
 use super::owner_lease::{OwnerError, OwnerLease, OwnerRequest};
@@ -82,6 +83,14 @@
         self.owner_wait.take()
     }
 
+    /// Returns the name that the last statement prepared on this host's connection, once.
+    pub(crate) fn take_newly_prepared(&mut self) -> Option<SmolStr> {
+        match &mut self.hold {
+            Hold::Direct(direct) => direct.connection.take_newly_prepared(),
+            Hold::Requested(_) | Hold::AtOwner(_) | Hold::Ended => None,
+        }
+    }
+
     /// Returns the transaction state of the connection.
     pub(crate) fn state(&self) -> SessionState {
         match &self.hold {
--- a/crates/jujubehold_standin/src/users_platform/control.rs
+++ b/crates/jujubehold_standin/src/users_platform/control.rs
@@ -119,7 +119,8 @@
         let group = self.platform.group.borrow();
         let mut counts = BTreeMap::new();
         for run in &group.executed_statements {
-            if run.text.starts_with("WRITE") {
+            let is_prepared_write = run.prepared.as_ref().is_some_and(|run| run.is_write);
+            if run.text.starts_with("WRITE") || is_prepared_write {
                 *counts.entry(run.id.as_str()).or_insert(0) += 1;
             }
         }
--- a/crates/jujubehold_standin/src/users_platform/group.rs
+++ b/crates/jujubehold_standin/src/users_platform/group.rs
@@ -11,16 +11,31 @@
     pub id: String,
     /// The id of the instance that executed it.
     pub instance: String,
+    /// The number of the connection, which no other connection of the group has.
+    pub connection: u64,
     /// The customer or host that opened the connection.
     pub user: String,
     /// The statement's text.
     pub text: String,
+    /// The prepared statement that ran, if it was one.
+    pub prepared: Option<PreparedRun>,
     /// The session values set on the connection, as `name=value`.
     pub session_values: Vec<String>,
     /// Whether the statement ran inside a transaction.
     pub in_transaction: bool,
 }
 
+/// A prepared statement as an instance ran it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PreparedRun {
+    /// Whether it writes.
+    pub is_write: bool,
+    /// The content that was prepared under its name.
+    pub shape: String,
+    /// What followed the name; `None` if nothing did.
+    pub arguments: Option<String>,
+}
+
 /// The state of a database group, shared by its instances' servers.
 #[derive(Debug, Default)]
 pub struct Group {
@@ -30,8 +45,12 @@
     pub instances: Vec<Instance>,
     /// Every read, write and commit that was executed, in order.
     pub executed_statements: Vec<ExecutedStatement>,
+    /// Messages of hosts' own that no instance can read, and lines that are no message at all.
+    pub unreadable_messages: Vec<String>,
     /// The promotions that took effect: instance id and fencing token.
     pub promotions: Vec<(String, u64)>,
+    /// The number of connections that were ever accepted.
+    pub accepted_connections: u64,
     /// The connection limit of each instance.
     pub max_connections: u32,
     /// How many replicas must receive a commit before it is acknowledged.
--- a/crates/jujubehold_standin/src/users_platform/instance_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance_server.rs
@@ -10,7 +10,8 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::group::{ExecutedStatement, Group};
+use super::group::{ExecutedStatement, Group, PreparedRun};
+use super::instance_message::{Command, InstanceMessage, NO_ID, strip_line_end};
 
 /// How often a connection checks the faults of its instance.
 const FAULT_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -27,6 +28,7 @@
 struct Connection {
     group: Rc<RefCell<Group>>,
     id: String,
+    number: u64,
     /// The customer or host that opened the connection.
     user: String,
     session_values: BTreeMap<String, String>,
@@ -55,9 +57,15 @@
 
 impl Connection {
     fn new(group: Rc<RefCell<Group>>, id: String) -> Self {
+        let number = {
+            let mut group = group.borrow_mut();
+            group.accepted_connections += 1;
+            group.accepted_connections
+        };
         Self {
             group,
             id,
+            number,
             user: String::new(),
             session_values: BTreeMap::new(),
             prepared_statements: BTreeMap::new(),
@@ -91,17 +99,20 @@
         mut read: BufReader<OwnedReadHalf>,
         mut write: OwnedWriteHalf,
     ) {
-        let mut line = String::new();
-        while let Ok(1..) = read.read_line(&mut line).await {
+        let mut line = Vec::new();
+        while let Ok(1..) = read.read_until(b'\n', &mut line).await {
             while self.is_unresponsive() {
                 actix_rt::time::sleep(FAULT_POLL_INTERVAL).await;
             }
-            let message = line.trim_end_matches(['\r', '\n']).to_owned();
-            line.clear();
-            if message.starts_with("START") {
+            let bytes = std::mem::take(&mut line);
+            let Some(message) = strip_line_end(&bytes).and_then(InstanceMessage::parse) else {
+                self.record_unreadable(&String::from_utf8_lossy(&bytes));
+                return;
+            };
+            if matches!(message, InstanceMessage::Start { .. }) {
                 self.wait_for_connection_setup().await;
             }
-            let Ok(answer) = self.answer(&message) else {
+            let Ok(answer) = self.answer(message) else {
                 return;
             };
             if !self.wait_until_confirmed().await {
@@ -137,31 +148,35 @@
         }
     }
 
-    fn answer(&mut self, message: &str) -> Result<String, ConnectionAborted> {
+    fn answer(&mut self, message: InstanceMessage<'_>) -> Result<String, ConnectionAborted> {
         if self.is_dead() {
             return Err(ConnectionAborted);
         }
-        let (command, rest) = message.split_once(' ').unwrap_or((message, ""));
-        match command {
-            "START" => Ok(self.start(rest)),
-            "QUERY" => {
-                let (id, text) = rest.split_once(' ').unwrap_or((rest, ""));
-                self.query(id, text)
-            }
-            _ => Err(ConnectionAborted),
+        match message {
+            InstanceMessage::Start {
+                service,
+                user,
+                instance,
+            } => Ok(self.start(service, user, instance)),
+            InstanceMessage::Query { id, after, text } => self.query(id, after, text),
+            InstanceMessage::Terminate => Err(ConnectionAborted),
         }
     }
 
-    fn start(&mut self, fields: &str) -> String {
-        let words: Vec<&str> = fields.split(' ').collect();
+    fn record_unreadable(&self, message: &str) {
+        let mut group = self.group.borrow_mut();
+        group.unreadable_messages.push(message.to_owned());
+    }
+
+    fn start(&mut self, service: &str, user: &str, instance: &str) -> String {
         let group = self.group.borrow();
-        let service = group.service.clone();
+        let is_service = group.service == service;
         let max = group.max_connections;
         drop(group);
-        if words.first() != Some(&service.as_str()) || words.get(2) != Some(&self.id.as_str()) {
+        if !is_service || instance != self.id {
             return "ERROR WRONGNODE\r\n".to_owned();
         }
-        words[1].clone_into(&mut self.user);
+        user.clone_into(&mut self.user);
         let mut group = self.group.borrow_mut();
         if !group.knows(&self.user) {
             return "ERROR NOAUTH\r\n".to_owned();
@@ -177,9 +192,21 @@
         format!("READY I {}\r\n", instance.position())
     }
 
-    fn query(&mut self, id: &str, text: &str) -> Result<String, ConnectionAborted> {
-        let outcome = self.run(id, text);
-        let changes_data = matches!(text.split(' ').next(), Some("WRITE" | "COMMIT"));
+    fn query(
+        &mut self,
+        id: &str,
+        after: Option<&str>,
+        text: &str,
+    ) -> Result<String, ConnectionAborted> {
+        let command = Command::parse(text);
+        if id == NO_ID && command.is_none() {
+            self.record_unreadable(text);
+        }
+        let outcome = match command {
+            Some(command) => self.run(id, after, text, command),
+            None => Outcome::Error("MALFORMED"),
+        };
+        let changes_data = matches!(command, Some(Command::Write { .. } | Command::Commit));
         let loses_answer = self
             .with_instance(|instance| instance.faults.loses_answers)
             .unwrap_or(false);
@@ -193,8 +220,8 @@
                 for row in rows {
                     let _ = write!(answer, "ROW {row}\r\n");
                 }
-                let proof = if id == "-" {
-                    "-".to_owned()
+                let proof = if id == NO_ID {
+                    NO_ID.to_owned()
                 } else {
                     format!("{}.{id}", self.id)
                 };
@@ -217,47 +244,47 @@
         }
     }
 
-    fn run(&mut self, id: &str, text: &str) -> Outcome {
-        let (after, text) = match text.strip_prefix("AFTER ") {
-            Some(rest) => rest.split_once(' ').unwrap_or((rest, "")),
-            None => ("", text),
-        };
-        if !after.is_empty() && !self.has_position(after) {
+    fn run(&mut self, id: &str, after: Option<&str>, text: &str, command: Command<'_>) -> Outcome {
+        if after.is_some_and(|after| !self.has_position(after)) {
             return Outcome::Error("LAGGING");
         }
-        let (command, rest) = text.split_once(' ').unwrap_or((text, ""));
         match command {
-            "BEGIN" => self.begin(rest == "READ"),
-            "COMMIT" => self.commit(id),
-            "ROLLBACK" => {
+            Command::Begin { is_read_only } => self.begin(is_read_only),
+            Command::Commit => self.commit(id),
+            Command::Rollback => {
                 self.transaction = None;
                 Outcome::Rows(Vec::new())
             }
-            "READ" => self.read(id, text, rest),
-            "WRITE" => self.write(id, text, rest),
-            "EXECUTE" => self.execute(id, text, rest),
-            "SET" => {
-                let (name, value) = rest.split_once(' ').unwrap_or((rest, ""));
+            Command::Read { item } => self.read(id, text, None, item),
+            Command::Write { item, data } => self.write(id, text, None, item, data),
+            Command::Execute { name, arguments } => self.execute(id, text, name, arguments),
+            Command::Set { name, value } => {
                 self.session_values
                     .insert(name.to_owned(), value.to_owned());
                 Outcome::Rows(Vec::new())
             }
-            "PREPARE" => {
-                let words: Vec<&str> = rest.split(' ').collect();
-                let is_write = words.get(1) == Some(&"WRITE");
-                let shape = words.get(2).copied().unwrap_or_default();
+            Command::Prepare {
+                name,
+                is_write,
+                shape,
+            } => {
                 let statement = (is_write, shape.to_owned());
-                self.prepared_statements
-                    .insert(words[0].to_owned(), statement);
+                self.prepared_statements.insert(name.to_owned(), statement);
                 Outcome::Rows(Vec::new())
             }
-            "RESET" => {
+            Command::Deallocate { name } => match self.prepared_statements.remove(name) {
+                Some(_) => Outcome::Rows(Vec::new()),
+                None => Outcome::Error("NOSTMT"),
+            },
+            Command::Reset => {
                 self.session_values.clear();
                 self.prepared_statements.clear();
                 Outcome::Rows(Vec::new())
             }
-            "STATUS" | "PAUSE" | "RESUME" | "STEPDOWN" => self.control(command, rest),
-            _ => Outcome::Error("MALFORMED"),
+            Command::Status
+            | Command::Pause { .. }
+            | Command::Resume
+            | Command::StepDown { .. } => self.control(command),
         }
     }
 
@@ -307,7 +334,7 @@
             self.transaction = None;
             return Outcome::Error("RDONLY");
         }
-        self.record_statement(id, "COMMIT");
+        self.record_statement(id, "COMMIT", None);
         if let Some(transaction) = self.transaction.take() {
             let group = Rc::clone(&self.group);
             self.unconfirmed_commit = group.borrow_mut().commit(&self.id, transaction.writes);
@@ -315,14 +342,14 @@
         Outcome::Rows(Vec::new())
     }
 
-    fn read(&mut self, id: &str, text: &str, item: &str) -> Outcome {
+    fn read(&mut self, id: &str, text: &str, prepared: Option<PreparedRun>, item: &str) -> Outcome {
         if self.is_rejected_as_busy() {
             return Outcome::Error("BUSY");
         }
         if self.fail_if_demoted() {
             return Outcome::Error("RDONLY");
         }
-        self.record_statement(id, text);
+        self.record_statement(id, text, prepared);
         let own_write = self.transaction.as_ref().and_then(|transaction| {
             let mut writes = transaction.writes.iter().rev();
             writes
@@ -333,7 +360,14 @@
         Outcome::Rows(own_write.or_else(|| stored.flatten()).into_iter().collect())
     }
 
-    fn write(&mut self, id: &str, text: &str, fields: &str) -> Outcome {
+    fn write(
+        &mut self,
+        id: &str,
+        text: &str,
+        prepared: Option<PreparedRun>,
+        item: &str,
+        data: &str,
+    ) -> Outcome {
         if self.is_rejected_as_busy() {
             return Outcome::Error("BUSY");
         }
@@ -344,8 +378,7 @@
             }
             return Outcome::Error("RDONLY");
         }
-        self.record_statement(id, text);
-        let (item, data) = fields.split_once(' ').unwrap_or((fields, ""));
+        self.record_statement(id, text, prepared);
         let write = (item.to_owned(), data.to_owned());
         match &mut self.transaction {
             Some(transaction) => transaction.writes.push(write),
@@ -354,29 +387,34 @@
         Outcome::Rows(Vec::new())
     }
 
-    fn execute(&mut self, id: &str, text: &str, fields: &str) -> Outcome {
-        let (name, arguments) = fields.split_once(' ').unwrap_or((fields, ""));
+    fn execute(&mut self, id: &str, text: &str, name: &str, arguments: Option<&str>) -> Outcome {
         let Some((is_write, shape)) = self.prepared_statements.get(name).cloned() else {
             return Outcome::Error("NOSTMT");
         };
         let statement_text = format!("{text} of {shape}");
+        let prepared = PreparedRun {
+            is_write,
+            shape,
+            arguments: arguments.map(str::to_owned),
+        };
+        let fields = arguments.unwrap_or_default();
         if is_write {
-            self.write(id, &statement_text, arguments)
+            let (item, data) = fields.split_once(' ').unwrap_or((fields, ""));
+            self.write(id, &statement_text, Some(prepared), item, data)
         } else {
-            self.read(id, &statement_text, arguments)
+            self.read(id, &statement_text, Some(prepared), fields)
         }
     }
 
-    fn control(&mut self, command: &str, fields: &str) -> Outcome {
+    fn control(&mut self, command: Command<'_>) -> Outcome {
         if self.is_rejected_as_busy() {
             return Outcome::Error("BUSY");
         }
-        let term = fields.parse().unwrap_or(0);
         let row = self.with_instance(|instance| {
             match command {
-                "PAUSE" if !instance.is_primary => instance.pause_term = term,
-                "RESUME" => instance.pause_term = 0,
-                "STEPDOWN" if instance.term < term => instance.is_primary = false,
+                Command::Pause { term } if !instance.is_primary => instance.pause_term = term,
+                Command::Resume => instance.pause_term = 0,
+                Command::StepDown { term } if instance.term < term => instance.is_primary = false,
                 _ => {}
             }
             let role = if instance.is_primary {
@@ -394,12 +432,14 @@
         Outcome::Rows(row.into_iter().collect())
     }
 
-    fn record_statement(&mut self, id: &str, text: &str) {
+    fn record_statement(&mut self, id: &str, text: &str, prepared: Option<PreparedRun>) {
         let statement = ExecutedStatement {
             id: id.to_owned(),
             instance: self.id.clone(),
+            connection: self.number,
             user: self.user.clone(),
             text: text.to_owned(),
+            prepared,
             session_values: self
                 .session_values
                 .iter()
--- a/crates/jujubehold_standin/src/users_platform/mod.rs
+++ b/crates/jujubehold_standin/src/users_platform/mod.rs
@@ -10,6 +10,7 @@
 mod handle;
 mod http;
 mod instance;
+mod instance_message;
 mod instance_server;
 mod kv_state;
 mod run;
@@ -18,7 +19,7 @@
 mod thin_link;
 
 pub use faults::{InstanceFaults, StoreFaults};
-pub use group::{ExecutedStatement, Group};
+pub use group::{ExecutedStatement, Group, PreparedRun};
 pub use handle::{InstanceSpec, THREE_INSTANCES, UsersPlatformHandle};
 pub use instance::Instance;
 pub use kv_state::StoreCopy;
