Build every field of a message to an instance from a type that is one field

Cause: the name of a prepared statement on a connection was its access and its shape as text, and the instance ends a name at the first space. Text of a caller became a field of a message to somebody else, whose grammar split it elsewhere. Any shape of several words was affected, on every connection, with and without an owner.

Commands to upstreams now consist of a Word, a LastField, a StatementId and a StatementName, which can only be made from text that is one field of bounded length, so no codec can be given anything else. A StatementName is a digest of the whole content: it has one form and a fixed length, and means one access and shape on every connection, whoever prepared it first. The same type rejects the id of hosts' own commands from callers (such a statement ran and was answered without the instance's proof), keeps an EXECUTE without arguments unchanged, and bounds each field so that every command fits into 1 MiB. A message that can't be read or carried is answered by MALFORMED or TOOLARGE, and the session goes on; before, it was closed without an answer.

The messages between hosts keep their form.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod silent_hosts;
 pub mod stall_detector;
 pub mod statement;
+pub mod statement_name;
 pub mod stop_wait;
 pub mod store_version;
 pub mod term_history;
--- a/crates/jujubehold_entry/src/callers/prepared.rs
+++ b/crates/jujubehold_entry/src/callers/prepared.rs
@@ -2,11 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use smol_str::SmolStr;
-
 use super::failure::Failure;
 use crate::pool::Statement;
-use crate::protocol::{Access, CallerRequest, ErrorCode, RequestKind};
+use crate::protocol::{Access, CallerRequest, ErrorCode, PreparedStatement, RequestKind, Word};
 
 /// The maximum number of prepared statements of one session, which bounds its memory.
 const MAX_PREPARED_STATEMENTS: usize = 1_000;
@@ -14,22 +12,15 @@
 /// A session's prepared statements, by the names that the caller gave them.
 #[derive(Debug, Default)]
 pub(crate) struct PreparedStatements {
-    statements: BTreeMap<SmolStr, Prepared>,
-}
-
-#[derive(Debug)]
-struct Prepared {
-    access: Access,
-    shape: SmolStr,
+    statements: BTreeMap<Word, PreparedStatement>,
 }
 
 impl PreparedStatements {
     /// Stores a statement under `name`, replacing any earlier one.
     pub(crate) fn prepare(
         &mut self,
-        name: &SmolStr,
-        access: Access,
-        shape: &SmolStr,
+        name: &Word,
+        statement: &PreparedStatement,
     ) -> Result<(), Failure> {
         if self.statements.len() >= MAX_PREPARED_STATEMENTS && !self.statements.contains_key(name) {
             return Err(Failure::error(
@@ -37,17 +28,15 @@
                 "too many prepared statements",
             ));
         }
-        let shape = shape.clone();
-        self.statements
-            .insert(name.clone(), Prepared { access, shape });
+        self.statements.insert(name.clone(), statement.clone());
         Ok(())
     }
 
     /// Removes the statement called `name`.
-    pub(crate) fn deallocate(&mut self, name: &SmolStr) -> Result<(), Failure> {
+    pub(crate) fn deallocate(&mut self, name: &Word) -> Result<(), Failure> {
         match self.statements.remove(name) {
             Some(_) => Ok(()),
-            None => Err(Failure::error(ErrorCode::UnknownStatement, name)),
+            None => Err(unknown_statement(name)),
         }
     }
 
@@ -55,17 +44,15 @@
     pub(crate) fn resolve(&self, request: &CallerRequest) -> Result<(Statement, Access), Failure> {
         match &request.kind {
             RequestKind::Execute { name, arguments } => {
-                let prepared = self
-                    .statements
-                    .get(name)
-                    .ok_or_else(|| Failure::error(ErrorCode::UnknownStatement, name))?;
+                let statement = self.statements.get(name);
+                let statement = statement.ok_or_else(|| unknown_statement(name))?.clone();
+                let access = statement.access();
                 let statement = Statement::Prepared {
                     id: request.id.clone(),
-                    access: prepared.access,
-                    shape: prepared.shape.clone(),
+                    statement,
                     arguments: arguments.clone(),
                 };
-                Ok((statement, prepared.access))
+                Ok((statement, access))
             }
             RequestKind::Data(access) => Ok((text_statement(request), *access)),
             RequestKind::Begin { .. }
@@ -74,7 +61,7 @@
             | RequestKind::Set { .. }
             | RequestKind::Prepare { .. }
             | RequestKind::Deallocate { .. }
-            | RequestKind::Malformed => Err(Failure::error(ErrorCode::Malformed, "out of turn")),
+            | RequestKind::Malformed(_) => Err(Failure::error(ErrorCode::Malformed, "out of turn")),
         }
     }
 }
@@ -86,3 +73,7 @@
         text: request.text.clone(),
     }
 }
+
+fn unknown_statement(name: &Word) -> Failure {
+    Failure::error(ErrorCode::UnknownStatement, name.as_str())
+}
--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -23,8 +23,8 @@
 use crate::pool::SessionValues;
 use crate::prelude::*;
 use crate::protocol::{
-    Access, CallerCodec, CallerMessage, CallerRequest, ErrorCode, RequestKind, SessionState,
-    UpstreamOutcome, UpstreamReply,
+    Access, CallerCodec, CallerMessage, CallerRequest, ErrorCode, LastField, MalformedMessage,
+    RequestKind, SessionState, UpstreamOutcome, UpstreamReply, Word,
 };
 
 /// The maximum number of values that one session may set, which bounds its memory.
@@ -100,7 +100,10 @@
                         break;
                     }
                 }
-                CallerMessage::Start { .. } => self.refuse_malformed().await?,
+                CallerMessage::Start { .. } => {
+                    self.answer_invalid(&out_of_order()).await?;
+                }
+                CallerMessage::Invalid(error) => self.answer_invalid(&invalid(error)).await?,
                 CallerMessage::End => return Ok(()),
             }
         }
@@ -117,25 +120,33 @@
         let Ok(message) = first else {
             return Ok(false);
         };
-        let CallerMessage::Start { database, key } = message? else {
-            self.put_error(ErrorCode::Malformed, "the session has not begun");
-            self.io.flush().await?;
-            return Ok(false);
+        let (database, key) = match message? {
+            CallerMessage::Start { database, key } => (database, key),
+            CallerMessage::Invalid(error) => return self.reject(&invalid(error)).await,
+            CallerMessage::Request(_) | CallerMessage::End => {
+                let detail = "the session has not begun";
+                let failure = Failure::error(ErrorCode::Malformed, detail);
+                return self.reject(&failure).await;
+            }
         };
         self.wait_for_configuration().await;
         self.database = database;
-        let admitted = self.identify(key);
-        match &admitted {
-            Ok(()) => self.put_ready(None),
-            Err(failure) => {
-                let (code, detail) = failure.answer();
-                self.put_error(code, &detail);
-                self.count_failure(failure);
-                self.log_rejection(failure);
-            }
+        if let Err(failure) = self.identify(key) {
+            return self.reject(&failure).await;
         }
+        self.put_ready(None);
+        self.io.flush().await?;
+        Ok(true)
+    }
+
+    // Answers a start that is not admitted. Returns `false`, since the session has not started.
+    async fn reject(&mut self, failure: &Failure) -> Result<bool, CallerIoError> {
+        let (code, detail) = failure.answer();
+        self.put_error(code, &detail);
+        self.count_failure(failure);
+        self.log_rejection(failure);
         self.io.flush().await?;
-        Ok(admitted.is_ok())
+        Ok(false)
     }
 
     // A host that has just started has no configuration yet, so it can't tell whether the database
@@ -262,12 +273,8 @@
                 Ok(None)
             }
             RequestKind::Set { name, value } => self.set(name, value),
-            RequestKind::Prepare {
-                name,
-                access,
-                shape,
-            } => {
-                self.statements.prepare(name, *access, shape)?;
+            RequestKind::Prepare { name, statement } => {
+                self.statements.prepare(name, statement)?;
                 Ok(None)
             }
             RequestKind::Deallocate { name } => {
@@ -277,7 +284,7 @@
             RequestKind::Data(_) | RequestKind::Execute { .. } => {
                 self.run_data(request, arrived_at).await.map(Some)
             }
-            RequestKind::Malformed => Err(Failure::error(ErrorCode::Malformed, "not understood")),
+            RequestKind::Malformed(error) => Err(invalid(*error)),
         }
     }
 
@@ -300,7 +307,7 @@
             | RequestKind::Set { .. }
             | RequestKind::Prepare { .. }
             | RequestKind::Deallocate { .. }
-            | RequestKind::Malformed => Err(already_failed()),
+            | RequestKind::Malformed(_) => Err(already_failed()),
         }
     }
 
@@ -319,7 +326,7 @@
         Ok(())
     }
 
-    fn set(&mut self, name: &SmolStr, value: &SmolStr) -> Result<Option<UpstreamReply>, Failure> {
+    fn set(&mut self, name: &Word, value: &LastField) -> Result<Option<UpstreamReply>, Failure> {
         if self.values.len() >= MAX_VALUES && !self.values.contains_key(name) {
             return Err(Failure::error(ErrorCode::TooLarge, "too many values"));
         }
@@ -403,8 +410,10 @@
         self.io.put(|codec, out| codec.put_error(code, detail, out));
     }
 
-    async fn refuse_malformed(&mut self) -> Result<(), CallerIoError> {
-        self.put_error(ErrorCode::Malformed, "the session has begun already");
+    async fn answer_invalid(&mut self, failure: &Failure) -> Result<(), CallerIoError> {
+        self.count_failure(failure);
+        let (code, detail) = failure.answer();
+        self.put_error(code, &detail);
         self.put_ready(None);
         self.io.flush().await
     }
@@ -414,6 +423,13 @@
     Failure::error(ErrorCode::AuthenticationFailed, "no customer has this key")
 }
 
+fn invalid(error: MalformedMessage) -> Failure {
+    match error {
+        MalformedMessage::TooLong => Failure::error(ErrorCode::TooLarge, "the message is too long"),
+        MalformedMessage::Unreadable => Failure::error(ErrorCode::Malformed, "not understood"),
+    }
+}
+
 fn out_of_order() -> Failure {
     Failure::error(ErrorCode::Malformed, "out of turn")
 }
--- a/crates/jujubehold_entry/src/callers/single.rs
+++ b/crates/jujubehold_entry/src/callers/single.rs
@@ -375,6 +375,7 @@
         | UpstreamError::Unreachable(_)
         | UpstreamError::ConnectionLimit
         | UpstreamError::Refused(_)
+        | UpstreamError::InvalidName(_)
         | UpstreamError::Broken(_)
         | UpstreamError::Malformed => UnknownReason::ConnectionLost,
     }
@@ -388,6 +389,7 @@
         | UpstreamError::Unreachable(_)
         | UpstreamError::ConnectionLimit
         | UpstreamError::Refused(_)
+        | UpstreamError::InvalidName(_)
         | UpstreamError::Broken(_)
         | UpstreamError::Malformed => Failure::Unknown(unknown_reason(error)),
     }
@@ -403,6 +405,7 @@
         UpstreamError::Unreachable(_)
         | UpstreamError::ConnectionLimit
         | UpstreamError::Refused(_)
+        | UpstreamError::InvalidName(_)
         | UpstreamError::Broken(_)
         | UpstreamError::Malformed => {
             refuse(RefusalReason::UpstreamUnreachable, EXPECTED_PRIMARY_CHANGE).into()
--- a/crates/jujubehold_entry/src/callers/transaction.rs
+++ b/crates/jujubehold_entry/src/callers/transaction.rs
@@ -352,6 +352,7 @@
         | UpstreamError::Unreachable(_)
         | UpstreamError::ConnectionLimit
         | UpstreamError::Refused(_)
+        | UpstreamError::InvalidName(_)
         | UpstreamError::Broken(_)
         | UpstreamError::Malformed => {
             refuse(RefusalReason::UpstreamUnreachable, BEGIN_RETRY_DELAY).into()
--- a/crates/jujubehold_entry/src/peer_link/frame.rs
+++ b/crates/jujubehold_entry/src/peer_link/frame.rs
@@ -6,11 +6,12 @@
 
 use bytes::Bytes;
 use jujubehold_core::log_position::LogPosition;
-use jujubehold_core::prelude::*;
-use smol_str::SmolStr;
 
 use crate::pool::{SessionValues, Statement};
-use crate::protocol::{Access, ErrorCode, SessionState, UpstreamOutcome, UpstreamReply};
+use crate::protocol::{
+    Access, ErrorCode, LastField, MalformedMessage, PreparedStatement, SessionState, StatementId,
+    UpstreamOutcome, UpstreamReply, Word,
+};
 
 /// One message, about one lease.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -83,8 +84,8 @@
     #[prost(bytes = "bytes", tag = "3")]
     pub(crate) text: Bytes,
     /// The content of a prepared statement.
-    #[prost(string, tag = "4")]
-    pub(crate) shape: String,
+    #[prost(bytes = "bytes", tag = "4")]
+    pub(crate) shape: Bytes,
     /// The log position that the instance must have reached.
     #[prost(message, optional, tag = "5")]
     pub(crate) after: Option<PositionMessage>,
@@ -111,8 +112,8 @@
 pub(crate) struct ValuesMessage {
     #[prost(string, repeated, tag = "1")]
     pub(crate) names: Vec<String>,
-    #[prost(string, repeated, tag = "2")]
-    pub(crate) values: Vec<String>,
+    #[prost(bytes = "bytes", repeated, tag = "2")]
+    pub(crate) values: Vec<Bytes>,
 }
 
 /// A position in a group's log.
@@ -189,6 +190,8 @@
     Leaving = 4,
     /// The link has too many leases.
     TooManyLeases = 5,
+    /// A field can't be sent to an instance as what it is.
+    Unreadable = 6,
 }
 
 /// Why it is not known whether a statement ran.
@@ -210,6 +213,7 @@
             Self::NotOwner => "not_owner",
             Self::Leaving => "leaving",
             Self::TooManyLeases => "too_many_leases",
+            Self::Unreadable => "unreadable",
         }
     }
 }
@@ -242,66 +246,82 @@
         timeout: Duration,
     ) -> Self {
         let (kind, text, shape) = match statement {
-            Statement::Text { text, .. } => (RunKind::Text, text, ""),
+            Statement::Text { text, .. } => (RunKind::Text, Some(text), Bytes::new()),
             Statement::Prepared {
-                access,
-                shape,
+                statement,
                 arguments,
                 ..
             } => {
-                let kind = match access {
+                let kind = match statement.access() {
                     Access::Read => RunKind::PreparedRead,
                     Access::Write => RunKind::PreparedWrite,
                 };
-                (kind, arguments, shape.as_str())
+                (kind, arguments.as_ref(), statement.shape().bytes().clone())
             }
         };
         Self {
             kind: kind.into(),
             id: statement.id().to_owned(),
-            text: text.clone(),
-            shape: shape.to_owned(),
+            text: text.map(|text| text.bytes().clone()).unwrap_or_default(),
+            shape,
             after: after.map(PositionMessage::from),
             timeout_ms: millis_u32(timeout),
             values: values.map(ValuesMessage::from),
         }
     }
 
+    /// Returns the session's values; `None` if they are the same as before.
+    ///
+    /// # Errors
+    /// Returns an error if a field can't be sent to an instance as what it is.
+    pub(crate) fn session_values(&self) -> Result<Option<SessionValues>, MalformedMessage> {
+        self.values
+            .as_ref()
+            .map(SessionValues::try_from)
+            .transpose()
+    }
+
     /// Returns the statement; `None` for a rollback.
-    pub(crate) fn statement(&self) -> Option<Statement> {
-        let id = RequestId::from(self.id.as_str());
-        let prepared = |access| Statement::Prepared {
-            id: id.clone(),
-            access,
-            shape: self.shape.as_str().into(),
-            arguments: self.text.clone(),
+    ///
+    /// # Errors
+    /// Returns an error if a field can't be sent to an instance as what it is.
+    pub(crate) fn statement(&self) -> Result<Option<Statement>, MalformedMessage> {
+        let access = match self.kind() {
+            RunKind::Text => {
+                let id = StatementId::new(&self.id)?;
+                let text = LastField::new(self.text.clone())?;
+                return Ok(Some(Statement::Text { id, text }));
+            }
+            RunKind::PreparedRead => Access::Read,
+            RunKind::PreparedWrite => Access::Write,
+            RunKind::Rollback => return Ok(None),
         };
-        match self.kind() {
-            RunKind::Text => Some(Statement::Text {
-                id: id.clone(),
-                text: self.text.clone(),
-            }),
-            RunKind::PreparedRead => Some(prepared(Access::Read)),
-            RunKind::PreparedWrite => Some(prepared(Access::Write)),
-            RunKind::Rollback => None,
-        }
+        let shape = LastField::new(self.shape.clone())?;
+        let arguments = (!self.text.is_empty()).then(|| LastField::new(self.text.clone()));
+        Ok(Some(Statement::Prepared {
+            id: StatementId::new(&self.id)?,
+            statement: PreparedStatement::new(access, shape),
+            arguments: arguments.transpose()?,
+        }))
     }
 }
 
 impl From<&SessionValues> for ValuesMessage {
     fn from(values: &SessionValues) -> Self {
         Self {
-            names: values.keys().map(SmolStr::to_string).collect(),
-            values: values.values().map(SmolStr::to_string).collect(),
+            names: values.keys().map(|name| name.as_str().to_owned()).collect(),
+            values: values.values().map(|value| value.bytes().clone()).collect(),
         }
     }
 }
 
-impl From<&ValuesMessage> for SessionValues {
-    fn from(message: &ValuesMessage) -> Self {
+impl TryFrom<&ValuesMessage> for SessionValues {
+    type Error = MalformedMessage;
+
+    fn try_from(message: &ValuesMessage) -> Result<Self, MalformedMessage> {
         let pairs = message.names.iter().zip(&message.values);
         pairs
-            .map(|(name, value)| (name.as_str().into(), value.as_str().into()))
+            .map(|(name, value)| Ok((Word::new(name)?, LastField::new(value.clone())?.detached())))
             .collect()
     }
 }
--- a/crates/jujubehold_entry/src/peer_link/served_lease.rs
+++ b/crates/jujubehold_entry/src/peer_link/served_lease.rs
@@ -16,10 +16,10 @@
 use crate::metric_names::OWNER_REFUSALS;
 use crate::phase::Phase;
 use crate::pool::{
-    AcquireError, ConnectionLease, SessionValues, Upstream, UpstreamError, WaitLimits,
+    AcquireError, ConnectionLease, SessionValues, Statement, Upstream, UpstreamError, WaitLimits,
 };
 use crate::prelude::*;
-use crate::protocol::{UpstreamCommand, UpstreamReply};
+use crate::protocol::{MalformedMessage, UpstreamCommand, UpstreamReply};
 
 /// Rows of more bytes than this are sent in several messages, so that each stays below the limit.
 const MAX_ROWS_BYTES: usize = 256 * 1024;
@@ -32,6 +32,27 @@
     Finish,
 }
 
+/// What another host asks to be run.
+#[derive(Debug)]
+struct ReceivedRun {
+    /// The statement; `None` for a rollback.
+    statement: Option<Statement>,
+    after: Option<LogPosition>,
+    timeout: Duration,
+}
+
+impl ReceivedRun {
+    // Also returns the session's values, if they have changed.
+    fn decode(message: &RunMessage) -> Result<(Self, Option<SessionValues>), MalformedMessage> {
+        let request = Self {
+            statement: message.statement()?,
+            after: message.after.map(LogPosition::from),
+            timeout: Duration::from_millis(message.timeout_ms.into()),
+        };
+        Ok((request, message.session_values()?))
+    }
+}
+
 /// Counts a lease as served until it is dropped.
 #[derive(Debug)]
 struct ServedLease<'a> {
@@ -63,10 +84,12 @@
         number,
         count: &shared.served_leases,
     };
-    let mut values = SessionValues::new();
-    if let Some(message) = &acquire.run.values {
-        values = message.into();
-    }
+    let Ok((request, values)) = ReceivedRun::decode(&acquire.run) else {
+        let reason = RefusedReason::Unreadable;
+        refuse(&shared, &link, number, &acquire, reason, Duration::ZERO);
+        return;
+    };
+    let values = values.unwrap_or_default();
     let mut lease = match acquire_connection(&shared, &acquire, &values, received_at).await {
         Ok(lease) => lease,
         Err((reason, expected_wait)) => {
@@ -76,13 +99,7 @@
     };
     let waited = shared.now().saturating_sub(received_at);
     if !run(
-        &shared,
-        &link,
-        number,
-        &mut lease,
-        &acquire.run,
-        &values,
-        waited,
+        &shared, &link, number, &mut lease, &request, &values, waited,
     )
     .await
     {
@@ -106,11 +123,15 @@
     while let Some(command) = commands.recv().await {
         match command {
             LeaseCommand::Run(message) => {
-                if let Some(new_values) = &message.values {
-                    values = new_values.into();
+                let Ok((request, new_values)) = ReceivedRun::decode(&message) else {
+                    send_refusal(link, number, RefusedReason::Unreadable, Duration::ZERO);
+                    return;
+                };
+                if let Some(new_values) = new_values {
+                    values = new_values;
                 }
                 let waited = Duration::ZERO;
-                if !run(shared, link, number, &mut lease, &message, &values, waited).await {
+                if !run(shared, link, number, &mut lease, &request, &values, waited).await {
                     return;
                 }
             }
@@ -173,6 +194,10 @@
         info!(request = acquire.run.id.as_str(), instance = acquire.instance.as_str(),
             reason = reason.as_str(); "refused another host's statement");
     }
+    send_refusal(link, number, reason, expected_wait);
+}
+
+fn send_refusal(link: &ServerLink, number: u64, reason: RefusedReason, expected_wait: Duration) {
     let message = RefusedMessage {
         reason: reason.into(),
         expected_wait_ms: millis_u32(expected_wait),
@@ -186,14 +211,18 @@
     link: &ServerLink,
     number: u64,
     lease: &mut ConnectionLease<P>,
-    message: &RunMessage,
+    request: &ReceivedRun,
     values: &SessionValues,
     waited: Duration,
 ) -> bool {
-    let timeout = Duration::from_millis(message.timeout_ms.into());
-    let result = if let Some(statement) = message.statement() {
-        let after = message.after.map(LogPosition::from);
-        run_on(shared, lease, &statement, after, values, timeout).await
+    let ReceivedRun {
+        statement,
+        after,
+        timeout,
+    } = request;
+    let (after, timeout) = (*after, *timeout);
+    let result = if let Some(statement) = statement {
+        run_on(shared, lease, statement, after, values, timeout).await
     } else {
         let running = lease.run_command(&UpstreamCommand::Rollback);
         let result = tokio::time::timeout(timeout, running).await;
@@ -235,6 +264,7 @@
         UpstreamError::Unreachable(_)
         | UpstreamError::ConnectionLimit
         | UpstreamError::Refused(_)
+        | UpstreamError::InvalidName(_)
         | UpstreamError::NotRun(_)
         | UpstreamError::OwnerLost
         | UpstreamError::Broken(_) => FailedReason::ConnectionLost,
--- a/crates/jujubehold_entry/src/pool/connection.rs
+++ b/crates/jujubehold_entry/src/pool/connection.rs
@@ -1,21 +1,23 @@
 //! A connection to an instance.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use jujubehold_core::log_position::LogPosition;
 use jujubehold_core::prelude::*;
+use jujubehold_core::statement_name::StatementName;
 use metrics::counter;
-use smol_str::{SmolStr, format_smolstr};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::statement::{SessionValues, Statement};
 use crate::metric_names::{SESSION_SETUP_COMMANDS, SESSION_SETUP_ERRORS};
 use crate::protocol::{
-    Access, ErrorCode, Platform, SessionState, UpstreamCodec, UpstreamCommand, UpstreamReply,
+    ErrorCode, MalformedMessage, Platform, SessionState, UpstreamCodec, UpstreamCommand,
+    UpstreamReply, Word,
 };
 
 /// The free space reserved in the read buffer before each read.
@@ -23,9 +25,6 @@
 /// If a connection has more prepared statements than this, it is reset.
 const MAX_PREPARED_STATEMENTS: usize = 200;
 
-/// The values that a session has set, by name.
-pub(crate) type SessionValues = BTreeMap<SmolStr, SmolStr>;
-
 /// Why an instance gave no reply on a connection.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum UpstreamError {
@@ -35,6 +34,9 @@
     ConnectionLimit,
     #[error("the instance refused the connection: {}", .0.as_str())]
     Refused(ErrorCode),
+    /// A name in the configuration or the directory can't be sent to an instance.
+    #[error("a name is no field of a message: {0}")]
+    InvalidName(#[from] MalformedMessage),
     #[error("the connection failed: {0}")]
     Broken(std::io::Error),
     #[error("the instance sent an invalid reply")]
@@ -48,29 +50,6 @@
     OwnerLost,
 }
 
-/// A statement as it is sent to an instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Statement {
-    /// A text that is sent unchanged.
-    Text { id: RequestId, text: Bytes },
-    /// A prepared statement, identified by its content.
-    Prepared {
-        id: RequestId,
-        access: Access,
-        shape: SmolStr,
-        arguments: Bytes,
-    },
-}
-
-impl Statement {
-    /// Returns the caller's id of the statement.
-    pub(crate) fn id(&self) -> &str {
-        match self {
-            Self::Text { id, .. } | Self::Prepared { id, .. } => id,
-        }
-    }
-}
-
 /// A connection to an instance, with the values set and the statements prepared on it.
 #[derive(Debug)]
 pub(crate) struct UpstreamConnection<P: Platform> {
@@ -80,9 +59,9 @@
     buffer: BytesMut,
     codec: P::Upstreams,
     values: SessionValues,
-    prepared: BTreeSet<SmolStr>,
+    prepared: BTreeSet<StatementName>,
     /// The name that the last statement prepared, until it is taken for the log.
-    newly_prepared: Option<SmolStr>,
+    newly_prepared: Option<StatementName>,
     state: SessionState,
     pending_replies: usize,
     is_broken: bool,
@@ -116,6 +95,9 @@
         host: &str,
         instance: &str,
     ) -> Result<(Self, Option<LogPosition>), UpstreamError> {
+        let service = Word::new(service)?;
+        let user = Word::new(customer.map_or(host, CustomerId::as_str))?;
+        let instance = Word::new(instance)?;
         let stream = TcpStream::connect(address)
             .await
             .map_err(UpstreamError::Unreachable)?;
@@ -134,9 +116,9 @@
             idle_since: Monotonic::ZERO,
         };
         let start = UpstreamCommand::Start {
-            service,
-            user: customer.map_or(host, CustomerId::as_str),
-            instance,
+            service: &service,
+            user: &user,
+            instance: &instance,
         };
         let reply = connection.run_command(&start).await?;
         match reply.error() {
@@ -177,7 +159,7 @@
     }
 
     /// Returns the name that the last statement prepared on the connection, once.
-    pub(super) fn take_newly_prepared(&mut self) -> Option<SmolStr> {
+    pub(super) fn take_newly_prepared(&mut self) -> Option<StatementName> {
         self.newly_prepared.take()
     }
 
@@ -215,7 +197,7 @@
     ) -> Result<UpstreamReply, UpstreamError> {
         let mut out = BytesMut::new();
         let setup_commands = self.encode_session_setup(statement, values, &mut out);
-        self.encode_statement(statement, after, &mut out);
+        statement.encode(after, &mut self.codec, &mut out);
         self.send(&out, setup_commands + 1).await?;
         for _ in 0..setup_commands {
             if self.receive().await?.error().is_some() {
@@ -251,51 +233,17 @@
                 count += 1;
             }
         }
-        if let Statement::Prepared { access, shape, .. } = statement {
-            let name = statement_name(*access, shape);
-            if self.prepared.insert(name.clone()) {
-                let prepare = UpstreamCommand::Prepare {
-                    name: &name,
-                    access: *access,
-                    shape,
-                };
-                self.codec.encode(&prepare, out);
-                count_setup_command("prepare");
-                self.newly_prepared = Some(name);
-                count += 1;
-            }
+        if let Statement::Prepared { statement, .. } = statement
+            && self.prepared.insert(statement.name().clone())
+        {
+            self.codec.encode(&UpstreamCommand::Prepare(statement), out);
+            count_setup_command("prepare");
+            self.newly_prepared = Some(statement.name().clone());
+            count += 1;
         }
         count
     }
 
-    fn encode_statement(
-        &mut self,
-        statement: &Statement,
-        after: Option<LogPosition>,
-        out: &mut BytesMut,
-    ) {
-        match statement {
-            Statement::Text { id, text } => {
-                let command = UpstreamCommand::Run { id, after, text };
-                self.codec.encode(&command, out);
-            }
-            Statement::Prepared {
-                id,
-                access,
-                shape,
-                arguments,
-            } => {
-                let command = UpstreamCommand::Execute {
-                    id,
-                    after,
-                    name: &statement_name(*access, shape),
-                    arguments,
-                };
-                self.codec.encode(&command, out);
-            }
-        }
-    }
-
     async fn send(&mut self, bytes: &[u8], replies: usize) -> Result<(), UpstreamError> {
         self.pending_replies += replies;
         let sent = self.stream.write_all(bytes).await;
@@ -353,12 +301,3 @@
 fn count_setup_command(command: &'static str) {
     counter!(SESSION_SETUP_COMMANDS, "command" => command).increment(1);
 }
-
-/// Returns the name of a prepared statement on every connection. It is derived from the statement's
-/// access and content, so that sessions that prepare the same statement share it.
-fn statement_name(access: Access, shape: &str) -> SmolStr {
-    match access {
-        Access::Read => format_smolstr!("r{shape}"),
-        Access::Write => format_smolstr!("w{shape}"),
-    }
-}
--- a/crates/jujubehold_entry/src/pool/lease.rs
+++ b/crates/jujubehold_entry/src/pool/lease.rs
@@ -6,10 +6,11 @@
 
 use jujubehold_core::log_position::LogPosition;
 use jujubehold_core::prelude::*;
-use smol_str::SmolStr;
+use jujubehold_core::statement_name::StatementName;
 
-use super::connection::{SessionValues, Statement, UpstreamConnection, UpstreamError};
+use super::connection::{UpstreamConnection, UpstreamError};
 use super::owner_lease::{OwnerError, OwnerLease, OwnerRequest};
+use super::statement::{SessionValues, Statement};
 use super::upstream::Upstream;
 use crate::peer_link::{PeerLinks, RunMessage};
 use crate::protocol::{Platform, SessionState, UpstreamCommand, UpstreamReply};
@@ -84,7 +85,7 @@
     }
 
     /// Returns the name that the last statement prepared on this host's connection, once.
-    pub(crate) fn take_newly_prepared(&mut self) -> Option<SmolStr> {
+    pub(crate) fn take_newly_prepared(&mut self) -> Option<StatementName> {
         match &mut self.hold {
             Hold::Direct(direct) => direct.connection.take_newly_prepared(),
             Hold::Requested(_) | Hold::AtOwner(_) | Hold::Ended => None,
--- a/crates/jujubehold_entry/src/pool/mod.rs
+++ b/crates/jujubehold_entry/src/pool/mod.rs
@@ -3,9 +3,11 @@
 mod connection;
 mod lease;
 mod owner_lease;
+mod statement;
 mod upstream;
 
-pub(crate) use connection::{SessionValues, Statement, UpstreamError};
+pub(crate) use connection::UpstreamError;
 pub(crate) use lease::ConnectionLease;
 pub(crate) use owner_lease::{LeasePurpose, OwnerRequest};
+pub(crate) use statement::{SessionValues, Statement};
 pub(crate) use upstream::{AcquireError, OwnersBasis, Upstream, WaitLimits};
--- a/crates/jujubehold_entry/src/pool/owner_lease.rs
+++ b/crates/jujubehold_entry/src/pool/owner_lease.rs
@@ -4,7 +4,8 @@
 
 use jujubehold_core::wait_policy::WaitPolicy;
 
-use super::connection::{SessionValues, Statement, UpstreamError};
+use super::connection::UpstreamError;
+use super::statement::{SessionValues, Statement};
 use super::upstream::WaitLimits;
 use crate::peer_link::{
     AcquireMessage, FailedReason, FrameBody, LinkAnswer, PeerLink, PeerLinks, RefusedMessage,
@@ -194,6 +195,7 @@
         let reason = refused.reason();
         let expected_wait = Duration::from_millis(refused.expected_wait_ms.into());
         let refusal = match reason {
+            RefusedReason::Unreadable => RefusalReason::ProtocolViolation,
             RefusedReason::NoneFree | RefusedReason::ConnectionLimit => RefusalReason::QueueFull,
             RefusedReason::Unreachable => RefusalReason::UpstreamUnreachable,
             RefusedReason::NotOwner | RefusedReason::Leaving | RefusedReason::TooManyLeases => {
--- /dev/null
+++ b/crates/jujubehold_entry/src/pool/statement.rs
@@ -0,0 +1,59 @@
+//! A statement as it is sent to an instance.
+
+use std::collections::BTreeMap;
+
+use bytes::BytesMut;
+use jujubehold_core::log_position::LogPosition;
+
+use crate::protocol::{
+    LastField, PreparedStatement, StatementId, UpstreamCodec, UpstreamCommand, Word,
+};
+
+/// The values that a session has set, by name.
+pub(crate) type SessionValues = BTreeMap<Word, LastField>;
+
+/// A caller's statement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Statement {
+    /// A text that is sent unchanged.
+    Text { id: StatementId, text: LastField },
+    /// A prepared statement.
+    Prepared {
+        id: StatementId,
+        statement: PreparedStatement,
+        /// The text after the statement's name; `None` if nothing follows it.
+        arguments: Option<LastField>,
+    },
+}
+
+impl Statement {
+    /// Returns the caller's id of the statement.
+    pub(crate) fn id(&self) -> &str {
+        match self {
+            Self::Text { id, .. } | Self::Prepared { id, .. } => id.as_str(),
+        }
+    }
+
+    /// Encodes the command that runs the statement.
+    pub(super) fn encode(
+        &self,
+        after: Option<LogPosition>,
+        codec: &mut impl UpstreamCodec,
+        out: &mut BytesMut,
+    ) {
+        let command = match self {
+            Self::Text { id, text } => UpstreamCommand::Run { id, after, text },
+            Self::Prepared {
+                id,
+                statement,
+                arguments,
+            } => UpstreamCommand::Execute {
+                id,
+                after,
+                name: statement.name(),
+                arguments: arguments.as_ref(),
+            },
+        };
+        codec.encode(&command, out);
+    }
+}
--- a/crates/jujubehold_entry/src/pool/upstream.rs
+++ b/crates/jujubehold_entry/src/pool/upstream.rs
@@ -22,8 +22,9 @@
 use metrics::counter;
 use tokio::sync::oneshot;
 
-use super::connection::{SessionValues, UpstreamConnection, UpstreamError};
+use super::connection::{UpstreamConnection, UpstreamError};
 use super::lease::ConnectionLease;
+use super::statement::SessionValues;
 use crate::clock::Clock;
 use crate::metric_names::{UPSTREAM_OPEN_ATTEMPTS, UPSTREAM_OPENS};
 use crate::protocol::{ErrorCode, InstanceEntry, InstanceLifecycle, Platform};
@@ -410,8 +411,10 @@
             UpstreamError::Refused(ErrorCode::AuthenticationFailed) => {
                 self.health.borrow_mut().note_alive(now);
             }
-            // These do not occur while a connection is opened.
-            UpstreamError::NotRun(_) | UpstreamError::OwnerLost => {}
+            // The name was not sent to the instance; the others do not occur while a connection is
+            // opened.
+            UpstreamError::InvalidName(_) | UpstreamError::NotRun(_) | UpstreamError::OwnerLost => {
+            }
             UpstreamError::Unreachable(_)
             | UpstreamError::Refused(_)
             | UpstreamError::Broken(_)
--- a/crates/jujubehold_entry/src/pool/upstream/pool_state.rs
+++ b/crates/jujubehold_entry/src/pool/upstream/pool_state.rs
@@ -8,7 +8,8 @@
 use jujubehold_core::use_interval::UseInterval;
 use tokio::sync::oneshot;
 
-use crate::pool::connection::{SessionValues, UpstreamConnection};
+use crate::pool::SessionValues;
+use crate::pool::connection::UpstreamConnection;
 use crate::protocol::Platform;
 
 /// The idle connections of one pool, the count of all its connections, and the waiting requests.
--- a/crates/jujubehold_entry/src/protocol/caller.rs
+++ b/crates/jujubehold_entry/src/protocol/caller.rs
@@ -2,11 +2,11 @@
 
 use bytes::{Bytes, BytesMut};
 use jujubehold_core::log_position::LogPosition;
-use jujubehold_core::prelude::*;
 use smol_str::SmolStr;
 
 use super::caller_key::CallerKey;
 use super::error_code::ErrorCode;
+use super::field::{LastField, PreparedStatement, StatementId, Word};
 use super::platform::MalformedMessage;
 use super::upstream::Access;
 
@@ -46,15 +46,17 @@
     Request(CallerRequest),
     /// Ends the session.
     End,
+    /// The message is invalid; the next one can be read.
+    Invalid(MalformedMessage),
 }
 
 /// One statement from a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallerRequest {
     /// The caller's id of the statement, which the upstream receives too.
-    pub id: RequestId,
+    pub id: StatementId,
     /// The text, which the upstream receives unchanged.
-    pub text: Bytes,
+    pub text: LastField,
     /// What the statement does.
     pub kind: RequestKind,
 }
@@ -76,33 +78,31 @@
     /// Runs a prepared statement.
     Execute {
         /// The caller's name for the statement.
-        name: SmolStr,
-        /// The text after the name.
-        arguments: Bytes,
+        name: Word,
+        /// The text after the name; `None` if nothing follows it.
+        arguments: Option<LastField>,
     },
     /// Sets a value of the session.
     Set {
         /// The value's name.
-        name: SmolStr,
+        name: Word,
         /// The value.
-        value: SmolStr,
+        value: LastField,
     },
     /// Prepares a statement.
     Prepare {
         /// The caller's name for the statement.
-        name: SmolStr,
-        /// Whether it writes.
-        access: Access,
-        /// The statement's content; statements with the same shape and access are the same.
-        shape: SmolStr,
+        name: Word,
+        /// The statement.
+        statement: PreparedStatement,
     },
     /// Removes a prepared statement.
     Deallocate {
         /// The caller's name for the statement.
-        name: SmolStr,
+        name: Word,
     },
     /// The statement is invalid.
-    Malformed,
+    Malformed(MalformedMessage),
 }
 
 jujubehold_core::key_type! {
--- a/crates/jujubehold_entry/src/protocol/mod.rs
+++ b/crates/jujubehold_entry/src/protocol/mod.rs
@@ -9,6 +9,7 @@
 mod customers;
 mod directory;
 mod error_code;
+mod field;
 mod platform;
 mod promotion;
 mod store;
@@ -23,6 +24,10 @@
     ServiceLimits,
 };
 pub use error_code::ErrorCode;
+pub use field::{
+    HOST_COMMAND_ID, LastField, MAX_LAST_FIELD_BYTES, MAX_WORD_BYTES, PreparedStatement,
+    StatementId, Word,
+};
 pub use platform::{MalformedMessage, Platform};
 pub use promotion::{PromotionCall, PromotionOrder, PromotionOutcome};
 pub use store::{
--- a/crates/jujubehold_entry/src/protocol/upstream.rs
+++ b/crates/jujubehold_entry/src/protocol/upstream.rs
@@ -4,10 +4,12 @@
 use jujubehold_core::log_position::LogPosition;
 use jujubehold_core::prelude::*;
 use jujubehold_core::replica_evidence::is_unmarked_replica;
+use jujubehold_core::statement_name::StatementName;
 use smol_str::SmolStr;
 
 use super::caller::SessionState;
 use super::error_code::ErrorCode;
+use super::field::{LastField, PreparedStatement, StatementId, Word};
 use super::platform::MalformedMessage;
 
 /// Encodes commands to an upstream and decodes its replies.
@@ -41,47 +43,40 @@
     /// Opens the connection.
     Start {
         /// The service that the instance must belong to.
-        service: &'a str,
+        service: &'a Word,
         /// The customer whose statements the connection runs, or the connecting host.
-        user: &'a str,
+        user: &'a Word,
         /// The instance that the host means to reach.
-        instance: &'a str,
+        instance: &'a Word,
     },
     /// Runs a caller's statement.
     Run {
         /// The caller's id of the statement.
-        id: &'a str,
+        id: &'a StatementId,
         /// The log position that the instance must have reached.
         after: Option<LogPosition>,
         /// The text of the statement.
-        text: &'a [u8],
+        text: &'a LastField,
     },
     /// Runs a caller's prepared statement.
     Execute {
         /// The caller's id of the request.
-        id: &'a str,
+        id: &'a StatementId,
         /// The log position that the instance must have reached.
         after: Option<LogPosition>,
         /// The statement's name on this connection.
-        name: &'a str,
-        /// The text after the name.
-        arguments: &'a [u8],
-    },
-    /// Prepares a statement under a name that the host chose.
-    Prepare {
-        /// The statement's name on this connection.
-        name: &'a str,
-        /// Whether the statement writes.
-        access: Access,
-        /// The statement's content.
-        shape: &'a str,
+        name: &'a StatementName,
+        /// The text after the name; `None` if nothing follows it.
+        arguments: Option<&'a LastField>,
     },
+    /// Prepares a statement under its name.
+    Prepare(&'a PreparedStatement),
     /// Sets a value of the session that will use the connection.
     Set {
         /// The value's name.
-        name: &'a str,
+        name: &'a Word,
         /// The value.
-        value: &'a str,
+        value: &'a LastField,
     },
     /// Rolls the transaction back.
     Rollback,
