Hand owners of an earlier version no statement that they would change

What callers would see during an upgrade: a host of this version lets a host of the version before run a prepared statement whose shape has several words, and it runs with another name, shape or access; one without arguments gets a space.

Cause: nothing on a link tells which statements the other end runs as they are. An owner now states the version of the messages that it speaks when a link begins; earlier hosts skip the message. A host hands a statement that needs the second version to no owner that has not stated it, and runs it on its own connections instead.

--- a/crates/jujubehold_entry/src/peer_link/frame.rs
+++ b/crates/jujubehold_entry/src/peer_link/frame.rs
@@ -19,7 +19,7 @@
     /// The lease's number on this link; 0 for pings.
     #[prost(uint64, tag = "1")]
     pub(crate) lease: u64,
-    #[prost(oneof = "FrameBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "FrameBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub(crate) body: Option<FrameBody>,
 }
 
@@ -52,8 +52,20 @@
     Ping(bool),
     #[prost(bool, tag = "10")]
     Pong(bool),
+    /// The version of these messages that the owner speaks, which it states when a link begins. An
+    /// owner that states none speaks [`FIRST_PROTOCOL`].
+    #[prost(uint32, tag = "11")]
+    Protocol(u32),
 }
 
+/// The version of an owner that states none.
+pub(crate) const FIRST_PROTOCOL: u32 = 1;
+/// The first version whose owners run a prepared statement as it is, whatever its shape contains and
+/// whether or not it has arguments.
+pub(crate) const EXACT_STATEMENTS_PROTOCOL: u32 = 2;
+/// The version that this host speaks as an owner.
+pub(crate) const OWN_PROTOCOL: u32 = EXACT_STATEMENTS_PROTOCOL;
+
 /// A request for a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct AcquireMessage {
--- a/crates/jujubehold_entry/src/peer_link/link.rs
+++ b/crates/jujubehold_entry/src/peer_link/link.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 
-use super::frame::{FailedReason, Frame, FrameBody, RefusedMessage, ReplyMessage};
+use super::frame::{FIRST_PROTOCOL, FailedReason, Frame, FrameBody, RefusedMessage, ReplyMessage};
 use super::link_io::{LinkError, Outbox, read_all};
 use super::link_metrics::LinkMetrics;
 use crate::clock::Clock;
@@ -17,6 +17,9 @@
 
 /// How long opening a link may take: several round trips between regions.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long after the begin of a link an owner may take to state its protocol: the time to open the
+/// link, and a pause of a host that has used up its share of a core.
+const PROTOCOL_TIMEOUT: Duration = Duration::from_millis(450);
 /// If an owner has sent nothing for this long while a request waits, it is asked whether it is
 /// there.
 const PING_AFTER: Duration = Duration::from_millis(150);
@@ -80,6 +83,11 @@
     is_ended: Cell<bool>,
     /// Makes the link end.
     end: Notify,
+    begun_at: Monotonic,
+    /// The version of the messages that the owner speaks.
+    protocol: Cell<u32>,
+    /// Wakes the requests that wait for the owner's protocol.
+    protocol_stated: Notify,
 }
 
 /// What the monitor of all links found out about one.
@@ -117,6 +125,9 @@
             is_connected: Cell::new(false),
             is_ended: Cell::new(false),
             end: Notify::new(),
+            begun_at: now,
+            protocol: Cell::new(FIRST_PROTOCOL),
+            protocol_stated: Notify::new(),
         });
         let running = Rc::clone(&link);
         actix_rt::spawn(async move {
@@ -138,6 +149,20 @@
         &self.host
     }
 
+    /// Returns whether the owner speaks `protocol`. If the link has just begun, waits for the owner to
+    /// state it.
+    pub(crate) async fn speaks(&self, protocol: u32) -> bool {
+        while self.protocol.get() < protocol && !self.is_ended() {
+            let age = self.clock.now().saturating_sub(self.begun_at);
+            let remaining = PROTOCOL_TIMEOUT.saturating_sub(age);
+            let stated = self.protocol_stated.notified();
+            if tokio::time::timeout(remaining, stated).await.is_err() {
+                break;
+            }
+        }
+        self.protocol.get() >= protocol
+    }
+
     /// Begins a lease and returns its number.
     pub(crate) fn begin_lease(&self) -> u64 {
         self.open_leases.set(self.open_leases.get() + 1);
@@ -232,6 +257,11 @@
                 }
                 return;
             }
+            FrameBody::Protocol(protocol) => {
+                self.protocol.set(protocol);
+                self.protocol_stated.notify_waiters();
+                return;
+            }
             FrameBody::Reply(message) => return self.deliver_reply(frame.lease, *message),
             FrameBody::Refused(message) => LinkAnswer::Refused(message),
             FrameBody::Failed(reason) => LinkAnswer::Failed(
--- a/crates/jujubehold_entry/src/peer_link/mod.rs
+++ b/crates/jujubehold_entry/src/peer_link/mod.rs
@@ -13,8 +13,8 @@
 mod server;
 
 pub(crate) use frame::{
-    AcquireMessage, FailedReason, FrameBody, RefusedMessage, RefusedReason, RunKind, RunMessage,
-    millis_u32,
+    AcquireMessage, EXACT_STATEMENTS_PROTOCOL, FIRST_PROTOCOL, FailedReason, FrameBody,
+    RefusedMessage, RefusedReason, RunKind, RunMessage, millis_u32,
 };
 pub(crate) use link::{LinkAnswer, PeerLink};
 pub(crate) use links::{PeerLinks, monitor_links};
--- a/crates/jujubehold_entry/src/peer_link/server.rs
+++ b/crates/jujubehold_entry/src/peer_link/server.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
-use super::frame::{AcquireMessage, Frame, FrameBody, RefusedMessage, RefusedReason};
+use super::frame::{AcquireMessage, Frame, FrameBody, OWN_PROTOCOL, RefusedMessage, RefusedReason};
 use super::link_io::{LinkError, Outbox, read_all};
 use super::served_lease::{LeaseCommand, serve_lease};
 use crate::prelude::*;
@@ -100,6 +100,7 @@
         leases: RefCell::new(BTreeMap::new()),
         received_at: Cell::new(shared.now()),
     });
+    link.send(0, FrameBody::Protocol(OWN_PROTOCOL));
     let metrics = Rc::clone(&shared.peer_links.metrics);
     let (reader, writer) = stream.into_split();
     let error = tokio::select! {
@@ -148,7 +149,8 @@
         | FrameBody::Reply(_)
         | FrameBody::Refused(_)
         | FrameBody::Failed(_)
-        | FrameBody::Pong(_) => {}
+        | FrameBody::Pong(_)
+        | FrameBody::Protocol(_) => {}
     }
 }
 
--- a/crates/jujubehold_entry/src/pool/lease.rs
+++ b/crates/jujubehold_entry/src/pool/lease.rs
@@ -166,6 +166,10 @@
                 PeerLinks::count_retry("skipped");
                 continue;
             };
+            if !link.speaks(statement.required_protocol()).await {
+                PeerLinks::count_retry("older_version");
+                continue;
+            }
             let run = RunMessage::new(statement, after, Some(values), timeout);
             let now = self.upstream.now();
             match OwnerLease::begin(link, &request, &instance, now, run, values).await {
--- a/crates/jujubehold_entry/src/pool/owner_lease.rs
+++ b/crates/jujubehold_entry/src/pool/owner_lease.rs
@@ -117,6 +117,11 @@
         values: &SessionValues,
         timeout: Duration,
     ) -> Result<UpstreamReply, UpstreamError> {
+        if !self.link.speaks(statement.required_protocol()).await {
+            let refusal = RefusalReason::OwnerUnreachable;
+            let refusal = WaitPolicy::default().refuse(refusal, Duration::ZERO);
+            return Err(UpstreamError::NotRun(refusal));
+        }
         let new_values = (self.values != *values).then_some(values);
         let message = RunMessage::new(statement, after, new_values, timeout);
         if new_values.is_some() {
--- a/crates/jujubehold_entry/src/pool/statement.rs
+++ b/crates/jujubehold_entry/src/pool/statement.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use jujubehold_core::log_position::LogPosition;
 
+use crate::peer_link::{EXACT_STATEMENTS_PROTOCOL, FIRST_PROTOCOL};
 use crate::protocol::{
     LastField, PreparedStatement, StatementId, UpstreamCodec, UpstreamCommand, Word,
 };
@@ -34,6 +35,26 @@
         }
     }
 
+    /// Returns the version of the messages between hosts that an owner must speak to run the statement
+    /// as it is.
+    pub(super) fn required_protocol(&self) -> u32 {
+        match self {
+            Self::Text { .. } => FIRST_PROTOCOL,
+            Self::Prepared {
+                statement,
+                arguments,
+                ..
+            } => {
+                let is_one_word = !statement.shape().bytes().contains(&b' ');
+                if is_one_word && arguments.is_some() {
+                    FIRST_PROTOCOL
+                } else {
+                    EXACT_STATEMENTS_PROTOCOL
+                }
+            }
+        }
+    }
+
     /// Encodes the command that runs the statement.
     pub(super) fn encode(
         &self,
