Leave out reported positions from before the start of a host

Cause: a host's clock begins at 0 with its process, and the age of a position that another host reports was taken off with a stop at 0. A position of many seconds ago so counted as one of the start, and became the floor of reads.

Such a position says nothing that the host could use, so leaving it out is enough: reads of that service go to the primary until a newer position is known.

--- a/crates/jujubehold_core/src/primary_positions.rs
+++ b/crates/jujubehold_core/src/primary_positions.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::{Monotonic, Position, Term};
 use crate::instance_status::InstanceStatus;
+use crate::proof_sharing::happened_since_start;
 use crate::value_type;
 
 /// How much later than a sample a request must have been sent so that its answer is certainly
@@ -78,6 +79,23 @@
         }
     }
 
+    /// Adds a position that the primary of `term` reported to another host, which stated its `age` in
+    /// the answer to a question sent at `asked_at`.
+    ///
+    /// A position from before this host's clock began is left out: at the beginning of the clock it
+    /// would seem recent, and reads of old data would be allowed.
+    pub fn add_reported(
+        &mut self,
+        term: Term,
+        asked_at: Monotonic,
+        age: Duration,
+        position: Position,
+    ) {
+        if let Some(sent_at) = happened_since_start(asked_at, age) {
+            self.add(term, sent_at, position);
+        }
+    }
+
     /// Returns the term of the samples; 0 if there are none.
     pub fn term(&self) -> Term {
         self.term
--- a/crates/jujubehold_core/src/proof_sharing.rs
+++ b/crates/jujubehold_core/src/proof_sharing.rs
@@ -112,8 +112,17 @@
 
 /// Returns the latest possible time of an event whose age was `age` in the answer to a request
 /// sent at `sent_at`.
+///
+/// An event from before this host's clock began counts as one of the beginning, which is later. Where
+/// that is unsafe, use [`happened_since_start`].
 pub fn happened_at(sent_at: Monotonic, age: Duration) -> Monotonic {
-    sent_at.saturating_sub(age + age / CLOCK_DRIFT_DIVISOR + AGE_ROUNDING_MARGIN)
+    happened_since_start(sent_at, age).unwrap_or_default()
+}
+
+/// Returns the latest possible time of an event, as [`happened_at`] does; `None` if it may have
+/// happened before this host's clock began.
+pub fn happened_since_start(sent_at: Monotonic, age: Duration) -> Option<Monotonic> {
+    sent_at.checked_sub(age + age / CLOCK_DRIFT_DIVISOR + AGE_ROUNDING_MARGIN)
 }
 
 impl SharedRead {
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -247,7 +247,7 @@
     asked_at: Monotonic,
     reported: &PositionMessage,
 ) {
-    let sent_at = happened_at(asked_at, Duration::from_micros(reported.age_us));
+    let age = Duration::from_micros(reported.age_us);
     let has_primary = {
         let lead_state = shared.lead_state.borrow();
         lead_state.table.usable_primary(&reported.service).is_some()
@@ -257,7 +257,7 @@
         shared.with_group(&service, |group| {
             group
                 .primary_positions
-                .add(reported.term, sent_at, reported.position);
+                .add_reported(reported.term, asked_at, age, reported.position);
         });
     }
 }
