Send a statement once its session values are set, and tell a refused setup

Callers were told INDOUBT for a write whose PREPARE or SET an instance refused. After a refused PREPARE nothing had run; after a refused SET the statement had run with the values that another session had left on the connection (PINNED).

Cause: SET, PREPARE and the statement were sent together. An error in reply to a setup command ended the connection as malformed, without reading what the instance said of the statement.

The values are now set and acknowledged before the statement is sent, reads included: a statement that ran with other values can't be taken back, and a read that did so breaks the rule too. It costs a round trip only where the connection has other values; the pool prefers one with the same. A connection that fails while values are set is a refusal too, since the statement was not sent. A PREPARE still goes ahead without waiting: without it the instance does not run the statement, and says so. All replies are read, and the connection is closed. A statement that ran though its PREPARE was refused is no success: it stays INDOUBT.

Such a statement is told as BUSY with the new reason session_setup_refused, in a transaction as ABORTED.

--- a/crates/jujubehold_core/src/refusal_reason.rs
+++ b/crates/jujubehold_core/src/refusal_reason.rs
@@ -49,12 +49,14 @@
         QuotaExceeded,
         /// No host that could grant the customer's quota answered.
         QuotaUnknown,
+        /// The instance rejected a command that sets the session up on its connection.
+        SessionSetupRefused,
     }
 }
 
 impl RefusalReason {
     /// All reasons, in the order of the metrics page.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::UnknownService,
         Self::DirectoryUnconfirmed,
         Self::AuthenticationFailed,
@@ -76,6 +78,7 @@
         Self::RequestNameReused,
         Self::QuotaExceeded,
         Self::QuotaUnknown,
+        Self::SessionSetupRefused,
     ];
 
     /// Returns the stable name used in metrics, in logs and between hosts.
@@ -102,6 +105,7 @@
             Self::RequestNameReused => "request_name_reused",
             Self::QuotaExceeded => "quota_exceeded",
             Self::QuotaUnknown => "quota_unknown",
+            Self::SessionSetupRefused => "session_setup_refused",
         }
     }
 
@@ -127,7 +131,8 @@
             | Self::Leaving
             | Self::NoConfirmingReplica
             | Self::OwnerUnreachable
-            | Self::QuotaUnknown => "57P03",
+            | Self::QuotaUnknown
+            | Self::SessionSetupRefused => "57P03",
             Self::FloorLost => "40001",
             Self::TokenInvalid | Self::RequestNameReused => "22023",
             Self::ShuttingDown => "57P01",
@@ -152,7 +157,8 @@
             | Self::OwnerUnreachable
             | Self::RetryBudgetSpent
             | Self::QuotaExceeded
-            | Self::QuotaUnknown => true,
+            | Self::QuotaUnknown
+            | Self::SessionSetupRefused => true,
             Self::UnknownService
             | Self::AuthenticationFailed
             | Self::FloorLost
--- a/crates/jujubehold_entry/src/peer_link/frame.rs
+++ b/crates/jujubehold_entry/src/peer_link/frame.rs
@@ -204,6 +204,9 @@
     TooManyLeases = 5,
     /// A field can't be sent to an instance as what it is.
     Unreadable = 6,
+    /// The instance rejected a command that sets the session up. Hosts of versions that do not know the
+    /// reason read it as the first one.
+    SessionSetup = 7,
 }
 
 /// Why it is not known whether a statement ran.
@@ -226,6 +229,7 @@
             Self::Leaving => "leaving",
             Self::TooManyLeases => "too_many_leases",
             Self::Unreadable => "unreadable",
+            Self::SessionSetup => "session_setup",
         }
     }
 }
--- a/crates/jujubehold_entry/src/peer_link/served_lease.rs
+++ b/crates/jujubehold_entry/src/peer_link/served_lease.rs
@@ -233,6 +233,12 @@
             send_reply(link, number, reply, waited);
             true
         }
+        Err(UpstreamError::NotRun(refusal)) => {
+            let reason = refused_reason(&refusal);
+            counter!(OWNER_REFUSALS, "reason" => reason.as_str()).increment(1);
+            send_refusal(link, number, reason, Duration::ZERO);
+            false
+        }
         Err(error) => {
             link.send(number, FrameBody::Failed(failed_reason(&error).into()));
             false
@@ -257,6 +263,15 @@
     link.send(number, FrameBody::Reply(Box::new(message)));
 }
 
+// Why this host's own connection did not run a statement.
+fn refused_reason(refusal: &Refusal) -> RefusedReason {
+    if refusal.reason == RefusalReason::SessionSetupRefused {
+        RefusedReason::SessionSetup
+    } else {
+        RefusedReason::Unreachable
+    }
+}
+
 fn failed_reason(error: &UpstreamError) -> FailedReason {
     match error {
         UpstreamError::TimedOut => FailedReason::TimedOut,
--- a/crates/jujubehold_entry/src/pool/connection.rs
+++ b/crates/jujubehold_entry/src/pool/connection.rs
@@ -8,6 +8,7 @@
 use jujubehold_core::log_position::LogPosition;
 use jujubehold_core::prelude::*;
 use jujubehold_core::statement_name::StatementName;
+use jujubehold_core::wait_policy::WaitPolicy;
 use metrics::counter;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -24,6 +25,8 @@
 const READ_CHUNK_BYTES: usize = 4 * 1024;
 /// If a connection has more prepared statements than this, it is reset.
 const MAX_PREPARED_STATEMENTS: usize = 200;
+/// How long a caller is asked to wait after a session could not be set up on a connection.
+const SETUP_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Why an instance gave no reply on a connection.
 #[derive(Debug, thiserror::Error)]
@@ -43,7 +46,7 @@
     Malformed,
     #[error("the instance did not answer in time")]
     TimedOut,
-    /// An owner stated that the statement did not run, or nothing was sent to it.
+    /// The instance or an owner stated that the statement did not run, or it was not sent.
     #[error("no connection ran the statement: {}", .0.reason.as_str())]
     NotRun(Refusal),
     #[error("the host that owns the connection was lost")]
@@ -187,34 +190,40 @@
 
     /// Runs a statement of a session that has set `values`.
     ///
-    /// Values and prepared statements that the connection lacks are sent ahead of the statement,
-    /// without waiting for replies: the instance runs commands in order.
+    /// The values are set before the statement is sent, since it must not run with others. Its PREPARE
+    /// is sent ahead of it without waiting, since the instance does not run it without one.
     pub(crate) async fn run(
         &mut self,
         statement: &Statement,
         after: Option<LogPosition>,
         values: &SessionValues,
     ) -> Result<UpstreamReply, UpstreamError> {
+        self.set_values(values).await?;
         let mut out = BytesMut::new();
-        let setup_commands = self.encode_session_setup(statement, values, &mut out);
+        let is_preparing = self.encode_preparation(statement, &mut out);
         statement.encode(after, &mut self.codec, &mut out);
-        self.send(&out, setup_commands + 1).await?;
-        for _ in 0..setup_commands {
-            if self.receive().await?.error().is_some() {
-                counter!(SESSION_SETUP_ERRORS).increment(1);
-                self.is_broken = true;
-                return Err(UpstreamError::Malformed);
-            }
+        self.send(&out, 1 + usize::from(is_preparing)).await?;
+        if is_preparing && self.is_setup_refused(1).await? {
+            self.newly_prepared = None;
+            return Err(without_preparation(&self.receive().await?));
         }
         self.receive().await
     }
 
-    fn encode_session_setup(
-        &mut self,
-        statement: &Statement,
-        values: &SessionValues,
-        out: &mut BytesMut,
-    ) -> usize {
+    async fn set_values(&mut self, values: &SessionValues) -> Result<(), UpstreamError> {
+        let mut out = BytesMut::new();
+        let count = self.encode_values(values, &mut out);
+        if count == 0 {
+            return Ok(());
+        }
+        self.send(&out, count).await.map_err(nothing_sent)?;
+        if self.is_setup_refused(count).await.map_err(nothing_sent)? {
+            return Err(setup_refused());
+        }
+        Ok(())
+    }
+
+    fn encode_values(&mut self, values: &SessionValues, out: &mut BytesMut) -> usize {
         let mut count = 0;
         let has_extra_values = self.values.keys().any(|name| !values.contains_key(name));
         if has_extra_values || self.prepared.len() > MAX_PREPARED_STATEMENTS {
@@ -233,15 +242,35 @@
                 count += 1;
             }
         }
-        if let Statement::Prepared { statement, .. } = statement
-            && self.prepared.insert(statement.name().clone())
-        {
+        count
+    }
+
+    // Returns whether the statement needs a preparation first.
+    fn encode_preparation(&mut self, statement: &Statement, out: &mut BytesMut) -> bool {
+        let Statement::Prepared { statement, .. } = statement else {
+            return false;
+        };
+        let is_new = self.prepared.insert(statement.name().clone());
+        if is_new {
             self.codec.encode(&UpstreamCommand::Prepare(statement), out);
             count_setup_command("prepare");
             self.newly_prepared = Some(statement.name().clone());
-            count += 1;
         }
-        count
+        is_new
+    }
+
+    // Receives the replies to setup commands. If one was refused, the connection is closed after its
+    // use, since what is set on it is not known.
+    async fn is_setup_refused(&mut self, count: usize) -> Result<bool, UpstreamError> {
+        let mut is_refused = false;
+        for _ in 0..count {
+            is_refused |= self.receive().await?.error().is_some();
+        }
+        if is_refused {
+            counter!(SESSION_SETUP_ERRORS).increment(1);
+            self.is_broken = true;
+        }
+        Ok(is_refused)
     }
 
     async fn send(&mut self, bytes: &[u8], replies: usize) -> Result<(), UpstreamError> {
@@ -298,6 +327,27 @@
     }
 }
 
+// A statement that ran though its PREPARE was refused ran something else than its caller asked for.
+fn without_preparation(reply: &UpstreamReply) -> UpstreamError {
+    match reply.error() {
+        Some(code) if code.is_not_run() => setup_refused(),
+        Some(_) | None => UpstreamError::Malformed,
+    }
+}
+
+fn setup_refused() -> UpstreamError {
+    not_run(RefusalReason::SessionSetupRefused)
+}
+
+// The statement follows only once the setup is acknowledged.
+fn nothing_sent(_: UpstreamError) -> UpstreamError {
+    not_run(RefusalReason::UpstreamUnreachable)
+}
+
+fn not_run(reason: RefusalReason) -> UpstreamError {
+    UpstreamError::NotRun(WaitPolicy::default().refuse(reason, SETUP_RETRY_DELAY))
+}
+
 fn count_setup_command(command: &'static str) {
     counter!(SESSION_SETUP_COMMANDS, "command" => command).increment(1);
 }
--- a/crates/jujubehold_entry/src/pool/owner_lease.rs
+++ b/crates/jujubehold_entry/src/pool/owner_lease.rs
@@ -203,6 +203,7 @@
             RefusedReason::Unreadable => RefusalReason::ProtocolViolation,
             RefusedReason::NoneFree | RefusedReason::ConnectionLimit => RefusalReason::QueueFull,
             RefusedReason::Unreachable => RefusalReason::UpstreamUnreachable,
+            RefusedReason::SessionSetup => RefusalReason::SessionSetupRefused,
             RefusedReason::NotOwner | RefusedReason::Leaving | RefusedReason::TooManyLeases => {
                 return OwnerError::Elsewhere(reason.as_str());
             }
--- a/crates/jujubehold_standin/src/users_platform/faults.rs
+++ b/crates/jujubehold_standin/src/users_platform/faults.rs
@@ -39,4 +39,8 @@
     pub is_replication_cut: bool,
     /// The answers to commits and writes are lost, and their connections break.
     pub loses_answers: bool,
+    /// The instance rejects every PREPARE, without any effect.
+    pub refuses_prepare: bool,
+    /// The instance rejects every SET, without any effect.
+    pub refuses_set: bool,
 }
--- a/crates/jujubehold_standin/src/users_platform/instance.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance.rs
@@ -30,6 +30,8 @@
     pub opening_count: u32,
     /// The number of statements that were rejected as busy.
     pub busy_rejection_count: u32,
+    /// The number of SET and PREPARE commands that were rejected by a fault.
+    pub setup_rejection_count: u32,
     pub(crate) log: Vec<LogEntry>,
 }
 
@@ -44,6 +46,7 @@
             connections: Cell::new(0),
             opening_count: 0,
             busy_rejection_count: 0,
+            setup_rejection_count: 0,
             log: Vec::new(),
         }
     }
--- a/crates/jujubehold_standin/src/users_platform/instance_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance_server.rs
@@ -248,6 +248,9 @@
         if after.is_some_and(|after| !self.has_position(after)) {
             return Outcome::Error("LAGGING");
         }
+        if self.is_setup_rejected(command) {
+            return Outcome::Error("MALFORMED");
+        }
         match command {
             Command::Begin { is_read_only } => self.begin(is_read_only),
             Command::Commit => self.commit(id),
@@ -322,6 +325,19 @@
         is_rejected_as_busy == Some(true)
     }
 
+    fn is_setup_rejected(&mut self, command: Command<'_>) -> bool {
+        let is_rejected = self.with_instance(|instance| {
+            let is_rejected = match command {
+                Command::Set { .. } => instance.faults.refuses_set,
+                Command::Prepare { .. } => instance.faults.refuses_prepare,
+                _ => false,
+            };
+            instance.setup_rejection_count += u32::from(is_rejected);
+            is_rejected
+        });
+        is_rejected == Some(true)
+    }
+
     fn commit(&mut self, id: &str) -> Outcome {
         if self.is_rejected_as_busy() {
             return Outcome::Error("BUSY");
