Reject statements that are too long for a message to an owner

Callers were told ABORTED connection_lost in transactions that had nothing to do with the cause, and INDOUBT owner_lost for the write that was.

Cause: a statement is sent to an owner with its shape and all values of its session, each of which may have nearly 1 MiB. An owner closes a link that brings a message of more than 1 MiB + 64 KiB, and with it the leases of all sessions on it.

Evidence: with a value and data of 600,000 bytes each, a_long_statement_does_not_end_other_sessions_at_the_owner failed before: the other session's next write was answered "ERROR ABORTED connection_lost".

A statement, its shape and the values of its session have a common bound of 1 MiB + 48 KiB, and the values one of 1 MiB, as they go with BEGIN and COMMIT too. More is told as TOOLARGE at once. The bounds hold on every host, with and without owners, so what one host takes every other one takes; a single statement, shape or value of any length that a message may have still works. Skipping owners for long messages was tried: a host that is no owner has no connections of its own to fall back on, and told its caller queue_full for 20 s.

--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -20,7 +20,7 @@
 use crate::control::expect_operation;
 use crate::metric_names::SESSIONS;
 use crate::phase::Phase;
-use crate::pool::SessionValues;
+use crate::pool::{MAX_STATEMENT_BYTES, MAX_VALUES_BYTES, SessionValues, Statement, values_length};
 use crate::prelude::*;
 use crate::protocol::{
     Access, CallerCodec, CallerMessage, CallerRequest, ErrorCode, LastField, MalformedMessage,
@@ -330,16 +330,36 @@
         if self.values.len() >= MAX_VALUES && !self.values.contains_key(name) {
             return Err(Failure::error(ErrorCode::TooLarge, "too many values"));
         }
-        self.values.insert(name.clone(), value.clone());
+        let earlier = self.values.insert(name.clone(), value.clone());
+        if values_length(&self.values) > MAX_VALUES_BYTES {
+            match earlier {
+                Some(earlier) => self.values.insert(name.clone(), earlier),
+                None => self.values.remove(name),
+            };
+            return Err(Failure::error(
+                ErrorCode::TooLarge,
+                "the values are too long",
+            ));
+        }
         Ok(None)
     }
 
+    // Returns the statement that a request runs, and whether it may change data.
+    fn resolve(&self, request: &CallerRequest) -> Result<(Statement, Access), Failure> {
+        let (statement, access) = self.statements.resolve(request)?;
+        if statement.length() + values_length(&self.values) > MAX_STATEMENT_BYTES {
+            let detail = "the statement and the session's values are too long";
+            return Err(Failure::error(ErrorCode::TooLarge, detail));
+        }
+        Ok((statement, access))
+    }
+
     async fn run_data(
         &mut self,
         request: &CallerRequest,
         arrived_at: Monotonic,
     ) -> Result<UpstreamReply, Failure> {
-        let resolved = self.statements.resolve(request);
+        let resolved = self.resolve(request);
         let Some(mut transaction) = self.transaction.take() else {
             let (statement, access) = resolved?;
             let operation = self.operation(arrived_at)?;
--- a/crates/jujubehold_entry/src/peer_link/framing.rs
+++ b/crates/jujubehold_entry/src/peer_link/framing.rs
@@ -4,9 +4,15 @@
 use prost::Message;
 
 use super::frame::Frame;
+use crate::pool::MAX_STATEMENT_BYTES;
+use crate::protocol::MAX_WORD_BYTES;
 
 /// The maximum length of a message: a line of a caller or an instance, and what is sent with it.
 const MAX_FRAME_BYTES: usize = 1024 * 1024 + 64 * 1024;
+// The longest request: a statement, its id, the instance, the customer, and numbers. One that is longer
+// would end the link, and with it the leases of all sessions that use it.
+const _: () = assert!(MAX_STATEMENT_BYTES + 3 * MAX_WORD_BYTES + 1024 <= MAX_FRAME_BYTES);
+
 /// The length of the prefix, which is a number in network byte order.
 const PREFIX_BYTES: usize = 4;
 
--- a/crates/jujubehold_entry/src/pool/statement.rs
+++ b/crates/jujubehold_entry/src/pool/statement.rs
@@ -10,9 +10,26 @@
     LastField, PreparedStatement, StatementId, UpstreamCodec, UpstreamCommand, Word,
 };
 
+/// The maximum length of a statement's text, of its shape and of all values of its session together.
+/// So a statement that one host runs can be run by every host, and its message to an owner of
+/// connections never exceeds what an owner reads.
+pub(crate) const MAX_STATEMENT_BYTES: usize = 1024 * 1024 + 48 * 1024;
+/// The maximum length of all values of a session. They are sent with its BEGIN and COMMIT too.
+pub(crate) const MAX_VALUES_BYTES: usize = 1024 * 1024;
+/// What a value needs in a message beside its name and its text.
+const VALUE_OVERHEAD_BYTES: usize = 16;
+
 /// The values that a session has set, by name.
 pub(crate) type SessionValues = BTreeMap<Word, LastField>;
 
+/// Returns how long the values are in a message.
+pub(crate) fn values_length(values: &SessionValues) -> usize {
+    let lengths = values
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.bytes().len() + VALUE_OVERHEAD_BYTES);
+    lengths.sum()
+}
+
 /// A caller's statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Statement {
@@ -55,6 +72,21 @@
         }
     }
 
+    /// Returns how long the statement is in a message to an owner.
+    pub(crate) fn length(&self) -> usize {
+        match self {
+            Self::Text { text, .. } => text.bytes().len(),
+            Self::Prepared {
+                statement,
+                arguments,
+                ..
+            } => {
+                let arguments = arguments.as_ref().map_or(0, |text| text.bytes().len());
+                statement.shape().bytes().len() + arguments
+            }
+        }
+    }
+
     /// Encodes the command that runs the statement.
     pub(super) fn encode(
         &self,
