Let entries whose id or service is no word name no instance

Every host stopped serving all services after one instance entry with a space in its id, or in the name of its service, was recorded as a primary: a host that started later never became ready.

Cause: the table of leads has one line for each service, whose words are separated by spaces. Ids and services came from the store as any text, so such a line has too many words or is two lines, and a host that reads one invalid line rejects the whole table. A name with a line break could also have replaced the lead of another service.

Both names become words where an entry is read, so no document, message or START can get others, and the entry names no instance, as the protocol says of entries of other writers. A configured service with such a name has no instances; its routes are answered by BUSY, and all others are served.

Versions side by side: a host of the version before still records such a primary, and the table can then be read by no host, as before.

--- a/crates/jujubehold_entry/src/protocol/directory.rs
+++ b/crates/jujubehold_entry/src/protocol/directory.rs
@@ -23,7 +23,8 @@
     /// Returns an error if the document is invalid. No message contains a caller's key.
     fn configuration(value: &[u8]) -> Result<Configuration, InvalidConfiguration>;
 
-    /// Parses an instance's entry; `None` if it describes no usable instance.
+    /// Parses an instance's entry; `None` if it describes no usable instance, or if its id or the
+    /// name of its service is not a [`Word`](super::Word).
     fn instance(key: &str, value: &[u8]) -> Option<InstanceEntry>;
 }
 
--- a/crates/jujubehold_entry/src/protocol/field.rs
+++ b/crates/jujubehold_entry/src/protocol/field.rs
@@ -53,6 +53,11 @@
     pub fn as_str(&self) -> &str {
         &self.0
     }
+
+    /// Converts the word into its text.
+    pub fn into_text(self) -> SmolStr {
+        self.0
+    }
 }
 
 /// The last field of a message, which extends to its end. It is not empty and contains no control
