State the term of a primary whose id would be read as a term

Every host stopped serving all services after an instance called term=5 was recorded as a primary whose term was not known: a host that started later never became ready.

Cause: a line of the table of leads may end with the word term=NUMBER, which is left out while the term is unknown. The id then was the last word, was read as the term, and left a line without a primary, for which hosts reject the whole table.

The term 0, which means that it is unknown, is written after such an id.

--- a/crates/jujubehold_entry/src/control/lead_document.rs
+++ b/crates/jujubehold_entry/src/control/lead_document.rs
@@ -2,7 +2,7 @@
 //!
 //! One line per service: its name, its primary, during a change the host that makes the change and
 //! `planned` or `lost`, and the primary's term if it is known. The format is short because the table
-//! is read often.
+//! is read often. All names are words, so that no name has a separator of the format.
 
 use std::fmt::Write;
 
@@ -26,7 +26,9 @@
             let kind = if change.is_planned { PLANNED } else { LOST };
             let _ = write!(text, " {} {kind}", change.by);
         }
-        if lead.term > 0 {
+        // Without its term, a primary with such an id would be read as a term.
+        let looks_like_term = lead.primary.starts_with(TERM_PREFIX);
+        if lead.term > 0 || looks_like_term {
             let _ = write!(text, " {TERM_PREFIX}{}", lead.term);
         }
         text.push('\n');
