Refuse statements whose session values lack a name or a value

An owner took a statement whose message has fewer session values than names.

Cause: names and values are two lists of a message between hosts, and what one list has more than the other was left out. The statement would run in another session state than its caller has set.

--- a/crates/jujubehold_entry/src/peer_link/frame.rs
+++ b/crates/jujubehold_entry/src/peer_link/frame.rs
@@ -335,6 +335,9 @@
     type Error = MalformedMessage;
 
     fn try_from(message: &ValuesMessage) -> Result<Self, MalformedMessage> {
+        if message.names.len() != message.values.len() {
+            return Err(MalformedMessage::Unreadable);
+        }
         let pairs = message.names.iter().zip(&message.values);
         pairs
             .map(|(name, value)| Ok((Word::new(name)?, LastField::new(value.clone())?.detached())))
