Refuse statements of a kind that the host does not know

An owner took a statement of an unknown kind for a text.

Cause: a number that names no kind was read as the first one, so the fields of another kind of statement were read as an id and a text.

--- a/crates/jujubehold_entry/src/peer_link/frame.rs
+++ b/crates/jujubehold_entry/src/peer_link/frame.rs
@@ -302,7 +302,9 @@
     /// # Errors
     /// Returns an error if a field can't be sent to an instance as what it is.
     pub(crate) fn statement(&self) -> Result<Option<Statement>, MalformedMessage> {
-        let access = match self.kind() {
+        // A kind of a later version means other fields.
+        let kind = RunKind::try_from(self.kind).map_err(|_| MalformedMessage::Unreadable)?;
+        let access = match kind {
             RunKind::Text => {
                 let id = StatementId::new(&self.id)?;
                 let text = LastField::new(self.text.clone())?;
