Leave out customers whose names are no word, not the whole configuration

Hosts kept their configuration when a newer one had a customer whose name has a space or a line break, and so went on to run dropped routes and to admit revoked keys (CONFIG).

Cause: such a name must not reach an instance, whose START ends it elsewhere, so the document was rejected as a whole. But the store accepts any name, and one customer is no reason to ignore the others.

Customers consist of those whose names are words; the keys of the others identify nobody and can't be another customer's. The test that expected such documents to be invalid, and the one for a customer without a name, are replaced: for the same names and some more, the customer, its key and its quota must not exist, no other customer may get its key, and the rest of the document applies. Contradictions between customers still make a document invalid.

--- a/crates/jujubehold_entry/src/protocol/customers.rs
+++ b/crates/jujubehold_entry/src/protocol/customers.rs
@@ -6,6 +6,7 @@
 use jujubehold_core::quota::QuotaLimit;
 
 use super::caller_key::CallerKey;
+use super::field::Word;
 
 jujubehold_core::value_type! {
     /// The customers of a configuration.
@@ -29,12 +30,6 @@
 /// Why a list of customers is invalid. No message contains a key.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum InvalidCustomers {
-    /// A customer has no name.
-    #[error("a customer has no name")]
-    NoName,
-    /// A customer's name can't be sent to an instance, since it is not one word.
-    #[error("the customer name {0:?} has a space or a control character")]
-    UnusableName(CustomerId),
     /// Two customers have the same name.
     #[error("two customers are named {0}")]
     DuplicateName(CustomerId),
@@ -47,28 +42,25 @@
 }
 
 impl Customers {
-    /// Creates the set of `customers`.
+    /// Creates the set of `customers`, without those whose names can't be sent to an instance because
+    /// they are not a [`Word`]. Their keys identify nobody.
     ///
     /// # Errors
-    /// Returns an error if a name is missing, not unique or not one word, or a key identifies two
-    /// customers.
+    /// Returns an error if a name is not unique, or a key identifies two customers.
     pub fn new(customers: impl IntoIterator<Item = Customer>) -> Result<Self, InvalidCustomers> {
         let mut set = Self::default();
         for customer in customers {
             set.add(customer)?;
         }
+        let quotas = &set.quotas;
+        set.holders.retain(|_, name| quotas.contains_key(name));
         Ok(set)
     }
 
     fn add(&mut self, customer: Customer) -> Result<(), InvalidCustomers> {
         let name = customer.name;
-        if name.is_empty() {
-            return Err(InvalidCustomers::NoName);
-        }
-        if name.chars().any(|c| c.is_whitespace() || c.is_control()) {
-            return Err(InvalidCustomers::UnusableName(name));
-        }
-        if self.quotas.insert(name.clone(), customer.quota).is_some() {
+        let is_usable = Word::new(&name).is_ok();
+        if is_usable && self.quotas.insert(name.clone(), customer.quota).is_some() {
             return Err(InvalidCustomers::DuplicateName(name));
         }
         for key in customer.keys {
