Record the prepared statements that a stand-in database runs

The stand-in ran whatever statement a name stood for, and nothing compared it with what a caller had sent. It now keeps, if its settings ask for it, each prepared statement as it ran: its name on the connection, text, parameters as sent, and the connection's settings when it was prepared and when it ran.

--- a/crates/jujubehold/src/commands/standin_database.rs
+++ b/crates/jujubehold/src/commands/standin_database.rs
@@ -82,5 +82,6 @@
         service_time: HELP.duration_ms(matches, "service-time-ms", default.service_time)?,
         apply_lag: HELP.duration_ms(matches, "lag-ms", default.apply_lag)?,
         directory: None,
+        records_runs: false,
     })
 }
--- a/crates/jujubehold_standin/src/database/extended.rs
+++ b/crates/jujubehold_standin/src/database/extended.rs
@@ -17,6 +17,7 @@
 use super::sql_error::SqlError;
 use super::sql_type::SqlType;
 use super::statement_kind::StatementKind;
+use super::statement_run::StatementRun;
 
 /// The prepared statements and portals of one connection.
 #[derive(Debug, Default)]
@@ -31,6 +32,7 @@
 struct PreparedStatement {
     sql: String,
     description: Description,
+    prepared_under: BTreeMap<String, String>,
 }
 
 #[derive(Debug)]
@@ -39,6 +41,8 @@
     columns: Vec<Column>,
     parameters: Vec<Value>,
     formats: Vec<i16>,
+    /// The statement as it is recorded when the portal runs.
+    run: StatementRun,
     /// The part of the result that has not been sent yet; `None` before the portal is executed.
     outcome: Option<Outcome>,
 }
@@ -89,6 +93,7 @@
         let prepared = PreparedStatement {
             sql: parse.query,
             description,
+            prepared_under: self.settings.clone(),
         };
         self.extended.statements.insert(name, prepared);
         self.buffer_frame(&Frame::encode(&ParseComplete::new()));
@@ -115,7 +120,18 @@
                 None => Value::Null,
             });
         }
+        let sent = bind.parameters.iter();
+        let run = StatementRun {
+            name,
+            sql: prepared.sql.clone(),
+            parameters: sent
+                .map(|value| value.as_ref().map(|bytes| bytes.to_vec()))
+                .collect(),
+            prepared_under: prepared.prepared_under,
+            ran_under: BTreeMap::new(),
+        };
         let portal = Portal {
+            run,
             sql: prepared.sql,
             columns: prepared.description.columns,
             parameters,
@@ -159,9 +175,14 @@
             .portals
             .remove(&name)
             .ok_or_else(|| SqlError::new("34000", format!("no portal named {name}")))?;
-        let mut outcome = match portal.outcome.take() {
-            Some(outcome) => outcome,
-            None => self.run_statement(&portal.sql, &portal.parameters).await?,
+        let mut outcome = if let Some(outcome) = portal.outcome.take() {
+            outcome
+        } else {
+            self.shared.record_run(StatementRun {
+                ran_under: self.settings.clone(),
+                ..portal.run.clone()
+            });
+            self.run_statement(&portal.sql, &portal.parameters).await?
         };
         let limit = usize::try_from(execute.max_rows).unwrap_or(0);
         let count = if limit == 0 {
--- a/crates/jujubehold_standin/src/database/handle.rs
+++ b/crates/jujubehold_standin/src/database/handle.rs
@@ -16,6 +16,7 @@
 use super::instance::Instance;
 use super::settings::DatabaseSettings;
 use super::shared::Shared;
+use super::statement_run::StatementRun;
 use super::{applier, puller, server};
 
 /// A running instance on its own thread, which stops when this handle is dropped.
@@ -80,6 +81,11 @@
         self.shared.statements.load(Ordering::Relaxed)
     }
 
+    /// Returns the prepared statements run so far, if the settings ask for the record.
+    pub fn statement_runs(&self) -> Vec<StatementRun> {
+        self.shared.statement_runs()
+    }
+
     /// Sets the delay between receiving a commit and applying it.
     pub fn set_apply_lag(&self, lag: Duration) {
         set_lag(&self.shared, lag);
--- a/crates/jujubehold_standin/src/database/mod.rs
+++ b/crates/jujubehold_standin/src/database/mod.rs
@@ -26,7 +26,9 @@
 mod sql_text;
 mod sql_type;
 mod statement_kind;
+mod statement_run;
 mod transaction;
 
 pub use handle::{Database, run_database};
 pub use settings::DatabaseSettings;
+pub use statement_run::StatementRun;
--- a/crates/jujubehold_standin/src/database/session.rs
+++ b/crates/jujubehold_standin/src/database/session.rs
@@ -42,7 +42,7 @@
     writer: OwnedWriteHalf,
     write_buffer: BytesMut,
     cancel_requested: Arc<Notify>,
-    settings: BTreeMap<String, String>,
+    pub(crate) settings: BTreeMap<String, String>,
 }
 
 impl Session {
--- a/crates/jujubehold_standin/src/database/settings.rs
+++ b/crates/jujubehold_standin/src/database/settings.rs
@@ -31,6 +31,8 @@
     /// The directory of the database files; `None` creates a temporary one that is removed with the
     /// instance.
     pub directory: Option<PathBuf>,
+    /// Whether to record the prepared statements that run; the record only grows.
+    pub records_runs: bool,
 }
 
 impl Default for DatabaseSettings {
@@ -46,6 +48,7 @@
             service_time: Duration::ZERO,
             apply_lag: Duration::ZERO,
             directory: None,
+            records_runs: false,
         }
     }
 }
--- a/crates/jujubehold_standin/src/database/shared.rs
+++ b/crates/jujubehold_standin/src/database/shared.rs
@@ -10,6 +10,7 @@
 
 use super::instance::Instance;
 use super::settings::DatabaseSettings;
+use super::statement_run::StatementRun;
 
 /// Conditions that can be changed while the instance runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,6 +41,7 @@
     pub(crate) cancellations: Mutex<BTreeMap<i32, Cancellation>>,
     pub(crate) connections: AtomicUsize,
     pub(crate) statements: AtomicUsize,
+    statement_runs: Mutex<Vec<StatementRun>>,
     /// The number of callers' connections with an open transaction or a running statement.
     pub(crate) open_transactions: AtomicU32,
 }
@@ -59,6 +61,7 @@
             cancellations: Mutex::new(BTreeMap::new()),
             connections: AtomicUsize::new(0),
             statements: AtomicUsize::new(0),
+            statement_runs: Mutex::new(Vec::new()),
             open_transactions: AtomicU32::new(0),
             settings,
         }
@@ -94,6 +97,24 @@
         }
     }
 
+    /// Records a prepared statement that is about to run, if the settings ask for it.
+    pub(crate) fn record_run(&self, run: StatementRun) {
+        if self.settings.records_runs {
+            self.locked_runs().push(run);
+        }
+    }
+
+    /// Returns the recorded prepared statements, in the order in which they ran.
+    pub(crate) fn statement_runs(&self) -> Vec<StatementRun> {
+        self.locked_runs().clone()
+    }
+
+    fn locked_runs(&self) -> MutexGuard<'_, Vec<StatementRun>> {
+        self.statement_runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the number of open connections of callers.
     pub(crate) fn connection_count(&self) -> usize {
         self.connections.load(Ordering::Relaxed)
