Send no name of a caller to an upstream, and name statements in one way

Callers could run a prepared statement of another session: a Bind or Describe of a name that the session never prepared was sent to the upstream with that name. The proxy names its statements by a digest of their content, so a caller that sends such a name ran the statement that another session had prepared on that connection, as a read, whatever its class, and without the acknowledgement of a write.

Cause: the name of an unknown statement was kept as text and used as a name on the connection, so that the upstream's error would name it.

Every name that is written to an upstream is now a StatementName, which is made from a content alone; the functions that write Parse, Bind, Describe and Close take nothing else. An unknown statement is bound under the name of the empty list of parts, which no statement has, and the upstream's 26000 is sent on with the caller's name.

--- a/crates/jujubehold_host/src/pool/prepared_names.rs
+++ b/crates/jujubehold_host/src/pool/prepared_names.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use smol_str::SmolStr;
+use jujubehold_core::statement_name::StatementName;
 
 /// The most statements that a connection keeps; the oldest is closed to make room.
 const MAX_STATEMENTS: usize = 256;
@@ -10,13 +10,13 @@
 /// The names of a connection's prepared statements, which are derived from their texts.
 #[derive(Debug, Default)]
 pub struct PreparedNames {
-    names: BTreeSet<SmolStr>,
-    order: VecDeque<SmolStr>,
+    names: BTreeSet<StatementName>,
+    order: VecDeque<StatementName>,
 }
 
 impl PreparedNames {
     /// Returns whether the statement is prepared.
-    pub fn contains(&self, name: &str) -> bool {
+    pub fn contains(&self, name: &StatementName) -> bool {
         self.names.contains(name)
     }
 
@@ -26,7 +26,7 @@
     }
 
     /// Adds a statement; returns the one that must be closed for it, if any.
-    pub fn add(&mut self, name: SmolStr) -> Option<SmolStr> {
+    pub fn add(&mut self, name: StatementName) -> Option<StatementName> {
         if !self.names.insert(name.clone()) {
             return None;
         }
@@ -40,7 +40,7 @@
     }
 
     /// Removes a statement whose preparation failed.
-    pub fn remove(&mut self, name: &str) {
+    pub fn remove(&mut self, name: &StatementName) {
         if self.names.remove(name) {
             self.order.retain(|kept| kept != name);
         }
--- a/crates/jujubehold_host/src/traffic/answer.rs
+++ b/crates/jujubehold_host/src/traffic/answer.rs
@@ -70,12 +70,13 @@
         if plan.is_done() {
             break;
         }
-        let frame = connection
+        let mut frame = connection
             .receive()
             .await
             .map_err(|_| AnswerError::Upstream)?;
         match plan.next_action(&frame) {
             FrameAction::Forward => {}
+            FrameAction::ForwardInstead(error) => frame = error,
             FrameAction::Discard => continue,
             FrameAction::ProxyStatementFailed => {
                 answered.proxy_error = Some(frame);
--- a/crates/jujubehold_host/src/traffic/answer_plan.rs
+++ b/crates/jujubehold_host/src/traffic/answer_plan.rs
@@ -3,16 +3,20 @@
 use std::collections::VecDeque;
 
 use bytes::BytesMut;
+use jujubehold_core::statement_name::StatementName;
 use jujubehold_pg::{Frame, backend, close_complete, parse_complete};
 use smol_str::SmolStr;
 
+use super::answer::sqlstate;
+use super::caller_error::{UNKNOWN_STATEMENT_SQLSTATE, unknown_statement_error};
+
 /// A message whose answer is outstanding.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Step {
     /// The caller's Parse of the statement with this upstream name.
-    Parse(SmolStr),
+    Parse(StatementName),
     /// A Parse that the proxy added.
-    ProxyParse(SmolStr),
+    ProxyParse(StatementName),
     /// A Close that the proxy added.
     ProxyClose,
     /// The caller's Parse of a statement that is already prepared on the connection.
@@ -23,6 +27,8 @@
     Bind,
     /// A Describe.
     Describe,
+    /// A Bind or Describe of a statement that the caller, who names it so, never prepared.
+    Unknown(SmolStr),
     /// An Execute.
     Execute,
     /// A Close of a portal.
@@ -34,10 +40,12 @@
 }
 
 /// What to do with a message of the upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum FrameAction {
     /// Forward it to the caller.
     Forward,
+    /// Forward this error, which names a statement as the caller does.
+    ForwardInstead(Frame),
     /// Discard it, because it answers a message that the proxy added.
     Discard,
     /// It rejects a statement that the proxy added; the caller's did not run.
@@ -52,7 +60,7 @@
 #[derive(Debug)]
 pub(crate) struct AnswerPlan {
     steps: VecDeque<Step>,
-    failed: Vec<SmolStr>,
+    failed: Vec<StatementName>,
 }
 
 impl AnswerPlan {
@@ -82,7 +90,7 @@
     }
 
     /// Returns the names of statements whose preparation failed.
-    pub(crate) fn failed_statements(&self) -> &[SmolStr] {
+    pub(crate) fn failed_statements(&self) -> &[StatementName] {
         &self.failed
     }
 
@@ -92,13 +100,9 @@
             backend::NOTICE_RESPONSE | backend::PARAMETER_STATUS => return FrameAction::Forward,
             backend::NOTIFICATION_RESPONSE => return FrameAction::Discard,
             backend::ERROR_RESPONSE => {
-                let is_proxy_statement = self.steps.front() == Some(&Step::ProxyStatement);
+                let action = self.error_action(frame);
                 self.skip_to_ready();
-                return if is_proxy_statement {
-                    FrameAction::ProxyStatementFailed
-                } else {
-                    FrameAction::Forward
-                };
+                return action;
             }
             _ => {}
         }
@@ -140,6 +144,16 @@
         action
     }
 
+    fn error_action(&self, frame: &Frame) -> FrameAction {
+        match self.steps.front() {
+            Some(Step::ProxyStatement) => FrameAction::ProxyStatementFailed,
+            Some(Step::Unknown(name)) if sqlstate(frame) == UNKNOWN_STATEMENT_SQLSTATE => {
+                FrameAction::ForwardInstead(unknown_statement_error(name))
+            }
+            _ => FrameAction::Forward,
+        }
+    }
+
     // After an error the upstream ignores everything up to the Sync.
     fn skip_to_ready(&mut self) {
         while let Some(step) = self.steps.front() {
--- a/crates/jujubehold_host/src/traffic/caller_error.rs
+++ b/crates/jujubehold_host/src/traffic/caller_error.rs
@@ -12,6 +12,8 @@
     "Ask again under the same name, at any host: it runs once at the most.";
 /// PostgreSQL's code of a unique violation: the record's key already exists.
 const ALREADY_RAN_SQLSTATE: &str = "23505";
+/// PostgreSQL's code for a name under which no statement is prepared.
+pub(crate) const UNKNOWN_STATEMENT_SQLSTATE: &str = "26000";
 
 /// Creates the error for a request that was not run, with the time after which to retry.
 pub(crate) fn refusal_error(refusal: &Refusal) -> Frame {
@@ -59,6 +61,16 @@
     })
 }
 
+/// Creates the error for a prepared statement that the session does not have.
+pub(crate) fn unknown_statement_error(name: &str) -> Frame {
+    error_response(ErrorFields {
+        severity: "ERROR".into(),
+        sqlstate: UNKNOWN_STATEMENT_SQLSTATE.into(),
+        message: format!("prepared statement \"{name}\" does not exist"),
+        ..ErrorFields::default()
+    })
+}
+
 fn unknown_with_severity(reason: UnknownReason, severity: &str, hint: &str) -> Frame {
     let name = reason.as_str();
     error_response(ErrorFields {
--- a/crates/jujubehold_host/src/traffic/message_batch.rs
+++ b/crates/jujubehold_host/src/traffic/message_batch.rs
@@ -4,6 +4,7 @@
 
 use bytes::BytesMut;
 use jujubehold_core::prelude::*;
+use jujubehold_core::statement_name::StatementName;
 use jujubehold_pg::{
     Frame, bind_to, close_statement, combine, describe_statement, flush, parse, query, sync,
 };
@@ -204,12 +205,12 @@
             } => {
                 let name = statement.prepare_on(connection, out, steps);
                 bind_to(out, portal, &name, rest);
-                steps.push(Step::Bind);
+                steps.push(statement.step(Step::Bind));
             }
             Self::DescribeStatement(statement) => {
                 let name = statement.prepare_on(connection, out, steps);
                 describe_statement(out, &name);
-                steps.push(Step::Describe);
+                steps.push(statement.step(Step::Describe));
             }
             Self::DescribePortal(frame) => {
                 out.extend_from_slice(frame.bytes());
@@ -240,7 +241,7 @@
         connection: &mut CheckedOutConnection,
         out: &mut BytesMut,
         steps: &mut Vec<Step>,
-    ) -> SmolStr {
+    ) -> StatementName {
         match self {
             Self::Known(prepared) => {
                 if !connection.prepared().contains(&prepared.upstream_name) {
@@ -249,8 +250,17 @@
                 }
                 prepared.upstream_name.clone()
             }
-            // The upstream's error then names the statement as the caller does.
-            Self::Unknown(name) => name.clone(),
+            // The name of no statement, since a name of the caller's may be that of another
+            // session's statement. The upstream's error is sent with the caller's name.
+            Self::Unknown(_) => StatementName::new([]),
+        }
+    }
+
+    // Returns the step for a message about the statement, which is `step` if it is known.
+    fn step(&self, step: Step) -> Step {
+        match self {
+            Self::Known(_) => step,
+            Self::Unknown(name) => Step::Unknown(name.clone()),
         }
     }
 }
--- a/crates/jujubehold_host/src/traffic/prepared_statement.rs
+++ b/crates/jujubehold_host/src/traffic/prepared_statement.rs
@@ -1,20 +1,14 @@
 //! A caller's prepared statement.
 
-use std::fmt::Write;
-
 use bytes::Bytes;
 use jujubehold_core::prelude::*;
-use sha2::{Digest, Sha256};
-use smol_str::SmolStr;
-
-/// How many bytes of the hash a statement name contains.
-const NAME_HASH_BYTES: usize = 16;
+use jujubehold_core::statement_name::StatementName;
 
 /// A statement that a caller prepared, independent of the connection that it runs on.
 #[derive(Debug)]
 pub(crate) struct PreparedStatement {
     /// The statement's name on every upstream connection.
-    pub(crate) upstream_name: SmolStr,
+    pub(crate) upstream_name: StatementName,
     /// The content of its Parse message after the name.
     pub(crate) text_and_types: Bytes,
     // The length of the text at the start of `text_and_types`.
@@ -26,14 +20,8 @@
 impl PreparedStatement {
     /// Creates a statement from the content of its Parse message after the name.
     pub(crate) fn new(text_and_types: Bytes, text_bytes: usize, class: StatementClass) -> Self {
-        // A collision would run another caller's statement, so the hash must be cryptographic.
-        let digest = Sha256::digest(&text_and_types);
-        let mut upstream_name = String::from("jb");
-        for byte in &digest[..NAME_HASH_BYTES] {
-            let _ = write!(upstream_name, "{byte:02x}");
-        }
         Self {
-            upstream_name: upstream_name.into(),
+            upstream_name: StatementName::new([&text_and_types[..]]),
             text_and_types,
             text_bytes,
             class,
--- a/crates/jujubehold_host/src/traffic/read_attempt.rs
+++ b/crates/jujubehold_host/src/traffic/read_attempt.rs
@@ -253,7 +253,7 @@
                 return status == b'I';
             }
             FrameAction::Unexpected | FrameAction::ProxyStatementFailed => return false,
-            FrameAction::Forward | FrameAction::Discard => {}
+            FrameAction::Forward | FrameAction::ForwardInstead(_) | FrameAction::Discard => {}
         }
     }
     false
--- a/crates/jujubehold_host/tests/traffic/support.rs
+++ b/crates/jujubehold_host/tests/traffic/support.rs
@@ -15,7 +15,7 @@
 use jujubehold_host::shared::Shared;
 use jujubehold_host::traffic::{TrafficThreads, accept_callers};
 use jujubehold_settings::HostSettings;
-use jujubehold_standin::database::{Database, DatabaseSettings};
+use jujubehold_standin::database::{Database, DatabaseSettings, StatementRun};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio_postgres::{Client, Error, NoTls, SimpleQueryMessage};
@@ -61,6 +61,7 @@
                 connect_cost: Duration::ZERO,
                 slots: 16,
                 connection_limit: 100,
+                records_runs: true,
                 ..DatabaseSettings::default()
             };
             databases.push(Database::start(settings).await.expect("a stand-in starts"));
@@ -157,6 +158,14 @@
         control.publish();
     }
 
+    /// Returns the prepared statements that ran, at one instance after the other.
+    pub(crate) fn statement_runs(&self) -> Vec<StatementRun> {
+        self.databases
+            .iter()
+            .flat_map(Database::statement_runs)
+            .collect()
+    }
+
     /// Opens a caller's session.
     pub(crate) async fn connect(&self) -> Client {
         connect(self.address, "").await
--- a/crates/jujubehold_pg/src/extended.rs
+++ b/crates/jujubehold_pg/src/extended.rs
@@ -1,6 +1,7 @@
 //! Messages of the extended query protocol, decoded as far as statement and portal names.
 
 use bytes::{BufMut, Bytes, BytesMut};
+use jujubehold_core::statement_name::StatementName;
 use smol_str::SmolStr;
 
 use crate::frame::{Frame, FrameError, frontend};
@@ -126,28 +127,31 @@
 
 /// Writes a Parse message that prepares a statement as `name`; `text_and_types` is that of
 /// [`ExtendedMessage::Parse`].
-pub fn parse(out: &mut BytesMut, name: &str, text_and_types: &[u8]) {
+pub fn parse(out: &mut BytesMut, name: &StatementName, text_and_types: &[u8]) {
     put_message(
         out,
         frontend::PARSE,
-        &[name.as_bytes(), b"\0", text_and_types],
+        &[name.as_str().as_bytes(), b"\0", text_and_types],
     );
 }
 
 /// Writes a Bind message for the statement `name`; `rest` is that of [`ExtendedMessage::Bind`].
-pub fn bind_to(out: &mut BytesMut, portal: &str, name: &str, rest: &[u8]) {
-    let parts = [portal.as_bytes(), b"\0", name.as_bytes(), b"\0", rest];
+pub fn bind_to(out: &mut BytesMut, portal: &str, name: &StatementName, rest: &[u8]) {
+    let name = name.as_str().as_bytes();
+    let parts = [portal.as_bytes(), b"\0", name, b"\0", rest];
     put_message(out, frontend::BIND, &parts);
 }
 
 /// Writes a Describe message for the statement `name`.
-pub fn describe_statement(out: &mut BytesMut, name: &str) {
-    put_message(out, frontend::DESCRIBE, &[b"S", name.as_bytes(), b"\0"]);
+pub fn describe_statement(out: &mut BytesMut, name: &StatementName) {
+    let name = name.as_str().as_bytes();
+    put_message(out, frontend::DESCRIBE, &[b"S", name, b"\0"]);
 }
 
 /// Writes a Close message for the statement `name`.
-pub fn close_statement(out: &mut BytesMut, name: &str) {
-    put_message(out, frontend::CLOSE, &[b"S", name.as_bytes(), b"\0"]);
+pub fn close_statement(out: &mut BytesMut, name: &StatementName) {
+    let name = name.as_str().as_bytes();
+    put_message(out, frontend::CLOSE, &[b"S", name, b"\0"]);
 }
 
 /// Writes a Sync message.
