Refuse commands on prepared statements that only the upstream sees

Callers could run a prepared statement of another session on a shared connection, by EXPLAIN EXECUTE, EXPLAIN (ANALYZE) EXECUTE and CREATE TABLE AS EXECUTE, and remove those of all sessions by a DEALLOCATE ALL after a text that the tokenizer rejects and PostgreSQL accepts (U&'\q' UESCAPE '!'). The host then believed that names are prepared which the connection no longer has.

Cause: only the first word of a statement was looked at, a text that could not be tokenized counted as one write whatever it held, and the tokenizer ends a hexadecimal string later than PostgreSQL does.

Evidence: statements_that_only_the_upstream_sees_are_unsupported listed seven such texts before; commands_on_prepared_statements_are_refused failed, through sockets, on EXPLAIN (ANALYZE) EXECUTE. Both pass now.

A text that can't be tokenized is judged by the tokens before the failure, and is unsupported if it may have several statements. A single text of that kind is still sent, so that its error comes from the upstream.

--- a/crates/jujubehold_host/tests/traffic/statement_names.rs
+++ b/crates/jujubehold_host/tests/traffic/statement_names.rs
@@ -44,3 +44,43 @@
     run(&client, "BEGIN").await;
     assert_eq!(text(&client, "SELECT n FROM counter").await, "1");
 }
+
+// Statements of SQL that name prepared statements reach those of other sessions, or remove them
+// from a connection that believes that it has them.
+#[actix_rt::test]
+async fn commands_on_prepared_statements_are_refused() {
+    let mut fixture = Fixture::start(ServiceConfig::default()).await;
+    fixture.create_counter().await;
+    let mut owner = RawCaller::connect(&fixture, &[]).await;
+    owner.parse("s", INCREMENT).bind("s", &[]).execute();
+    owner.sync().await;
+    let runs = fixture.statement_runs();
+    let name = &runs.last().unwrap().name;
+    let mut other = RawCaller::connect(&fixture, &[]).await;
+    for command in [
+        format!("PREPARE {name} AS SELECT 1"),
+        format!("EXECUTE {name}"),
+        format!("/* a comment */ EXECUTE {name}"),
+        format!("SELECT 1; EXECUTE {name}"),
+        format!("EXPLAIN ANALYZE EXECUTE {name}"),
+        format!("EXPLAIN (ANALYZE, COSTS off) EXECUTE {name}"),
+        format!("EXPLAIN EXECUTE {name}"),
+        format!("CREATE TABLE copied AS EXECUTE {name}"),
+        format!("EXPLAIN ANALYZE CREATE TABLE copied AS EXECUTE {name}"),
+        format!("DEALLOCATE {name}"),
+        "DEALLOCATE ALL".to_owned(),
+        "DEALLOCATE PREPARE ALL".to_owned(),
+        "DISCARD ALL".to_owned(),
+        "SELECT 1; DISCARD ALL".to_owned(),
+        // Valid for the upstream, but not for the proxy's tokenizer.
+        "SELECT U&'!0041\\q' UESCAPE '!'; DEALLOCATE ALL".to_owned(),
+        "DEALLOCATE U&\"\\q\" UESCAPE '!'".to_owned(),
+    ] {
+        let answer = other.query(&command).ask().await;
+        assert_eq!(error_code(&answer), "0A000", "{command}");
+        let answer = other.parse("", &command).bind("", &[]).execute().sync();
+        assert_eq!(error_code(&answer.await), "0A000", "{command}");
+    }
+    owner.bind("s", &[]).execute();
+    assert_eq!(error_code(&owner.sync().await), "");
+}
--- a/crates/jujubehold_pg/src/classify.rs
+++ b/crates/jujubehold_pg/src/classify.rs
@@ -17,8 +17,9 @@
 ///
 /// A single statement that can't be parsed is a write.
 pub fn classify(sql: &str) -> StatementClass {
-    let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize() else {
-        return StatementClass::Write;
+    let tokenized = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize();
+    let Some(tokens) = tokenized.ok().filter(|tokens| !may_hide_text(tokens)) else {
+        return classify_untokenized(sql);
     };
     if has_unsupported_statement(&tokens) {
         return StatementClass::Unsupported;
@@ -131,6 +132,30 @@
     }
 }
 
+// The upstream may find statements where the tokenizer fails, for example after `U&'\q' UESCAPE '!'`.
+fn classify_untokenized(sql: &str) -> StatementClass {
+    let mut before_failure = Vec::new();
+    // The tokens before the failure are judged; the rest is not known.
+    let _ = Tokenizer::new(&PostgreSqlDialect {}, sql)
+        .tokenize_with_location_into_buf(&mut before_failure);
+    let tokens: Vec<_> = before_failure
+        .into_iter()
+        .map(|token| token.token)
+        .collect();
+    let has_one_statement = !sql.trim_end().trim_end_matches(';').contains(';');
+    if has_one_statement && !has_unsupported_statement(&tokens) {
+        StatementClass::Write
+    } else {
+        StatementClass::Unsupported
+    }
+}
+
+// The tokenizer skips a quote after a backslash in a hexadecimal string; the upstream does not.
+fn may_hide_text(tokens: &[Token]) -> bool {
+    let mut tokens = tokens.iter();
+    tokens.any(|token| matches!(token, Token::HexStringLiteral(text) if text.contains('\'')))
+}
+
 // Several statements that can't be parsed are unsupported because a commit may be among them.
 fn classify_unparsed(tokens: &[Token]) -> StatementClass {
     let mut statements = tokens
@@ -155,6 +180,7 @@
 // Detects statements that leave state on a connection that the next caller would see.
 fn has_unsupported_statement(tokens: &[Token]) -> bool {
     let mut starts_statement = true;
+    let mut creates = false;
     let mut previous = None;
     let significant: Vec<_> = tokens
         .iter()
@@ -162,7 +188,16 @@
         .collect();
     for (index, token) in significant.iter().enumerate() {
         let next = significant.get(index + 1).copied();
-        if starts_statement && is_unsupported_start(token, next) {
+        if starts_statement
+            && (is_unsupported_start(token, next) || explains_execute(&significant[index..]))
+        {
+            return true;
+        }
+        if starts_statement {
+            creates = is_word(Some(token), "create") || is_word(Some(token), "explain");
+        }
+        // `CREATE TABLE … AS EXECUTE …` runs a prepared statement as well.
+        if creates && is_word(Some(token), "execute") && is_word(previous, "as") {
             return true;
         }
         let is_hold = is_word(Some(token), "hold") && is_word(previous, "with");
@@ -198,6 +233,25 @@
     }
 }
 
+// Returns whether a statement explains a prepared statement, which `ANALYZE` would run.
+fn explains_execute(statement: &[&Token]) -> bool {
+    let Some((first, mut rest)) = statement.split_first() else {
+        return false;
+    };
+    if !is_word(Some(first), "explain") {
+        return false;
+    }
+    if rest.first() == Some(&&Token::LParen) {
+        let end = rest.iter().position(|token| **token == Token::RParen);
+        rest = end.map_or(&[], |end| &rest[end + 1..]);
+    }
+    let options = ["analyze", "analyse", "verbose"];
+    let explained = rest
+        .iter()
+        .find(|token| !options.iter().any(|word| is_word(Some(token), word)));
+    is_word(explained.copied(), "execute")
+}
+
 fn is_session_command(tokens: &[Token]) -> bool {
     let mut significant = tokens.iter().filter(|token| !is_whitespace(token));
     let first = significant.next();
--- a/crates/jujubehold_pg/tests/classify.rs
+++ b/crates/jujubehold_pg/tests/classify.rs
@@ -63,6 +63,57 @@
     }
 }
 
+// Statements that the upstream found where the tokenizer saw none removed or ran other sessions'
+// prepared statements.
+#[test]
+fn statements_that_only_the_upstream_sees_are_unsupported() {
+    let cases = [
+        "SELECT U&'\\q' UESCAPE '!'; DEALLOCATE ALL",
+        "SELECT U&'\\' UESCAPE '!'; DEALLOCATE ALL; --'",
+        "DEALLOCATE U&\"\\q\" UESCAPE '!'",
+        "EXPLAIN EXECUTE a",
+        "EXPLAIN ANALYZE EXECUTE a",
+        "EXPLAIN ANALYZE VERBOSE EXECUTE a",
+        "EXPLAIN ANALYSE EXECUTE a",
+        "EXPLAIN (ANALYZE, FORMAT json) EXECUTE a",
+        "CREATE TABLE b AS EXECUTE a",
+        "EXPLAIN ANALYZE CREATE TABLE b AS EXECUTE a",
+        "SELECT 1 AS \u{a0}$b$; DEALLOCATE ALL; --$b$",
+        "SELECT 1 AS \u{3000}$b$; DEALLOCATE ALL; --$b$",
+        "SELECT 1 AS \u{2028}$b$; DEALLOCATE ALL; --$b$",
+        "SELECT 1 AS a$b$; DEALLOCATE ALL; --$b$",
+        "SELECT 1 AS a\u{300}$b$; DEALLOCATE ALL; --$b$",
+        "SELECT 'a\\'; DEALLOCATE ALL; --'",
+        "SELECT E'a\\''; DEALLOCATE ALL; --'",
+        "SELECT E'a\\\\'; DEALLOCATE ALL; --'",
+        "SELECT B'1\\'; DEALLOCATE ALL; --'",
+        "SELECT X'1\\'; DEALLOCATE ALL; --'",
+        "SELECT N'1\\'; DEALLOCATE ALL; --'",
+        "SELECT R'1\\'; DEALLOCATE ALL; --'",
+        "SELECT \"a\\\"; DEALLOCATE ALL; --\"",
+        "SELECT `1; DEALLOCATE ALL; --`",
+        "SELECT 1 # 2; DEALLOCATE ALL",
+        "SELECT 1 // 2; DEALLOCATE ALL",
+        "/* /* */ */ DEALLOCATE ALL",
+        "SELECT 1 /* '*/; DEALLOCATE ALL; --'",
+        "SELECT 1 -- '\n; DEALLOCATE ALL; --'",
+        "SELECT 1 --\r; DEALLOCATE ALL",
+        "SELECT $a$ $b$ $a$; DEALLOCATE ALL; --$b$",
+        "SELECT ''''; DEALLOCATE ALL",
+        "SELECT q'[a]'; DEALLOCATE ALL",
+        "SELECT \"\"\"\"; DEALLOCATE ALL; --\"",
+        "SELECT 1;\u{c}DEALLOCATE ALL",
+        "SELECT 1;\u{b}DEALLOCATE ALL",
+    ];
+    let missed: Vec<_> = cases
+        .into_iter()
+        .filter(|sql| classify(sql) != Unsupported)
+        .collect();
+    assert!(missed.is_empty(), "{missed:#?}");
+    assert_eq!(classify("SELECT 1 AS execute FROM t"), Read);
+    assert_eq!(classify("SELECT 'not closed"), Write);
+}
+
 #[test]
 fn the_cache_is_bounded_and_keeps_recent_texts() {
     let classifier = Classifier::default();
