Class EXPLAIN (ANALYZE) by the statement that it runs

Callers that sent EXPLAIN (ANALYZE) of a write had it run as a read: on the primary without the acknowledgement of a write, and again after a broken connection.

Cause: an ANALYZE in parentheses is an option of the parsed statement, and only the one without parentheses was looked at.

Evidence: an_explain_that_runs_a_write_is_a_write failed before (Read for EXPLAIN (ANALYZE) DELETE FROM t) and passes now. An ANALYZE that is switched off counts as well, which is safe and costs a confirmation.

--- a/crates/jujubehold_pg/src/classify.rs
+++ b/crates/jujubehold_pg/src/classify.rs
@@ -5,7 +5,7 @@
 
 use jujubehold_core::statement::StatementClass;
 use sqlparser::ast::{
-    CreateTable, Query, SetExpr, Statement, TransactionAccessMode, TransactionMode,
+    CreateTable, Query, SetExpr, Statement, TransactionAccessMode, TransactionMode, UtilityOption,
 };
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
@@ -78,9 +78,13 @@
     match statement {
         Statement::Query(query) if is_read_query(query) => StatementClass::Read,
         Statement::Explain {
-            analyze, statement, ..
+            analyze,
+            statement,
+            options,
+            ..
         } => {
-            if *analyze {
+            let mut options = options.iter().flatten();
+            if *analyze || options.any(is_analyze) {
                 classify_one(statement)
             } else {
                 StatementClass::Read
@@ -115,6 +119,12 @@
     }
 }
 
+// Returns whether an option runs the explained statement; one that is off counts as well.
+fn is_analyze(option: &UtilityOption) -> bool {
+    let name = &option.name.value;
+    name.eq_ignore_ascii_case("analyze") || name.eq_ignore_ascii_case("analyse")
+}
+
 fn is_read_query(query: &Query) -> bool {
     let mut common_tables = query.with.iter().flat_map(|with| &with.cte_tables);
     query.locks.is_empty()
--- a/crates/jujubehold_pg/tests/classify.rs
+++ b/crates/jujubehold_pg/tests/classify.rs
@@ -114,6 +114,23 @@
     assert_eq!(classify("SELECT 'not closed"), Write);
 }
 
+// An ANALYZE in parentheses was not seen, so that the write that it runs counted as a read.
+#[test]
+fn an_explain_that_runs_a_write_is_a_write() {
+    for sql in [
+        "EXPLAIN (ANALYZE) DELETE FROM t",
+        "EXPLAIN (VERBOSE, ANALYZE true) INSERT INTO t VALUES (1)",
+        "EXPLAIN (\"analyze\") DELETE FROM t",
+        "EXPLAIN (ANALYSE) DELETE FROM t",
+        "EXPLAIN ANALYSE DELETE FROM t",
+        "explain (costs off, analyze on) update t set a = 1",
+    ] {
+        assert_eq!(classify(sql), Write, "{sql}");
+    }
+    assert_eq!(classify("EXPLAIN (COSTS off) DELETE FROM t"), Read);
+    assert_eq!(classify("EXPLAIN (ANALYZE) SELECT 1"), Read);
+}
+
 #[test]
 fn the_cache_is_bounded_and_keeps_recent_texts() {
     let classifier = Classifier::default();
