Refuse statements whose text is not UTF-8

Callers that sent a text with bytes that are not UTF-8 had it classified as an empty text, and then sent as it was: a write or a DISCARD ALL ran as a read, on an upstream whose database accepts such bytes.

Cause: the text that was judged was not the text that was sent.

Evidence: a_text_that_is_not_utf8_is_not_sent failed before (the text was sent and answered) and passes now: such a message is answered by 08P01 and ends its session, as every malformed message does.

--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -127,7 +127,9 @@
         match frame.tag() {
             frontend::TERMINATE => Err(FrameError::Truncated),
             frontend::QUERY => {
-                let text = frame.first_text().unwrap_or_default();
+                let Some(text) = frame.first_text() else {
+                    return self.end_malformed("a text that is not UTF-8").await;
+                };
                 let class = classify(text);
                 let is_single = !text.trim_end().trim_end_matches(';').contains(';');
                 self.run_batch(MessageBatch::simple(frame, class, is_single))
@@ -136,15 +138,19 @@
             frontend::COPY_DATA | frontend::COPY_DONE | frontend::COPY_FAIL => Ok(()),
             _ => {
                 let Ok(Some(message)) = ExtendedMessage::read(&frame) else {
-                    self.put_refusal(&refusal(RefusalReason::ProtocolViolation));
-                    self.io.flush().await?;
-                    return Err(FrameError::Malformed("unknown message".to_owned()));
+                    return self.end_malformed("unknown message").await;
                 };
                 self.add_to_pipeline(message, frame).await
             }
         }
     }
 
+    async fn end_malformed(&mut self, problem: &str) -> Result<(), FrameError> {
+        self.put_refusal(&refusal(RefusalReason::ProtocolViolation));
+        self.io.flush().await?;
+        Err(FrameError::Malformed(problem.to_owned()))
+    }
+
     /// Runs a batch and sends an error to the caller if it fails.
     pub(crate) async fn run_batch(&mut self, mut batch: MessageBatch) -> Result<(), FrameError> {
         batch.arrived_at = self.shared.clock.now();
--- a/crates/jujubehold_host/tests/traffic/malformed.rs
+++ b/crates/jujubehold_host/tests/traffic/malformed.rs
@@ -7,6 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::raw_caller::{RawCaller, error_code};
 use crate::support::{Fixture, HANG_TIMEOUT, text};
 
 async fn start_session(fixture: &Fixture) -> TcpStream {
@@ -124,3 +125,20 @@
     let error = String::from_utf8_lossy(last.body()).into_owned();
     assert!(error.contains("FATAL"), "{error}");
 }
+
+// A text that is not UTF-8 was classified as an empty one, and a write in it ran as a read.
+#[actix_rt::test]
+async fn a_text_that_is_not_utf8_is_not_sent() {
+    let mut fixture = Fixture::start(ServiceConfig::default()).await;
+    fixture.create_counter().await;
+    let text = b"UPDATE counter SET n = 1 -- \xff\0";
+    let mut caller = RawCaller::connect(&fixture, &[]).await;
+    assert_eq!(error_code(&caller.put(b'Q', &[text]).ask().await), "08P01");
+    let mut caller = RawCaller::connect(&fixture, &[]).await;
+    caller.put(b'P', &[b"\0", text, b"\0\0"]);
+    assert_eq!(
+        error_code(&caller.bind("", &[]).execute().sync().await),
+        "08P01"
+    );
+    assert!(fixture.statement_runs().is_empty());
+}
--- a/crates/jujubehold_pg/src/extended.rs
+++ b/crates/jujubehold_pg/src/extended.rs
@@ -60,6 +60,8 @@
             frontend::PARSE => {
                 let (name, text_and_types) = split_text(&body)?;
                 let text_bytes = find_terminator(&text_and_types)?;
+                std::str::from_utf8(&text_and_types[..text_bytes])
+                    .map_err(|error| FrameError::Malformed(error.to_string()))?;
                 Self::Parse {
                     name,
                     text_and_types,
