Make the settings of a connection part of a statement's name

Callers whose session has settings of its own could run a statement that was prepared under those of another session. PostgreSQL reads literals when it prepares a statement: a time without a zone by the TimeZone of that moment, a date by the DateStyle, and `a = NULL` by transform_null_equals. The same text of two sessions then gave one of them values that were read by the other's settings.

Cause: text and parameter types were taken for the whole content of a statement, while the settings of a shared connection change with the session that uses it.

Evidence: a_statement_runs_under_the_settings_that_it_was_prepared_under failed before (prepared under Asia/Tokyo, run under none) and passes now. The stand-in does not read literals; it records the settings at both moments.

Two settings now give one text two names on a connection. A connection without settings keeps the names that it has. The class is a function of the text, and a search path is looked up again by the upstream; both are part of the name anyway. Left: SET LOCAL ahead of a Parse within a transaction changes a connection's settings unseen, and the statement stays prepared under them.

--- a/crates/jujubehold_host/src/traffic/message_batch.rs
+++ b/crates/jujubehold_host/src/traffic/message_batch.rs
@@ -191,11 +191,12 @@
     ) {
         match self {
             Self::Parse(prepared) => {
-                if connection.prepared().contains(&prepared.upstream_name) {
+                let name = prepared.name_under(connection.settings());
+                if connection.prepared().contains(&name) {
                     steps.push(Step::SynthesizeParseComplete);
                 } else {
-                    prepare(prepared, connection, out, steps);
-                    steps.push(Step::Parse(prepared.upstream_name.clone()));
+                    prepare(prepared, &name, connection, out, steps);
+                    steps.push(Step::Parse(name));
                 }
             }
             Self::Bind {
@@ -244,11 +245,12 @@
     ) -> StatementName {
         match self {
             Self::Known(prepared) => {
-                if !connection.prepared().contains(&prepared.upstream_name) {
-                    prepare(prepared, connection, out, steps);
-                    steps.push(Step::ProxyParse(prepared.upstream_name.clone()));
+                let name = prepared.name_under(connection.settings());
+                if !connection.prepared().contains(&name) {
+                    prepare(prepared, &name, connection, out, steps);
+                    steps.push(Step::ProxyParse(name.clone()));
                 }
-                prepared.upstream_name.clone()
+                name
             }
             // The name of no statement, since a name of the caller's may be that of another
             // session's statement. The upstream's error is sent with the caller's name.
@@ -267,17 +269,18 @@
 
 fn prepare(
     prepared: &PreparedStatement,
+    name: &StatementName,
     connection: &mut CheckedOutConnection,
     out: &mut BytesMut,
     steps: &mut Vec<Step>,
 ) {
     if connection.may_have_unlisted_statements() {
-        close_statement(out, &prepared.upstream_name);
+        close_statement(out, name);
         steps.push(Step::ProxyClose);
     }
-    if let Some(oldest) = connection.prepared().add(prepared.upstream_name.clone()) {
+    if let Some(oldest) = connection.prepared().add(name.clone()) {
         close_statement(out, &oldest);
         steps.push(Step::ProxyClose);
     }
-    parse(out, &prepared.upstream_name, &prepared.text_and_types);
+    parse(out, name, &prepared.text_and_types);
 }
--- a/crates/jujubehold_host/tests/traffic/statement_names.rs
+++ b/crates/jujubehold_host/tests/traffic/statement_names.rs
@@ -84,3 +84,32 @@
     owner.bind("s", &[]).execute();
     assert_eq!(error_code(&owner.sync().await), "");
 }
+
+// A literal was read by the time zone of the session that had prepared the same text first.
+#[actix_rt::test]
+async fn a_statement_runs_under_the_settings_that_it_was_prepared_under() {
+    let mut fixture = Fixture::start(ServiceConfig::default()).await;
+    fixture.create_counter().await;
+    let zones = ["Asia/Tokyo", "", "Europe/Paris", "Asia/Tokyo"];
+    let mut callers = Vec::new();
+    for zone in zones {
+        let settings = [("TimeZone", zone)];
+        let settings = if zone.is_empty() { &[][..] } else { &settings };
+        callers.push(RawCaller::connect(&fixture, settings).await);
+    }
+    for _ in 0..3 {
+        for caller in &mut callers {
+            caller.parse("", INCREMENT).bind("", &[]).execute();
+            assert_eq!(error_code(&caller.sync().await), "");
+        }
+    }
+    let runs = fixture.statement_runs();
+    assert_eq!(runs.len(), 12);
+    for run in &runs {
+        assert_eq!(run.prepared_under, run.ran_under);
+    }
+    for (run, zone) in runs.iter().zip(zones.iter().cycle()) {
+        let ran_under = run.ran_under.get("timezone").map_or("", String::as_str);
+        assert_eq!(ran_under, *zone);
+    }
+}
