Keep a statement listed whose Close was skipped after an error

Callers were told 42P05, for a statement that they may use, by each attempt on one connection: the upstream had it already, while the host believed that it was closed. It needed an error in a pipeline that prepares a statement on a connection with 256 of them.

Cause: the oldest statement left the list when its Close was written. After an error the upstream skips that Close with the rest of the pipeline; only skipped preparations were corrected.

Evidence: a_statement_whose_close_was_skipped_can_be_used_again failed before on the first such statement (42P05) and passes now. The stand-in had hidden it: it replaced a statement of the same name, and prepared statements in failed transactions; it now answers 42P05 and 25P02 as PostgreSQL does.

The first skipped message about a statement tells whether it is prepared, so a pipeline that both prepares and closes a statement is corrected as well.

--- a/crates/jujubehold_host/src/pool/prepared_names.rs
+++ b/crates/jujubehold_host/src/pool/prepared_names.rs
@@ -39,6 +39,13 @@
         Some(oldest)
     }
 
+    /// Adds a statement as the oldest one, because its Close was skipped.
+    pub fn restore(&mut self, name: StatementName) {
+        if self.names.insert(name.clone()) {
+            self.order.push_front(name);
+        }
+    }
+
     /// Removes a statement whose preparation failed.
     pub fn remove(&mut self, name: &StatementName) {
         if self.names.remove(name) {
--- a/crates/jujubehold_host/src/traffic/answer.rs
+++ b/crates/jujubehold_host/src/traffic/answer.rs
@@ -115,9 +115,7 @@
             io.flush().await.map_err(AnswerError::Caller)?;
         }
     }
-    for name in plan.failed_statements() {
-        connection.prepared().remove(name);
-    }
+    plan.correct(connection.prepared());
     Ok(answered)
 }
 
--- a/crates/jujubehold_host/src/traffic/answer_plan.rs
+++ b/crates/jujubehold_host/src/traffic/answer_plan.rs
@@ -1,6 +1,6 @@
 //! Matches an upstream's messages to the caller's messages that they answer.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use bytes::BytesMut;
 use jujubehold_core::statement_name::StatementName;
@@ -9,6 +9,7 @@
 
 use super::answer::sqlstate;
 use super::caller_error::{UNKNOWN_STATEMENT_SQLSTATE, unknown_statement_error};
+use crate::pool::PreparedNames;
 
 /// A message whose answer is outstanding.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,8 +18,10 @@
     Parse(StatementName),
     /// A Parse that the proxy added.
     ProxyParse(StatementName),
-    /// A Close that the proxy added.
-    ProxyClose,
+    /// A Close that the proxy added to make room for another statement.
+    ProxyClose(StatementName),
+    /// A Close that the proxy added in case another host has prepared the statement.
+    ProxyCloseUnlisted,
     /// The caller's Parse of a statement that is already prepared on the connection.
     SynthesizeParseComplete,
     /// The caller's Close of a statement, which stays prepared on the connection.
@@ -60,7 +63,8 @@
 #[derive(Debug)]
 pub(crate) struct AnswerPlan {
     steps: VecDeque<Step>,
-    failed: Vec<StatementName>,
+    // The statements whose preparation or Close was skipped, and whether they are prepared.
+    skipped: BTreeMap<StatementName, bool>,
 }
 
 impl AnswerPlan {
@@ -68,7 +72,7 @@
     pub(crate) fn new(steps: Vec<Step>) -> Self {
         Self {
             steps: steps.into(),
-            failed: Vec::new(),
+            skipped: BTreeMap::new(),
         }
     }
 
@@ -89,9 +93,15 @@
         self.steps.is_empty()
     }
 
-    /// Returns the names of statements whose preparation failed.
-    pub(crate) fn failed_statements(&self) -> &[StatementName] {
-        &self.failed
+    /// Corrects the list of a connection's statements by what the upstream skipped.
+    pub(crate) fn correct(&self, prepared: &mut PreparedNames) {
+        for (name, is_prepared) in &self.skipped {
+            if *is_prepared {
+                prepared.restore(name.clone());
+            } else {
+                prepared.remove(name);
+            }
+        }
     }
 
     /// Advances the plan by the upstream's next message, and returns what to do with it.
@@ -121,7 +131,7 @@
                 | backend::PORTAL_SUSPENDED,
             ) => (true, FrameAction::Forward),
             (Step::ProxyParse(_), backend::PARSE_COMPLETE)
-            | (Step::ProxyClose, backend::CLOSE_COMPLETE)
+            | (Step::ProxyClose(_) | Step::ProxyCloseUnlisted, backend::CLOSE_COMPLETE)
             | (Step::ProxyStatement, backend::COMMAND_COMPLETE) => (true, FrameAction::Discard),
             (Step::Ready, backend::READY_FOR_QUERY) => {
                 let status = frame.body().first().copied().unwrap_or(b'E');
@@ -154,12 +164,18 @@
         }
     }
 
-    // After an error the upstream ignores everything up to the Sync.
+    // After an error the upstream ignores everything up to the Sync. The first message about a
+    // statement that it ignores tells whether the statement is prepared.
     fn skip_to_ready(&mut self) {
         while let Some(step) = self.steps.front() {
             match step {
                 Step::Ready => return,
-                Step::Parse(name) | Step::ProxyParse(name) => self.failed.push(name.clone()),
+                Step::Parse(name) | Step::ProxyParse(name) => {
+                    self.skipped.entry(name.clone()).or_insert(false);
+                }
+                Step::ProxyClose(name) => {
+                    self.skipped.entry(name.clone()).or_insert(true);
+                }
                 _ => {}
             }
             self.steps.pop_front();
--- a/crates/jujubehold_host/src/traffic/message_batch.rs
+++ b/crates/jujubehold_host/src/traffic/message_batch.rs
@@ -276,11 +276,11 @@
 ) {
     if connection.may_have_unlisted_statements() {
         close_statement(out, name);
-        steps.push(Step::ProxyClose);
+        steps.push(Step::ProxyCloseUnlisted);
     }
     if let Some(oldest) = connection.prepared().add(name.clone()) {
         close_statement(out, &oldest);
-        steps.push(Step::ProxyClose);
+        steps.push(Step::ProxyClose(oldest));
     }
     parse(out, name, &prepared.text_and_types);
 }
--- a/crates/jujubehold_host/src/traffic/read_attempt.rs
+++ b/crates/jujubehold_host/src/traffic/read_attempt.rs
@@ -247,9 +247,7 @@
         bytes_read += frame.bytes().len();
         match plan.next_action(&frame) {
             FrameAction::Ready(status) => {
-                for name in plan.failed_statements() {
-                    connection.prepared().remove(name);
-                }
+                plan.correct(connection.prepared());
                 return status == b'I';
             }
             FrameAction::Unexpected | FrameAction::ProxyStatementFailed => return false,
--- /dev/null
+++ b/crates/jujubehold_host/tests/traffic/statement_failures.rs
@@ -0,0 +1,48 @@
+//! Tests what is known of prepared statements after a failure.
+
+use jujubehold_core::prelude::*;
+
+use crate::raw_caller::{RawCaller, error_code};
+use crate::support::Fixture;
+
+/// The most statements that are kept on a connection.
+const MAX_STATEMENTS: usize = 256;
+
+fn select(number: usize) -> String {
+    format!("SELECT n + {number} FROM counter")
+}
+
+// The Close that makes room was skipped after an error, and the statement counted as closed: when
+// it was prepared again, every attempt on that connection was told that it already exists.
+#[actix_rt::test]
+async fn a_statement_whose_close_was_skipped_can_be_used_again() {
+    let mut fixture = Fixture::start(ServiceConfig::default()).await;
+    fixture.create_counter().await;
+    let mut caller = RawCaller::connect(&fixture, &[]).await;
+    // All in one transaction, and so on one connection.
+    caller.query("BEGIN").ask().await;
+    for number in 0..MAX_STATEMENTS {
+        caller.parse(&format!("s{number}"), &select(number));
+    }
+    assert_eq!(error_code(&caller.sync().await), "");
+    caller.query("SAVEPOINT before").ask().await;
+    caller.parse("bad", "SELECT nothing FROM nowhere");
+    for number in 0..10 {
+        let name = format!("t{number}");
+        caller.parse(&name, &select(1000 + number)).bind(&name, &[]);
+    }
+    assert_ne!(error_code(&caller.sync().await), "");
+    caller.query("ROLLBACK TO SAVEPOINT before").ask().await;
+    for number in 0..MAX_STATEMENTS {
+        let name = format!("s{number}");
+        let answer = caller.bind(&name, &[]).execute().sync().await;
+        assert_eq!(error_code(&answer), "", "{name}");
+    }
+    for number in 0..10 {
+        let name = format!("t{number}");
+        caller.parse(&name, &select(1000 + number));
+        let answer = caller.bind(&name, &[]).execute().sync().await;
+        assert_eq!(error_code(&answer), "", "{name}");
+    }
+    assert_eq!(error_code(&caller.query("COMMIT").ask().await), "");
+}
--- a/crates/jujubehold_standin/src/database/extended.rs
+++ b/crates/jujubehold_standin/src/database/extended.rs
@@ -82,6 +82,12 @@
     }
 
     fn parse(&mut self, parse: Parse) -> Result<(), SqlError> {
+        let name = parse.name.unwrap_or_default();
+        if !name.is_empty() && self.extended.statements.contains_key(&name) {
+            let message = format!("prepared statement {name} already exists");
+            return Err(SqlError::new("42P05", message));
+        }
+        self.check_not_aborted(&StatementKind::classify(&parse.query))?;
         let description = match StatementKind::classify(&parse.query) {
             StatementKind::Sql => self.executor.describe(&parse.query, &parse.type_oids)?,
             StatementKind::Group(_) => without_parameters(&["group_status"]),
@@ -89,7 +95,6 @@
             StatementKind::Show(name) => without_parameters(&[&name]),
             _ => without_parameters(&[]),
         };
-        let name = parse.name.unwrap_or_default();
         let prepared = PreparedStatement {
             sql: parse.query,
             description,
--- a/crates/jujubehold_standin/src/database/session.rs
+++ b/crates/jujubehold_standin/src/database/session.rs
@@ -171,13 +171,8 @@
             .is_some_and(|open| open.is_implicit)
     }
 
-    /// Runs one statement of the simple or the extended query protocol.
-    pub(crate) async fn run_statement(
-        &mut self,
-        sql: &str,
-        parameters: &[Value],
-    ) -> Result<Outcome, SqlError> {
-        let kind = StatementKind::classify(sql);
+    /// Fails in a failed transaction, unless the statement ends it.
+    pub(crate) fn check_not_aborted(&self, kind: &StatementKind) -> Result<(), SqlError> {
         let is_failed = self.executor.status_byte() == b'E';
         let ends_transaction = matches!(
             kind,
@@ -187,6 +182,17 @@
             let message = "the transaction is aborted, commands are ignored until its end";
             return Err(SqlError::new("25P02", message));
         }
+        Ok(())
+    }
+
+    /// Runs one statement of the simple or the extended query protocol.
+    pub(crate) async fn run_statement(
+        &mut self,
+        sql: &str,
+        parameters: &[Value],
+    ) -> Result<Outcome, SqlError> {
+        let kind = StatementKind::classify(sql);
+        self.check_not_aborted(&kind)?;
         if !matches!(kind, StatementKind::Group(_)) {
             self.open_work.set(true);
         }
