Forget statements of a lent connection that another host closed

Callers of an owner were told 26000, no such prepared statement, for a statement that they had prepared, again and again on one connection.

Cause: a host closes a statement on a lent connection before it prepares it there, since it does not know the names of others. If the preparation fails, for example in a failed transaction, the statement is closed, while the owner still lists it.

Evidence: an_owner_does_not_use_a_statement_that_another_host_closed failed before (26000 on the owner's next use) and passes now.

--- a/crates/jujubehold_host/src/peer/forward_server.rs
+++ b/crates/jujubehold_host/src/peer/forward_server.rs
@@ -19,7 +19,7 @@
 
 use crate::activity::Activity;
 use crate::drain_phase::DrainPhase;
-use crate::pool::{PoolError, PooledConnection};
+use crate::pool::{PoolError, PooledConnection, PreparedNames};
 use crate::shared::Shared;
 
 /// The most responses that are queued for a slow entry host; a full queue stops reads from the
@@ -194,8 +194,8 @@
             ));
         }
         self.is_idle = false;
-        self.prepared_count += count_named_parses(&frames.frames);
         let connection = self.connection.connection();
+        self.prepared_count += track_statements(&frames.frames, connection.prepared());
         connection
             .send(&frames.frames)
             .await
@@ -232,15 +232,23 @@
     }
 }
 
-/// Counts the frontend messages that prepare a named statement.
-fn count_named_parses(frames: &Bytes) -> usize {
+/// Counts the frontend messages that prepare a named statement, and removes the statements that
+/// others close from `prepared`: they may prepare them again, but that may fail.
+fn track_statements(frames: &Bytes, prepared: &mut PreparedNames) -> usize {
     let mut rest = BytesMut::from(frames.as_ref());
     let mut count = 0;
     while let Ok(Some(frame)) = Frame::cut(&mut rest) {
-        let is_named = frame.first_text().is_some_and(|name| !name.is_empty());
-        if frame.tag() == frontend::PARSE && is_named {
+        let Some(text) = frame.first_text() else {
+            continue;
+        };
+        if frame.tag() == frontend::PARSE && !text.is_empty() {
             count += 1;
         }
+        if frame.tag() == frontend::CLOSE
+            && let Some(name) = text.strip_prefix('S')
+        {
+            prepared.remove_named(name);
+        }
     }
     count
 }
--- a/crates/jujubehold_host/src/pool/prepared_names.rs
+++ b/crates/jujubehold_host/src/pool/prepared_names.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Removes a statement that another host named in a message.
+    pub fn remove_named(&mut self, name: &str) {
+        self.names.retain(|kept| kept.as_str() != name);
+        self.order.retain(|kept| kept.as_str() != name);
+    }
+
     /// Removes a statement whose preparation failed.
     pub fn remove(&mut self, name: &StatementName) {
         if self.names.remove(name) {
--- a/crates/jujubehold_host/tests/traffic_forwarding.rs
+++ b/crates/jujubehold_host/tests/traffic_forwarding.rs
@@ -113,3 +113,35 @@
     let rows = other.query("SELECT id FROM casks", &[]).await.unwrap();
     assert_eq!(rows.len(), 1);
 }
+
+// The host that borrows a connection closes a statement before it prepares it. If that preparation
+// fails, the owner still listed the statement, and its callers were told that it does not exist.
+#[actix_rt::test]
+async fn an_owner_does_not_use_a_statement_that_another_host_closed() {
+    let (installation, hosts) = start_hosts_with_owners().await;
+    // The owner's callers and the other host share one connection.
+    let mut config = installation.config(2);
+    config.instances.get_mut("a").unwrap().connections = 1;
+    installation.submit(&config).await;
+    for host in &hosts {
+        wait_until("the configuration is known", || host.generation() == 2).await;
+    }
+    let owner = hosts[0].connect().await;
+    run(&owner, "CREATE TABLE casks (id INTEGER)").await;
+    let borrower = hosts[1].connect().await;
+    let (sql, types) = ("INSERT INTO casks (id) VALUES ($1)", [Type::INT4]);
+    let insert = owner.prepare_typed(sql, &types).await.unwrap();
+    let borrowed_insert = borrower.prepare_typed(sql, &types).await.unwrap();
+    for id in 0..8_i32 {
+        assert_eq!(owner.execute(&insert, &[&id]).await.unwrap(), 1);
+        run(&borrower, "BEGIN").await;
+        assert!(borrower.simple_query("SELECT nothing").await.is_err());
+        let failed = borrower.execute(&borrowed_insert, &[&id]).await;
+        let code = failed
+            .unwrap_err()
+            .code()
+            .map(|code| code.code().to_owned());
+        assert_eq!(code.as_deref(), Some("25P02"));
+        run(&borrower, "ROLLBACK").await;
+    }
+}
