Close a connection whose instance lacks what the host believes is set on it

Callers were told NOSTMT for a statement whose preparing had been acknowledged, by each attempt on one connection, after its instance had lost its prepared statements. A connection with more than 200 prepared statements was reset within a transaction, which an instance may reject.

Cause: the host keeps a record of the values and statements of a connection, and nothing compared it with what the instance said. An instance's NOSTMT, and a rejected RESET of a probe, left the connection in use.

That a rejected RESET of a probe closes the connection is read, not run.

After such an answer the connection is closed, and the statement, which did not run, is refused with session_setup_refused. A connection is reset for the number of its statements outside transactions only, and is not reused while bytes of an answer are left. The stand-in rejects a RESET in a transaction and statements in a failed one, and records callers' statements that carry the id of hosts' own.

--- a/crates/jujubehold_entry/src/pool/connection.rs
+++ b/crates/jujubehold_entry/src/pool/connection.rs
@@ -143,7 +143,8 @@
 
     /// Returns whether another session may use the connection.
     pub(crate) fn is_reusable(&self) -> bool {
-        !self.is_broken && self.pending_replies == 0 && self.state == SessionState::Idle
+        let is_quiet = self.pending_replies == 0 && self.buffer.is_empty();
+        !self.is_broken && is_quiet && self.state == SessionState::Idle
     }
 
     /// Returns whether exactly `values` are set on the connection, so that nothing needs to be set
@@ -180,12 +181,16 @@
     ) -> Result<UpstreamReply, UpstreamError> {
         let mut out = BytesMut::new();
         self.codec.encode(command, &mut out);
-        if matches!(command, UpstreamCommand::Reset) {
+        let is_reset = matches!(command, UpstreamCommand::Reset);
+        if is_reset {
             self.values.clear();
             self.prepared.clear();
         }
         self.send(&out, 1).await?;
-        self.receive().await
+        let reply = self.receive().await?;
+        // The instance still has what a rejected RESET should have cleared.
+        self.is_broken |= is_reset && reply.error().is_some();
+        Ok(reply)
     }
 
     /// Runs a statement of a session that has set `values`.
@@ -207,7 +212,13 @@
             self.newly_prepared = None;
             return Err(without_preparation(&self.receive().await?));
         }
-        self.receive().await
+        let reply = self.receive().await?;
+        if reply.error() == Some(ErrorCode::UnknownStatement) {
+            // The instance lacks a statement that it has acknowledged, and perhaps more than that.
+            self.is_broken = true;
+            return Err(setup_refused());
+        }
+        Ok(reply)
     }
 
     async fn set_values(&mut self, values: &SessionValues) -> Result<(), UpstreamError> {
@@ -226,7 +237,9 @@
     fn encode_values(&mut self, values: &SessionValues, out: &mut BytesMut) -> usize {
         let mut count = 0;
         let has_extra_values = self.values.keys().any(|name| !values.contains_key(name));
-        if has_extra_values || self.prepared.len() > MAX_PREPARED_STATEMENTS {
+        // A transaction keeps what it has set up: an instance may reject a RESET within one.
+        let is_full = self.prepared.len() > MAX_PREPARED_STATEMENTS;
+        if has_extra_values || (is_full && self.state == SessionState::Idle) {
             self.codec.encode(&UpstreamCommand::Reset, out);
             self.values.clear();
             self.prepared.clear();
--- a/crates/jujubehold_standin/src/users_platform/faults.rs
+++ b/crates/jujubehold_standin/src/users_platform/faults.rs
@@ -43,4 +43,6 @@
     pub refuses_prepare: bool,
     /// The instance rejects every SET, without any effect.
     pub refuses_set: bool,
+    /// Connections lose their prepared statements with the next message that they receive.
+    pub loses_prepared_statements: bool,
 }
--- a/crates/jujubehold_standin/src/users_platform/instance_message.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance_message.rs
@@ -148,6 +148,26 @@
         }
     }
 
+    /// Returns whether hosts send the command themselves. All others carry the id of a caller.
+    pub(crate) fn is_of_hosts(self) -> bool {
+        match self {
+            Self::Begin { .. }
+            | Self::Commit
+            | Self::Read { .. }
+            | Self::Write { .. }
+            | Self::Execute { .. } => false,
+            Self::Rollback
+            | Self::Set { .. }
+            | Self::Prepare { .. }
+            | Self::Deallocate { .. }
+            | Self::Reset
+            | Self::Status
+            | Self::Pause { .. }
+            | Self::Resume
+            | Self::StepDown { .. } => true,
+        }
+    }
+
     fn parse_prepare(fields: &'a str) -> Option<Self> {
         let (name, rest) = split_word(fields);
         let (access, shape) = split_word(rest);
--- a/crates/jujubehold_standin/src/users_platform/instance_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance_server.rs
@@ -199,7 +199,7 @@
         text: &str,
     ) -> Result<String, ConnectionAborted> {
         let command = Command::parse(text);
-        if id == NO_ID && command.is_none() {
+        if id == NO_ID && !command.is_some_and(Command::is_of_hosts) {
             self.record_unreadable(text);
         }
         let outcome = match command {
@@ -248,10 +248,21 @@
         if after.is_some_and(|after| !self.has_position(after)) {
             return Outcome::Error("LAGGING");
         }
+        if self.with_instance(|instance| instance.faults.loses_prepared_statements) == Some(true) {
+            self.prepared_statements.clear();
+        }
+        let has_failed = self
+            .transaction
+            .as_ref()
+            .is_some_and(|open| open.has_failed);
+        if has_failed && !matches!(command, Command::Commit | Command::Rollback) {
+            return Outcome::Error("MALFORMED");
+        }
         if self.is_setup_rejected(command) {
             return Outcome::Error("MALFORMED");
         }
         match command {
+            Command::Reset if self.transaction.is_some() => Outcome::Error("MALFORMED"),
             Command::Begin { is_read_only } => self.begin(is_read_only),
             Command::Commit => self.commit(id),
             Command::Rollback => {
