Take for a word whatever no separator of the protocol splits

Callers whose ids or names contain a no-break space or another character above the space were told MALFORMED since, and were served before.

Cause: a word was taken for text without any white space or control character of Unicode, while the protocol separates fields by spaces alone.

--- a/crates/jujubehold_entry/src/protocol/field.rs
+++ b/crates/jujubehold_entry/src/protocol/field.rs
@@ -20,7 +20,7 @@
 /// The id of the commands that hosts themselves send. An instance states no proof for them.
 pub const HOST_COMMAND_ID: &str = "-";
 
-/// One field: a name or an id. It is not empty and contains no white space and no control character.
+/// One field: a name or an id. It is not empty, and contains no space and no control character below it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Word(SmolStr);
 
@@ -33,8 +33,7 @@
         if text.len() > MAX_WORD_BYTES {
             return Err(MalformedMessage::TooLong);
         }
-        let splits = |character: char| character.is_whitespace() || character.is_control();
-        if text.is_empty() || text.chars().any(splits) {
+        if text.is_empty() || text.bytes().any(|byte| byte <= b' ') {
             return Err(MalformedMessage::Unreadable);
         }
         Ok(Self(text.into()))
@@ -61,7 +60,7 @@
 }
 
 /// The last field of a message, which extends to its end. It is not empty and contains no control
-/// character, but may contain spaces.
+/// character below the space, but may contain spaces.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LastField(Bytes);
 
