Wake requests that wait for the protocol of an owner whose link ends

Cause: nothing woke the request when the link ended, so it waited for the whole timeout. No test measures the time; the case of an owner that is down is tested for its outcome in platform/tests/entry/owners.rs.

--- a/crates/jujubehold_entry/src/peer_link/link.rs
+++ b/crates/jujubehold_entry/src/peer_link/link.rs
@@ -86,7 +86,7 @@
     begun_at: Monotonic,
     /// The version of the messages that the owner speaks.
     protocol: Cell<u32>,
-    /// Wakes the requests that wait for the owner's protocol.
+    /// Wakes the requests that wait for the owner's protocol, also when the link ends.
     protocol_stated: Notify,
 }
 
@@ -133,6 +133,7 @@
         actix_rt::spawn(async move {
             let error = running.run(address).await;
             running.is_ended.set(true);
+            running.protocol_stated.notify_waiters();
             running.fail_all();
             failed(&running.host, &error, running.is_connected.get());
         });
