Answer invalid messages in a failed transaction as all others

A message that was too long was answered by TOOLARGE in a failed transaction, where every request but its end is answered by MALFORMED.

invalid_messages_are_answered_and_run_nowhere (platform/tests/entry/statement_text.rs) checks it.

--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -103,7 +103,14 @@
                 CallerMessage::Start { .. } => {
                     self.answer_invalid(&out_of_order()).await?;
                 }
-                CallerMessage::Invalid(error) => self.answer_invalid(&invalid(error)).await?,
+                CallerMessage::Invalid(error) => {
+                    let failure = if self.state() == SessionState::Failed {
+                        already_failed()
+                    } else {
+                        invalid(error)
+                    };
+                    self.answer_invalid(&failure).await?;
+                }
                 CallerMessage::End => return Ok(()),
             }
         }
