Bound the bytes that a host keeps for its sessions

A session could have a host keep 1,000 prepared statements and 200 values of nearly 1 MiB each, on hosts with 112 MB of memory: they were bounded by their number only. Idle connections kept the values of sessions that had ended.

Names, shapes and values of one session together may have 2 MiB, which takes one shape and one value of any length that a message may have; more is told as TOOLARGE at once. All sessions of a host together may have 24 MiB; more is told as BUSY with the new reason session_memory_full. Nothing is kept in either case. What is replaced, deallocated, or kept by a session that ends is counted no longer. A connection with values of over 64 KiB is closed after its use.

Not bounded by this: the values of leases that an owner runs, whose number is bounded by its connections and waiting requests, and messages that have not fully arrived.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod authority;
 pub mod backoff;
+pub mod byte_budget;
 pub mod call_gate;
 pub mod candidate_choice;
 pub mod config_store;
--- a/crates/jujubehold_core/src/refusal_reason.rs
+++ b/crates/jujubehold_core/src/refusal_reason.rs
@@ -51,12 +51,14 @@
         QuotaUnknown,
         /// The instance rejected a command that sets the session up on its connection.
         SessionSetupRefused,
+        /// The sessions of the host keep as many bytes as they may.
+        SessionMemoryFull,
     }
 }
 
 impl RefusalReason {
     /// All reasons, in the order of the metrics page.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::UnknownService,
         Self::DirectoryUnconfirmed,
         Self::AuthenticationFailed,
@@ -79,6 +81,7 @@
         Self::QuotaExceeded,
         Self::QuotaUnknown,
         Self::SessionSetupRefused,
+        Self::SessionMemoryFull,
     ];
 
     /// Returns the stable name used in metrics, in logs and between hosts.
@@ -106,6 +109,7 @@
             Self::QuotaExceeded => "quota_exceeded",
             Self::QuotaUnknown => "quota_unknown",
             Self::SessionSetupRefused => "session_setup_refused",
+            Self::SessionMemoryFull => "session_memory_full",
         }
     }
 
@@ -133,6 +137,7 @@
             | Self::OwnerUnreachable
             | Self::QuotaUnknown
             | Self::SessionSetupRefused => "57P03",
+            Self::SessionMemoryFull => "53200",
             Self::FloorLost => "40001",
             Self::TokenInvalid | Self::RequestNameReused => "22023",
             Self::ShuttingDown => "57P01",
@@ -158,7 +163,8 @@
             | Self::RetryBudgetSpent
             | Self::QuotaExceeded
             | Self::QuotaUnknown
-            | Self::SessionSetupRefused => true,
+            | Self::SessionSetupRefused
+            | Self::SessionMemoryFull => true,
             Self::UnknownService
             | Self::AuthenticationFailed
             | Self::FloorLost
--- a/crates/jujubehold_entry/src/callers/mod.rs
+++ b/crates/jujubehold_entry/src/callers/mod.rs
@@ -5,6 +5,7 @@
 mod candidates;
 mod failure;
 mod identity;
+mod kept_bytes;
 mod listener;
 mod operation;
 mod prepared;
@@ -14,4 +15,5 @@
 mod transaction;
 
 pub(crate) use attempt::run_on;
+pub(crate) use kept_bytes::{HostBytes, host_bytes};
 pub(crate) use listener::accept_callers;
--- a/crates/jujubehold_entry/src/callers/prepared.rs
+++ b/crates/jujubehold_entry/src/callers/prepared.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 
 use super::failure::Failure;
+use super::kept_bytes::{KeptBytes, entry_bytes};
 use crate::pool::Statement;
 use crate::protocol::{Access, CallerRequest, ErrorCode, PreparedStatement, RequestKind, Word};
 
-/// The maximum number of prepared statements of one session, which bounds its memory.
+/// The maximum number of prepared statements of one session.
 const MAX_PREPARED_STATEMENTS: usize = 1_000;
 
 /// A session's prepared statements, by the names that the caller gave them.
@@ -16,11 +17,12 @@
 }
 
 impl PreparedStatements {
-    /// Stores a statement under `name`, replacing any earlier one.
-    pub(crate) fn prepare(
+    /// Stores a statement under `name`, replacing any earlier one, and counts its bytes in `kept`.
+    pub(super) fn prepare(
         &mut self,
         name: &Word,
         statement: &PreparedStatement,
+        kept: &mut KeptBytes,
     ) -> Result<(), Failure> {
         if self.statements.len() >= MAX_PREPARED_STATEMENTS && !self.statements.contains_key(name) {
             return Err(Failure::error(
@@ -28,16 +30,19 @@
                 "too many prepared statements",
             ));
         }
+        let earlier = self.statements.get(name);
+        let earlier = earlier.map_or(0, |earlier| entry_bytes(name, earlier.shape()));
+        kept.replace(earlier, entry_bytes(name, statement.shape()))?;
         self.statements.insert(name.clone(), statement.clone());
         Ok(())
     }
 
     /// Removes the statement called `name`.
-    pub(crate) fn deallocate(&mut self, name: &Word) -> Result<(), Failure> {
-        match self.statements.remove(name) {
-            Some(_) => Ok(()),
-            None => Err(unknown_statement(name)),
-        }
+    pub(super) fn deallocate(&mut self, name: &Word, kept: &mut KeptBytes) -> Result<(), Failure> {
+        let removed = self.statements.remove(name);
+        let removed = removed.ok_or_else(|| unknown_statement(name))?;
+        kept.release(entry_bytes(name, removed.shape()));
+        Ok(())
     }
 
     /// Returns the statement that a request runs, and whether it may change data.
--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -14,20 +14,23 @@
 use super::caller_io::{CallerIo, CallerIoError};
 use super::failure::Failure;
 use super::identity::Identity;
+use super::kept_bytes::{KeptBytes, entry_bytes};
 use super::operation::Operation;
 use super::prepared::PreparedStatements;
 use super::transaction::{Transaction, already_failed};
 use crate::control::expect_operation;
 use crate::metric_names::SESSIONS;
 use crate::phase::Phase;
-use crate::pool::{MAX_STATEMENT_BYTES, MAX_VALUES_BYTES, SessionValues, Statement, values_length};
+use crate::pool::{
+    MAX_STATEMENT_BYTES, MAX_VALUES_BYTES, SessionValues, Statement, value_length, values_length,
+};
 use crate::prelude::*;
 use crate::protocol::{
     Access, CallerCodec, CallerMessage, CallerRequest, ErrorCode, LastField, MalformedMessage,
     RequestKind, SessionState, UpstreamOutcome, UpstreamReply, Word,
 };
 
-/// The maximum number of values that one session may set, which bounds its memory.
+/// The maximum number of values that one session may set.
 const MAX_VALUES: usize = 200;
 /// How long the start of a session waits for the first configuration; callers time out after 2 s.
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(1_700);
@@ -57,6 +60,8 @@
     identity: Identity,
     pub(crate) values: SessionValues,
     statements: PreparedStatements,
+    /// The bytes of the values and prepared statements.
+    kept: KeptBytes,
     /// The position of the session's own last commit.
     pub(crate) floor: Option<LogPosition>,
     transaction: Option<Transaction<P>>,
@@ -70,6 +75,7 @@
         shared.session_count.set(shared.session_count.get() + 1);
         let phase = shared.phase.subscribe();
         let configuration_version = shared.configuration_version.subscribe();
+        let kept = KeptBytes::new(&shared.session_bytes);
         Self {
             shared,
             io,
@@ -80,6 +86,7 @@
             identity: Identity::default(),
             values: SessionValues::new(),
             statements: PreparedStatements::default(),
+            kept,
             floor: None,
             transaction: None,
             may_have_run: Cell::new(false),
@@ -281,11 +288,11 @@
             }
             RequestKind::Set { name, value } => self.set(name, value),
             RequestKind::Prepare { name, statement } => {
-                self.statements.prepare(name, statement)?;
+                self.statements.prepare(name, statement, &mut self.kept)?;
                 Ok(None)
             }
             RequestKind::Deallocate { name } => {
-                self.statements.deallocate(name)?;
+                self.statements.deallocate(name, &mut self.kept)?;
                 Ok(None)
             }
             RequestKind::Data(_) | RequestKind::Execute { .. } => {
@@ -337,17 +344,18 @@
         if self.values.len() >= MAX_VALUES && !self.values.contains_key(name) {
             return Err(Failure::error(ErrorCode::TooLarge, "too many values"));
         }
-        let earlier = self.values.insert(name.clone(), value.clone());
-        if values_length(&self.values) > MAX_VALUES_BYTES {
-            match earlier {
-                Some(earlier) => self.values.insert(name.clone(), earlier),
-                None => self.values.remove(name),
-            };
+        let earlier = self.values.get(name);
+        let earlier_length = earlier.map_or(0, |earlier| value_length(name, earlier));
+        let others_length = values_length(&self.values) - earlier_length;
+        if others_length + value_length(name, value) > MAX_VALUES_BYTES {
             return Err(Failure::error(
                 ErrorCode::TooLarge,
                 "the values are too long",
             ));
         }
+        let earlier_bytes = earlier.map_or(0, |earlier| entry_bytes(name, earlier));
+        self.kept.replace(earlier_bytes, entry_bytes(name, value))?;
+        self.values.insert(name.clone(), value.clone());
         Ok(None)
     }
 
--- a/crates/jujubehold_entry/src/pool/connection.rs
+++ b/crates/jujubehold_entry/src/pool/connection.rs
@@ -14,7 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::statement::{SessionValues, Statement};
+use super::statement::{SessionValues, Statement, values_length};
 use crate::metric_names::{SESSION_SETUP_COMMANDS, SESSION_SETUP_ERRORS};
 use crate::protocol::{
     ErrorCode, MalformedMessage, Platform, SessionState, UpstreamCodec, UpstreamCommand,
@@ -25,6 +25,8 @@
 const READ_CHUNK_BYTES: usize = 4 * 1024;
 /// If a connection has more prepared statements than this, it is reset.
 const MAX_PREPARED_STATEMENTS: usize = 200;
+/// A connection on which longer values are set is closed after its use.
+const MAX_IDLE_VALUES_BYTES: usize = 64 * 1024;
 /// How long a caller is asked to wait after a session could not be set up on a connection.
 const SETUP_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -141,10 +143,14 @@
         self.state
     }
 
-    /// Returns whether another session may use the connection.
+    /// Returns whether another session may use the connection. One with long values is not kept, as it
+    /// would hold them after their session has ended.
     pub(crate) fn is_reusable(&self) -> bool {
         let is_quiet = self.pending_replies == 0 && self.buffer.is_empty();
-        !self.is_broken && is_quiet && self.state == SessionState::Idle
+        !self.is_broken
+            && is_quiet
+            && self.state == SessionState::Idle
+            && values_length(&self.values) <= MAX_IDLE_VALUES_BYTES
     }
 
     /// Returns whether exactly `values` are set on the connection, so that nothing needs to be set
--- a/crates/jujubehold_entry/src/pool/statement.rs
+++ b/crates/jujubehold_entry/src/pool/statement.rs
@@ -22,11 +22,14 @@
 /// The values that a session has set, by name.
 pub(crate) type SessionValues = BTreeMap<Word, LastField>;
 
-/// Returns how long the values are in a message.
+/// Returns how long a value is in a message.
+pub(crate) fn value_length(name: &Word, value: &LastField) -> usize {
+    name.as_str().len() + value.bytes().len() + VALUE_OVERHEAD_BYTES
+}
+
+/// Returns how long all values are in a message.
 pub(crate) fn values_length(values: &SessionValues) -> usize {
-    let lengths = values
-        .iter()
-        .map(|(name, value)| name.as_str().len() + value.bytes().len() + VALUE_OVERHEAD_BYTES);
+    let lengths = values.iter().map(|(name, value)| value_length(name, value));
     lengths.sum()
 }
 
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -15,6 +15,7 @@
 use log::{info, warn};
 use tokio::sync::{Notify, watch};
 
+use crate::callers::{HostBytes, host_bytes};
 use crate::clock::Clock;
 use crate::control::{HostNames, Quotas, StoreHealth};
 use crate::decision_log::DecisionLog;
@@ -76,6 +77,8 @@
     pub(crate) membership_changed: Notify,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) session_count: Cell<usize>,
+    /// The bytes that this host keeps for its sessions.
+    pub(crate) session_bytes: HostBytes,
     /// Whether this host has tried to enter the list of hosts.
     pub(crate) has_tried_to_join: Cell<bool>,
     /// The tokens of the customers.
@@ -130,6 +133,7 @@
             membership_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             session_count: Cell::new(0),
+            session_bytes: host_bytes(),
             has_tried_to_join: Cell::new(false),
         }
     }
