Reject a reply of an instance that states no outcome

A caller got "COMPLETE -" for a write or read if the instance's reply consisted of READY alone, so a success without the instance's proof (MIXED). Rows that came with it were passed on too.

Cause: the codec took any READY for the end of a reply, and a reply without an error counts as a success.

A host also takes a reply without an outcome from an owner, which may be of the version before, for malformed; no test plays that.

Looked at beside it: a control byte in ROW, COMPLETE or ERROR was rejected already, so no reply can add a line to a caller's stream.

--- a/crates/jujubehold_entry/src/peer_link/frame.rs
+++ b/crates/jujubehold_entry/src/peer_link/frame.rs
@@ -368,7 +368,8 @@
         }
     }
 
-    /// Returns the reply, with `earlier_rows` before its own; `None` if the error code is unknown.
+    /// Returns the reply, with `earlier_rows` before its own; `None` if the error code is unknown, or if
+    /// there is no outcome, as an owner of an earlier version may send.
     pub(crate) fn into_reply(self, mut earlier_rows: Vec<Bytes>) -> Option<UpstreamReply> {
         let state = self.state.map(|_| self.state().into());
         let outcome = match (self.proof, self.error) {
@@ -377,7 +378,7 @@
                 code: ErrorCode::from_name(&code)?,
                 detail: self.detail.into(),
             }),
-            (None, None) => None,
+            (None, None) => return None,
         };
         earlier_rows.extend(self.rows);
         Some(UpstreamReply {
--- a/crates/jujubehold_standin/src/users_platform/faults.rs
+++ b/crates/jujubehold_standin/src/users_platform/faults.rs
@@ -45,4 +45,6 @@
     pub refuses_set: bool,
     /// Connections lose their prepared statements with the next message that they receive.
     pub loses_prepared_statements: bool,
+    /// The replies to callers' statements lack the line that states how they ended.
+    pub omits_outcome: bool,
 }
--- a/crates/jujubehold_standin/src/users_platform/instance_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance_server.rs
@@ -214,6 +214,9 @@
             return Err(ConnectionAborted);
         }
         let mut answer = String::new();
+        let omits_outcome = self
+            .with_instance(|instance| instance.faults.omits_outcome)
+            .unwrap_or(false);
         // Writing to a string cannot fail.
         let _ = match outcome {
             Outcome::Rows(rows) => {
@@ -225,7 +228,11 @@
                 } else {
                     format!("{}.{id}", self.id)
                 };
-                write!(answer, "COMPLETE {proof}\r\n")
+                if omits_outcome && id != NO_ID {
+                    Ok(())
+                } else {
+                    write!(answer, "COMPLETE {proof}\r\n")
+                }
             }
             Outcome::Error(code) => write!(answer, "ERROR {code} {}\r\n", self.id),
         };
