Show values of logs in explain so that each stays one value

Operators were shown lines that no host has logged: the key of an instance entry with a line break made a line of its own that looked like another host's failed request.

Cause: the log keeps text of others as JSON, which is right, but explain printed it as it is, between fields that are separated by spaces and lines that are separated by line breaks. Escape sequences reached the terminal.

Evidence: the new test in crates/jujubehold/tests/explain.rs failed on the commit before and showed such a line, and passes now.

A value that is empty or has white space, a control character, a quote or an equals sign is shown as a quoted text with escapes, and so is a message with such characters other than spaces. Plain values look as before.

--- a/crates/jujubehold/src/commands/explain.rs
+++ b/crates/jujubehold/src/commands/explain.rs
@@ -113,14 +113,37 @@
         let others = others.filter(|(name, _)| !COMMON_FIELDS.contains(&name.as_str()));
         let pairs: Vec<String> = others
             .map(|(name, value)| match value {
-                Value::String(text) => format!("{name}={text}"),
+                Value::String(text) => format!("{name}={}", shown_value(text)),
                 _ => format!("{name}={value}"),
             })
             .collect();
-        let (file, message) = (&self.file, self.text("message"));
+        let (file, message) = (&self.file, shown_message(self.text("message")));
         format!(
             "{marker} {after_ms:>7}  {file}  {message}: {}\n",
             pairs.join(" ")
         )
     }
 }
+
+// Names and errors are text of others, which must not look like other fields or lines.
+fn shown_value(text: &str) -> String {
+    let is_special = |character: char| {
+        character.is_whitespace() || character.is_control() || "=\"".contains(character)
+    };
+    if text.is_empty() || text.contains(is_special) {
+        format!("{text:?}")
+    } else {
+        text.to_owned()
+    }
+}
+
+// The text of a message is the program's own, but names may be part of it.
+fn shown_message(text: &str) -> String {
+    let breaks =
+        |character: char| character.is_control() || (character.is_whitespace() && character != ' ');
+    if text.contains(breaks) {
+        format!("{text:?}")
+    } else {
+        text.to_owned()
+    }
+}
--- a/crates/jujubehold/tests/explain.rs
+++ b/crates/jujubehold/tests/explain.rs
@@ -14,6 +14,13 @@
     ]));
 }
 
+// Names and errors are text of others. A line break or an escape sequence in one made lines or hid
+// some, and a space made fields.
+#[test]
+fn a_value_that_is_not_plain_stays_one_value() {
+    insta::assert_snapshot!(jujubehold(&["explain", "5c0e", "odd-names.log"]));
+}
+
 #[test]
 fn a_request_without_lines_is_told_as_such() {
     insta::assert_snapshot!(jujubehold(&["explain", "unknown", "host-1.log"]));
