Find the lines of hosts in explain behind a prefix with braces

explain said that no line is about a request though a log had them.

Cause: what a collector puts before a line was skipped up to the first brace, also if that brace belongs to the prefix, such as labels; the rest then was no JSON object and counted as a line of another program.

The object is the text from the first brace on that is one up to the end of the line.

--- a/crates/jujubehold/src/commands/explain.rs
+++ b/crates/jujubehold/src/commands/explain.rs
@@ -62,8 +62,10 @@
 
 // Returns `None` for lines of other programs in the same file.
 fn parse(file: &str, line: &str) -> Option<LogLine> {
-    let object = line.get(line.find('{')?..)?;
-    let Value::Object(fields) = serde_json::from_str(object).ok()? else {
+    // The text before the object may have braces of its own.
+    let mut starts = line.match_indices('{');
+    let fields = starts.find_map(|(start, _)| serde_json::from_str(&line[start..]).ok())?;
+    let Value::Object(fields) = fields else {
         return None;
     };
     Some(LogLine {
--- a/crates/jujubehold/tests/explain.rs
+++ b/crates/jujubehold/tests/explain.rs
@@ -21,6 +21,12 @@
     insta::assert_snapshot!(jujubehold(&["explain", "5c0e", "odd-names.log"]));
 }
 
+// A collector's prefix with braces of its own hid all lines of the host.
+#[test]
+fn a_prefix_with_braces_is_skipped() {
+    insta::assert_snapshot!(jujubehold(&["explain", "5c0e", "braces.log"]));
+}
+
 #[test]
 fn a_request_without_lines_is_told_as_such() {
     insta::assert_snapshot!(jujubehold(&["explain", "unknown", "host-1.log"]));
