Change no name of a caller by messages that are skipped after an error

Callers that closed a statement and prepared another under its name, in a pipeline that had failed before, ran the new statement where PostgreSQL runs the old one: after an error it skips everything up to the Sync. The unnamed statement changed without a Close.

Cause: a session's names were changed as its messages arrived, whatever became of them.

Evidence: skipped_messages_change_no_name failed before (the skipped text ran) and passes now. Names change as before, and those changes that were skipped, counted by the answers, are taken back; all of them if the pipeline was refused or its outcome is unknown.

--- a/crates/jujubehold_host/src/traffic/answer.rs
+++ b/crates/jujubehold_host/src/traffic/answer.rs
@@ -116,6 +116,7 @@
         }
     }
     plan.correct(connection.prepared());
+    io.skipped_definitions = plan.skipped_definitions();
     Ok(answered)
 }
 
--- a/crates/jujubehold_host/src/traffic/answer_plan.rs
+++ b/crates/jujubehold_host/src/traffic/answer_plan.rs
@@ -65,6 +65,7 @@
     steps: VecDeque<Step>,
     // The statements whose preparation or Close was skipped, and whether they are prepared.
     skipped: BTreeMap<StatementName, bool>,
+    skipped_definitions: usize,
 }
 
 impl AnswerPlan {
@@ -73,6 +74,7 @@
         Self {
             steps: steps.into(),
             skipped: BTreeMap::new(),
+            skipped_definitions: 0,
         }
     }
 
@@ -104,6 +106,11 @@
         }
     }
 
+    /// Returns how many of the caller's Parse and Close messages of statements were skipped.
+    pub(crate) fn skipped_definitions(&self) -> usize {
+        self.skipped_definitions
+    }
+
     /// Advances the plan by the upstream's next message, and returns what to do with it.
     pub(crate) fn next_action(&mut self, frame: &Frame) -> FrameAction {
         match frame.tag() {
@@ -168,6 +175,11 @@
     // statement that it ignores tells whether the statement is prepared.
     fn skip_to_ready(&mut self) {
         while let Some(step) = self.steps.front() {
+            let is_definition = matches!(
+                step,
+                Step::Parse(_) | Step::SynthesizeParseComplete | Step::SynthesizeCloseComplete
+            );
+            self.skipped_definitions += usize::from(is_definition);
             match step {
                 Step::Ready => return,
                 Step::Parse(name) | Step::ProxyParse(name) => {
--- a/crates/jujubehold_host/src/traffic/caller_io.rs
+++ b/crates/jujubehold_host/src/traffic/caller_io.rs
@@ -19,6 +19,9 @@
     pub(crate) out: BytesMut,
     /// Whether any byte of the current answer may have reached the caller.
     pub(crate) has_flushed: bool,
+    /// How many of the batch's last Parse and Close messages of statements were skipped after an
+    /// error.
+    pub(crate) skipped_definitions: usize,
 }
 
 impl CallerIo {
@@ -29,6 +32,7 @@
             writer,
             out: BytesMut::new(),
             has_flushed: false,
+            skipped_definitions: 0,
         }
     }
 
--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -56,6 +56,8 @@
     /// The messages of the extended protocol since the last Sync or Flush.
     pub(crate) pipeline: Vec<ExtendedItem>,
     pub(crate) pipeline_bytes: usize,
+    /// The names that the pipeline's Parse and Close messages changed, and what they stood for.
+    pub(crate) replaced: Vec<(SmolStr, Option<Rc<PreparedStatement>>)>,
 }
 
 impl Session {
@@ -95,6 +97,7 @@
             statements: BTreeMap::new(),
             pipeline: Vec::new(),
             pipeline_bytes: 0,
+            replaced: Vec::new(),
         }
     }
 
@@ -155,6 +158,7 @@
     pub(crate) async fn run_batch(&mut self, mut batch: MessageBatch) -> Result<(), FrameError> {
         batch.arrived_at = self.shared.clock.now();
         self.io.has_flushed = false;
+        self.io.skipped_definitions = 0;
         let Err(error) = self.try_run_batch(&mut batch).await else {
             let taken = self.shared.clock.now().saturating_sub(batch.arrived_at);
             let seconds = match batch.class {
@@ -164,6 +168,7 @@
             seconds.record(taken.as_secs_f64());
             return Ok(());
         };
+        self.io.skipped_definitions = usize::MAX;
         self.report_error(error, &batch).await
     }
 
--- a/crates/jujubehold_host/src/traffic/session_pipeline.rs
+++ b/crates/jujubehold_host/src/traffic/session_pipeline.rs
@@ -33,7 +33,8 @@
                 let text = std::str::from_utf8(&text_and_types[..text_bytes]).unwrap_or_default();
                 let class = classify(text);
                 let prepared = Rc::new(PreparedStatement::new(text_and_types, text_bytes, class));
-                self.statements.insert(name, prepared.clone());
+                let replaced = self.statements.insert(name.clone(), prepared.clone());
+                self.replaced.push((name, replaced));
                 ExtendedItem::Parse(prepared)
             }
             ExtendedMessage::Bind {
@@ -51,7 +52,8 @@
             ExtendedMessage::DescribePortal => ExtendedItem::DescribePortal(frame),
             ExtendedMessage::Execute { .. } => ExtendedItem::Execute(frame),
             ExtendedMessage::CloseStatement(name) => {
-                self.statements.remove(&name);
+                let replaced = self.statements.remove(&name);
+                self.replaced.push((name, replaced));
                 ExtendedItem::CloseStatement
             }
             ExtendedMessage::ClosePortal => ExtendedItem::ClosePortal(frame),
@@ -73,7 +75,20 @@
         }
         self.pipeline_bytes = 0;
         let items = std::mem::take(&mut self.pipeline);
-        self.run_batch(MessageBatch::extended(items)).await
+        let result = self.run_batch(MessageBatch::extended(items)).await;
+        self.restore_names();
+        result
+    }
+
+    // Restores the names that messages would have changed which were skipped after an error.
+    fn restore_names(&mut self) {
+        let replaced = std::mem::take(&mut self.replaced);
+        for (name, statement) in replaced.into_iter().rev().take(self.io.skipped_definitions) {
+            match statement {
+                Some(statement) => drop(self.statements.insert(name, statement)),
+                None => drop(self.statements.remove(&name)),
+            }
+        }
     }
 
     fn statement(&self, name: SmolStr) -> StatementRef {
--- a/crates/jujubehold_host/tests/traffic/raw_caller.rs
+++ b/crates/jujubehold_host/tests/traffic/raw_caller.rs
@@ -63,6 +63,11 @@
         self.put(b'D', &[b"S", name.as_bytes(), b"\0"])
     }
 
+    /// Queues a Close of a statement.
+    pub(crate) fn close(&mut self, name: &str) -> &mut Self {
+        self.put(b'C', &[b"S", name.as_bytes(), b"\0"])
+    }
+
     /// Queues a simple query.
     pub(crate) fn query(&mut self, text: &str) -> &mut Self {
         self.queued
--- a/crates/jujubehold_host/tests/traffic/statement_failures.rs
+++ b/crates/jujubehold_host/tests/traffic/statement_failures.rs
@@ -46,3 +46,42 @@
     }
     assert_eq!(error_code(&caller.query("COMMIT").ask().await), "");
 }
+
+// Messages that are skipped after an error changed what the caller's names stand for, and a name
+// then ran another statement than at PostgreSQL.
+#[actix_rt::test]
+async fn skipped_messages_change_no_name() {
+    let mut fixture = Fixture::start(ServiceConfig::default()).await;
+    fixture.create_counter().await;
+    let mut caller = RawCaller::connect(&fixture, &[]).await;
+    let kept = "SELECT n + 1 FROM counter";
+    let skipped = "SELECT n + 2 FROM counter";
+    for name in ["s", ""] {
+        caller.parse(name, kept);
+    }
+    assert_eq!(error_code(&caller.sync().await), "");
+    // The first error is the upstream's, the second the host's.
+    for bad in ["SELECT nothing FROM nowhere", "LISTEN something"] {
+        caller.parse("before", kept).parse("bad", bad);
+        caller.close("s").parse("s", skipped).parse("", skipped);
+        caller.parse("after", skipped).close("before");
+        assert_ne!(error_code(&caller.sync().await), "");
+        for name in ["s", ""] {
+            caller.bind(name, &[]).execute();
+            assert_eq!(error_code(&caller.sync().await), "", "{bad}, {name}");
+        }
+        let runs = fixture.statement_runs();
+        assert!(runs.iter().all(|run| run.sql == kept), "{runs:?}");
+        for name in ["bad", "after"] {
+            caller.bind(name, &[]).execute();
+            assert_eq!(error_code(&caller.sync().await), "26000", "{bad}, {name}");
+        }
+    }
+    // Sent before the error, and so not skipped, unless the host refused the whole pipeline.
+    caller
+        .parse("before", kept)
+        .parse("bad", "SELECT nothing FROM nowhere");
+    assert_ne!(error_code(&caller.sync().await), "");
+    caller.bind("before", &[]).execute();
+    assert_eq!(error_code(&caller.sync().await), "");
+}
