Quote the values of settings as SQL reads them

Callers that set a value with a quote in it ran the rest of the value as statements: SET a.b = 'x''; UPDATE …; --' ran the UPDATE ahead of each statement of the session, on any instance, unclassified and without acknowledgement. In the same way a DEALLOCATE ALL removed other sessions' statements from a shared connection. Two words became one, and two minus signs a comment that hid the session's other settings.

Cause: the value was put together again from tokens, whose own text does not double the quotes within them, and without spaces in between.

--- a/crates/jujubehold_host/tests/traffic/session_state.rs
+++ b/crates/jujubehold_host/tests/traffic/session_state.rs
@@ -44,6 +44,19 @@
     assert_ne!(text(&first, "SHOW search_path").await, "mine");
 }
 
+// A quote within a value ended it, and the rest of the value ran as statements on any instance.
+#[actix_rt::test]
+async fn the_value_of_a_setting_runs_no_statement() {
+    let mut fixture = Fixture::start(ServiceConfig::default()).await;
+    fixture.create_counter().await;
+    let client = fixture.connect().await;
+    run(&client, "SET a.b = 'x''; UPDATE counter SET n = 7; --'").await;
+    run(&client, "INSERT INTO counter VALUES (8)").await;
+    let other = fixture.connect().await;
+    run(&other, "BEGIN").await;
+    assert_eq!(text(&other, "SELECT min(n) FROM counter").await, "0");
+}
+
 #[actix_rt::test]
 async fn a_forged_token_is_refused() {
     let mut fixture = Fixture::start(ServiceConfig::default()).await;
--- a/crates/jujubehold_pg/src/session_command.rs
+++ b/crates/jujubehold_pg/src/session_command.rs
@@ -16,7 +16,8 @@
         /// The value, without quotes.
         value: SmolStr,
         /// The value as written in SQL; empty if it contains anything but names, strings and
-        /// numbers, joined by commas and minus signs.
+        /// numbers, joined by commas and minus signs. Spaces stand between them, so that none
+        /// begins a comment or becomes part of another.
         sql_value: SmolStr,
     },
     /// `RESET name`.
@@ -53,7 +54,7 @@
                 }
                 let tokens: Vec<_> = tokens.collect();
                 let is_plain = tokens.iter().all(is_plain_value);
-                let sql_value = tokens.iter().map(ToString::to_string).collect::<String>();
+                let sql_value = tokens.iter().map(sql_text).collect::<Vec<_>>().join(" ");
                 let value = tokens.into_iter().map(value_text).collect::<String>();
                 Some(Self::Set {
                     name,
@@ -88,6 +89,17 @@
     )
 }
 
+// Returns the token as SQL reads it; the tokenizer's own form does not double the quotes within.
+fn sql_text(token: &Token) -> String {
+    match token {
+        Token::SingleQuotedString(text) => format!("'{}'", text.replace('\'', "''")),
+        Token::Word(word) if word.quote_style.is_some() => {
+            format!("\"{}\"", word.value.replace('"', "\"\""))
+        }
+        other => other.to_string(),
+    }
+}
+
 fn value_text(token: Token) -> String {
     match token {
         Token::SingleQuotedString(text) => text,
--- a/crates/jujubehold_pg/tests/classify.rs
+++ b/crates/jujubehold_pg/tests/classify.rs
@@ -166,3 +166,36 @@
     );
     assert_eq!(SessionCommand::parse("SELECT 1"), None);
 }
+
+// A quote within a value ended it on the way to the upstream, and the rest ran as statements.
+#[test]
+fn a_value_of_a_setting_stays_one_value() {
+    let cases = [
+        ("SET a.b = 'it''s'", "it's", "'it''s'"),
+        (
+            "SET a.b = 'x''; DEALLOCATE ALL; --'",
+            "x'; DEALLOCATE ALL; --",
+            "'x''; DEALLOCATE ALL; --'",
+        ),
+        (
+            "SET a.b = \"x\"\"; DISCARD ALL; --\"",
+            "",
+            "\"x\"\"; DISCARD ALL; --\"",
+        ),
+        ("SET a.b = 1 - -2", "", "1 - - 2"),
+        ("SET a.b = c d", "", "c d"),
+        ("SET a.b = c, 'd e', -1", "", "c , 'd e' , - 1"),
+    ];
+    for (sql, plain, sql_value) in cases {
+        let Some(SessionCommand::Set {
+            value,
+            sql_value: actual,
+            ..
+        }) = SessionCommand::parse(sql)
+        else {
+            panic!("{sql}");
+        };
+        assert_eq!(actual, sql_value, "{sql}");
+        assert!(plain.is_empty() || value == plain, "{sql}: {value}");
+    }
+}
