Refuse a text of several statements that begins with a SET

Callers that sent SET a.b = 1; UPDATE … in one text were told SET, and the UPDATE did not run.

Cause: semicolons were dropped when a session command was read, so the words after them became part of the value.

Evidence: session_state_is_refused_with_a_hint failed on such a text before (it was told success) and passes now: nothing runs, and the caller is told 0A000.

--- a/crates/jujubehold_host/tests/traffic/session_state.rs
+++ b/crates/jujubehold_host/tests/traffic/session_state.rs
@@ -21,6 +21,10 @@
         "EXECUTE p",
         "COMMIT AND CHAIN",
         "SET role = admin",
+        // The statement after a SET was dropped without a word.
+        "SET a.b = 1; UPDATE counter SET n = 1",
+        "RESET a.b; UPDATE counter SET n = 1",
+        "SHOW jujubehold.session; UPDATE counter SET n = 1",
     ] {
         let (sqlstate, detail) = try_run(&client, sql).await.unwrap_err();
         assert_eq!(sqlstate, "0A000", "{sql}");
--- a/crates/jujubehold_pg/src/session_command.rs
+++ b/crates/jujubehold_pg/src/session_command.rs
@@ -27,11 +27,15 @@
 impl SessionCommand {
     /// Parses a command, or returns `None` if `sql` is not one.
     pub fn parse(sql: &str) -> Option<Self> {
-        let tokens = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize().ok()?;
-        let mut tokens = tokens
-            .into_iter()
-            .filter(|token| !matches!(token, Token::Whitespace(_) | Token::SemiColon))
-            .peekable();
+        let mut tokens = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize().ok()?;
+        tokens.retain(|token| !matches!(token, Token::Whitespace(_)));
+        while tokens.last() == Some(&Token::SemiColon) {
+            tokens.pop();
+        }
+        if tokens.contains(&Token::SemiColon) {
+            return None;
+        }
+        let mut tokens = tokens.into_iter().peekable();
         let verb = lowercase_word(tokens.next()?)?;
         let mut name = lowercase_word(tokens.next()?)?;
         if verb == "set" && name == "session" && matches!(tokens.peek(), Some(Token::Word(_))) {
