Read the options of a startup message as PostgreSQL splits them

Callers whose option contains "-c" within its value had it cut there. Session tokens are URL-safe base64, so about one in fifty contains it: a session that moved to another host with such a token in its options was refused as token_invalid.

Cause: the options were split at each "-c", also within a value.

Evidence: an_option_is_one_setting_whatever_its_value_contains failed before ("my" in place of "my-catalog") and passes now. The share of tokens is computed from the alphabet, not measured.

A value with a plain space was accepted and is refused, as PostgreSQL does.

--- a/crates/jujubehold_host/src/traffic/mod.rs
+++ b/crates/jujubehold_host/src/traffic/mod.rs
@@ -35,6 +35,7 @@
 mod session_settings;
 mod session_start;
 mod silence_tracker;
+mod startup_options;
 mod status_answer;
 mod status_queries;
 mod transaction;
--- a/crates/jujubehold_host/src/traffic/session_start.rs
+++ b/crates/jujubehold_host/src/traffic/session_start.rs
@@ -18,6 +18,7 @@
 use super::caller_io::CallerIo;
 use super::session::Session;
 use super::session_settings::{SESSION_SETTING, StartupSettings};
+use super::startup_options::read_options;
 use crate::drain_phase::DrainPhase;
 use crate::routing_table::ServiceRoute;
 use crate::security::CallerStream;
@@ -127,9 +128,10 @@
 ) -> Result<StartupSettings, RefusalReason> {
     let mut startup = StartupSettings::default();
     let options = parameters.get("options").map_or("", String::as_str);
-    let from_options = options
-        .split("-c")
-        .filter_map(|option| option.trim().split_once('='));
+    let from_options = read_options(options).ok_or(RefusalReason::ProtocolViolation)?;
+    let from_options = from_options
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.as_str()));
     let from_parameters = parameters
         .iter()
         .filter(|(name, _)| !matches!(name.as_str(), "user" | "database" | "options"))
--- a/crates/jujubehold_host/tests/traffic/raw_caller.rs
+++ b/crates/jujubehold_host/tests/traffic/raw_caller.rs
@@ -31,7 +31,8 @@
         caller
             .queued
             .extend_from_slice(&startup_message(parameters.collect()));
-        caller.ask().await;
+        let answer = caller.ask().await;
+        assert_eq!(error_code(&answer), "", "{settings:?}");
         caller
     }
 
--- a/crates/jujubehold_host/tests/traffic/session_state.rs
+++ b/crates/jujubehold_host/tests/traffic/session_state.rs
@@ -3,6 +3,7 @@
 
 use jujubehold_core::prelude::*;
 
+use crate::raw_caller::{RawCaller, error_code};
 use crate::support::{Fixture, error_text, run, text, try_run};
 
 #[actix_rt::test]
@@ -61,6 +62,42 @@
     assert_eq!(text(&other, "SELECT min(n) FROM counter").await, "0");
 }
 
+// Options were split wherever "-c" stands, also within a value; every fiftieth token contains it.
+#[actix_rt::test]
+async fn an_option_is_one_setting_whatever_its_value_contains() {
+    let mut fixture = Fixture::start(ServiceConfig::default()).await;
+    fixture.create_counter().await;
+    for (options, value) in [
+        ("-c a.b=my-catalog", "my-catalog"),
+        ("-ca.b=x-c=y", "x-c=y"),
+        ("--a.b=x--c", "x--c"),
+        ("-c a.b=two\\ words\\ -c\\ c.d=e", "two words -c c.d=e"),
+        ("  -c  a.b=it's;  -c e.f=1 ", "it's;"),
+    ] {
+        let mut caller = RawCaller::connect(&fixture, &[("options", options)]).await;
+        let mut answer = caller.query("BEGIN").ask().await;
+        assert_eq!(error_code(&answer), "", "{options}");
+        caller.parse("", "UPDATE counter SET n = 1").bind("", &[]);
+        answer = caller.execute().sync().await;
+        assert_eq!(error_code(&answer), "", "{options}");
+        let run = fixture.statement_runs().pop().unwrap();
+        assert_eq!(
+            run.ran_under.get("a.b").unwrap(),
+            &value.replace('\'', "''"),
+            "{options}"
+        );
+        caller.query("ROLLBACK").ask().await;
+    }
+    for options in ["-c", "-c a.b", "-x a.b=c", "a.b=c", "-c a.b=c \\"] {
+        let mut config = tokio_postgres::Config::new();
+        config.host("127.0.0.1").port(fixture.address.port());
+        config.user("clerk").dbname("ledger").options(options);
+        let refused = config.connect(tokio_postgres::NoTls).await;
+        let error = refused.err().expect("the options are refused");
+        assert_eq!(error_text(&error).0, "08P01", "{options}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_forged_token_is_refused() {
     let mut fixture = Fixture::start(ServiceConfig::default()).await;
