Bound the bytes of a session's prepared statements

A session could keep 4096 statements of up to 64 MiB each, with names as long, and each kept the whole buffer that its message was read into. One statement more than 4096 ended the session without an error.

A session keeps 4096 statements and 4 MiB of names, texts and parameter types. The pipeline that would exceed it is refused by 08P01 with a hint, runs nothing, and the session goes on. Texts are copied, so that they keep no buffer. A pipeline that exceeds its own limit is told so before its session ends.

--- a/crates/jujubehold_host/src/traffic/message_batch.rs
+++ b/crates/jujubehold_host/src/traffic/message_batch.rs
@@ -21,6 +21,8 @@
     pub(crate) class: StatementClass,
     /// Whether it has at most one statement, so that an error proves that nothing ran.
     pub(crate) is_single: bool,
+    /// Whether it prepares more statements than the session may have.
+    pub(crate) exceeds_limit: bool,
     /// Whether it ends with a Flush, so that the caller's pipeline continues.
     pub(crate) ends_with_flush: bool,
     /// When its last message was read.
@@ -67,6 +69,7 @@
         Self {
             class,
             is_single,
+            exceeds_limit: false,
             ends_with_flush: false,
             arrived_at: Monotonic::ZERO,
             deadline: Monotonic::ZERO,
@@ -88,6 +91,7 @@
             } else {
                 combine(classes)
             },
+            exceeds_limit: false,
             ends_with_flush: matches!(items.last(), Some(ExtendedItem::Flush)),
             arrived_at: Monotonic::ZERO,
             deadline: Monotonic::ZERO,
--- a/crates/jujubehold_host/src/traffic/mod.rs
+++ b/crates/jujubehold_host/src/traffic/mod.rs
@@ -34,6 +34,7 @@
 mod session_pipeline;
 mod session_settings;
 mod session_start;
+mod session_statements;
 mod silence_tracker;
 mod startup_options;
 mod status_answer;
--- a/crates/jujubehold_host/src/traffic/prepared_statement.rs
+++ b/crates/jujubehold_host/src/traffic/prepared_statement.rs
@@ -24,7 +24,9 @@
 
 impl PreparedStatement {
     /// Creates a statement from the content of its Parse message after the name.
-    pub(crate) fn new(text_and_types: Bytes, text_bytes: usize, class: StatementClass) -> Self {
+    pub(crate) fn new(message: &[u8], text_bytes: usize, class: StatementClass) -> Self {
+        // Copied, since a part of the message would keep the whole buffer of what was read.
+        let text_and_types = Bytes::copy_from_slice(message);
         Self {
             plain_name: StatementName::new([&text_and_types[..]]),
             last_named: RefCell::default(),
--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -1,6 +1,5 @@
 //! A caller's session: reads its messages and routes each batch of them.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +21,7 @@
 use super::prepared_statement::PreparedStatement;
 use super::session_metrics::SessionMetrics;
 use super::session_settings::{StartupSettings, UpstreamSettings};
+use super::session_statements::{STATEMENTS_HINT, SessionStatements};
 use super::transaction::PinnedConnection;
 use crate::drain_phase::DrainPhase;
 use crate::metric_names::SESSIONS;
@@ -51,11 +51,12 @@
     pub(crate) request: Option<RequestName>,
     pub(crate) metrics: SessionMetrics,
     phase: watch::Receiver<DrainPhase>,
-    /// The prepared statements by the names that the caller gave them.
-    pub(crate) statements: BTreeMap<SmolStr, Rc<PreparedStatement>>,
+    pub(crate) statements: SessionStatements,
     /// The messages of the extended protocol since the last Sync or Flush.
     pub(crate) pipeline: Vec<ExtendedItem>,
     pub(crate) pipeline_bytes: usize,
+    /// Whether the pipeline prepares more statements than the session may have.
+    pub(crate) exceeds_limit: bool,
     /// The names that the pipeline's Parse and Close messages changed, and what they stood for.
     pub(crate) replaced: Vec<(SmolStr, Option<Rc<PreparedStatement>>)>,
 }
@@ -94,9 +95,10 @@
             request: startup.request,
             metrics,
             phase,
-            statements: BTreeMap::new(),
+            statements: SessionStatements::default(),
             pipeline: Vec::new(),
             pipeline_bytes: 0,
+            exceeds_limit: false,
             replaced: Vec::new(),
         }
     }
@@ -148,7 +150,8 @@
         }
     }
 
-    async fn end_malformed(&mut self, problem: &str) -> Result<(), FrameError> {
+    /// Refuses a message that breaks the protocol, and ends the session.
+    pub(crate) async fn end_malformed(&mut self, problem: &str) -> Result<(), FrameError> {
         self.put_refusal(&refusal(RefusalReason::ProtocolViolation));
         self.io.flush().await?;
         Err(FrameError::Malformed(problem.to_owned()))
@@ -173,6 +176,12 @@
     }
 
     async fn try_run_batch(&mut self, batch: &mut MessageBatch) -> Result<(), BatchError> {
+        if batch.exceeds_limit {
+            return Err(BatchError::Hinted {
+                refusal: refusal(RefusalReason::ProtocolViolation),
+                hint: STATEMENTS_HINT,
+            });
+        }
         if batch.has_session_command() {
             return Box::pin(self.run_session_batch(batch)).await;
         }
--- a/crates/jujubehold_host/src/traffic/session_pipeline.rs
+++ b/crates/jujubehold_host/src/traffic/session_pipeline.rs
@@ -13,8 +13,6 @@
 const MAX_PIPELINE_MESSAGES: usize = 16_384;
 /// The most bytes of messages before a Sync or Flush.
 const MAX_PIPELINE_BYTES: usize = 64 * 1024 * 1024;
-/// The most statements that a caller may have prepared at a time.
-const MAX_PREPARED_STATEMENTS: usize = 4096;
 
 impl Session {
     /// Adds a message to the pipeline, and runs the pipeline if the message is a Sync or Flush.
@@ -32,8 +30,9 @@
             } => {
                 let text = std::str::from_utf8(&text_and_types[..text_bytes]).unwrap_or_default();
                 let class = classify(text);
-                let prepared = Rc::new(PreparedStatement::new(text_and_types, text_bytes, class));
-                let replaced = self.statements.insert(name.clone(), prepared.clone());
+                let prepared = Rc::new(PreparedStatement::new(&text_and_types, text_bytes, class));
+                let replaced = self.statements.replace(&name, Some(prepared.clone()));
+                self.exceeds_limit |= self.statements.exceed_limit();
                 self.replaced.push((name, replaced));
                 ExtendedItem::Parse(prepared)
             }
@@ -52,7 +51,7 @@
             ExtendedMessage::DescribePortal => ExtendedItem::DescribePortal(frame),
             ExtendedMessage::Execute { .. } => ExtendedItem::Execute(frame),
             ExtendedMessage::CloseStatement(name) => {
-                let replaced = self.statements.remove(&name);
+                let replaced = self.statements.replace(&name, None);
                 self.replaced.push((name, replaced));
                 ExtendedItem::CloseStatement
             }
@@ -62,20 +61,17 @@
         };
         let is_end = matches!(item, ExtendedItem::Sync | ExtendedItem::Flush);
         self.pipeline.push(item);
-        if self.pipeline.len() > MAX_PIPELINE_MESSAGES
-            || self.pipeline_bytes > MAX_PIPELINE_BYTES
-            || self.statements.len() > MAX_PREPARED_STATEMENTS
-        {
-            return Err(FrameError::Malformed(
-                "the pipeline or the number of prepared statements exceeds its limit".to_owned(),
-            ));
+        if self.pipeline.len() > MAX_PIPELINE_MESSAGES || self.pipeline_bytes > MAX_PIPELINE_BYTES {
+            return self.end_malformed("the pipeline exceeds its limit").await;
         }
         if !is_end {
             return Ok(());
         }
         self.pipeline_bytes = 0;
         let items = std::mem::take(&mut self.pipeline);
-        let result = self.run_batch(MessageBatch::extended(items)).await;
+        let mut batch = MessageBatch::extended(items);
+        batch.exceeds_limit = std::mem::take(&mut self.exceeds_limit);
+        let result = self.run_batch(batch).await;
         self.restore_names();
         result
     }
@@ -84,10 +80,7 @@
     fn restore_names(&mut self) {
         let replaced = std::mem::take(&mut self.replaced);
         for (name, statement) in replaced.into_iter().rev().take(self.io.skipped_definitions) {
-            match statement {
-                Some(statement) => drop(self.statements.insert(name, statement)),
-                None => drop(self.statements.remove(&name)),
-            }
+            self.statements.replace(&name, statement);
         }
     }
 
--- a/crates/jujubehold_host/tests/traffic/statement_failures.rs
+++ b/crates/jujubehold_host/tests/traffic/statement_failures.rs
@@ -85,3 +85,40 @@
     caller.bind("before", &[]).execute();
     assert_eq!(error_code(&caller.sync().await), "");
 }
+
+// A session could keep any number of bytes in 4096 statements, and one more ended it without a
+// word.
+#[actix_rt::test]
+async fn the_statements_of_a_session_are_bounded_in_number_and_bytes() {
+    let mut fixture = Fixture::start(ServiceConfig::default()).await;
+    fixture.create_counter().await;
+    let mut caller = RawCaller::connect(&fixture, &[]).await;
+    let long = format!("SELECT 1 /* {} */", "x".repeat(1024 * 1024));
+    for name in ["a", "b", "c"] {
+        assert_eq!(error_code(&caller.parse(name, &long).sync().await), "");
+    }
+    for _ in 0..2 {
+        let answer = caller.parse("d", &long).sync().await;
+        assert_eq!(error_code(&answer), "08P01");
+        let hint = answer[0].error_field(b'H').unwrap_or_default();
+        assert!(hint.contains("4 MiB"), "{hint}");
+    }
+    // A name is kept as well.
+    let answer = caller.parse(&long, "SELECT 1").sync().await;
+    assert_eq!(error_code(&answer), "08P01");
+    // The session goes on, and a Close makes room.
+    caller.close("a").parse("d", &long).bind("d", &[]).execute();
+    assert_eq!(error_code(&caller.sync().await), "");
+    let mut caller = RawCaller::connect(&fixture, &[]).await;
+    for number in 0..4096 {
+        caller.parse(&number.to_string(), "SELECT 1");
+    }
+    assert_eq!(error_code(&caller.sync().await), "");
+    let answer = caller.parse("one more", "SELECT 1").sync().await;
+    assert_eq!(error_code(&answer), "08P01");
+    caller
+        .close("0")
+        .parse("one more", "SELECT 1")
+        .bind("one more", &[]);
+    assert_eq!(error_code(&caller.execute().sync().await), "");
+}
