Compare what instances run with what was sent, side by side

The control port of the stand-in reports what its instances ran, and messages that they could not read. The rule "as sent" compares text, prepared shape and access, arguments, values and transaction, and expects the proof of an instance that ran it in each success.

--- a/crates/jujubehold_standin/src/users_platform/control.rs
+++ b/crates/jujubehold_standin/src/users_platform/control.rs
@@ -1,18 +1,22 @@
 //! The commands of the control port of the users' platform.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::time::Duration;
 
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::faults::StoreFaults;
+use super::group::ExecutedStatement;
 use super::handle::UsersPlatformHandle;
 use super::kv_state::StoreCopy;
 use super::store_endpoint::StoreEndpoint;
 use crate::control_port::Control;
 
+/// How many runs one answer reports at most, which bounds its length.
+const MAX_REPORTED_RUNS: usize = 200;
+
 /// Executes the commands listed in docs/notes/platform-stand-in.md.
 pub(crate) struct UsersPlatformControl {
     pub(crate) platform: UsersPlatformHandle,
@@ -20,6 +24,8 @@
     pub(crate) endpoints: Vec<StoreEndpoint>,
     /// The latest copy of the store.
     pub(crate) copy: RefCell<Option<StoreCopy>>,
+    /// How many runs of statements were reported.
+    pub(crate) reported_runs: Cell<usize>,
 }
 
 impl Control for UsersPlatformControl {
@@ -40,6 +46,10 @@
             ["primary"] => Ok(self.primary()),
             ["connections"] => Ok(self.connections()),
             ["repeated"] => Ok(self.repeated_writes()),
+            ["runs"] => Ok(self.next_runs()),
+            ["unreadable"] => {
+                Ok(json!(self.platform.group.borrow().unreadable_messages).to_string())
+            }
             _ => Err("unknown command".to_owned()),
         };
         answer.unwrap_or_else(|error| format!("error: {error}"))
@@ -114,6 +124,16 @@
         counts.join(" ")
     }
 
+    // Returns the runs since the last call as one JSON list; empty if there are none.
+    fn next_runs(&self) -> String {
+        let group = self.platform.group.borrow();
+        let reported = self.reported_runs.get();
+        let runs = group.executed_statements.iter().skip(reported);
+        let documents: Vec<Value> = runs.take(MAX_REPORTED_RUNS).map(run_document).collect();
+        self.reported_runs.set(reported + documents.len());
+        Value::from(documents).to_string()
+    }
+
     // Returns the ids of the requests whose writes ran more than once.
     fn repeated_writes(&self) -> String {
         let group = self.platform.group.borrow();
@@ -130,6 +150,26 @@
     }
 }
 
+fn run_document(run: &ExecutedStatement) -> Value {
+    let prepared = run.prepared.as_ref().map(|prepared| {
+        json!({
+            "is_write": prepared.is_write,
+            "shape": prepared.shape,
+            "arguments": prepared.arguments,
+        })
+    });
+    json!({
+        "id": run.id,
+        "instance": run.instance,
+        "connection": run.connection,
+        "user": run.user,
+        "text": run.text,
+        "prepared": prepared,
+        "values": run.session_values,
+        "in_transaction": run.in_transaction,
+    })
+}
+
 fn text(error: impl Display) -> String {
     error.to_string()
 }
--- a/crates/jujubehold_standin/src/users_platform/run.rs
+++ b/crates/jujubehold_standin/src/users_platform/run.rs
@@ -1,6 +1,6 @@
 //! Runs the users' platform as a program.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 
 use super::control::UsersPlatformControl;
@@ -38,6 +38,7 @@
         platform,
         endpoints,
         copy: RefCell::default(),
+        reported_runs: Cell::new(0),
     };
     serve_control(settings.control, control).await?;
     stop.await;
--- a/tools/side_by_side.py
+++ b/tools/side_by_side.py
@@ -1,6 +1,6 @@
 """Runs two versions of the entry host side by side, and checks what callers and instances see.
 
-    python3 tools/side_by_side.py OLD_COMMIT [--new COMMIT] [--seed N] [--pause S] [--way up|down|both]
+    python3 tools/side_by_side.py OLD_COMMIT [--new COMMIT] [--seed N] [--pause S] [--way up|down|both] [--plain]
 
 Builds both commits from this repository's history, each in a folder of its own below
 target/side-by-side. Starts the stand-in of the users' platform and nine hosts in three failure
@@ -8,7 +8,8 @@
 the other by the new version, most by SIGTERM and some by SIGKILL, and back again. Meanwhile the
 operators write a configuration every 0.8 s that adds a database and a key and drops an old one of each,
 the store turns hosts away, primaries die, a customer sends more than its quota at every host, and
-callers write and read.
+callers write and read, prepare statements, set values and run transactions. Their texts have every form
+that the protocol allows, or with --plain one word, for versions that can't carry others.
 
 Exits with 1 and prints the seed, the rule and what broke it if a rule is broken:
 
@@ -17,6 +18,9 @@
 - no return: a process that has shown one version of the configuration does not show an earlier one;
 - own writes: a read of the primary's data returns the latest acknowledged write, unless the primary was
   replaced in between;
+- as sent: what instances run has the text, the prepared shape and access, the arguments, the values and
+  the transaction that its caller sent, every acknowledged statement ran, and instances can read every
+  message;
 - at most once: no instance runs a write twice;
 - quota: in no window of 5 s do all hosts together run more operations of the customer than it may;
 - shutdown: a host that gets SIGTERM answers every request that it had received.
@@ -40,11 +44,16 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from odd_statements import SentStatement, SentStatements, Texts
+
 ROOT = Path(__file__).resolve().parent.parent
 BUILDS = ROOT / "target" / "side-by-side"
 DOMAINS = ["east", "west", "south"]
 HOST_COUNT = 9
 CALLER_COUNT = 6
+# Callers that prepare statements, set values and run transactions.
+STATEMENT_CALLER_COUNT = 12
+DATABASES = {"newest": "primary", "own": "read_your_writes", "bounded": "bounded_staleness"}
 CONFIGURATION_INTERVAL_S = 0.8
 # The time within which a configuration takes effect everywhere.
 CONFIGURATION_LIMIT_S = 5.0
@@ -64,6 +73,13 @@
 MAX_OPERATIONS = (RATE_PER_S * QUOTA_WINDOW_S + BURST) * 1.1 + 20
 # How long a customer that is at its quota waits before it asks again.
 REFUSED_PAUSE_S = 0.02
+# How often the runs of instances are compared with what was sent.
+COMPARE_INTERVAL_S = 0.5
+# How many differing statements are printed. All of them are counted.
+PRINTED_DIFFERENCES = 20
+PRINTED_CHARACTERS = 600
+# The longest line that is received.
+MAX_LINE_BYTES = 64 * 1024 * 1024
 PRIMARY_LIFE_S = 12.0
 PRIMARY_DEATH_S = 5.0
 READY_TIMEOUT_S = 20.0
@@ -190,12 +206,16 @@
         self.process = process
         self.reader = reader
         self.writer = writer
+        # The letter of the transaction state.
+        self.state = "I"
 
     @classmethod
     async def open(cls, host: Host, database: str, key: str) -> tuple[Session | None, str]:
         """Returns the session, or None and the line that refused it."""
         process = host.process
-        reader, writer = await asyncio.open_connection("127.0.0.1", host.caller_port)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", host.caller_port, limit=MAX_LINE_BYTES
+        )
         session = cls(process, reader, writer)
         writer.write(f"START {database} {key}\r\n".encode())
         line = await session.line()
@@ -206,7 +226,7 @@
 
     async def query(self, request: str, text: str) -> tuple[str, list[str]]:
         """Returns the line that states the outcome, and the rows; an empty line if the connection
-        ended without an answer."""
+        ended without an answer. The state of the session is kept."""
         self.writer.write(f"QUERY {request} {text}\r\n".encode())
         rows: list[str] = []
         outcome = ""
@@ -214,6 +234,7 @@
             if line.startswith("ROW "):
                 rows.append(line.removeprefix("ROW "))
             elif line.startswith("READY"):
+                self.state = line.split(" ")[1]
                 return outcome, rows
             else:
                 outcome = line
@@ -224,7 +245,8 @@
             line = await asyncio.wait_for(self.reader.readline(), CALL_TIMEOUT_S)
         except (ConnectionError, asyncio.TimeoutError):
             return ""
-        return line.decode().strip()
+        # A field may start or end with spaces.
+        return line.decode().rstrip("\r\n")
 
     def close(self) -> None:
         self.writer.close()
@@ -249,6 +271,9 @@
     limited_runs: list[float] = field(default_factory=list)
     # How often a primary died.
     primary_deaths: int = 0
+    sent: SentStatements = field(default_factory=SentStatements)
+    transaction_count: int = 0
+    differences: int = 0
     control: Control | None = None
     is_over: bool = False
 
@@ -263,10 +288,12 @@
         port = free_port()
         command = [str(self.programs["new"]), "standin-users-platform"]
         command += ["--control", f"127.0.0.1:{port}", "--hosts", str(HOST_COUNT)]
+        command += ["--max-connections", str(self.arguments.max_connections)]
         process = subprocess.Popen(command)
         for _ in range(100):
             with contextlib.suppress(OSError):
-                self.control = Control(*await asyncio.open_connection("127.0.0.1", port))
+                opened = await asyncio.open_connection("127.0.0.1", port, limit=MAX_LINE_BYTES)
+                self.control = Control(*opened)
                 return process
             await asyncio.sleep(0.05)
         process.kill()
@@ -463,8 +490,24 @@
             )
 
     async def statement(
+        self,
+        host: Host,
+        session: Session,
+        request: str,
+        text: str,
+        expected: SentStatement | None = None,
+    ) -> tuple[str, list[str]]:
+        """Runs a statement that must run as `expected`, or else as its text."""
+        self.sent.sent[request] = expected or SentStatement(host.version, text)
+        outcome, rows = await self.query(host, session, request, text)
+        if outcome.startswith("COMPLETE "):
+            self.sent.acknowledged.append((request, outcome.removeprefix("COMPLETE ")))
+        return outcome, rows
+
+    async def query(
         self, host: Host, session: Session, request: str, text: str
     ) -> tuple[str, list[str]]:
+        """Runs a statement that no instance may run under its id, or that is expected already."""
         sent_at = time.monotonic()
         try:
             outcome, rows = await session.query(request, text)
@@ -481,6 +524,55 @@
         if host.stopped_at is None or sent_at < host.stopped_at - ARRIVAL_S:
             self.report("shutdown", f"{host.name} ({host.version}) did not answer {request}")
 
+    async def call_with_statements(self, number: int) -> None:
+        source = random.Random(f"{self.arguments.seed} {number}")
+        caller = StatementCaller(self, number, Texts(source, self.arguments.plain), source)
+        while not self.is_over:
+            await asyncio.sleep(source.uniform(0.0, 0.02))
+            host = source.choice(self.hosts)
+            if host.stopped_at is not None:
+                continue
+            database = source.choice(list(DATABASES))
+            with contextlib.suppress(OSError):
+                session, _ = await Session.open(host, database, CALLERS_KEY)
+                if session is not None:
+                    await caller.use(host, session)
+                    session.close()
+
+    async def compare_runs(self) -> None:
+        while not self.is_over:
+            await asyncio.sleep(COMPARE_INTERVAL_S)
+            await self.compare_next_runs()
+
+    async def compare_next_runs(self) -> None:
+        while runs := json.loads(await self.control.run("runs")):
+            for run in runs:
+                self.compare_run(run)
+
+    def compare_run(self, run: dict) -> None:
+        version, difference = self.sent.compare(run)
+        self.count("runs compared")
+        if run["prepared"] is not None:
+            self.count(f"prepared runs sent to {version} hosts")
+        if difference:
+            self.count(f"runs changed in {difference}, sent to {version} hosts")
+            sent = self.sent.sent.get(run["id"])
+            self.report_difference(f"{difference}: sent {sent}, ran {run}")
+
+    def report_difference(self, detail: str) -> None:
+        self.differences += 1
+        if self.differences <= PRINTED_DIFFERENCES:
+            self.report("as sent", detail[:PRINTED_CHARACTERS])
+
+    async def check_as_sent(self) -> None:
+        await self.compare_next_runs()
+        for detail in self.sent.unproved():
+            self.count("acknowledged without a run")
+            self.report_difference(detail)
+        for message in json.loads(await self.control.run("unreadable")):
+            self.count("unreadable messages")
+            self.report_difference(f"unreadable: {message!r}")
+
     async def exceed_quota(self, host: Host) -> None:
         number = 0
         while not self.is_over:
@@ -548,6 +640,8 @@
             tasks += [self.exceed_quota(host) for host in self.hosts]
             tasks += [self.check_configuration(host) for host in self.hosts]
             tasks += [self.call(number) for number in range(CALLER_COUNT)]
+            tasks += [self.call_with_statements(number) for number in range(STATEMENT_CALLER_COUNT)]
+            tasks += [self.compare_runs()]
             running = [asyncio.create_task(task) for task in tasks]
             await asyncio.sleep(START_S)
             for version in ways:
@@ -557,6 +651,7 @@
             for result in await asyncio.gather(*running, return_exceptions=True):
                 if isinstance(result, Exception):
                     raise result
+            await self.check_as_sent()
             await self.check_at_most_once()
             self.check_quota()
         finally:
@@ -568,20 +663,154 @@
                     process.wait()
 
 
+class SessionEnded(Exception):
+    """The session is closed, or its caller leaves."""
+
+
+class StatementCaller:
+    """A caller that prepares statements, sets values and runs transactions."""
+
+    def __init__(self, run: Run, number: int, texts: Texts, source: random.Random):
+        self.run = run
+        self.number = number
+        self.texts = texts
+        self.random = source
+        self.request_count = 0
+        self.host: Host | None = None
+        self.session: Session | None = None
+        self.values: dict[str, str] = {}
+        # Whether each of them writes, and its shape.
+        self.statements: dict[str, tuple[bool, str]] = {}
+        self.transaction: int | None = None
+
+    async def use(self, host: Host, session: Session) -> None:
+        """Uses the session until it is closed or the caller leaves."""
+        self.host, self.session = host, session
+        self.values, self.statements, self.transaction = {}, {}, None
+        with contextlib.suppress(SessionEnded):
+            while not self.run.is_over:
+                await self.take_step()
+
+    async def take_step(self) -> None:
+        await self.pause()
+        steps = [self.prepare, self.set_value, self.deallocate, self.run_text, self.execute]
+        steps += [self.run_transaction, self.leave]
+        await self.random.choices(steps, [22, 8, 4, 16, 30, 18, 2])[0]()
+
+    async def run_transaction(self) -> None:
+        begin = self.random.choice(["BEGIN", "BEGIN", "BEGIN READ"])
+        if not (await self.query(begin)).startswith("COMPLETE"):
+            return
+        self.run.transaction_count += 1
+        self.run.count("transactions")
+        self.transaction = self.run.transaction_count
+        steps = [self.run_text, self.execute, self.prepare, self.set_value, self.leave]
+        for _ in range(self.random.randrange(6)):
+            await self.pause()
+            await self.random.choices(steps, [8, 8, 1, 1, 1])[0]()
+            if self.session.state != "T":
+                break
+        end = self.random.choice(["COMMIT", "COMMIT", "ROLLBACK"])
+        if end == "COMMIT":
+            await self.statement(end)
+        else:
+            await self.query(end)
+        self.transaction = None
+        if self.session.state != "I":
+            self.run.report_difference(f"{end} left the session in {self.session.state}")
+
+    async def prepare(self) -> None:
+        name, shape = self.texts.name(), self.texts.text()
+        is_write = self.random.random() < 0.5
+        access = "WRITE" if is_write else "READ"
+        await self.change_session(f"PREPARE {name} {access} {shape}")
+        self.run.count("prepares")
+        self.statements[name] = (is_write, shape)
+
+    async def set_value(self) -> None:
+        name, value = self.texts.name(), self.texts.text()
+        await self.change_session(f"SET {name} {value}")
+        self.values[name] = value
+
+    async def deallocate(self) -> None:
+        name = self.texts.name()
+        if name in self.statements:
+            await self.change_session(f"DEALLOC {name}")
+            del self.statements[name]
+
+    async def run_text(self) -> None:
+        await self.statement(self.texts.statement())
+
+    async def execute(self) -> None:
+        name = self.texts.name()
+        arguments = self.texts.arguments()
+        text = f"EXECUTE {name}" if arguments is None else f"EXECUTE {name} {arguments}"
+        if name in self.statements:
+            await self.statement(text, (*self.statements[name], arguments))
+        elif self.random.random() < 0.75:
+            await self.prepare()
+        elif (await self.query(text)).startswith("COMPLETE"):
+            self.run.report_difference(f"{text!r} succeeded, but was not prepared")
+
+    async def leave(self) -> None:
+        if self.random.random() < 0.5:
+            request, text = self.next_request(), self.texts.statement()
+            self.expect(request, text, None)
+            self.session.writer.write(f"QUERY {request} {text}\r\n".encode())
+        raise SessionEnded
+
+    async def change_session(self, text: str) -> None:
+        """Runs a SET, PREPARE or DEALLOC; a caller closes its session after an error."""
+        if not (await self.query(text)).startswith("COMPLETE"):
+            raise SessionEnded
+
+    async def statement(
+        self, text: str, prepared: tuple[bool, str, str | None] | None = None
+    ) -> None:
+        request = self.next_request()
+        expected = self.expect(request, text, prepared)
+        answer = self.run.statement(self.host, self.session, request, text, expected)
+        outcome, _ = await answer
+        if not outcome:
+            raise SessionEnded
+
+    async def query(self, text: str) -> str:
+        """Runs what no instance runs under its id."""
+        outcome, _ = await self.run.query(self.host, self.session, self.next_request(), text)
+        if not outcome:
+            raise SessionEnded
+        return outcome
+
+    def expect(
+        self, request: str, text: str, prepared: tuple[bool, str, str | None] | None
+    ) -> SentStatement:
+        values = [f"{name}={value}" for name, value in sorted(self.values.items())]
+        expected = SentStatement(self.host.version, text, prepared, values, self.transaction)
+        self.run.sent.sent[request] = expected
+        return expected
+
+    def next_request(self) -> str:
+        self.request_count += 1
+        return self.texts.request(f"p{self.number}n{self.request_count}")
+
+    async def pause(self) -> None:
+        await asyncio.sleep(self.random.uniform(0.0, 0.02))
+
+
 def routes(databases: list[str]) -> str:
-    """Returns the routes of a configuration with `databases` and the one that callers use."""
+    """Returns the routes of a configuration with `databases` and those that callers use."""
     documents = [
         {
             "name": name,
             "host": name,
-            "route_type": "primary",
+            "route_type": DATABASES.get(name, "primary"),
             "service": "s",
             "timeout_ms": 1500,
             "slo_ms": 1000,
             "priority": 1,
             "max_staleness_ms": 1000,
         }
-        for name in ["newest", *databases]
+        for name in [*DATABASES, *databases]
     ]
     return compact(documents)
 
@@ -626,6 +855,12 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--pause", type=float, default=1.5, help="seconds between replacements")
     parser.add_argument("--way", choices=["up", "down", "both"], default="both")
+    parser.add_argument(
+        "--plain", action="store_true", help="statements whose texts are one word each"
+    )
+    parser.add_argument(
+        "--max-connections", type=int, default=40, help="how many connections each instance accepts"
+    )
     arguments = parser.parse_args()
     try:
         programs = {
@@ -639,6 +874,8 @@
         print(f"error: {error}", file=sys.stderr)
         return 2
     print(", ".join(f"{name}: {count}" for name, count in sorted(run.counts.items())))
+    if run.differences > PRINTED_DIFFERENCES:
+        print(f"as sent: {run.differences} differences, {PRINTED_DIFFERENCES} of them printed")
     if run.violations:
         rules = sorted({violation.rule for violation in run.violations})
         print(f"seed {arguments.seed}: {len(run.violations)} violations of {', '.join(rules)}")
