Send a long outcome apart from the rows of a reply

With an owner, a caller whose statement got a long row and a long proof was never answered with them: it was told BUSY until it gave up, and each attempt ended the link to the owner.

Cause: the last rows of a reply share a message with the outcome. Both are lines of the instance and may have nearly 1 MiB each; a message between hosts may not.

Evidence: a_long_reply_does_not_end_the_link_to_the_owner, with 600,000 bytes each, failed before ("ERROR BUSY queue_full" for 20 s) and passes now.

Another test holds that a write that ran though its PREPARE was refused is told as INDOUBT; it passed before as well.

--- a/crates/jujubehold_entry/src/peer_link/served_lease.rs
+++ b/crates/jujubehold_entry/src/peer_link/served_lease.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use log::info;
 use metrics::counter;
+use prost::Message;
 use tokio::sync::mpsc;
 
 use super::frame::{
@@ -259,7 +260,12 @@
         rows.push(row);
     }
     let mut message = ReplyMessage::new(&reply, waited);
-    message.rows = rows;
+    // The outcome is a line of the instance too, and may be as long as a row.
+    if length + message.encoded_len() > MAX_ROWS_BYTES && !rows.is_empty() {
+        link.send(number, FrameBody::Rows(RowsMessage { rows }));
+    } else {
+        message.rows = rows;
+    }
     link.send(number, FrameBody::Reply(Box::new(message)));
 }
 
--- a/crates/jujubehold_standin/src/users_platform/faults.rs
+++ b/crates/jujubehold_standin/src/users_platform/faults.rs
@@ -41,10 +41,14 @@
     pub loses_answers: bool,
     /// The instance rejects every PREPARE, without any effect.
     pub refuses_prepare: bool,
+    /// A PREPARE that is rejected takes effect all the same.
+    pub keeps_refused_prepare: bool,
     /// The instance rejects every SET, without any effect.
     pub refuses_set: bool,
     /// Connections lose their prepared statements with the next message that they receive.
     pub loses_prepared_statements: bool,
     /// The replies to callers' statements lack the line that states how they ended.
     pub omits_outcome: bool,
+    /// The length of what follows the proof of each of callers' statements.
+    pub proof_padding_bytes: usize,
 }
--- a/crates/jujubehold_standin/src/users_platform/instance_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance_server.rs
@@ -226,7 +226,9 @@
                 let proof = if id == NO_ID {
                     NO_ID.to_owned()
                 } else {
-                    format!("{}.{id}", self.id)
+                    let padding =
+                        self.with_instance(|instance| instance.faults.proof_padding_bytes);
+                    format!("{}.{id}{}", self.id, "0".repeat(padding.unwrap_or(0)))
                 };
                 if omits_outcome && id != NO_ID {
                     Ok(())
@@ -266,6 +268,7 @@
             return Outcome::Error("MALFORMED");
         }
         if self.is_setup_rejected(command) {
+            self.keep_refused(command);
             return Outcome::Error("MALFORMED");
         }
         match command {
@@ -343,6 +346,20 @@
         is_rejected_as_busy == Some(true)
     }
 
+    fn keep_refused(&mut self, command: Command<'_>) {
+        let is_kept = self.with_instance(|instance| instance.faults.keeps_refused_prepare);
+        if let Command::Prepare {
+            name,
+            is_write,
+            shape,
+        } = command
+            && is_kept == Some(true)
+        {
+            let statement = (is_write, shape.to_owned());
+            self.prepared_statements.insert(name.to_owned(), statement);
+        }
+    }
+
     fn is_setup_rejected(&mut self, command: Command<'_>) -> bool {
         let is_rejected = self.with_instance(|instance| {
             let is_rejected = match command {
