Take a reply with an unknown state for one that can't be read

A host answered a caller with success and went on outside a transaction when an owner stated a connection state that the host does not know.

Cause: a number that names no state was read as the first one. No version of the hosts sends one; a later version would have sessions go on in another state than that of their connections.

Evidence: the new test in platform/tests/entry/link_frames.rs failed on the commit before with COMPLETE, and passes now: the outcome is not known.

--- a/crates/jujubehold_entry/src/peer_link/frame.rs
+++ b/crates/jujubehold_entry/src/peer_link/frame.rs
@@ -368,10 +368,10 @@
         }
     }
 
-    /// Returns the reply, with `earlier_rows` before its own; `None` if the error code is unknown, or if
-    /// there is no outcome, as an owner of an earlier version may send.
+    /// Returns the reply, with `earlier_rows` before its own; `None` if the error code or the state is
+    /// unknown, or if there is no outcome, as an owner of an earlier version may send.
     pub(crate) fn into_reply(self, mut earlier_rows: Vec<Bytes>) -> Option<UpstreamReply> {
-        let state = self.state.map(|_| self.state().into());
+        let state = self.state.map(StateName::try_from).transpose().ok()?;
         let outcome = match (self.proof, self.error) {
             (Some(proof), _) => Some(UpstreamOutcome::Complete { proof }),
             (None, Some(code)) => Some(UpstreamOutcome::Error {
@@ -384,7 +384,7 @@
         Some(UpstreamReply {
             rows: earlier_rows,
             outcome,
-            state,
+            state: state.map(SessionState::from),
             position: self.position.map(LogPosition::from),
         })
     }
