Compare each prepared statement that runs with what its caller sent

Eight sessions with different settings prepare and run statements of many texts under names of every form, also of the proxy's own, on shared connections, inside and outside of transactions, beside pipelines that fail.

--- a/crates/jujubehold_host/tests/traffic/main.rs
+++ b/crates/jujubehold_host/tests/traffic/main.rs
@@ -13,6 +13,7 @@
 mod raw_caller;
 mod reads;
 mod session_state;
+mod statement_comparison;
 mod statement_failures;
 mod statement_names;
 mod support;
