--- a/crates/jujubehold_host/src/traffic/startup_options.rs
+++ b/crates/jujubehold_host/src/traffic/startup_options.rs
@@ -25,10 +25,7 @@
 }
 
 fn next_argument(characters: &mut Peekable<Chars<'_>>) -> Option<String> {
-    while characters
-        .next_if(|character| character.is_ascii_whitespace())
-        .is_some()
-    {}
+    while characters.next_if(char::is_ascii_whitespace).is_some() {}
     characters.peek()?;
     let mut argument = String::new();
     while let Some(character) = characters.next_if(|character| !character.is_ascii_whitespace()) {
--- a/crates/jujubehold_host/tests/traffic/statement_comparison.rs
+++ b/crates/jujubehold_host/tests/traffic/statement_comparison.rs
@@ -80,7 +80,7 @@
         let repeated = first
             .repeat(self.random.random_range(1..4))
             .replace('\'', "''");
-        let comment = second.replace('\n', " ").replace('\r', " ");
+        let comment = second.replace(['\n', '\r'], " ");
         match self.random.random_range(0..3) {
             0 => {
                 format!("INSERT INTO kept (tag, odd, n) VALUES ($1, $2, '{repeated}') --{comment}")
@@ -196,7 +196,7 @@
         async move { Player::start(&fixture, seed, number).await.play().await }
     });
     let sent: BTreeMap<_, _> = join_all(players).await.into_iter().flatten().collect();
-    let mut seen = BTreeMap::new();
+    let mut ran_by_tag = BTreeMap::new();
     for run in fixture.statement_runs() {
         let tag = run.parameters[0].clone().unwrap_or_default();
         let tag = String::from_utf8(tag).unwrap();
@@ -207,9 +207,9 @@
             settings: run.ran_under,
         };
         assert_eq!(Some(&ran), sent.get(&tag), "seed {seed}, {tag}");
-        seen.insert(tag, ran);
+        ran_by_tag.insert(tag, ran);
     }
-    assert_eq!(seen, sent, "seed {seed}: what ran and what was sent");
+    assert_eq!(ran_by_tag, sent, "seed {seed}: what ran and what was sent");
     assert!(sent.len() > 200, "seed {seed}: {}", sent.len());
 }
 
