Close connections whose statements are not those that are listed

Callers were told 26000 by each use of a statement on one connection after a block of code or a function had run DEALLOCATE ALL there, for as long as the connection was open. No text that a proxy reads shows what such a block does.

Cause: an upstream's 26000 or 42P05 for a statement that the host names itself shows that its list is wrong, and the connection was used again.

Evidence: a_connection_that_lacks_its_statements_is_not_used_again failed before (26000 after the transaction) and passes now: the first use is told 26000, and the connection is closed instead of returned. The stand-in runs such a block, and rejects a Bind in a failed transaction as PostgreSQL does.

Left: a block can also prepare another statement under a name of the proxy's form; who may run such blocks must be trusted with the connections of all.

--- a/crates/jujubehold_host/src/pool/prepared_names.rs
+++ b/crates/jujubehold_host/src/pool/prepared_names.rs
@@ -12,6 +12,7 @@
 pub struct PreparedNames {
     names: BTreeSet<StatementName>,
     order: VecDeque<StatementName>,
+    is_wrong: bool,
 }
 
 impl PreparedNames {
@@ -20,6 +21,16 @@
         self.names.contains(name)
     }
 
+    /// Records that the upstream has other statements than these.
+    pub fn set_wrong(&mut self) {
+        self.is_wrong = true;
+    }
+
+    /// Returns whether the upstream is known to have other statements than these.
+    pub fn is_wrong(&self) -> bool {
+        self.is_wrong
+    }
+
     /// Returns whether another statement would displace the oldest one.
     pub fn is_full(&self) -> bool {
         self.order.len() >= MAX_STATEMENTS
--- a/crates/jujubehold_host/src/traffic/answer_plan.rs
+++ b/crates/jujubehold_host/src/traffic/answer_plan.rs
@@ -8,7 +8,9 @@
 use smol_str::SmolStr;
 
 use super::answer::sqlstate;
-use super::caller_error::{UNKNOWN_STATEMENT_SQLSTATE, unknown_statement_error};
+use super::caller_error::{
+    DUPLICATE_STATEMENT_SQLSTATE, UNKNOWN_STATEMENT_SQLSTATE, unknown_statement_error,
+};
 use crate::pool::PreparedNames;
 
 /// A message whose answer is outstanding.
@@ -66,6 +68,7 @@
     // The statements whose preparation or Close was skipped, and whether they are prepared.
     skipped: BTreeMap<StatementName, bool>,
     skipped_definitions: usize,
+    has_wrong_names: bool,
 }
 
 impl AnswerPlan {
@@ -75,6 +78,7 @@
             steps: steps.into(),
             skipped: BTreeMap::new(),
             skipped_definitions: 0,
+            has_wrong_names: false,
         }
     }
 
@@ -97,6 +101,9 @@
 
     /// Corrects the list of a connection's statements by what the upstream skipped.
     pub(crate) fn correct(&self, prepared: &mut PreparedNames) {
+        if self.has_wrong_names {
+            prepared.set_wrong();
+        }
         for (name, is_prepared) in &self.skipped {
             if *is_prepared {
                 prepared.restore(name.clone());
@@ -161,13 +168,18 @@
         action
     }
 
-    fn error_action(&self, frame: &Frame) -> FrameAction {
+    fn error_action(&mut self, frame: &Frame) -> FrameAction {
+        let code = sqlstate(frame);
         match self.steps.front() {
             Some(Step::ProxyStatement) => FrameAction::ProxyStatementFailed,
-            Some(Step::Unknown(name)) if sqlstate(frame) == UNKNOWN_STATEMENT_SQLSTATE => {
+            Some(Step::Unknown(name)) if code == UNKNOWN_STATEMENT_SQLSTATE => {
                 FrameAction::ForwardInstead(unknown_statement_error(name))
             }
-            _ => FrameAction::Forward,
+            _ => {
+                self.has_wrong_names =
+                    code == UNKNOWN_STATEMENT_SQLSTATE || code == DUPLICATE_STATEMENT_SQLSTATE;
+                FrameAction::Forward
+            }
         }
     }
 
--- a/crates/jujubehold_host/src/traffic/caller_error.rs
+++ b/crates/jujubehold_host/src/traffic/caller_error.rs
@@ -14,6 +14,8 @@
 const ALREADY_RAN_SQLSTATE: &str = "23505";
 /// PostgreSQL's code for a name under which no statement is prepared.
 pub(crate) const UNKNOWN_STATEMENT_SQLSTATE: &str = "26000";
+/// PostgreSQL's code for a name under which a statement is already prepared.
+pub(crate) const DUPLICATE_STATEMENT_SQLSTATE: &str = "42P05";
 
 /// Creates the error for a request that was not run, with the time after which to retry.
 pub(crate) fn refusal_error(refusal: &Refusal) -> Frame {
--- a/crates/jujubehold_host/src/traffic/checked_out_connection.rs
+++ b/crates/jujubehold_host/src/traffic/checked_out_connection.rs
@@ -240,8 +240,10 @@
         }
     }
 
-    /// Returns the connection for reuse; closes it unless it `is_clean`.
-    pub(crate) fn release(self, is_clean: bool) {
+    /// Returns the connection for reuse; closes it unless it `is_clean` and has the statements that
+    /// it is known to have.
+    pub(crate) fn release(mut self, is_clean: bool) {
+        let is_clean = is_clean && !self.prepared().is_wrong();
         match self {
             Self::Local(pooled) if is_clean => pooled.put_back(),
             // The owner tracks neither settings nor closed statements.
--- a/crates/jujubehold_host/tests/traffic/statement_failures.rs
+++ b/crates/jujubehold_host/tests/traffic/statement_failures.rs
@@ -122,3 +122,27 @@
         .bind("one more", &[]);
     assert_eq!(error_code(&caller.execute().sync().await), "");
 }
+
+// A block of code can remove a connection's statements unseen. Every use on that connection was
+// then told that the statement does not exist, for as long as the connection was open.
+#[actix_rt::test]
+async fn a_connection_that_lacks_its_statements_is_not_used_again() {
+    let mut fixture = Fixture::start(ServiceConfig::default()).await;
+    fixture.create_counter().await;
+    let mut caller = RawCaller::connect(&fixture, &[]).await;
+    caller.parse("s", "UPDATE counter SET n = n + 1");
+    assert_eq!(error_code(&caller.sync().await), "");
+    // In one transaction, and so on one connection.
+    caller.query("BEGIN").ask().await;
+    caller.bind("s", &[]).execute();
+    assert_eq!(error_code(&caller.sync().await), "");
+    let block = "DO $$ BEGIN EXECUTE 'DEALLOCATE ALL'; END $$";
+    assert_eq!(error_code(&caller.query(block).ask().await), "");
+    caller.bind("s", &[]).execute();
+    assert_eq!(error_code(&caller.sync().await), "26000");
+    caller.query("ROLLBACK").ask().await;
+    for _ in 0..10 {
+        caller.bind("s", &[]).execute();
+        assert_eq!(error_code(&caller.sync().await), "");
+    }
+}
--- a/crates/jujubehold_standin/src/database/extended.rs
+++ b/crates/jujubehold_standin/src/database/extended.rs
@@ -28,6 +28,13 @@
     is_skipping_until_sync: bool,
 }
 
+impl ExtendedState {
+    /// Removes all prepared statements.
+    pub(crate) fn forget_statements(&mut self) {
+        self.statements.clear();
+    }
+}
+
 #[derive(Debug, Clone)]
 struct PreparedStatement {
     sql: String,
@@ -108,6 +115,7 @@
     fn bind(&mut self, bind: Bind) -> Result<(), SqlError> {
         let name = bind.statement_name.unwrap_or_default();
         let prepared = self.prepared(&name)?.clone();
+        self.check_not_aborted(&StatementKind::classify(&prepared.sql))?;
         let types = &prepared.description.parameters;
         if types.len() != bind.parameters.len() {
             let message = format!(
--- a/crates/jujubehold_standin/src/database/session.rs
+++ b/crates/jujubehold_standin/src/database/session.rs
@@ -218,6 +218,10 @@
                 self.change_setting(sql);
                 Ok(Outcome::without_rows(tag))
             }
+            StatementKind::DeallocateAll => {
+                self.extended.forget_statements();
+                Ok(Outcome::without_rows("DO"))
+            }
             StatementKind::Show(name) => {
                 let value = self.settings.get(&name).cloned().unwrap_or_default();
                 Ok(Outcome::text_rows(&[&name], vec![vec![value]]))
--- a/crates/jujubehold_standin/src/database/statement_kind.rs
+++ b/crates/jujubehold_standin/src/database/statement_kind.rs
@@ -20,6 +20,8 @@
     RollbackTo,
     /// Sets, resets or discards session state; contains the command tag.
     Set(&'static str),
+    /// Removes all prepared statements from within a block of code.
+    DeallocateAll,
     /// Shows a session setting.
     Show(String),
     /// Holds a slot for the duration, like `pg_sleep`.
@@ -84,6 +86,7 @@
             "reset" => Self::Set("RESET"),
             "discard" => Self::Set("DISCARD ALL"),
             "deallocate" => Self::Set("DEALLOCATE"),
+            "do" if lower.contains("deallocate all") => Self::DeallocateAll,
             "show" => Self::Show(second.to_owned()),
             "select" => Self::classify_select(text, &lower),
             _ => Self::Sql,
