Send the BEGIN of a test under its caller's id

The stand-in's instances record a BEGIN with the id of hosts' own commands among the messages of hosts that are wrong, since hosts send it under the id of their caller.

--- a/crates/jujubehold_standin/src/users_platform/group.rs
+++ b/crates/jujubehold_standin/src/users_platform/group.rs
@@ -45,7 +45,8 @@
     pub instances: Vec<Instance>,
     /// Every read, write and commit that was executed, in order.
     pub executed_statements: Vec<ExecutedStatement>,
-    /// Messages of hosts' own that no instance can read, and lines that are no message at all.
+    /// Messages of hosts' own that no instance can read or that hosts do not send, and lines that are no
+    /// message at all.
     pub unreadable_messages: Vec<String>,
     /// The promotions that took effect: instance id and fencing token.
     pub promotions: Vec<(String, u64)>,
--- a/crates/jujubehold_standin/tests/users_platform.rs
+++ b/crates/jujubehold_standin/tests/users_platform.rs
@@ -117,7 +117,7 @@
         "QUERY - PREPARE p",
         "QUERY a READ x ",
         "QUERY b EXECUTE p",
-        "QUERY - BEGIN",
+        "QUERY begin BEGIN",
         "QUERY c EXECUTE p x  y",
     ] {
         connection.send(message).await;
