Add review case 7: acknowledged commits are lost with a replica that confirmed them

Cause: a silent replica is waited for only until its entry expires, though it may have confirmed commits alone. Change: a script and its stand-ins: a primary and one of two replicas are down for 7 s.

--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,92 @@
+"""Two of three instances crash at once where one replica confirms each commit, and come back later."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins-2"))
+import standins as s  # noqa: E402
+
+SERVICE = "ledger"
+WRITERS = 6
+PAUSE_S = 0.02
+# How long the instances are down.
+DOWN_S = 7.0
+
+
+async def main(record, has_trouble, folder, hosts):
+    store = s.Store()
+    await store.start()
+    group = s.Group(store, record, SERVICE, ["i-1", "i-2", "i-3"])
+    group.sync_replicas = 1
+    # One replica in the primary's zone, the other one in another region.
+    group.instances[1].receive_s = 0.001
+    group.instances[2].receive_s, group.instances[2].zone = 0.02, "zone-c"
+    promotion = s.Promotion([group], record)
+    await promotion.server.start()
+    routes = [("orders", "primary", 800, 600, 0)]
+    store.put("op/config", s.configuration(SERVICE, routes, sync_replicas=1))
+    await group.start()
+    for name in ("host-1", "host-2", "host-3"):
+        host = s.Host(name, folder, store.server.address, promotion.server.address, 6)
+        hosts.append(host)
+        host.start(is_first_start=True)
+    for host in hosts:
+        await host.wait_until_ready()
+    await asyncio.sleep(1)
+    return await play(record, has_trouble, hosts, group)
+
+
+async def play(record, has_trouble, hosts, group):
+    acknowledged, lost = {}, []
+
+    def check(promoted):
+        # LOST: an acknowledged commit isn't in the log of the instance that is promoted.
+        present = {item for writes in promoted.log for item, _ in writes}
+        lost.extend(item for item in acknowledged if item not in present)
+        record(f"         {promoted.id} lacks these acknowledged commits: {lost}")
+
+    group.on_promoted = check
+    is_over = asyncio.Event()
+    writers = [
+        asyncio.ensure_future(write(record, hosts[0], number, acknowledged, is_over))
+        for number in range(WRITERS)
+    ]
+    await asyncio.sleep(1)
+    if has_trouble:
+        down = group.instances[:2]
+        record(f"crash    {[one.id for one in down]} for {DOWN_S} s")
+        for one in down:
+            one.crash()
+        await asyncio.sleep(DOWN_S)
+        for one in down:
+            await one.come_back()
+        record("back     " + ", ".join(f"{one.id} with {len(one.log)} commits" for one in down))
+        await asyncio.sleep(6)
+    else:
+        await asyncio.sleep(2)
+    is_over.set()
+    await asyncio.gather(*writers)
+    record(f"         {len(acknowledged)} commits acknowledged, {len(lost)} of them lost")
+    return not lost
+
+
+async def write(record, host, number, acknowledged, is_over):
+    count = 0
+    while not is_over.is_set():
+        session = s.Session(record, f"writer-{number}")
+        await session.open(host, "orders")
+        outcome = "COMPLETE"
+        while outcome.startswith("COMPLETE") and not is_over.is_set():
+            count += 1
+            item = f"w{number}-{count}"
+            outcome, _ = await session.query(f"WRITE {item} 1")
+            if outcome.startswith("COMPLETE"):
+                acknowledged[item] = True
+            await asyncio.sleep(PAUSE_S)
+        session.close()
+        await asyncio.sleep(0.3)
+
+
+if __name__ == "__main__":
+    s.run_case(main, Path(__file__).resolve().parent / "record.txt")
