--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -13,7 +13,6 @@
 import json
 import os
 import random
-import signal
 import socket
 import subprocess
 import tempfile
@@ -30,6 +29,8 @@
 PROMOTE_S = 0.3
 # How long a replaced primary goes on once it can reach the new one.
 OLD_PRIMARY_S = 1.0
+# How long a case may take; the hosts are ended after that.
+CASE_LIMIT_S = 100
 
 
 class SetupError(Exception):
@@ -248,6 +249,8 @@
         # How late the instance receives a commit.
         self.receive_s = REPLICATION_S
         self.is_down = False
+        # The hosts between which and the instance nothing passes.
+        self.cut_from = set()
         self.server = None
         self.writers = set()
         # Reconsidered for each statement: how long it takes, by its text.
@@ -360,7 +363,8 @@
         return data[:-2].decode()
 
     async def run(self):
-        word, service, _who, *expected = (await self.line()).split(" ")
+        word, service, who, *expected = (await self.line()).split(" ")
+        await self.wait_for_path(who)
         group = self.instance.group
         if word != "START" or service != group.service or expected not in ([], [self.instance.id]):
             self.send(f"ERROR WRONGNODE {self.instance.id}")
@@ -371,9 +375,15 @@
             after = None
             if text.startswith("AFTER "):
                 _, after, text = text.split(" ", 2)
+            await self.wait_for_path(who)
             await self.query(request, after, text)
             await self.writer.drain()
 
+    async def wait_for_path(self, who):
+        """Holds a message back as long as the instance is cut from the host that sent it."""
+        while who in self.instance.cut_from:
+            await asyncio.sleep(0.02)
+
     def error(self, code):
         self.send(f"ERROR {code} {self.instance.id}", self.ready())
 
@@ -524,9 +534,12 @@
         self.groups = groups
         self.record = record
         self.server = HttpServer(self.respond)
+        # The holder, the number and the service of each order, as they arrived.
+        self.orders = []
 
     async def respond(self, _method, _target, headers, body):
         holder, token = headers.get("x-duty-holder"), headers.get("x-fence-token")
+        self.orders.append((holder, int(token), body["service"]))
         self.record(f"ordered  {body} by {holder} token {token}")
         for group in self.groups:
             if group.service == body["service"]:
@@ -537,6 +550,48 @@
         return 409, {}
 
 
+class LatePath:
+    """A path to a server, on which what a client sends arrives late, as after a packet was lost and sent
+    again. What has not arrived when the client ends its connection never does."""
+
+    def __init__(self, server, delay_s):
+        self.server = server
+        self.delay_s = delay_s
+        self.port = free_port()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self):
+        await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            to_reader, to_writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+            sending = asyncio.ensure_future(self.send(reader, to_writer))
+            while True:
+                data = await to_reader.read(65536)
+                if not data:
+                    break
+                writer.write(data)
+            sending.cancel()
+        writer.close()
+
+    async def send(self, reader, to_writer):
+        late = []
+        with contextlib.suppress(OSError):
+            while True:
+                data = await reader.read(65536)
+                if not data:
+                    break
+                loop = asyncio.get_running_loop()
+                late.append(loop.call_later(self.delay_s, to_writer.write, data))
+        for one in late:
+            one.cancel()
+        to_writer.close()
+
+
 class Host:
     """One entry host, a process of its own."""
 
@@ -676,25 +731,25 @@
 
 
 def run_case(main, record_path):
-    """Runs `main(record, has_trouble, folder)`, which returns whether the rule held and may add hosts
-    to the list that it is given. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
+    """Runs `main(record, has_trouble, folder, hosts)`, which returns whether the rule held and adds the
+    hosts that it starts to the list. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
     can't run."""
-    if not PROGRAM.exists():
-        print(f"{PROGRAM} is not built")
-        raise SystemExit(2)
     record = Record(record_path)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble  {'on' if has_trouble else 'off'}")
+    if not PROGRAM.exists():
+        record("not run  the program is not built")
+        raise SystemExit(2)
     hosts = []
     try:
         with temporary_folder() as folder:
             try:
-                held = asyncio.run(asyncio.wait_for(main(record, has_trouble, folder, hosts), 110))
+                held = asyncio.run(asyncio.wait_for(main(record, has_trouble, folder, hosts), CASE_LIMIT_S))
             finally:
                 for host in hosts:
                     host.end()
-    except (SetupError, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # A case that fails for another reason shows nothing.
         record(f"not run  {type(error).__name__}: {error}")
-        raise SystemExit(2)
+        raise SystemExit(2) from error
     record("result   " + ("the rule held" if held else "THE RULE WAS BROKEN"))
     raise SystemExit(0 if held else 1)
