--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins-2"))
@@ -9,9 +10,14 @@
 
 SERVICE = "ledger"
 WRITERS = 6
-PAUSE_S = 0.02
-# How long the instances are down.
-DOWN_S = 7.0
+# The pauses of the writers differ, so that their writes are spread evenly over time.
+PAUSE_S = 0.01
+PAUSE_STEP_S = 0.003
+# How long the primary and the replica are down.
+PRIMARY_DOWN_S = 7.0
+REPLICA_DOWN_S = 4.2
+# How old the instances' latest reports are when they crash.
+REPORT_AGE_S = 1.0
 
 
 async def main(record, has_trouble, folder, hosts):
@@ -54,14 +60,18 @@
     ]
     await asyncio.sleep(1)
     if has_trouble:
-        down = group.instances[:2]
-        record(f"crash    {[one.id for one in down]} for {DOWN_S} s")
-        for one in down:
-            one.crash()
-        await asyncio.sleep(DOWN_S)
-        for one in down:
-            await one.come_back()
-        record("back     " + ", ".join(f"{one.id} with {len(one.log)} commits" for one in down))
+        primary, replica = group.instances[:2]
+        while time.monotonic() - replica.reported_at < REPORT_AGE_S:
+            await asyncio.sleep(0.01)
+        record(f"crash    {primary.id} for {PRIMARY_DOWN_S} s, {replica.id} for {REPLICA_DOWN_S} s")
+        primary.crash()
+        replica.crash()
+        await asyncio.sleep(REPLICA_DOWN_S)
+        record(f"back     {replica.id} with {len(replica.log)} commits")
+        await replica.come_back()
+        await asyncio.sleep(PRIMARY_DOWN_S - REPLICA_DOWN_S)
+        record(f"back     {primary.id} with {len(primary.log)} commits")
+        await primary.come_back()
         await asyncio.sleep(6)
     else:
         await asyncio.sleep(2)
@@ -83,7 +93,7 @@
             outcome, _ = await session.query(f"WRITE {item} 1")
             if outcome.startswith("COMPLETE"):
                 acknowledged[item] = True
-            await asyncio.sleep(PAUSE_S)
+            await asyncio.sleep(PAUSE_S + number * PAUSE_STEP_S)
         session.close()
         await asyncio.sleep(0.3)
 
