Promote only a replica that certainly has every acknowledged commit

Cause: the number of instances that may have confirmed a commit was the number of those that are listed. An entry is removed after three heartbeats of silence, but the log remains.

Change: hosts note up to which position they acknowledged commits and state it when they stop using a primary. A replica that has received as much takes over, however many instances are silent. If that is not known, enough of all instances must answer that may have confirmed commits; they are recorded in the store with what the primary had when it took over, and outlive a restart of all hosts. Otherwise the change waits: the old primary leads again if it is back, operators end the wait with sync_replicas 0, and hosts refuse at once what needs the primary.

Why it works: neither reason rests on who is listed now. The first is a bound of everything that was acknowledged; the second counts an instance until all replicas have its commits.

--- a/crates/jujubehold_core/src/confirmed_choice.rs
+++ b/crates/jujubehold_core/src/confirmed_choice.rs
@@ -6,9 +6,15 @@
 //! So all replicas are marked, upon which they receive nothing more, and their positions are
 //! compared after that. A replica that restarts loses its mark and is marked again.
 //!
-//! A replica that does not answer may be the only one that has a commit. It is waited for as long as
-//! it is listed, and so is an instance that is known to have received more than those that may take
-//! over. See docs/notes/confirmed-commits.md.
+//! A replica that does not answer may be the only one that has a commit, and it keeps its log when it
+//! is no longer listed. So a replica takes over only if it is certain that it has every acknowledged
+//! commit, for one of these reasons:
+//!
+//! - The hosts know up to which position they acknowledged commits, and it has received as much.
+//! - So many instances answer that every commit is in the log of one of them, and it has the newest.
+//!
+//! While neither holds, the old primary leads again if it comes back, since it has its whole log. See
+//! docs/notes/confirmed-commits.md.
 
 use crate::candidate_choice::CandidateStatus;
 use crate::ids::InstanceId;
@@ -28,16 +34,31 @@
         has_stepped_down: bool,
     }
 
+    /// What is known, apart from the instances' answers, of the commits that were acknowledged.
+    pub struct KnownCommits {
+        /// The number of instances other than the old primary that may have confirmed a commit in its
+        /// term; `None` if it is not known.
+        pub expected_replicas: Option<usize>,
+        /// A position up to which all acknowledged commits are, if the hosts know one.
+        pub acknowledged: Option<LogPosition>,
+        /// What the old primary had when it took over, which is all that was acknowledged before;
+        /// `None` if it is not known.
+        pub term_start: Option<LogPosition>,
+    }
+
     /// What has to be done next.
     pub enum ConfirmedStep {
         /// These replicas have to be marked, and asked again.
         Mark(Vec<InstanceId>),
-        /// Too few instances answer to know that one of them has every acknowledged commit.
+        /// It is not certain that one of the instances that answer has every acknowledged commit.
         AwaitAnswers,
         /// No instance that may take over has all that another one reported.
         AwaitCommits,
-        /// The instance has every acknowledged commit, and no more can be acknowledged.
+        /// The replica has every acknowledged commit, and no more can be acknowledged.
         Promote(InstanceId),
+        /// The old primary answers, still as the primary, and no replica certainly has every
+        /// acknowledged commit.
+        Reinstate,
     }
 }
 
@@ -45,25 +66,20 @@
     /// Creates the state for a service in which `confirming_replicas` confirm a commit, which is at
     /// least one. `final_position` is what the old primary reported when it stepped down.
     pub fn new(confirming_replicas: usize, final_position: Option<LogPosition>) -> Self {
-        let nothing = LogPosition {
-            term: 0,
-            position: 0,
-        };
         Self {
             confirming_replicas,
-            newest_received: final_position.unwrap_or(nothing),
+            newest_received: final_position.unwrap_or(LogPosition::START),
             has_stepped_down: final_position.is_some(),
         }
     }
 
-    /// Decides by `statuses`, the latest answers of all instances that answer, what is next.
-    /// `expected_replicas` is the number of instances other than the primary `old` that may have
-    /// confirmed a commit.
+    /// Decides by `statuses`, the latest answers of all instances that answer, what is next. `old` is
+    /// the primary that is replaced.
     pub fn next_step(
         &mut self,
         old: &InstanceId,
         statuses: &[CandidateStatus],
-        expected_replicas: usize,
+        known: &KnownCommits,
     ) -> ConfirmedStep {
         let replicas = || {
             statuses
@@ -74,12 +90,19 @@
         self.newest_received = self
             .newest_received
             .max(newest.unwrap_or(self.newest_received));
-        let best = replicas()
-            .filter(|status| status.may_lead && status.received >= self.newest_received)
-            .max_by_key(|status| (!status.is_leaving, status.instance != *old));
+        let best_since = |position: LogPosition| {
+            replicas()
+                .filter(|status| status.may_lead && status.received >= position)
+                .max_by_key(|status| (!status.is_leaving, status.instance != *old, status.received))
+        };
+        let newest_required = self
+            .newest_received
+            .max(known.term_start.unwrap_or(LogPosition::START));
+        let newest = best_since(newest_required);
+        let complete = known.acknowledged.and_then(best_since);
         // Unmarked replicas still receive the log of a primary that stepped down.
         let is_old_replica = replicas().any(|status| status.instance == *old);
-        if (is_old_replica || self.has_stepped_down) && best.is_none() {
+        if (is_old_replica || self.has_stepped_down) && newest.is_none() && complete.is_none() {
             return ConfirmedStep::AwaitCommits;
         }
         let unmarked: Vec<_> = replicas()
@@ -90,13 +113,22 @@
             return ConfirmedStep::Mark(unmarked);
         }
         let answered = replicas().filter(|status| status.instance != *old).count();
-        let has_all_answers = answered + self.confirming_replicas > expected_replicas;
-        if !has_all_answers && !self.has_stepped_down {
-            return ConfirmedStep::AwaitAnswers;
+        let has_all_answers = known
+            .expected_replicas
+            .is_some_and(|expected| answered + self.confirming_replicas > expected);
+        let is_newest_complete = has_all_answers || self.has_stepped_down;
+        if let Some(best) = newest.filter(|_| is_newest_complete).or(complete) {
+            return ConfirmedStep::Promote(best.instance.clone());
         }
-        match best {
-            Some(best) => ConfirmedStep::Promote(best.instance.clone()),
-            None => ConfirmedStep::AwaitCommits,
+        let may_reinstate = statuses.iter().any(|status| {
+            status.instance == *old && status.role == Role::Primary && status.may_lead
+        });
+        if may_reinstate {
+            ConfirmedStep::Reinstate
+        } else if is_newest_complete {
+            ConfirmedStep::AwaitCommits
+        } else {
+            ConfirmedStep::AwaitAnswers
         }
     }
 }
--- a/crates/jujubehold_core/src/lead_proof.rs
+++ b/crates/jujubehold_core/src/lead_proof.rs
@@ -38,6 +38,8 @@
         /// Whether no host is unknown to this one that was listed before it began to follow the
         /// list: at a first start, or after another host named those that are no longer listed.
         has_complete_list: bool,
+        /// Whether this host has followed the list since the whole system started for the first time.
+        has_followed_from_start: bool,
         /// Until when the store certainly lists this host.
         listed_until: Monotonic,
     }
@@ -66,6 +68,7 @@
             read_sent_at: None,
             steady_since: None,
             has_complete_list: is_first_start,
+            has_followed_from_start: is_first_start,
             listed_until: Monotonic::ZERO,
         }
     }
@@ -80,6 +83,7 @@
             // At a first start no host can be listed before the first read, but one can during a
             // gap.
             self.has_complete_list &= self.read_sent_at.is_none();
+            self.has_followed_from_start &= self.read_sent_at.is_none();
             self.steady_since = None;
         }
         self.steady_since.get_or_insert(sent_at);
@@ -94,6 +98,7 @@
     pub fn note_restored(&mut self) {
         self.steady_since = None;
         self.has_complete_list = false;
+        self.has_followed_from_start = false;
     }
 
     /// Records that the store lists this host at least until `until`.
@@ -114,6 +119,19 @@
         has_recent_read && (is_steady || self.has_complete_list)
     }
 
+    /// Returns until when hosts that were never listed while this one followed the list may have used a
+    /// primary; `None` if there are none.
+    pub fn unlisted_use_until(&self) -> Option<Monotonic> {
+        if self.has_followed_from_start {
+            return None;
+        }
+        let max_use = self.settings.max_use_after_listing();
+        Some(
+            self.steady_since
+                .map_or(Monotonic::MAX, |since| since + max_use),
+        )
+    }
+
     /// Returns whether another host should be asked which hosts were listed before this one began to
     /// follow the list, and what it knows would be sufficient.
     pub fn needs_complete_list(&self, now: Monotonic) -> bool {
--- a/crates/jujubehold_core/src/lead_recovery.rs
+++ b/crates/jujubehold_core/src/lead_recovery.rs
@@ -70,5 +70,6 @@
     LeadChange {
         by: host.clone(),
         is_planned: false,
+        awaits_instance: false,
     }
 }
--- a/crates/jujubehold_core/src/lead_table.rs
+++ b/crates/jujubehold_core/src/lead_table.rs
@@ -39,6 +39,9 @@
         pub by: HostId,
         /// Whether the change is planned: the primary is alive, so open transactions may end.
         pub is_planned: bool,
+        /// Whether the change can't be completed until an instance answers that does not: it may alone
+        /// have an acknowledged commit.
+        pub awaits_instance: bool,
     }
 }
 
--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -5,6 +5,7 @@
 //! replay tool, the experiments and the exploration tests all run the same code. See
 //! docs/ARCHITECTURE.md.
 
+pub mod acknowledged_commits;
 pub mod acknowledgement;
 pub mod admission;
 pub mod authority;
@@ -66,6 +67,7 @@
 pub mod replay;
 pub mod replica_evidence;
 pub mod replica_lag;
+pub mod replica_record;
 pub mod request_name;
 pub mod retry_budget;
 pub mod retry_reason;
--- a/crates/jujubehold_core/src/log_position.rs
+++ b/crates/jujubehold_core/src/log_position.rs
@@ -16,6 +16,19 @@
     }
 }
 
+impl LogPosition {
+    /// The position of an empty log, before every commit.
+    pub const START: Self = Self {
+        term: 0,
+        position: 0,
+    };
+    /// A position after every commit.
+    pub const END: Self = Self {
+        term: Term::MAX,
+        position: Position::MAX,
+    };
+}
+
 impl fmt::Display for LogPosition {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}.{}", self.term, self.position)
--- a/crates/jujubehold_core/src/stop_wait.rs
+++ b/crates/jujubehold_core/src/stop_wait.rs
@@ -50,6 +50,11 @@
         &self.pending_hosts
     }
 
+    /// Returns whether every host that may use the old primary was among those waited for.
+    pub fn knows_all_hosts(&self) -> bool {
+        self.knows_all_hosts
+    }
+
     /// Returns when the windows of all hosts have expired, whatever they report.
     pub fn ends_at(&self) -> Monotonic {
         self.started_at + self.settings.expiry_wait()
--- a/crates/jujubehold_core/tests/confirmed_choice.rs
+++ b/crates/jujubehold_core/tests/confirmed_choice.rs
@@ -1,7 +1,7 @@
 //! Tests which replica takes over where replicas confirm commits.
 
 use jujubehold_core::candidate_choice::{CandidateStatus, newer_primary};
-use jujubehold_core::confirmed_choice::{ConfirmedChoice, ConfirmedStep};
+use jujubehold_core::confirmed_choice::{ConfirmedChoice, ConfirmedStep, KnownCommits};
 use jujubehold_core::log_position::LogPosition;
 use jujubehold_core::prelude::*;
 
@@ -39,7 +39,23 @@
     statuses: &[CandidateStatus],
     expected: usize,
 ) -> ConfirmedStep {
-    choice.next_step(&"a".into(), statuses, expected)
+    step_knowing(choice, statuses, &expecting(expected))
+}
+
+fn expecting(replicas: usize) -> KnownCommits {
+    KnownCommits {
+        expected_replicas: Some(replicas),
+        acknowledged: None,
+        term_start: None,
+    }
+}
+
+fn step_knowing(
+    choice: &mut ConfirmedChoice,
+    statuses: &[CandidateStatus],
+    known: &KnownCommits,
+) -> ConfirmedStep {
+    choice.next_step(&"a".into(), statuses, known)
 }
 
 // Guards against comparing positions that still grow.
@@ -144,3 +160,78 @@
     assert_eq!(found(4), None);
     assert_eq!(found(0), None);
 }
+
+// Guards against waiting for silent instances, and against taking one that has less, if the hosts know
+// what they acknowledged.
+#[test]
+fn a_replica_with_all_that_was_acknowledged_takes_over_without_the_others() {
+    let known = KnownCommits {
+        acknowledged: Some(at(9)),
+        ..expecting(4)
+    };
+    let mut choice = ConfirmedChoice::new(CONFIRMING, None);
+    let next = step_knowing(&mut choice, &[marked("b", 8)], &known);
+    assert_eq!(next, ConfirmedStep::AwaitAnswers);
+    let next = step_knowing(&mut choice, &[marked("b", 9)], &known);
+    assert_eq!(next, promote("b"));
+}
+
+// An instance that answered once has more, but nothing of it was acknowledged.
+#[test]
+fn commits_that_were_not_acknowledged_are_not_waited_for() {
+    let known = KnownCommits {
+        acknowledged: Some(at(9)),
+        ..expecting(2)
+    };
+    let mut choice = ConfirmedChoice::new(CONFIRMING, None);
+    step_knowing(&mut choice, &[unmarked("b", 12), unmarked("c", 9)], &known);
+    let next = step_knowing(&mut choice, &[marked("c", 9)], &known);
+    assert_eq!(next, promote("c"));
+}
+
+// Guards against forgetting instances whose number is not known.
+#[test]
+fn nothing_is_certain_while_the_instances_are_not_known() {
+    let known = KnownCommits {
+        expected_replicas: None,
+        ..expecting(0)
+    };
+    let mut choice = ConfirmedChoice::new(CONFIRMING, None);
+    let next = step_knowing(&mut choice, &[marked("b", 9), marked("c", 9)], &known);
+    assert_eq!(next, ConfirmedStep::AwaitAnswers);
+}
+
+// A primary that took over alone has commits that the others do not know they lack. Guards against the
+// loss of those that were acknowledged in an earlier term.
+#[test]
+fn what_the_old_primary_had_when_it_took_over_is_needed() {
+    let known = KnownCommits {
+        term_start: Some(at(10)),
+        ..expecting(2)
+    };
+    let mut choice = ConfirmedChoice::new(CONFIRMING, None);
+    let next = step_knowing(&mut choice, &[marked("b", 8), marked("c", 9)], &known);
+    assert_eq!(next, ConfirmedStep::AwaitCommits);
+    let next = step_knowing(&mut choice, &[marked("b", 10), marked("c", 9)], &known);
+    assert_eq!(next, promote("b"));
+}
+
+// The old primary has its whole log. Guards against waiting for ever for an instance that is lost.
+#[test]
+fn the_old_primary_leads_again_if_no_replica_is_certain() {
+    let mut choice = ConfirmedChoice::new(CONFIRMING, None);
+    let returned = CandidateStatus {
+        role: Role::Primary,
+        ..unmarked("a", 10)
+    };
+    let next = step(&mut choice, &[returned.clone(), marked("b", 9)], 2);
+    assert_eq!(next, ConfirmedStep::Reinstate);
+    let leaving = CandidateStatus {
+        may_lead: false,
+        ..returned.clone()
+    };
+    let next = step(&mut choice, &[leaving, marked("b", 9)], 2);
+    assert_eq!(next, ConfirmedStep::AwaitAnswers);
+    let next = step(&mut choice, &[returned, marked("b", 9), marked("c", 10)], 2);
+    assert_eq!(next, promote("c"));
+}
--- a/crates/jujubehold_core/tests/lead_proof.rs
+++ b/crates/jujubehold_core/tests/lead_proof.rs
@@ -257,3 +257,21 @@
     }
     assert!(proof.knows_all_hosts(now));
 }
+
+// Guards against ignoring what processes acknowledged that ended before this host followed the list.
+#[test]
+fn processes_from_before_the_first_read_may_have_used_a_primary() {
+    let mut first = LeadProof::new(SETTINGS, true);
+    assert_eq!(first.unlisted_use_until(), None);
+    first.note_read(ms(1_000));
+    assert_eq!(first.unlisted_use_until(), None);
+    // During a gap a host may have been listed and removed again.
+    first.note_read(ms(5_000));
+    let max_use = SETTINGS.max_use_after_listing();
+    assert_eq!(first.unlisted_use_until(), Some(ms(5_000) + max_use));
+    let mut later = LeadProof::new(SETTINGS, false);
+    assert_eq!(later.unlisted_use_until(), Some(Monotonic::MAX));
+    later.note_read(ms(2_000));
+    later.note_complete_list(ms(4_000));
+    assert_eq!(later.unlisted_use_until(), Some(ms(2_000) + max_use));
+}
--- a/crates/jujubehold_core/tests/lead_recovery.rs
+++ b/crates/jujubehold_core/tests/lead_recovery.rs
@@ -27,6 +27,7 @@
         change: Some(LeadChange {
             by: by.into(),
             is_planned: false,
+            awaits_instance: false,
         }),
         ..record(primary, term)
     }
--- a/crates/jujubehold_core/tests/primary_replacement.rs
+++ b/crates/jujubehold_core/tests/primary_replacement.rs
@@ -215,6 +215,7 @@
     let change = LeadChange {
         by: "h".into(),
         is_planned: false,
+        awaits_instance: false,
     };
     let newer = LeadTable {
         revision: 8,
--- a/crates/jujubehold_entry/src/callers/single.rs
+++ b/crates/jujubehold_entry/src/callers/single.rs
@@ -200,7 +200,10 @@
         }
         self.floor = self.floor.max(reply.position);
         let seconds = self.shared.now().saturating_sub(arrived_at).as_secs_f64();
+        // Without a position the commit may be anywhere in the log.
+        let acknowledged = reply.position.unwrap_or(LogPosition::END);
         self.shared.with_group(service, |group| {
+            group.acknowledged = group.acknowledged.max(acknowledged);
             group.metrics.writes.increment(1);
             group.metrics.write_seconds.record(seconds);
         });
@@ -225,7 +228,8 @@
         }
     }
 
-    /// Returns the primary, and waits while it is being replaced.
+    /// Returns the primary, and waits while it is being replaced. A replacement that has to wait for an
+    /// instance is not waited for.
     pub(crate) async fn primary(
         &self,
         operation: &Operation,
@@ -237,7 +241,8 @@
                 return Ok(upstream);
             }
             let now = self.shared.now();
-            if now >= give_up_at {
+            let is_awaited = self.shared.awaits_instance(&operation.route.service);
+            if now >= give_up_at || is_awaited {
                 return Err(refuse(RefusalReason::NoPrimary, EXPECTED_PRIMARY_CHANGE).into());
             }
             self.shared
--- a/crates/jujubehold_entry/src/control/instances.rs
+++ b/crates/jujubehold_entry/src/control/instances.rs
@@ -148,7 +148,7 @@
         }
     }
     let mut lead_state = shared.lead_state.borrow_mut();
-    if !lead_state.set_members(members, listing.revision, sent_at) {
+    if !lead_state.set_members(members, listing.revision, sent_at, shared.now()) {
         return false;
     }
     let own_key_revision = lead_state.membership.as_ref().map(|own| own.key_revision);
@@ -268,7 +268,7 @@
         return;
     }
     let peer_address = member.peer_address;
-    if lead_state.set_member(host.into(), member) && shared.log.allows(now) {
+    if lead_state.set_member(host.into(), member, now) && shared.log.allows(now) {
         info!(host, peer:? = peer_address; "host added to the list");
     }
     // Another process wrote a key under this host's name.
--- a/crates/jujubehold_entry/src/control/lead_document.rs
+++ b/crates/jujubehold_entry/src/control/lead_document.rs
@@ -1,7 +1,8 @@
 //! The text format of the table of leads, in the store and in datagrams between hosts.
 //!
 //! One line per service: its name, its primary, during a change the host that makes the change and
-//! `planned` or `lost`, and the primary's term if it is known. The format is short because the table
+//! the kind of the change, and the primary's term if it is known. Earlier versions take a kind that
+//! they do not know for `lost`. The format is short because the table
 //! is read often. All names are words, so that no name has a separator of the format.
 
 use std::fmt::Write;
@@ -14,6 +15,7 @@
 
 const PLANNED: &str = "planned";
 const LOST: &str = "lost";
+const AWAITING: &str = "awaiting";
 const TERM_PREFIX: &str = "term=";
 
 /// Formats a table.
@@ -23,8 +25,7 @@
         // Writing to a string can't fail.
         let _ = write!(text, "{service} {}", lead.primary);
         if let Some(change) = &lead.change {
-            let kind = if change.is_planned { PLANNED } else { LOST };
-            let _ = write!(text, " {} {kind}", change.by);
+            let _ = write!(text, " {} {}", change.by, kind(change));
         }
         // Without its term, a primary with such an id would be read as a term.
         let looks_like_term = lead.primary.starts_with(TERM_PREFIX);
@@ -36,6 +37,16 @@
     Bytes::from(text)
 }
 
+fn kind(change: &LeadChange) -> &'static str {
+    if change.awaits_instance {
+        AWAITING
+    } else if change.is_planned {
+        PLANNED
+    } else {
+        LOST
+    }
+}
+
 /// Parses the table as of `version`; `None` if it is invalid.
 pub(crate) fn parse_leads(value: &[u8], version: StoreVersion) -> Option<LeadTable> {
     let text = std::str::from_utf8(value).ok()?;
@@ -73,10 +84,14 @@
     let service = words.next()?.into();
     let primary = words.next()?.into();
     let change = match words.next() {
-        Some(by) => Some(LeadChange {
-            by: by.into(),
-            is_planned: words.next()? == PLANNED,
-        }),
+        Some(by) => {
+            let kind = words.next()?;
+            Some(LeadChange {
+                by: by.into(),
+                is_planned: kind == PLANNED,
+                awaits_instance: kind == AWAITING,
+            })
+        }
         None => None,
     };
     let lead = Lead {
--- a/crates/jujubehold_entry/src/control/mod.rs
+++ b/crates/jujubehold_entry/src/control/mod.rs
@@ -20,7 +20,9 @@
 mod proof_answers;
 mod proof_questions;
 mod quotas;
+mod replica_document;
 mod replica_evidence;
+mod replica_records;
 mod status_calls;
 mod store_calls;
 mod table_access;
@@ -52,6 +54,7 @@
         Rc::clone(peers),
     ));
     actix_rt::spawn(replica_evidence::collect_evidence(Rc::clone(shared)));
+    actix_rt::spawn(replica_records::keep_records(Rc::clone(shared)));
     actix_rt::spawn(peers::receive(Rc::clone(shared), Rc::clone(peers)));
     actix_rt::spawn(pool_keeper::maintain_pools(Rc::clone(shared)));
     actix_rt::spawn(primary_probe::maintain_positions(Rc::clone(shared)));
@@ -61,7 +64,7 @@
     ));
 }
 
-/// The prefix of all keys that entry hosts write.
+/// The prefix of the keys that all hosts read regularly.
 pub(crate) const ENTRY_KEYS_PREFIX: &str = "jh/";
 /// The key of the table with the leads of all services.
 pub(crate) const LEAD_KEY: &str = "jh/lead";
@@ -74,5 +77,8 @@
 pub(crate) const HOSTS_PREFIX: &str = "jh/host/";
 /// The key of the record of the processes that have run for long.
 pub(crate) const LONG_LIVED_KEY: &str = "jh/long-lived";
+/// The prefix of the keys that record which instances may have confirmed commits, one per service.
+/// They are read only by the host that keeps them, or that replaces a primary.
+pub(crate) const REPLICAS_PREFIX: &str = "jh-replicas/";
 /// The prefix of the keys that record the names of the hosts, one per host.
 pub(crate) const NAMES_PREFIX: &str = "jh/name/";
--- a/crates/jujubehold_entry/src/control/peer_message.rs
+++ b/crates/jujubehold_entry/src/control/peer_message.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use jujubehold_core::acknowledged_commits::AcknowledgedCommits;
+use jujubehold_core::log_position::LogPosition;
 use jujubehold_core::quota::CountedHosts;
 
 /// One datagram.
@@ -84,6 +86,36 @@
     /// versions.
     #[prost(uint64, tag = "25")]
     pub(crate) hosts_era: u64,
+    /// What the sender has acknowledged of the service whose primary it stopped using; absent in
+    /// earlier versions.
+    #[prost(message, optional, tag = "26")]
+    pub(crate) acknowledged: Option<AcknowledgedMessage>,
+}
+
+/// What a process has acknowledged of one service.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub(crate) struct AcknowledgedMessage {
+    /// The process.
+    #[prost(uint64, tag = "1")]
+    pub(crate) process: u64,
+    /// The term of the newest position at which it acknowledged a commit.
+    #[prost(uint64, tag = "2")]
+    pub(crate) term: u64,
+    /// That position.
+    #[prost(uint64, tag = "3")]
+    pub(crate) position: u64,
+}
+
+impl From<AcknowledgedMessage> for AcknowledgedCommits {
+    fn from(message: AcknowledgedMessage) -> Self {
+        Self {
+            process: message.process,
+            newest: LogPosition {
+                term: message.term,
+                position: message.position,
+            },
+        }
+    }
 }
 
 /// Changes of the directory.
--- a/crates/jujubehold_entry/src/control/peers.rs
+++ b/crates/jujubehold_entry/src/control/peers.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use jujubehold_core::acknowledged_commits::AcknowledgedCommits;
 use jujubehold_core::store_version::StoreVersion;
 use jujubehold_core::vote_budget::VoteRounds;
 use log::{debug, warn};
@@ -17,7 +18,7 @@
 
 use super::directory::answer_directory_question;
 use super::lead_document::{format_leads, parse_leads};
-use super::peer_message::{PeerMessage, PeerMessageKind};
+use super::peer_message::{AcknowledgedMessage, PeerMessage, PeerMessageKind};
 use super::peer_questions::PeerQuestions;
 use super::proof_answers::answer_question;
 use super::quotas;
@@ -32,6 +33,10 @@
 /// The pause of the receiver after a socket error.
 const RECEIVE_ERROR_PAUSE: Duration = Duration::from_millis(50);
 
+/// The hosts that stopped using a primary, with what they acknowledged until then. Earlier versions
+/// do not state it.
+pub(super) type StoppedHosts = BTreeMap<HostId, Option<AcknowledgedCommits>>;
+
 /// The socket to the other hosts, and the state of requests to them.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -39,7 +44,7 @@
     address: SocketAddr,
     /// The hosts that stopped using a primary, by service and by the announcement of the change that
     /// required it.
-    stopped: RefCell<BTreeMap<(ServiceId, StoreVersion), BTreeSet<HostId>>>,
+    stopped: RefCell<BTreeMap<(ServiceId, StoreVersion), StoppedHosts>>,
     /// The services whose primary this host is replacing.
     changing: RefCell<BTreeSet<ServiceId>>,
     /// The round in which this host and the other watchers vote.
@@ -127,16 +132,33 @@
 
     /// Returns the hosts that stopped using the primary of `service` for the change that was
     /// announced at `announcement`.
-    pub(crate) fn stopped_hosts(
+    pub(super) fn stopped_hosts(
         &self,
         service: &ServiceId,
         announcement: StoreVersion,
     ) -> BTreeSet<HostId> {
         let stopped = self.stopped.borrow();
-        stopped
-            .get(&(service.clone(), announcement))
-            .cloned()
-            .unwrap_or_default()
+        let hosts = stopped.get(&(service.clone(), announcement));
+        hosts
+            .into_iter()
+            .flatten()
+            .map(|(host, _)| host.clone())
+            .collect()
+    }
+
+    /// Returns what the hosts that stopped using the primary of `service` for that change have
+    /// acknowledged, as far as they said so.
+    pub(super) fn acknowledged_commits(
+        &self,
+        service: &ServiceId,
+        announcement: StoreVersion,
+    ) -> BTreeMap<HostId, AcknowledgedCommits> {
+        let stopped = self.stopped.borrow();
+        let hosts = stopped.get(&(service.clone(), announcement));
+        let stated = hosts.into_iter().flatten();
+        stated
+            .filter_map(|(host, commits)| Some((host.clone(), commits.clone()?)))
+            .collect()
     }
 
     fn send_to_all<P: Platform>(&self, shared: &Shared<P>, message: &PeerMessage) {
@@ -270,6 +292,12 @@
     let mut answer = new_message(shared, PeerMessageKind::Stopped);
     answer.service.clone_from(&request.service);
     answer.announcement = request.announcement;
+    let newest = shared.with_group(&service, |group| group.acknowledged);
+    answer.acknowledged = Some(AcknowledgedMessage {
+        process: shared.process,
+        term: newest.term,
+        position: newest.position,
+    });
     peers.send_to(shared, &request.from, &answer);
 }
 
@@ -283,7 +311,10 @@
     // Keep only the latest change of a service.
     stopped.retain(|(service, announced), _| *service != key.0 || *announced >= key.1);
     let hosts = stopped.entry(key).or_default();
-    hosts.insert(answer.from.as_str().into());
+    hosts.insert(
+        answer.from.as_str().into(),
+        answer.acknowledged.map(Into::into),
+    );
 }
 
 /// Stops using the primary of `service` that is being replaced, unless open work still runs there
--- a/crates/jujubehold_entry/src/control/primary_change.rs
+++ b/crates/jujubehold_entry/src/control/primary_change.rs
@@ -13,6 +13,7 @@
 //!
 //! See docs/notes/platform-path.md.
 
+mod acknowledged;
 mod announce;
 mod candidates;
 mod confirmed_promotion;
@@ -31,7 +32,7 @@
 use crate::shared::millis;
 use announce::{AnnouncedChange, announce};
 use candidates::fence_old_primary;
-use confirmed_promotion::{confirming_replicas, promote_confirmed_replica};
+use confirmed_promotion::resume_after_reinstatement;
 use promotion::promote_replica;
 use record::record_primary;
 use stopping::{request_stop, wait_for_open_work};
@@ -99,13 +100,13 @@
     } else {
         None
     };
-    let primary = if confirming_replicas(shared, &announced.service) > 0 {
-        promote_confirmed_replica(shared, peers, announced, min_position).await?
-    } else {
-        promote_replica(shared, peers, announced, min_position).await?
-    };
+    let promoted = promote_replica(shared, peers, announced, min_position).await?;
     drop(stop_requests);
-    record_primary(shared, peers, announced, primary).await
+    let primary = record_primary(shared, peers, announced, promoted.clone()).await?;
+    if promoted.is_reinstated() {
+        resume_after_reinstatement(shared, announced, &promoted);
+    }
+    Some(primary)
 }
 
 /// Aborts a task when dropped.
--- a/crates/jujubehold_entry/src/control/primary_change/announce.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/announce.rs
@@ -49,6 +49,11 @@
     let change = LeadChange {
         by: host.clone(),
         is_planned,
+        // A change that is taken over still waits for what it waited for.
+        awaits_instance: lead
+            .change
+            .as_ref()
+            .is_some_and(|change| change.awaits_instance),
     };
     let new_lead = Lead {
         primary: lead.primary.clone(),
--- a/crates/jujubehold_entry/src/control/primary_change/candidates.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/candidates.rs
@@ -210,14 +210,26 @@
     pub(super) id: InstanceId,
     /// The term in which it leads.
     pub(super) term: Term,
+    /// What it had when it took over; `None` if it led before and leads again in the same term.
+    pub(super) start: Option<LogPosition>,
 }
 
-/// Returns the instance once it reports that it is the primary; `None` if that takes longer than
-/// [`PROMOTION_TIMEOUT`].
+impl PromotedInstance {
+    /// Returns whether the old primary leads again.
+    pub(super) fn is_reinstated(&self) -> bool {
+        self.start.is_none()
+    }
+}
+
+/// Returns the instance, which had received what `statuses` state when it was chosen, once it reports
+/// that it is the primary; `None` if that takes longer than [`PROMOTION_TIMEOUT`].
 pub(super) async fn wait_until_primary<P: Platform>(
     shared: &Rc<Shared<P>>,
     instance: &InstanceId,
+    statuses: &[CandidateStatus],
 ) -> Option<PromotedInstance> {
+    let chosen = statuses.iter().find(|status| status.instance == *instance);
+    let start = chosen.map(|status| status.received);
     let give_up_at = shared.now() + PROMOTION_TIMEOUT;
     while shared.now() < give_up_at {
         let upstream = shared.upstream(instance)?;
@@ -225,7 +237,7 @@
         if let Some(report) = report.filter(|report| report.role == Role::Primary) {
             let id = instance.clone();
             let term = report.term;
-            return Some(PromotedInstance { id, term });
+            return Some(PromotedInstance { id, term, start });
         }
         actix_rt::time::sleep(STATUS_POLL_INTERVAL).await;
     }
--- a/crates/jujubehold_entry/src/control/primary_change/promotion.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/promotion.rs
@@ -14,6 +14,7 @@
     PromotedInstance, ensure_marked, is_marked, log_choice, query_candidates,
     resume_other_replicas, wait_until_primary,
 };
+use super::confirmed_promotion::{confirming_replicas, promote_confirmed_replica};
 use super::stopping::{start_stop_wait, wait_for_stop};
 use crate::prelude::*;
 use crate::protocol::{PromotionCall, PromotionOrder, PromotionOutcome, Store};
@@ -27,8 +28,8 @@
 /// The timeout for a replica to receive what the old primary of a planned change had.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Promotes a replica where commits are acknowledged by the primary alone, and waits until it is
-/// primary; `None` if another host took the change over.
+/// Promotes a replica and waits until it is primary; `None` if another host took the change over.
+/// Where replicas confirm commits, it has every acknowledged one.
 pub(super) async fn promote_replica<P: Platform>(
     shared: &Rc<Shared<P>>,
     peers: &Rc<Peers>,
@@ -42,6 +43,11 @@
         if !is_current(shared, announced) {
             return None;
         }
+        if confirming_replicas(shared, &announced.service) > 0 {
+            // A configuration was applied meanwhile.
+            let promotion = promote_confirmed_replica(shared, peers, announced, min_position);
+            return Box::pin(promotion).await;
+        }
         let statuses = query_candidates(shared, announced).await;
         let chosen = match choose_candidate(&announced.old_primary, announced.old_term, &statuses) {
             CandidateChoice::AlreadyPrimary(promoted) => {
@@ -83,7 +89,7 @@
         log_choice(announced, &chosen, &statuses);
         if is_marked(shared, &chosen).await
             && order_promotion(shared, announced, &chosen).await?
-            && let Some(promoted) = wait_until_primary(shared, &chosen).await
+            && let Some(promoted) = wait_until_primary(shared, &chosen, &statuses).await
         {
             let upstreams = shared.upstreams_of(&announced.service);
             resume_other_replicas(shared, announced, upstreams, &promoted);
@@ -106,6 +112,7 @@
     Some(PromotedInstance {
         id: promoted.instance.clone(),
         term: promoted.term,
+        start: Some(promoted.received),
     })
 }
 
--- a/crates/jujubehold_entry/src/control/primary_change/stopping.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/stopping.rs
@@ -79,9 +79,7 @@
             return None;
         }
         let now = shared.now();
-        for host in peers.stopped_hosts(&announced.service, announced.version) {
-            wait.note_stopped(&host);
-        }
+        note_stopped_hosts(peers, announced, wait);
         if stop_using_primary(shared, &announced.service) && wait.is_over(now) {
             let waited_ms = millis(now.saturating_sub(announced.announced_at));
             let silent = wait.pending_hosts().len();
@@ -93,6 +91,13 @@
     }
 }
 
+/// Records in `wait` which hosts have stopped using the old primary.
+pub(super) fn note_stopped_hosts(peers: &Peers, announced: &AnnouncedChange, wait: &mut StopWait) {
+    for host in peers.stopped_hosts(&announced.service, announced.version) {
+        wait.note_stopped(&host);
+    }
+}
+
 /// Starts the wait for every host that may still use the old primary.
 ///
 /// These are the hosts that were listed at any time from which evidence of the replicas may have
--- a/crates/jujubehold_entry/src/control/proof_questions.rs
+++ b/crates/jujubehold_entry/src/control/proof_questions.rs
@@ -210,7 +210,7 @@
     }
     if listing.base_revision == 0 {
         let members = hosts.into_iter().collect();
-        lead_state.set_members(members, listing.revision, sent_at);
+        lead_state.set_members(members, listing.revision, sent_at, shared.now());
     } else if listing.base_revision <= known_revision {
         let removed = listing.removed.iter();
         let removed: Vec<_> = removed
--- a/crates/jujubehold_entry/src/control/table_access.rs
+++ b/crates/jujubehold_entry/src/control/table_access.rs
@@ -1,5 +1,6 @@
 //! Reads and writes the table of leads.
 
+use bytes::Bytes;
 use jujubehold_core::lead_table::LeadTable;
 use jujubehold_core::store_version::{Revision, StoreVersion};
 use log::debug;
@@ -11,11 +12,29 @@
 use crate::prelude::*;
 use crate::protocol::{CommitOutcome, Store, StoreChange, StoreError, StoreItem};
 
+/// A write of another key together with the table.
+#[derive(Debug)]
+pub(crate) struct ExpectedWrite {
+    pub(crate) key: SmolStr,
+    /// The revision that the key must have; 0 if it must not exist.
+    pub(crate) revision: Revision,
+    pub(crate) value: Bytes,
+}
+
 /// Replaces the table on which `table` is based by `table` in the store and adopts it. Returns the
 /// new revision, or `None` if the write conflicted or failed.
 pub(crate) async fn commit_table<P: Platform>(
     shared: &Rc<Shared<P>>,
     table: &LeadTable,
+) -> Option<Revision> {
+    commit_table_with(shared, table, None).await
+}
+
+/// The same as [`commit_table`], with another key that is written in the same transaction.
+pub(crate) async fn commit_table_with<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    table: &LeadTable,
+    other: Option<ExpectedWrite>,
 ) -> Option<Revision> {
     let era = shared.lead_state.borrow().era;
     let mut writes = vec![(SmolStr::new_static(LEAD_KEY), format_leads(table), None)];
@@ -23,8 +42,13 @@
         let key = SmolStr::new_static(LEAD_ERA_KEY);
         writes.push((key, format_era(era), None));
     }
+    let mut expected = vec![(SmolStr::new_static(LEAD_KEY), table.revision)];
+    if let Some(other) = other {
+        expected.push((other.key.clone(), other.revision));
+        writes.push((other.key, other.value, None));
+    }
     let change = StoreChange {
-        expected: vec![(SmolStr::new_static(LEAD_KEY), table.revision)],
+        expected,
         writes,
         ..StoreChange::default()
     };
--- a/crates/jujubehold_entry/src/group.rs
+++ b/crates/jujubehold_entry/src/group.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Group {
     /// Samples of the primary's log position.
     pub(crate) primary_positions: PrimaryPositions,
+    /// The newest position at which this process acknowledged a commit.
+    pub(crate) acknowledged: LogPosition,
     /// Since when this host has known the current primary.
     pub(crate) primary_since: Monotonic,
     /// The hosts' votes on whether they reach the primary.
@@ -55,6 +57,7 @@
     pub(crate) fn new(service: &ServiceId) -> Self {
         Self {
             primary_positions: PrimaryPositions::default(),
+            acknowledged: LogPosition::START,
             primary_since: Monotonic::ZERO,
             votes: PrimaryVotes::new(PrimaryVoteSettings::default()),
             leaving_primary: None,
--- a/crates/jujubehold_entry/src/lead_state.rs
+++ b/crates/jujubehold_entry/src/lead_state.rs
@@ -46,6 +46,9 @@
     /// The hosts that were listed recently, with the latest time at which they were. A host that is
     /// no longer listed may be running and reachable by the others.
     pub(crate) recently_listed: BTreeMap<HostId, (Member, Monotonic)>,
+    /// When a process last was no longer listed, or another one took its place, as far as this host
+    /// knows; `None` if that never happened.
+    last_departure: Option<Monotonic>,
     pub(crate) membership: Option<Membership>,
     /// The latest read of the store that this host made itself.
     pub(crate) own_read: Option<OwnRead>,
@@ -100,6 +103,7 @@
             watchers: OnceCell::new(),
             removed: RemovedMembers::default(),
             recently_listed: BTreeMap::new(),
+            last_departure: None,
             membership: None,
             own_read: None,
             proof_sources: ProofSources::default(),
@@ -121,6 +125,7 @@
             self.first_era = era;
             return false;
         }
+        self.note_departure(now);
         // Every host that was listed may still rely on what it proved until now. The list is kept until
         // the first one of the new era.
         self.note_all_listed(now);
@@ -195,13 +200,15 @@
         note_latest_listing(&mut self.recently_listed, host, member, at);
     }
 
-    /// Applies the complete list of hosts as of `revision`, which was requested at `sent_at`.
+    /// Applies the complete list of hosts as of `revision`, which was requested at `sent_at` and
+    /// answered at `now`.
     /// Returns `false` if it is older than the known one.
     pub(crate) fn set_members(
         &mut self,
         members: BTreeMap<HostId, Member>,
         revision: Revision,
         sent_at: Monotonic,
+        now: Monotonic,
     ) -> bool {
         for (host, member) in &members {
             self.note_listed(host, member, sent_at);
@@ -213,23 +220,48 @@
         self.removed.begin(revision);
         if self.members != members {
             let before = std::mem::replace(&mut self.members, members);
-            for host in before
-                .keys()
-                .filter(|host| !self.members.contains_key(*host))
-            {
-                self.removed.note(host, revision);
+            for (host, earlier) in before {
+                let process = self.members.get(&host).map(|member| member.process);
+                if process != Some(earlier.process) {
+                    self.note_departure(now);
+                }
+                if process.is_none() {
+                    self.removed.note(&host, revision);
+                }
             }
             self.note_members_changed();
         }
         true
     }
 
-    /// Applies one host's entry. Returns whether the host is new.
-    pub(crate) fn set_member(&mut self, host: HostId, member: Member) -> bool {
+    /// Applies one host's entry, which this host learned of at `now`. Returns whether the host is new.
+    pub(crate) fn set_member(&mut self, host: HostId, member: Member, now: Monotonic) -> bool {
         self.members_revision = member.key_revision;
-        let is_new = self.members.insert(host, member).is_none();
+        let process = member.process;
+        let earlier = self.members.insert(host, member);
+        if earlier
+            .as_ref()
+            .is_some_and(|earlier| earlier.process != process)
+        {
+            self.note_departure(now);
+        }
         self.note_members_changed();
-        is_new
+        earlier.is_none()
+    }
+
+    fn note_departure(&mut self, now: Monotonic) {
+        self.last_departure = self.last_departure.max(Some(now));
+    }
+
+    /// Returns until when processes that can't be asked any more may have used a primary; `None` if
+    /// there are none.
+    pub(crate) fn unlisted_use_until(&self) -> Option<Monotonic> {
+        let max_use = LeadProofSettings::default().max_use_after_listing();
+        // Those that another host named may have departed before this host followed the list.
+        let named = self.departed(Monotonic::ZERO);
+        let named = named.first().map(|(_, _, at)| *at);
+        let departed = self.last_departure.max(named).map(|at| at + max_use);
+        departed.max(self.proof.unlisted_use_until())
     }
 
     /// Removes a host whose entry was removed at `revision`. Returns whether it was listed.
@@ -239,6 +271,7 @@
         };
         self.members_revision = revision;
         self.removed.note(&host, revision);
+        self.note_departure(now);
         self.note_members_changed();
         // The host may still rely on what it proved until now.
         self.note_listed(&host, &member, now);
@@ -281,7 +314,7 @@
         for (host, member) in written {
             self.note_listed(&host, &member, now);
             if self.listed_revision(&host) < Some(member.key_revision) {
-                self.set_member(host, member);
+                self.set_member(host, member, now);
             }
         }
         self.members_revision = revision;
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -321,6 +321,15 @@
         leaving.is_some_and(|leaving| leaving.instance == instance && now < leaving.until)
     }
 
+    /// Returns whether the primary of `service` can't be replaced until an instance answers that does
+    /// not.
+    pub(crate) fn awaits_instance(&self, service: &str) -> bool {
+        let lead_state = self.lead_state.borrow();
+        let lead = lead_state.table.leads.get(service);
+        let change = lead.and_then(|lead| lead.change.as_ref());
+        change.is_some_and(|change| change.awaits_instance)
+    }
+
     /// Returns whether a later proof may still show that `instance` was the primary when it
     /// answered.
     pub(crate) fn may_be_confirmed(&self, service: &str, instance: &str) -> bool {
