Answer every accepted request before a draining process ends

Cause: the process ended at 80 % of its time, whatever ran. Owners cut other hosts' statements in the same way.

Owners answer the statements of other hosts, and frames of links are written out. The host leaves the list once nothing is acknowledged any more. A caller that sends nothing after it connected no longer holds up the end.

Why it works: the end waits for answers and not for the clock, and every request has an outcome before the clock matters.

--- a/crates/jujubehold_core/src/lib.rs
+++ b/crates/jujubehold_core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod directory_progress;
 pub mod directory_sources;
 pub mod drain;
+pub mod drain_schedule;
 pub mod evidence_schedule;
 pub mod failover;
 pub mod failover_action;
--- a/crates/jujubehold_core/src/verdict.rs
+++ b/crates/jujubehold_core/src/verdict.rs
@@ -41,17 +41,20 @@
         TimedOut,
         /// The host that owned the upstream was lost after the request was forwarded to it.
         OwnerLost,
+        /// The host had to end before the upstream answered.
+        ShuttingDown,
     }
 }
 
 impl UnknownReason {
     /// All reasons, in the order of the metrics page.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::ConnectionLost,
         Self::AuthorityLost,
         Self::NotConfirmed,
         Self::TimedOut,
         Self::OwnerLost,
+        Self::ShuttingDown,
     ];
 
     /// Returns the stable name used in metrics and logs.
@@ -62,6 +65,7 @@
             Self::NotConfirmed => "not_confirmed",
             Self::TimedOut => "timed_out",
             Self::OwnerLost => "owner_lost",
+            Self::ShuttingDown => "shutting_down",
         }
     }
 
--- a/crates/jujubehold_entry/src/callers/session.rs
+++ b/crates/jujubehold_entry/src/callers/session.rs
@@ -3,6 +3,7 @@
 mod access;
 mod admission;
 mod failure_log;
+mod last_answers;
 
 use std::cell::Cell;
 
@@ -130,8 +131,12 @@
 
     // Returns whether the session has started.
     async fn start(&mut self) -> Result<bool, CallerIoError> {
-        let first = tokio::time::timeout(START_TIMEOUT, self.io.read()).await;
-        let Ok(message) = first else {
+        let first = tokio::select! {
+            biased;
+            first = tokio::time::timeout(START_TIMEOUT, self.io.read()) => first.ok(),
+            _ = self.phase.wait_for(|phase| *phase >= Phase::AnsweringRequests) => None,
+        };
+        let Some(message) = first else {
             return Ok(false);
         };
         let (database, key) = match message? {
@@ -249,7 +254,7 @@
 
     async fn handle_request(&mut self, request: CallerRequest) -> Result<(), CallerIoError> {
         let arrived_at = self.shared.now();
-        match self.run(&request, arrived_at).await {
+        match self.run_while_serving(&request, arrived_at).await {
             Ok(reply) => self.put_reply(reply.as_ref()),
             Err(failure) => {
                 self.log_failure(&request, arrived_at, &failure);
--- a/crates/jujubehold_entry/src/callers/transaction.rs
+++ b/crates/jujubehold_entry/src/callers/transaction.rs
@@ -211,6 +211,7 @@
         let timeout = deadline.saturating_sub(self.shared.now());
         let statement = text_statement(request);
         let values = &self.values;
+        self.may_have_run.set(has_written);
         let result = run_on(&self.shared, &mut lease, &statement, None, values, timeout).await;
         let reply = match result {
             Ok(reply) => reply,
--- a/crates/jujubehold_entry/src/control/membership.rs
+++ b/crates/jujubehold_entry/src/control/membership.rs
@@ -39,7 +39,7 @@
             Some(membership) => renew(&shared, membership).await,
             // A host that has removed itself must not be listed again while it shuts down: whoever
             // replaces a primary would wait for it.
-            None if *shared.phase.borrow() == Phase::ClosingTransactions => return,
+            None if *shared.phase.borrow() >= Phase::ClosingTransactions => return,
             None => join(&shared, peer).await,
         };
         let pause = match result {
--- a/crates/jujubehold_entry/src/entry_host.rs
+++ b/crates/jujubehold_entry/src/entry_host.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use jujubehold_core::drain_schedule::DrainSchedule;
 use jujubehold_settings::EntrySettings;
 use log::{info, warn};
 use tokio::net::TcpListener;
@@ -16,12 +17,6 @@
 
 /// How often a draining host checks whether sessions are still open.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Points in the drain timeout, in percent: when idle sessions are ended (by then the platform has
-/// noticed that the host is not ready), when open transactions are rolled back, and when the
-/// process exits in any case.
-const END_SESSIONS_PERCENT: u32 = 40;
-const CLOSE_TRANSACTIONS_PERCENT: u32 = 55;
-const EXIT_PERCENT: u32 = 80;
 /// How many ports chosen by the operating system are tried until one is free for both protocols.
 const MAX_PORT_ATTEMPTS: u32 = 10;
 
@@ -105,21 +100,32 @@
     }
 
     /// Serves callers until `stop` completes, then drains the host: running work may complete
-    /// within the drain timeout.
+    /// within the drain timeout, and every request that was accepted is answered before its end.
     pub async fn serve(self, stop: impl Future<Output = ()>) {
         stop.await;
         let limit = self.shared.settings.drain_timeout;
         let begun_at = self.shared.now();
         info!(sessions = self.shared.session_count.get(), limit_ms = millis(limit); "leaving");
         self.set_phase(Phase::Draining);
-        let at = |percent: u32| begun_at + limit * percent / 100;
-        self.wait_until(at(END_SESSIONS_PERCENT)).await;
+        let schedule = DrainSchedule::new(begun_at, limit);
+        self.wait_until(schedule.end_sessions_at()).await;
         self.set_phase(Phase::EndingSessions);
-        self.wait_until(at(CLOSE_TRANSACTIONS_PERCENT)).await;
+        self.wait_until(schedule.close_transactions_at()).await;
         self.set_phase(Phase::ClosingTransactions);
-        self.wait_until(at(EXIT_PERCENT)).await;
+        self.wait_until(schedule.answer_by()).await;
+        let (sessions, leases) = (
+            self.shared.session_count.get(),
+            self.shared.served_leases.get(),
+        );
+        if sessions > 0 || leases > 0 {
+            info!(sessions, leases; "answering the requests that still run");
+        }
+        self.set_phase(Phase::AnsweringRequests);
+        // Nothing is acknowledged any more, so no host has to wait for this one.
         control::leave(&self.shared).await;
-        info!(sessions = self.shared.session_count.get(),
+        self.wait_until(schedule.exit_by()).await;
+        info!(sessions = self.shared.session_count.get(), leases = self.shared.served_leases.get(),
+            has_unsent_frames = self.shared.server_links.have_unsent_frames(),
             taken_ms = millis(self.shared.now().saturating_sub(begun_at));
             "stopped");
     }
@@ -129,11 +135,12 @@
     }
 
     /// Waits until `time`. After the first phase of draining, returns early when no session and no
-    /// lease of another host is left.
+    /// lease of another host is left, and all answers are written.
     async fn wait_until(&self, time: Monotonic) {
         while self.shared.now() < time {
-            let has_no_work =
-                self.shared.session_count.get() == 0 && self.shared.served_leases.get() == 0;
+            let has_no_work = self.shared.session_count.get() == 0
+                && self.shared.served_leases.get() == 0
+                && !self.shared.server_links.have_unsent_frames();
             if has_no_work && *self.shared.phase.borrow() != Phase::Draining {
                 return;
             }
--- a/crates/jujubehold_entry/src/peer_link/link_io.rs
+++ b/crates/jujubehold_entry/src/peer_link/link_io.rs
@@ -42,6 +42,8 @@
     put_bytes: Cell<u64>,
     /// How many of them were taken out to be written to the socket.
     taken_bytes: Cell<u64>,
+    /// How many of them were written to the socket.
+    written_bytes: Cell<u64>,
     wake: Notify,
     /// Wakes the writer if the outbox has become too long.
     overflow: Notify,
@@ -69,6 +71,11 @@
         end <= self.taken_bytes.get()
     }
 
+    /// Returns whether any message has not been written to the socket completely.
+    pub(crate) fn has_unsent(&self) -> bool {
+        self.written_bytes.get() < self.put_bytes.get()
+    }
+
     /// Writes messages to the socket until it fails. All messages that are ready at the same time
     /// are sent with one write.
     pub(crate) async fn write_all(
@@ -93,6 +100,7 @@
                     if let Err(error) = written {
                         return error.into();
                     }
+                    self.written_bytes.set(self.written_bytes.get() + length);
                 }
                 () = self.overflow.notified() => return LinkError::NotRead,
             }
--- a/crates/jujubehold_entry/src/peer_link/mod.rs
+++ b/crates/jujubehold_entry/src/peer_link/mod.rs
@@ -18,4 +18,4 @@
 };
 pub(crate) use link::{LinkAnswer, PeerLink};
 pub(crate) use links::{PeerLinks, monitor_links};
-pub(crate) use server::accept_links;
+pub(crate) use server::{ServerLinks, accept_links};
--- a/crates/jujubehold_entry/src/peer_link/served_lease.rs
+++ b/crates/jujubehold_entry/src/peer_link/served_lease.rs
@@ -91,7 +91,12 @@
         return;
     };
     let values = values.unwrap_or_default();
-    let mut lease = match acquire_connection(&shared, &acquire, &values, received_at).await {
+    let acquired = tokio::select! {
+        biased;
+        () = shared.wait_for_last_answers() => Err((RefusedReason::Leaving, Duration::ZERO)),
+        acquired = acquire_connection(&shared, &acquire, &values, received_at) => acquired,
+    };
+    let mut lease = match acquired {
         Ok(lease) => lease,
         Err((reason, expected_wait)) => {
             refuse(&shared, &link, number, &acquire, reason, expected_wait);
@@ -121,7 +126,16 @@
     mut values: SessionValues,
     mut commands: mpsc::UnboundedReceiver<LeaseCommand>,
 ) {
-    while let Some(command) = commands.recv().await {
+    loop {
+        let command = tokio::select! {
+            biased;
+            // The dropped connection rolls the transaction back.
+            () = shared.wait_for_last_answers() => return,
+            command = commands.recv() => command,
+        };
+        let Some(command) = command else {
+            return;
+        };
         match command {
             LeaseCommand::Run(message) => {
                 let Ok((request, new_values)) = ReceivedRun::decode(&message) else {
@@ -222,13 +236,22 @@
         timeout,
     } = request;
     let (after, timeout) = (*after, *timeout);
-    let result = if let Some(statement) = statement {
-        run_on(shared, lease, statement, after, values, timeout).await
-    } else {
+    let running = async {
+        if let Some(statement) = statement {
+            return run_on(shared, lease, statement, after, values, timeout).await;
+        }
         let running = lease.run_command(&UpstreamCommand::Rollback);
         let result = tokio::time::timeout(timeout, running).await;
         result.unwrap_or(Err(UpstreamError::TimedOut))
     };
+    let result = tokio::select! {
+        biased;
+        result = running => result,
+        // Whether the statement runs is not known, as when the instance breaks off.
+        () = shared.wait_for_last_answers() => {
+            Err(UpstreamError::Broken(std::io::ErrorKind::ConnectionAborted.into()))
+        }
+    };
     match result {
         Ok(reply) => {
             send_reply(link, number, reply, waited);
--- a/crates/jujubehold_entry/src/peer_link/server.rs
+++ b/crates/jujubehold_entry/src/peer_link/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::rc::Weak;
 
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -76,6 +77,27 @@
     }
 }
 
+/// The links that other hosts opened to this one.
+#[derive(Debug, Default)]
+pub(crate) struct ServerLinks {
+    links: RefCell<Vec<Weak<ServerLink>>>,
+}
+
+impl ServerLinks {
+    fn add(&self, link: &Rc<ServerLink>) {
+        let mut links = self.links.borrow_mut();
+        links.retain(|link| link.strong_count() > 0);
+        links.push(Rc::downgrade(link));
+    }
+
+    /// Returns whether a frame on any link has not been written completely.
+    pub(crate) fn have_unsent_frames(&self) -> bool {
+        let links = self.links.borrow();
+        let mut open = links.iter().filter_map(Weak::upgrade);
+        open.any(|link| link.outbox.has_unsent())
+    }
+}
+
 /// Accepts and serves links until the future is dropped.
 pub(crate) async fn accept_links<P: Platform>(shared: Rc<Shared<P>>, listener: TcpListener) {
     loop {
@@ -100,6 +122,7 @@
         leases: RefCell::new(BTreeMap::new()),
         received_at: Cell::new(shared.now()),
     });
+    shared.server_links.add(&link);
     link.send(0, FrameBody::Protocol(OWN_PROTOCOL));
     let metrics = Rc::clone(&shared.peer_links.metrics);
     let (reader, writer) = stream.into_split();
--- a/crates/jujubehold_entry/src/phase.rs
+++ b/crates/jujubehold_entry/src/phase.rs
@@ -10,7 +10,9 @@
         Draining,
         /// Sessions end as soon as they are outside a transaction.
         EndingSessions,
-        /// Transactions that are still open are rolled back.
+        /// Transactions that are still open are rolled back once they are idle.
         ClosingTransactions,
+        /// No request runs any more: those that still did are answered, and so are those that arrive.
+        AnsweringRequests,
     }
 }
--- a/crates/jujubehold_entry/src/shared.rs
+++ b/crates/jujubehold_entry/src/shared.rs
@@ -21,7 +21,7 @@
 use crate::decision_log::DecisionLog;
 use crate::group::{Group, LeavingPrimary};
 use crate::lead_state::LeadState;
-use crate::peer_link::PeerLinks;
+use crate::peer_link::{PeerLinks, ServerLinks};
 use crate::phase::Phase;
 use crate::pool::Upstream;
 use crate::prelude::*;
@@ -55,6 +55,8 @@
     pub(crate) log: Rc<DecisionLog>,
     /// The links that this host opened to owners of connections.
     pub(crate) peer_links: Rc<PeerLinks>,
+    /// The links that other hosts opened to this one.
+    pub(crate) server_links: ServerLinks,
     /// The number of other hosts' leases that this host runs.
     pub(crate) served_leases: Cell<usize>,
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
@@ -106,6 +108,7 @@
         let log = Rc::new(DecisionLog::new(settings.log_lines_per_second));
         Self {
             peer_links: Rc::new(PeerLinks::new(clock, Rc::clone(&log))),
+            server_links: ServerLinks::default(),
             served_leases: Cell::new(0),
             log,
             lead_state: RefCell::new(LeadState::new(settings.is_first_start)),
@@ -409,6 +412,15 @@
         self.changed.notify_waiters();
     }
 
+    /// Waits until the host no longer runs requests because it shuts down.
+    pub(crate) async fn wait_for_last_answers(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the host, so the watch can't fail.
+        let _ = phase
+            .wait_for(|phase| *phase >= Phase::AnsweringRequests)
+            .await;
+    }
+
     /// Waits until something changes that a request may wait for, for at most `limit` and at most
     /// one recheck interval.
     pub(crate) async fn wait_for_change(&self, limit: Duration) {
--- a/crates/jujubehold_standin/src/users_platform/faults.rs
+++ b/crates/jujubehold_standin/src/users_platform/faults.rs
@@ -49,6 +49,8 @@
     pub loses_prepared_statements: bool,
     /// The replies to callers' statements lack the line that states how they ended.
     pub omits_outcome: bool,
+    /// How long each statement of a caller runs that reads, writes or commits.
+    pub work_time: Duration,
     /// The length of what follows the proof of each of callers' statements.
     pub proof_padding_bytes: usize,
 }
--- a/crates/jujubehold_standin/src/users_platform/instance_message.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance_message.rs
@@ -28,6 +28,17 @@
     Terminate,
 }
 
+impl InstanceMessage<'_> {
+    /// Returns whether this is a statement of a caller that reads, writes or commits.
+    pub(crate) fn is_work(&self) -> bool {
+        let Self::Query { id, text, .. } = self else {
+            return false;
+        };
+        let word = text.split(' ').next().unwrap_or_default();
+        *id != NO_ID && matches!(word, "READ" | "WRITE" | "EXECUTE" | "COMMIT")
+    }
+}
+
 /// What a statement does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Command<'a> {
--- a/crates/jujubehold_standin/src/users_platform/instance_server.rs
+++ b/crates/jujubehold_standin/src/users_platform/instance_server.rs
@@ -114,6 +114,7 @@
             if matches!(message, InstanceMessage::Start { .. }) {
                 self.wait_for_connection_setup().await;
             }
+            self.wait_for_work(&message).await;
             let Ok(answer) = self.answer(message) else {
                 return;
             };
@@ -127,6 +128,13 @@
         }
     }
 
+    async fn wait_for_work(&self, message: &InstanceMessage<'_>) {
+        let work_time = self.with_instance(|instance| instance.faults.work_time);
+        if let Some(work_time) = work_time.filter(|_| message.is_work()) {
+            actix_rt::time::sleep(work_time).await;
+        }
+    }
+
     async fn wait_for_connection_setup(&self) {
         self.with_instance(|instance| instance.opening_count += 1);
         while self.with_instance(|instance| instance.faults.stalls_connection_setup) == Some(true) {
