Answer requests before a PostgreSQL host's drain times out

Callers of "jujubehold host" whose statements still ran at drain_timeout saw their connections close without an answer, and so did those with an idle transaction.

Cause: at the timeout the threads were ended, and no session was told.

Change: at 95 % of the timeout a new drain phase has sessions answer what runs with 08007 (shutting_down) and close its connection, and end idle transactions with 57P01. The timeout ends the threads as before, though no sooner than 200 ms after that phase began.

Why it works: a session ends its batch itself, by the way that a statement's own timeout takes, before the threads end.

--- a/crates/jujubehold_core/src/drain.rs
+++ b/crates/jujubehold_core/src/drain.rs
@@ -5,6 +5,14 @@
 use crate::ids::Monotonic;
 use crate::value_type;
 
+/// The part of the timeout after which requests that still run are answered, in percent. The rest is
+/// for writing the answers.
+const ANSWER_PERCENT: u32 = 95;
+
+/// How long writing the answers may take even if the timeout is over, as after a timeout that is shorter
+/// than the notice period.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(200);
+
 value_type! {
     /// The settings of a host's drain.
     pub struct DrainSettings {
@@ -40,9 +48,12 @@
         EndIdleSessions,
         /// Close the pooled connections, so that the new owners can open theirs.
         ClosePooledConnections,
+        /// Answer the requests that still run, and roll back open transactions: there is too little time
+        /// left to wait for the upstreams.
+        AnswerRequests,
         /// End the process; nothing is in flight.
         Exit,
-        /// End the process although requests are in flight; their verdicts report it.
+        /// End the process although callers have not read their answers.
         ExitOverdue,
     }
 
@@ -52,6 +63,8 @@
         state: DrainState,
         requests: usize,
         lent: usize,
+        /// Since when the requests that still ran are answered.
+        answering_since: Option<Monotonic>,
     }
 }
 
@@ -92,6 +105,7 @@
             state: DrainState::Serving,
             requests: 0,
             lent: 0,
+            answering_since: None,
         }
     }
 
@@ -142,11 +156,18 @@
             actions.extend([DrainAction::ClosePooledConnections, DrainAction::Exit]);
             return actions;
         }
-        let is_overdue = self
-            .settings
-            .timeout
-            .is_some_and(|timeout| now.saturating_sub(since) >= timeout);
-        if is_overdue {
+        let Some(timeout) = self.settings.timeout else {
+            return actions;
+        };
+        let elapsed = now.saturating_sub(since);
+        let Some(answering_since) = self.answering_since else {
+            if elapsed >= timeout * ANSWER_PERCENT / 100 {
+                self.answering_since = Some(now);
+                actions.push(DrainAction::AnswerRequests);
+            }
+            return actions;
+        };
+        if elapsed >= timeout && now.saturating_sub(answering_since) >= MIN_ANSWER_TIME {
             self.state = DrainState::Done;
             actions.push(DrainAction::ExitOverdue);
         }
--- a/crates/jujubehold_core/src/replay/host_lines.rs
+++ b/crates/jujubehold_core/src/replay/host_lines.rs
@@ -77,6 +77,7 @@
         DrainAction::StopAccepting => "stop_accepting",
         DrainAction::EndIdleSessions => "end_idle_sessions",
         DrainAction::ClosePooledConnections => "hand_over",
+        DrainAction::AnswerRequests => "answer_requests",
         DrainAction::Exit => "exit",
         DrainAction::ExitOverdue => "exit_overdue",
     }
--- a/crates/jujubehold_host/src/drain_phase.rs
+++ b/crates/jujubehold_host/src/drain_phase.rs
@@ -8,4 +8,7 @@
     Serving,
     /// No caller is accepted, and each session ends as soon as it is between transactions.
     Finishing,
+    /// No request runs any more: those that still did are answered, and open transactions are rolled
+    /// back.
+    Answering,
 }
--- a/crates/jujubehold_host/src/host.rs
+++ b/crates/jujubehold_host/src/host.rs
@@ -196,6 +196,12 @@
                 // Each session watches the phase itself, and the pools close when the host is
                 // dropped.
                 DrainAction::EndIdleSessions | DrainAction::ClosePooledConnections => {}
+                DrainAction::AnswerRequests => {
+                    let activity = &shared.activity;
+                    warn!(sessions = activity.sessions(), lent = activity.lent();
+                        "drain answers the requests that still run");
+                    phase.send_replace(DrainPhase::Answering);
+                }
                 DrainAction::Exit => {
                     info!("drain completed");
                     return;
--- a/crates/jujubehold_host/src/peer/forward_server.rs
+++ b/crates/jujubehold_host/src/peer/forward_server.rs
@@ -92,7 +92,7 @@
         return Err(RefusalReason::UnknownService);
     };
     // Nothing was sent yet, so the entry host can try the next owner.
-    if *shared.phase.borrow() == DrainPhase::Finishing {
+    if *shared.phase.borrow() >= DrainPhase::Finishing {
         return Err(RefusalReason::ShuttingDown);
     }
     let Some(config) = route.config.instances.get(&instance) else {
--- a/crates/jujubehold_host/src/traffic/listener.rs
+++ b/crates/jujubehold_host/src/traffic/listener.rs
@@ -53,7 +53,7 @@
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == DrainPhase::Finishing) => return,
+            _ = phase.wait_for(|phase| *phase >= DrainPhase::Finishing) => return,
         };
         match accepted.and_then(|(stream, _)| stream.into_std()) {
             Ok(stream) => dispatch_caller(stream, &shared, threads),
--- a/crates/jujubehold_host/src/traffic/session.rs
+++ b/crates/jujubehold_host/src/traffic/session.rs
@@ -111,17 +111,21 @@
         Ok(())
     }
 
-    /// Returns the caller's next message, or `None` once the caller has disconnected or was
-    /// informed that the host shuts down, which happens between transactions only.
+    /// Returns the caller's next message, or `None` once the caller was informed that the host shuts
+    /// down, which happens between transactions, or when no time is left for the open one. That one is
+    /// rolled back with the session.
     async fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
-        if self.pinned.is_some() || !self.pipeline.is_empty() {
-            return self.io.read().await;
-        }
+        let is_between_transactions = self.pinned.is_none() && self.pipeline.is_empty();
+        let end_at = if is_between_transactions {
+            DrainPhase::Finishing
+        } else {
+            DrainPhase::Answering
+        };
         let phase = &mut self.phase;
         tokio::select! {
             biased;
             frame = self.io.read() => return frame,
-            _ = phase.wait_for(|phase| *phase == DrainPhase::Finishing) => {}
+            _ = phase.wait_for(|phase| *phase >= end_at) => {}
         }
         self.put_refusal(&refusal(RefusalReason::ShuttingDown));
         self.io.flush().await?;
@@ -162,7 +166,7 @@
         batch.arrived_at = self.shared.clock.now();
         self.io.has_flushed = false;
         self.io.skipped_definitions = 0;
-        let Err(error) = self.try_run_batch(&mut batch).await else {
+        let Err(error) = self.run_while_serving(&mut batch).await else {
             let taken = self.shared.clock.now().saturating_sub(batch.arrived_at);
             let seconds = match batch.class {
                 StatementClass::Read | StatementClass::BeginReadOnly => &self.metrics.read_seconds,
@@ -175,6 +179,19 @@
         self.report_error(error, &batch).await
     }
 
+    // Runs a batch until the host has to answer everything. Its connection is closed then, so the outcome
+    // is not known.
+    async fn run_while_serving(&mut self, batch: &mut MessageBatch) -> Result<(), BatchError> {
+        let mut phase = self.phase.clone();
+        tokio::select! {
+            biased;
+            result = self.try_run_batch(batch) => result,
+            _ = phase.wait_for(|phase| *phase == DrainPhase::Answering) => {
+                Err(BatchError::Unknown(UnknownReason::ShuttingDown))
+            }
+        }
+    }
+
     async fn try_run_batch(&mut self, batch: &mut MessageBatch) -> Result<(), BatchError> {
         if batch.exceeds_limit {
             return Err(BatchError::Hinted {
--- a/crates/jujubehold_host/tests/control_shutdown.rs
+++ b/crates/jujubehold_host/tests/control_shutdown.rs
@@ -128,6 +128,44 @@
     host.wait_until_stopped().await;
 }
 
+// Guards against connections that are cut at the end of the drain without an answer to what was asked.
+#[actix_rt::test]
+async fn callers_are_answered_before_a_drain_that_times_out_ends_the_host() {
+    let installation = Installation::start().await;
+    let settings = HostSettings {
+        drain_timeout: Duration::from_secs(3),
+        ..installation.settings("host-1", "delta")
+    };
+    let mut host = RunningHost::start(settings).await;
+    wait_until("the group is known", || host.is_ready()).await;
+    let writer = host.connect().await;
+    writer
+        .simple_query("CREATE TABLE issues (id INTEGER)")
+        .await
+        .expect("the table is created");
+    let in_transaction = host.connect().await;
+    for text in ["BEGIN", "INSERT INTO issues (id) VALUES (1)"] {
+        let begun = in_transaction.simple_query(text).await;
+        begun.expect("the transaction is open");
+    }
+    // Longer than the test.
+    installation.instances[0].set_service_time(Duration::from_hours(1));
+    let write = writer.simple_query("INSERT INTO issues (id) VALUES (2)");
+    let second = in_transaction.simple_query("INSERT INTO issues (id) VALUES (3)");
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        host.request_drain();
+        host.wait_until_stopped().await;
+    };
+    let (write, second, ()) = tokio::join!(write, second, stop);
+    for answer in [write, second] {
+        let error = answer.expect_err("the upstream does not answer");
+        let code = error.code();
+        let code = code.unwrap_or_else(|| panic!("the host does not answer: {error:?}"));
+        assert_eq!(code.code(), "08007", "{error:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn other_hosts_do_not_count_a_leaving_host_as_an_owner() {
     let (installation, mut first) = started().await;
