Add a soak of processes that drain while statements take up to their time limit

No test drained under statements that take as long as their time limit, and none kept callers on open connections until the process was gone. The soak stops processes in overlapping series, with SIGHUP and a second SIGTERM in between, with and without owners of connections, and checks that no request was cut once an instance ran it or a second after it was sent, that no process has to be killed, and that acknowledged writes are there.

--- /dev/null
+++ b/crates/jujubehold/tests/entry_drain/main.rs
@@ -0,0 +1,6 @@
+//! Processes of `jujubehold entry` that drain while instances take as long as their time limits allow.
+
+mod answers;
+mod caller;
+mod installation;
+mod soak;
