--- a/crates/jujubehold/tests/entry_drain/installation.rs
+++ b/crates/jujubehold/tests/entry_drain/installation.rs
@@ -111,7 +111,9 @@
         );
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let write = |suffix: &str, text: &str| {
-            let file = directory.join(format!("{}-{name}{suffix}.ini", layout.test));
+            // Several runs may share the directory.
+            let run = std::process::id();
+            let file = directory.join(format!("{}-{run}-{name}{suffix}.ini", layout.test));
             std::fs::write(&file, text).expect("the target directory can be written");
             file
         };
