Add instances to the replica records before others are forgotten

Found by reading the change again. Forgetting waits up to 2 s for replicas, one service after the other, and held up the additions of other services, which have to come before an entry expires. Records that a restored store gave back could be compared by revisions of the earlier era. Reads of a record and announcements of a wait that fail at once were repeated every 25 ms.

Change: all additions come first; the records are read again in a new era; failed calls are followed by a pause.

--- a/crates/jujubehold_entry/src/control/primary_change/confirmed_promotion.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/confirmed_promotion.rs
@@ -77,7 +77,7 @@
             return promote_replica(shared, peers, announced, final_position).await;
         }
         if record.is_none() {
-            record = read_replicas(shared, &announced.service).await.ok();
+            record = read_record(shared, announced).await;
         }
         let members = GroupMembers::new(shared, announced);
         let statuses = members.query(shared, announced).await;
@@ -93,11 +93,12 @@
         }
         marked = marked_now;
         note_stopped_hosts(peers, announced, &mut wait);
-        let record = record.as_ref().map(|stored| &stored.record);
         let known = KnownCommits {
-            expected_replicas: members.expected_replicas(shared, record),
+            expected_replicas: members.expected_replicas(shared, record.as_ref()),
             acknowledged: acknowledged_bound(shared, peers, announced, &wait),
-            term_start: record.and_then(|record| record.start_of(announced.old_term)),
+            term_start: record
+                .as_ref()
+                .and_then(|record| record.start_of(announced.old_term)),
         };
         let step = choice.next_step(&announced.old_primary, &statuses, &known);
         log_step(announced, &step, &mut last_step, &statuses, &known);
@@ -179,6 +180,22 @@
     newest.is_some_and(|status| status.instance == announced.old_primary)
 }
 
+// Returns the service's replica record; `None`, after a pause, if it can't be read.
+async fn read_record<P: Platform>(
+    shared: &Shared<P>,
+    announced: &AnnouncedChange,
+) -> Option<ReplicaRecord> {
+    match read_replicas(shared, &announced.service).await {
+        Ok(stored) => Some(stored.record),
+        Err(error) => {
+            warn!(service = announced.service.as_str(), error:% = error;
+                "failed to read which instances may have confirmed commits");
+            actix_rt::time::sleep(STEP_RETRY_PAUSE).await;
+            None
+        }
+    }
+}
+
 fn marked_replicas(statuses: &[CandidateStatus]) -> BTreeSet<InstanceId> {
     statuses
         .iter()
--- a/crates/jujubehold_entry/src/control/primary_change/record.rs
+++ b/crates/jujubehold_entry/src/control/primary_change/record.rs
@@ -83,6 +83,7 @@
         peers.send_table(shared);
     } else {
         refresh_table(shared).await;
+        actix_rt::time::sleep(STEP_RETRY_PAUSE).await;
     }
 }
 
--- a/crates/jujubehold_entry/src/control/replica_records.rs
+++ b/crates/jujubehold_entry/src/control/replica_records.rs
@@ -75,29 +75,59 @@
 
 /// Keeps the records until the future is dropped.
 pub(super) async fn keep_records<P: Platform>(shared: Rc<Shared<P>>) {
-    let mut stored = BTreeMap::new();
+    let mut records = BTreeMap::new();
+    let mut era = 0;
     let mut forget_at = Monotonic::ZERO;
     loop {
         actix_rt::time::sleep(CHECK_INTERVAL).await;
-        // Another host may have kept the records meanwhile.
-        if !is_keeper(&shared) {
-            stored.clear();
+        // Another host may have kept the records meanwhile, or they came back with a copy.
+        let known_era = std::mem::replace(&mut era, shared.lead_state.borrow().era);
+        if !is_keeper(&shared) || era != known_era {
+            records.clear();
             continue;
         }
-        let may_forget = shared.now() >= forget_at;
-        if may_forget {
+        keep_all(&shared, &mut records, Step::Extend).await;
+        if shared.now() >= forget_at {
+            keep_all(&shared, &mut records, Step::Forget).await;
             forget_at = shared.now() + FORGET_INTERVAL;
         }
-        for service in services_with_records(&shared) {
-            let kept = keep_record(&shared, &service, &mut stored, may_forget).await;
-            if let Err(error) = kept {
-                debug!("failed to keep the replica record of {service}: {error}");
-                stored.remove(&service);
-            }
+    }
+}
+
+/// What is done with the records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// Adds the instances that are listed.
+    Extend,
+    /// Forgets instances that are gone and not needed. This may take seconds.
+    Forget,
+}
+
+async fn keep_all<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    records: &mut BTreeMap<ServiceId, StoredRecord>,
+    step: Step,
+) {
+    for service in services_with_records(shared) {
+        let kept = keep_record(shared, &service, records, step).await;
+        match kept {
+            Ok(Kept::Unchanged | Kept::Written) => continue,
+            Ok(Kept::Outdated) => {}
+            Err(error) => debug!("failed to keep the replica record of {service}: {error}"),
         }
+        records.remove(&service);
     }
 }
 
+/// What became of a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kept {
+    Unchanged,
+    Written,
+    /// Another host writes the record, so it has to be read again.
+    Outdated,
+}
+
 fn is_keeper<P: Platform>(shared: &Shared<P>) -> bool {
     let lead_state = shared.lead_state.borrow();
     let is_listed = lead_state.membership.is_some() && lead_state.has_present_table();
@@ -117,33 +147,39 @@
     shared: &Rc<Shared<P>>,
     service: &ServiceId,
     records: &mut BTreeMap<ServiceId, StoredRecord>,
-    may_forget: bool,
-) -> Result<(), StoreError> {
+    step: Step,
+) -> Result<Kept, StoreError> {
     let Some((primary, term)) = usable_lead(shared, service) else {
         // The host that replaces the primary writes the record.
-        records.remove(service);
-        return Ok(());
+        return Ok(Kept::Outdated);
     };
-    if !records.contains_key(service) {
+    let stored = if let Some(stored) = records.get(service) {
+        stored.clone()
+    } else {
         wait_for_turn(shared, CallKind::Read).await;
-        records.insert(service.clone(), read_replicas(shared, service).await?);
-    }
-    let Some(stored) = records.get_mut(service) else {
-        return Ok(());
+        read_replicas(shared, service).await?
     };
     let listed = listed_instances(shared, service);
     let mut record = stored.record.extended(term, &listed);
-    if may_forget {
+    if step == Step::Forget {
         record = without_unneeded(shared, service, &primary, record, &listed).await;
     }
-    if record != stored.record && usable_lead(shared, service) == Some((primary, term)) {
-        wait_for_turn(shared, CallKind::Write).await;
-        let revision = write_record(shared, service, &record, stored.revision).await?;
-        info!(service = service.as_str(), term, revision, instances = record.instances.len();
-            "replica record written");
-        *stored = StoredRecord { record, revision };
+    if record == stored.record {
+        records.insert(service.clone(), stored);
+        return Ok(Kept::Unchanged);
     }
-    Ok(())
+    if usable_lead(shared, service) != Some((primary, term)) {
+        return Ok(Kept::Outdated);
+    }
+    wait_for_turn(shared, CallKind::Write).await;
+    let outcome = write_record(shared, service, &record, stored.revision).await?;
+    let CommitOutcome::Committed(revision) = outcome else {
+        return Ok(Kept::Outdated);
+    };
+    info!(service = service.as_str(), term, revision, instances = record.instances.len();
+        "replica record written");
+    records.insert(service.clone(), StoredRecord { record, revision });
+    Ok(Kept::Written)
 }
 
 // Returns the primary of `service` and its term, unless it is being replaced.
@@ -160,7 +196,7 @@
     service: &str,
     record: &ReplicaRecord,
     revision: Revision,
-) -> Result<Revision, StoreError> {
+) -> Result<CommitOutcome, StoreError> {
     let key = replicas_key(service);
     let change = StoreChange {
         expected: vec![(key.clone(), revision)],
@@ -168,11 +204,7 @@
         ..StoreChange::default()
     };
     let call = shared.store.commit(&change);
-    match call_with_timeout(shared, StoreCall::Commit, STORE_CALL_TIMEOUT, call).await? {
-        CommitOutcome::Committed(revision) => Ok(revision),
-        // Another host wrote the record; it is read again.
-        CommitOutcome::Conflict => Err(StoreError::Unreadable),
-    }
+    call_with_timeout(shared, StoreCall::Commit, STORE_CALL_TIMEOUT, call).await
 }
 
 // Forgets the instances that are gone if all listed replicas have received what the primary has now.
