Leave the owners of connections room beside control connections

Callers of an owner that had started again were told queue_full for as long as the other hosts ran.

Cause: hosts that watch a primary or read the store keep an idle connection to it, whatever the instance accepts. With four hosts and three connections, the other three had one each. Evidence: at the owner that refused, a trial's log line had open_count 0, limit 1 and a refusal of the instance 40 ms before, for 20 s on end; no connection was granted and not taken, which was the other hypothesis.

Change: where the instance does not accept a connection for each of these hosts beside the owners' shares, they close theirs when it is idle.

Why it works: a closed connection is free for the owner, which keeps its own and tries again each time it is asked.

Sheets are not affected: their instances accept more connections than 16.

--- a/crates/jujubehold/tests/entry_drain/main.rs
+++ b/crates/jujubehold/tests/entry_drain/main.rs
@@ -3,4 +3,5 @@
 mod answers;
 mod caller;
 mod installation;
+mod restarted_owner;
 mod soak;
--- a/crates/jujubehold_core/src/connection_owners.rs
+++ b/crates/jujubehold_core/src/connection_owners.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// Returns whether the instance accepts a connection for control calls from each host that keeps one,
+    /// beside those of the owners. Otherwise these hosts have to close theirs when they are idle: an
+    /// owner that starts later would get none.
+    pub fn leaves_control_connections(&self) -> bool {
+        let owned = self.owner_share() * self.owners.len();
+        owned + self.control_connections <= self.max_connections
+    }
+
     // Two fifths, less where the hosts that keep a connection for control calls need more than the
     // rest. Without that, the instance would refuse those hosts' calls.
     fn owner_share(&self) -> usize {
--- a/crates/jujubehold_core/tests/connection_owners.rs
+++ b/crates/jujubehold_core/tests/connection_owners.rs
@@ -83,3 +83,16 @@
     let all = hosts(12);
     assert_eq!(control_connections(&all[..9], &all[6..12]), 12);
 }
+
+// Guards against control connections that leave an owner none.
+#[test]
+fn control_connections_are_kept_only_where_the_owners_have_theirs_beside_them() {
+    let all = hosts(86);
+    for (max, control, leaves_some) in
+        [(3, 4, false), (6, 4, true), (16, 15, false), (40, 15, true)]
+    {
+        let owners = owners(&all, 86, max, control).expect("owners are active");
+        let leaves = owners.leaves_control_connections();
+        assert_eq!(leaves, leaves_some, "{max} {control}");
+    }
+}
--- a/crates/jujubehold_entry/src/control/pool_keeper.rs
+++ b/crates/jujubehold_entry/src/control/pool_keeper.rs
@@ -57,7 +57,10 @@
             Some(owners) => ConnectionShare::beside_owners(owners.share(&shared.settings.host)),
             None => ConnectionShare::new(max, hosts),
         };
-        let keeps_one = is_primary && (share.may_keep_one || reads_for_others || is_watcher);
+        let owners = upstream.owners();
+        let may_keep_control = owners.is_none_or(|owners| owners.leaves_control_connections());
+        let needs_control = (reads_for_others || is_watcher) && may_keep_control;
+        let keeps_one = is_primary && (share.may_keep_one || needs_control);
         upstream.apply_share(&share, keeps_one);
     }
 }
