Bound the last store call of a draining host by the end of its schedule

The call that leaves the list of hosts may take 300 ms whatever the drain timeout is; with 4 s, as in the soak, it passed the point at which the process has to end.

Change: the call ends when the process has to.

--- a/crates/jujubehold_entry/src/entry_host.rs
+++ b/crates/jujubehold_entry/src/entry_host.rs
@@ -121,8 +121,10 @@
             info!(sessions, leases; "answering the requests that still run");
         }
         self.set_phase(Phase::AnsweringRequests);
-        // Nothing is acknowledged any more, so no host has to wait for this one.
-        control::leave(&self.shared).await;
+        // Nothing is acknowledged any more, so no host has to wait for this one. Without an answer of the
+        // store, its lease expires.
+        let remaining = schedule.exit_by().saturating_sub(self.shared.now());
+        let _ = tokio::time::timeout(remaining, control::leave(&self.shared)).await;
         self.wait_until(schedule.exit_by()).await;
         info!(sessions = self.shared.session_count.get(), leases = self.shared.served_leases.get(),
             has_unsent_frames = self.shared.server_links.have_unsent_frames(),
