Show acknowledged commits that a promotion loses though the hosts know of them

Cause: a replica that starts again without its log counts as an answer, and the positions that the hosts acknowledged never forbid a promotion.

--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -249,10 +249,14 @@
         # Every statement that an instance ran: (instance, id, text).
         self.runs: list[tuple[str, str, str]] = []
         self.work_s = 0.002
+        # How many replicas must have received a commit before it is acknowledged.
+        self.sync = 0
 
     def lead(self, instance: Instance) -> None:
+        if not instance.runs:
+            return
         self.term += 1
-        self.record(f"platform: {instance.id} leads term {self.term}")
+        self.record(f"platform: {instance.id} leads term {self.term} with {len(instance.log)} commits")
         instance.role, instance.term, instance.held = "primary", self.term, 0
         self.primary = instance
         for other in self.instances.values():
@@ -264,11 +268,13 @@
 class Instance:
     """One instance, behind a link that the script can cut."""
 
-    def __init__(self, service: Service, name: str, zone: str):
-        self.service, self.id, self.zone = service, name, zone
+    def __init__(self, service: Service, name: str, zone: str, lag_s: float = 0.008):
+        self.service, self.id, self.zone, self.lag_s = service, name, zone, lag_s
         self.role, self.term, self.held = "replica", service.term, 0
-        self.log: list[tuple[int, str, str]] = []
+        # The term, the item, its data and the id of the statement that committed it.
+        self.log: list[tuple[int, str, str, str]] = []
         self.runs = True
+        self.tasks_of_connections: set[asyncio.Task] = set()
         self.connections = 0
         self.sequence = 0
         self.born = int(time.time() * 1000)
@@ -305,26 +311,65 @@
     async def beats(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            self.beat()
+            if self.runs:
+                self.beat()
 
     async def follow(self) -> None:
+        loop = asyncio.get_running_loop()
+        sent = 0
         while True:
-            await asyncio.sleep(0.008)
+            await asyncio.sleep(0.001)
             primary = self.service.primary
-            if self.role == "replica" and not self.held > self.term and primary is not self:
-                self.log.extend(primary.log[len(self.log) :])
+            sent = max(min(sent, len(primary.log)), len(self.log))
+            if primary is self or not primary.runs or not self.is_receiving():
+                sent = len(self.log)
+            elif primary.log[sent:]:
+                loop.call_later(self.lag_s, self.receive, primary, primary.log[sent:], sent)
+                sent = len(primary.log)
+
+    def is_receiving(self) -> bool:
+        return self.runs and self.role == "replica" and self.held <= self.term
+
+    def receive(self, primary: Instance, commits: list, at: int) -> None:
+        """Takes what the primary sent; what is on its way when an instance ends is lost."""
+        if primary is self.service.primary and primary.runs and self.is_receiving():
+            if len(self.log) == at:
+                self.term = primary.term
+                self.log.extend(commits)
+
+    def crash(self) -> None:
+        self.service.record(f"{self.id} crashes with {len(self.log)} commits")
+        self.runs = False
+        for task in list(self.tasks_of_connections):
+            task.cancel()
+
+    def restart(self, is_reborn: bool) -> None:
+        """Starts again, with the log, or under the same id knowing nothing of before."""
+        self.runs, self.held = True, 0
+        if self.service.primary is not self:
+            self.role = "replica"
+        if is_reborn:
+            self.log, self.term, self.sequence = [], 0, 0
+        self.born = int(time.time() * 1000)
+        self.service.record(f"{self.id} runs again as {self.role} with {len(self.log)} commits")
+        self.beat()
 
     def position(self) -> tuple[int, int]:
         return (self.log[-1][0] if self.log else self.term, len(self.log))
 
     def value(self, item: str) -> str:
-        for _, name, data in reversed(self.log):
+        for _, name, data, _ in reversed(self.log):
             if name == item:
                 return data
         return ""
 
     async def serve(self, reader, writer) -> None:
+        if not self.runs:
+            writer.transport.abort()
+            return
         connection = Connection(self)
+        task = asyncio.current_task()
+        self.tasks_of_connections.add(task)
         try:
             while True:
                 line = await reader.readuntil(b"\r\n")
@@ -337,7 +382,10 @@
                     break
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             pass
+        except asyncio.CancelledError:
+            writer.transport.abort()
         finally:
+            self.tasks_of_connections.discard(task)
             connection.close()
             writer.close()
 
@@ -450,15 +498,28 @@
             if self.begun:
                 self.writes.append((item, data))
             else:
-                instance.log.append((instance.term, item, data))
+                instance.log.append((instance.term, item, data, query))
+                await self.confirm()
             return self.done(query)
         if word == "COMMIT":
             for item, data in self.writes:
-                instance.log.append((instance.term, item, data))
-            self.begun, self.writes = None, []
+                instance.log.append((instance.term, item, data, query))
+            has_written, self.begun, self.writes = bool(self.writes), None, []
+            if has_written:
+                await self.confirm()
             return self.done(query)
         return self.error("MALFORMED")
 
+    async def confirm(self) -> None:
+        """Waits until as many replicas as the service asks for have received the newest commit."""
+        instance, others = self.instance, self.service.instances.values()
+        at, entry = len(instance.log), instance.log[-1]
+        while True:
+            holders = [o for o in others if o is not instance and o.log[at - 1 : at] == [entry]]
+            if len(holders) >= self.service.sync:
+                return
+            await asyncio.sleep(0.001)
+
     def command(self, word: str, rest: str) -> str | None:
         instance = self.instance
         if word == "SET":
