--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -274,6 +274,8 @@
         # The term, the item, its data and the id of the statement that committed it.
         self.log: list[tuple[int, str, str, str]] = []
         self.runs = True
+        # Whether it receives nothing of the primary's log, though it answers.
+        self.is_deaf = False
         self.tasks_of_connections: set[asyncio.Task] = set()
         self.connections = 0
         self.sequence = 0
@@ -328,7 +330,12 @@
                 sent = len(primary.log)
 
     def is_receiving(self) -> bool:
-        return self.runs and self.role == "replica" and self.held <= self.term
+        return (
+            self.runs
+            and not self.is_deaf
+            and self.role == "replica"
+            and self.held <= self.term
+        )
 
     def receive(self, primary: Instance, commits: list, at: int) -> None:
         """Takes what the primary sent; what is on its way when an instance ends is lost."""
@@ -517,6 +524,9 @@
         while True:
             holders = [o for o in others if o is not instance and o.log[at - 1 : at] == [entry]]
             if len(holders) >= self.service.sync:
+                if holders and self.service.sync:
+                    # The replica's word takes as long on its way back.
+                    await asyncio.sleep(min(holder.lag_s for holder in holders))
                 return
             await asyncio.sleep(0.001)
 
@@ -799,8 +809,11 @@
 
     async def main() -> int:
         world = World(folder)
+        playing = asyncio.ensure_future(case(world, trouble))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         try:
-            held = await asyncio.wait_for(case(world, trouble), 110)
+            held = await asyncio.wait_for(playing, 110)
         finally:
             await world.stop()
         world.record("the rule held" if held else "the rule was broken")
@@ -809,7 +822,7 @@
 
     try:
         result = asyncio.run(main())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"cannot run: {type(error).__name__}: {error}", file=sys.stderr)
         result = 2
     sys.stdout.flush()
